--- /dev/null
+++ b/src/admission/types.ts
@@ -0,0 +1,23 @@
+import type {Priority} from '../configuration/index.js';
+import type {CallId, Millis, OrganisationName} from '../core/index.js';
+import type {ErrorName} from '../errors/index.js';
+
+/** A call that asks to run at an upstream. */
+export interface Applicant {
+  readonly callId: CallId;
+  readonly organisation: OrganisationName;
+  readonly weight: number;
+  readonly priority: Priority;
+  /** When its answer must be there. */
+  readonly deadlineAt: Millis;
+}
+
+/** What becomes of an applicant. */
+export type Admission =
+  | {readonly decision: 'start'}
+  | {readonly decision: 'wait'}
+  | {
+      readonly decision: 'refuse';
+      readonly reason: ErrorName;
+      readonly retryAfterMs: Millis;
+    };
--- /dev/null
+++ b/src/calls/messages.ts
@@ -0,0 +1,124 @@
+import {z} from 'zod';
+
+import {PRIORITIES} from '../configuration/index.js';
+import {callId, organisationName, serviceName} from '../core/index.js';
+import {ERRORS} from '../errors/index.js';
+import type {ErrorName} from '../errors/index.js';
+import {loadReport} from '../routing/index.js';
+
+const MAX_HEADERS = 100;
+const MAX_CALL_ID = 200;
+
+const bytes = z.instanceof(Uint8Array);
+const count = z.int().nonnegative();
+const headers = z
+  .record(z.string().max(200), z.string().max(16_384))
+  .refine(record => Object.keys(record).length <= MAX_HEADERS);
+const reason = z.enum(Object.keys(ERRORS) as [ErrorName, ...ErrorName[]]);
+
+/** Names one attempt of one call. */
+const attempt = {
+  callId: z.string().min(1).max(MAX_CALL_ID).transform(callId),
+  attempt: z.int().positive(),
+};
+
+/** Asks the sidecar to run a call. */
+const call = z.strictObject({
+  type: z.literal('call'),
+  ...attempt,
+  service: z.string().transform(serviceName),
+  organisation: z.string().transform(organisationName),
+  /** Share of the organisation in a contended queue. */
+  weight: z.number().positive(),
+  priority: z.enum(PRIORITIES),
+  idempotent: z.boolean(),
+  /** Time left of the deadline when the message was sent, ms. */
+  remainingMs: z.number(),
+  method: z.string().max(10),
+  path: z.string().max(8_192),
+  headers,
+  body: bytes,
+  /** Frames that the sidecar may send before it needs more credit. */
+  credit: count,
+});
+
+/** The sidecar refused before anything reached the upstream. */
+const refused = z.strictObject({
+  type: z.literal('refused'),
+  ...attempt,
+  reason,
+  retryAfterMs: count,
+  load: loadReport,
+});
+
+/** Start of the upstream's answer. */
+const head = z.strictObject({
+  type: z.literal('head'),
+  ...attempt,
+  seq: z.literal(0),
+  status: z.int().min(100).max(599),
+  headers,
+  load: loadReport,
+});
+
+/** A piece of the upstream's answer. */
+const data = z.strictObject({
+  type: z.literal('data'),
+  ...attempt,
+  seq: z.int().positive(),
+  body: bytes,
+});
+
+/** End of the upstream's answer, with what the whole of it is. */
+const end = z.strictObject({
+  type: z.literal('end'),
+  ...attempt,
+  /** Data frames of the answer. */
+  frames: count,
+  /** Bytes of the answer's body. */
+  bytes: count,
+  load: loadReport,
+});
+
+/** The upstream gave no whole answer; the call may have run. */
+const failed = z.strictObject({
+  type: z.literal('failed'),
+  ...attempt,
+  reason,
+  load: loadReport,
+});
+
+/** The caller is gone or was answered: stop the work. */
+const cancel = z.strictObject({type: z.literal('cancel'), ...attempt});
+
+/** Lets the sidecar send more frames. */
+const credit = z.strictObject({
+  type: z.literal('credit'),
+  ...attempt,
+  frames: z.int().positive(),
+});
+
+/** Messages about calls between an entry and a sidecar. */
+export const callMessages = [
+  call,
+  refused,
+  head,
+  data,
+  end,
+  failed,
+  cancel,
+  credit,
+] as const;
+
+export type CallMessage = z.output<typeof call>;
+export type RefusedMessage = z.output<typeof refused>;
+/** What a sidecar sends about a call. */
+export type AnswerMessage =
+  | RefusedMessage
+  | z.output<typeof head>
+  | z.output<typeof data>
+  | z.output<typeof end>
+  | z.output<typeof failed>;
+/** What an entry sends about a call. */
+export type RequestMessage =
+  CallMessage | z.output<typeof cancel> | z.output<typeof credit>;
--- /dev/null
+++ b/src/calls/resolve.ts
@@ -0,0 +1,103 @@
+import {err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
+
+import type {
+  Configuration,
+  Priority,
+  Route,
+  Service,
+} from '../configuration/index.js';
+import {serviceName} from '../core/index.js';
+import type {Millis, ServiceName} from '../core/index.js';
+import {Fault} from '../errors/index.js';
+
+const COMPLETION_PATHS = ['/v1/chat/completions', '/v1/completions'];
+const SERVICE_PATH = /^\/services\/([^/?]+)(\/.*)?$/;
+
+/** What the configuration says of a request. */
+export interface Resolved {
+  readonly name: ServiceName;
+  readonly service: Service;
+  readonly idempotent: boolean;
+  readonly deadline: Millis;
+  readonly priority: Priority;
+  /** Path and query at the upstream. */
+  readonly path: string;
+}
+
+/**
+ * Whether a path is one of the completions, whose body names the service.
+ * @param path - path of the request
+ */
+export function isCompletion(path: string): boolean {
+  return COMPLETION_PATHS.includes(pathOnly(path));
+}
+
+/**
+ * Finds the service of a completion.
+ * @param cfg - the configuration in force
+ * @param path - path of the request
+ * @param model - the `model` field of its body
+ * @returns what is said of it, or `unknown_service`
+ */
+export function resolveCompletion(
+  cfg: Configuration,
+  path: string,
+  model: string,
+): Result<Resolved, Fault> {
+  for (const [name, service] of Object.entries(cfg.services)) {
+    if (service.kind !== 'model' || (service.model ?? name) !== model) continue;
+    const {deadline, priority} = service;
+    const found = {name: serviceName(name), service, deadline, priority, path};
+    return ok({...found, idempotent: true});
+  }
+  return err(new Fault('unknown_service', `no service has model ${model}`));
+}
+
+/**
+ * Finds the service and route of a call to a plain service.
+ * @param cfg - the configuration in force
+ * @param method - HTTP method of the request
+ * @param path - path of the request
+ * @returns what is said of it, or `not_found`, `unknown_service` or
+ *   `unknown_route`
+ */
+export function resolvePlain(
+  cfg: Configuration,
+  method: string,
+  path: string,
+): Result<Resolved, Fault> {
+  const [, wanted, rest = '/'] = SERVICE_PATH.exec(path) ?? [];
+  if (wanted === undefined) return err(new Fault('not_found'));
+  const name = serviceName(wanted);
+  const service = Object.hasOwn(cfg.services, name)
+    ? cfg.services[name]
+    : undefined;
+  if (service?.kind !== 'plain') {
+    return err(new Fault('unknown_service', `no plain service ${wanted}`));
+  }
+  const route = service.routes.find(candidate =>
+    matches(candidate, method, pathOnly(rest)),
+  );
+  if (route === undefined) {
+    return err(new Fault('unknown_route', `${method} ${rest}`));
+  }
+  return ok({
+    name,
+    service,
+    idempotent: route.idempotent,
+    deadline: route.deadline ?? service.deadline,
+    priority: route.priority ?? service.priority,
+    path: rest,
+  });
+}
+
+function pathOnly(path: string): string {
+  return path.split('?', 1)[0] ?? path;
+}
+
+function matches(route: Route, method: string, path: string): boolean {
+  if (route.method !== method) return false;
+  if (!route.path.endsWith('*')) return route.path === path;
+  return path.startsWith(route.path.slice(0, -1));
+}
--- /dev/null
+++ b/src/calls/types.ts
@@ -0,0 +1,70 @@
+import type {Priority} from '../configuration/index.js';
+import type {
+  CallId,
+  Incarnation,
+  Millis,
+  OrganisationName,
+  ServiceName,
+} from '../core/index.js';
+import type {ErrorName} from '../errors/index.js';
+import type {RequestMessage} from './messages.js';
+import type {NotRunProof} from './not_run_proof.js';
+
+/** A caller's request once it is parsed and its organisation is known. */
+export interface CallRequest {
+  readonly callId: CallId;
+  readonly service: ServiceName;
+  readonly organisation: OrganisationName;
+  readonly weight: number;
+  readonly priority: Priority;
+  readonly idempotent: boolean;
+  /** When the answer must be there. */
+  readonly deadlineAt: Millis;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+/** What a caller is told of a call. */
+export type Outcome =
+  | {readonly kind: 'done'}
+  | {
+      readonly kind: 'not-run';
+      readonly reason: ErrorName;
+      readonly proof: NotRunProof;
+      readonly retryAfterMs: Millis;
+    }
+  | {
+      readonly kind: 'unknown';
+      readonly reason: ErrorName;
+      readonly retryAfterMs: Millis;
+    };
+
+/** What the entry has to do next for a call. */
+export type EntryEffect =
+  | {
+      readonly type: 'choose';
+      /** Upstreams that were tried already. */
+      readonly exclude: readonly Incarnation[];
+      /** Why this is not the first attempt. */
+      readonly retryOf: ErrorName | undefined;
+    }
+  | {
+      readonly type: 'send';
+      readonly to: Incarnation;
+      readonly message: RequestMessage;
+    }
+  | {
+      readonly type: 'head';
+      readonly status: number;
+      readonly headers: Readonly<Record<string, string>>;
+    }
+  | {readonly type: 'body'; readonly bytes: Uint8Array}
+  /** The whole answer was delivered. */
+  | {readonly type: 'end'}
+  /** Nothing was delivered yet: tell the outcome. */
+  | {readonly type: 'finish'; readonly outcome: Outcome}
+  /** Part was delivered: make the caller see that the rest is missing. */
+  | {readonly type: 'abort'; readonly outcome: Outcome}
+  | {readonly type: 'drop'; readonly why: 'late' | 'gap' | 'settled'};
--- /dev/null
+++ b/src/cli/check/index.ts
@@ -0,0 +1,34 @@
+import {readFile} from 'node:fs/promises';
+
+import {parseConfiguration} from '../../configuration/index.js';
+import {describe} from '../../errors/index.js';
+import {EXIT, complain, defineCommand, print} from '../shared/command.js';
+import {SHARED} from '../shared/flags.js';
+
+/** `baobabspan check` */
+export const checkCommand = defineCommand({
+  usage: 'check <file>',
+  summary: 'Check a configuration text and print every finding',
+  flags: {json: SHARED.json},
+  example: 'check examples/kivuli.yaml',
+  run: async ({json}, [file = '']) => {
+    let text: string;
+    try {
+      text = await readFile(file, 'utf8');
+    } catch (thrown) {
+      complain(`${file}: ${describe(thrown)}`);
+      return EXIT.usage;
+    }
+    const findings = parseConfiguration(text).match(
+      () => [],
+      found => found,
+    );
+    if (json) print(JSON.stringify({file, findings}, undefined, 2));
+    else {
+      for (const {line, column, message, rule} of findings) {
+        print(`${file}:${line}:${column}: ${message} (${rule})`);
+      }
+    }
+    return findings.length === 0 ? EXIT.good : EXIT.refused;
+  },
+});
--- /dev/null
+++ b/src/cli/demo/estate.ts
@@ -0,0 +1,125 @@
+import {readFile} from 'node:fs/promises';
+
+import {CONFIGURATION_STREAM} from '../../configuration/index.js';
+import {availabilityZone, serviceName, vmName} from '../../core/index.js';
+import type {ServiceName} from '../../core/index.js';
+import {Entry} from '../../daemons/entry/index.js';
+import type {EntryAddresses} from '../../daemons/entry/index.js';
+import {Sidecar} from '../../daemons/sidecar/index.js';
+import {EngineServer} from '../../../standins/engine_server.js';
+import {PlainService} from '../../../standins/plain_service.js';
+import {PlatformServer} from '../../../standins/platform_server.js';
+import {daemonParts} from '../shared/run_daemon.js';
+
+const ZONES = ['dar-kariakoo', 'dar-mikocheni'].map(availabilityZone);
+const EXAMPLE = new URL('../../../../examples/kivuli.yaml', import.meta.url);
+const LINK_KEY = 'demo-link-key-0123456789';
+const HOST = '127.0.0.1';
+const SECOND_MS = 1_000;
+
+/** One process of the demonstration's estate. */
+export interface EstateMember {
+  readonly vm: string;
+  readonly availabilityZone: string;
+  readonly role: 'entry' | 'sidecar';
+  readonly service: string;
+  readonly address: string;
+}
+
+/** A small estate on loopback, all of it in this process. */
+export class Estate {
+  private readonly platform = new PlatformServer();
+  private readonly closers: (() => Promise<void>)[] = [];
+  private readonly vms: object[] = [];
+
+  /** Everything that runs. */
+  readonly members: EstateMember[] = [];
+  /** The plain services, whose runs tell what truly ran. */
+  readonly depots: PlainService[] = [];
+  /** Addresses of the entries. */
+  readonly entries: EntryAddresses[] = [];
+
+  /** Starts the stand-ins, the sidecars and the entries. */
+  async start(): Promise<void> {
+    const platformUrl = await this.platform.listen();
+    const text = await readFile(EXAMPLE, 'utf8');
+    const record = {kind: 'publication', id: 'demo', base: 0, author: 'demo'};
+    this.platform.append(CONFIGURATION_STREAM, {...record, text});
+    for (const zone of ZONES) {
+      const engine = new EngineServer();
+      const depot = new PlainService('depot');
+      this.depots.push(depot);
+      await this.startSidecar(zone, 'rounds-assistant', engine, platformUrl);
+      await this.startSidecar(zone, 'depot', depot, platformUrl);
+    }
+    this.platform.setVms(this.vms);
+    for (const zone of ZONES) await this.startEntry(zone, platformUrl);
+  }
+
+  /** Stops everything, the daemons before what they talk to. */
+  async close(): Promise<void> {
+    for (const close of this.closers.reverse()) await close();
+    await this.platform.close();
+  }
+
+  private async startSidecar(
+    zone: (typeof ZONES)[number],
+    name: string,
+    upstream: EngineServer | PlainService,
+    platformUrl: string,
+  ): Promise<void> {
+    const upstreamUrl = await upstream.listen();
+    this.closers.push(() => upstream.close());
+    const service: ServiceName = serviceName(name);
+    const vm = vmName(`${name}-${zone}`);
+    const sidecar = new Sidecar(
+      {...this.common(vm, zone, platformUrl), service, upstreamUrl},
+      daemonParts('warn'),
+    );
+    const {links: address} = await sidecar.start();
+    this.closers.push(() => sidecar.stop());
+    const listed = {vm, availabilityZone: zone, role: 'sidecar', service};
+    this.vms.push({...listed, state: 'live', address});
+    const role = 'sidecar';
+    this.members.push({vm, availabilityZone: zone, role, service, address});
+  }
+
+  private async startEntry(
+    zone: (typeof ZONES)[number],
+    platformUrl: string,
+  ): Promise<void> {
+    const vm = vmName(`entry-${zone}`);
+    const entry = new Entry(
+      {...this.common(vm, zone, platformUrl), port: 0},
+      daemonParts('warn'),
+    );
+    const addresses = await entry.start();
+    this.entries.push(addresses);
+    this.closers.push(() => entry.stop());
+    this.members.push({
+      vm,
+      availabilityZone: zone,
+      role: 'entry',
+      service: '',
+      address: addresses.callers,
+    });
+  }
+
+  private common(
+    vm: ReturnType<typeof vmName>,
+    zone: (typeof ZONES)[number],
+    platformUrl: string,
+  ) {
+    return {
+      vm,
+      availabilityZone: zone,
+      host: HOST,
+      operatorPort: 0,
+      linkPort: 0,
+      linkKey: LINK_KEY,
+      logUrl: platformUrl,
+      vmListUrl: platformUrl,
+      drainTimeout: 10 * SECOND_MS,
+    };
+  }
+}
--- /dev/null
+++ b/src/cli/demo/requests.ts
@@ -0,0 +1,109 @@
+import {request} from 'undici';
+
+import {
+  completionTokens,
+  streamEvent,
+  wholeAnswer,
+} from '../../../standins/engine_server.js';
+import type {Estate} from './estate.js';
+
+const TOKEN = 'kariakoo-rounds-token';
+const MODEL = 'rounds-assistant';
+
+/** One row of the table of outcomes. */
+export interface DemoRow {
+  readonly what: string;
+  readonly status: number;
+  readonly outcome: string;
+  readonly correct: boolean;
+}
+
+interface DemoRequest {
+  readonly what: string;
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly body?: object;
+  readonly token?: string;
+  readonly outcome: string;
+  /** Whether the answer is the right one. */
+  readonly check: (status: number, body: string) => boolean;
+}
+
+function chat(text: string, stream: boolean): DemoRequest {
+  const messages = [{role: 'user', content: text}];
+  const body = {model: MODEL, messages, stream, max_tokens: 24};
+  const tokens = completionTokens(body);
+  const streamed = tokens
+    .map((token, i) => streamEvent(MODEL, token, i === tokens.length - 1))
+    .join('');
+  const expected = stream
+    ? `${streamed}data: [DONE]\n\n`
+    : JSON.stringify(wholeAnswer(MODEL, tokens));
+  return {
+    what: stream ? 'plan the stops (streamed)' : 'summarise the sales',
+    method: 'POST',
+    path: '/v1/chat/completions',
+    body,
+    outcome: 'done',
+    check: (status, answer) => status === 200 && answer === expected,
+  };
+}
+
+const REQUESTS: readonly DemoRequest[] = [
+  chat('plan the stops for Mbezi', true),
+  chat('summarise the sales of the day', false),
+  {
+    what: 'record a loading (at most once)',
+    method: 'POST',
+    path: '/services/depot/loadings',
+    body: {van: 7, crates: 12},
+    outcome: 'done',
+    check: (status, answer) =>
+      status === 200 && (JSON.parse(answer) as {run: number}).run === 1,
+  },
+  {
+    what: 'look up a route sheet',
+    method: 'GET',
+    path: '/services/depot/sheets/7',
+    outcome: 'done',
+    check: status => status === 200,
+  },
+  {
+    what: 'a token of nobody (refused)',
+    method: 'GET',
+    path: '/services/depot/sheets/7',
+    token: 'nobody',
+    outcome: 'not-run',
+    check: status => status === 401,
+  },
+];
+
+async function send(callers: string, wanted: DemoRequest): Promise<DemoRow> {
+  const {what, method, path, body, token = TOKEN} = wanted;
+  const res = await request(`http://${callers}${path}`, {
+    method,
+    headers: {
+      authorization: `Bearer ${token}`,
+      'content-type': 'application/json',
+    },
+    body: body === undefined ? null : JSON.stringify(body),
+  });
+  const answer = await res.body.text();
+  const status = res.statusCode;
+  const outcome = String(res.headers['baobabspan-outcome']);
+  const correct = outcome === wanted.outcome && wanted.check(status, answer);
+  return {what, status, outcome, correct};
+}
+
+/**
+ * Sends the requests of the demonstration, to the entries in turn.
+ * @param estate - a running estate
+ */
+export async function sendRequests(estate: Estate): Promise<DemoRow[]> {
+  const rows: DemoRow[] = [];
+  for (const [index, wanted] of REQUESTS.entries()) {
+    const entry = estate.entries[index % estate.entries.length];
+    rows.push(await send(entry?.callers ?? '', wanted));
+  }
+  return rows;
+}
--- /dev/null
+++ b/src/cli/shared/flags.ts
@@ -0,0 +1,162 @@
+import {z} from 'zod';
+
+import {
+  SECOND,
+  availabilityZone,
+  serviceName,
+  vmName,
+} from '../../core/index.js';
+import {LOG_LEVELS} from '../../observability/index.js';
+
+/** One setting: a flag, and an environment variable of the same name. */
+export interface Flag<T> {
+  /** Name without the leading hyphens, in kebab case. */
+  readonly name: string;
+  /** What the value is, for help; nothing for a switch. */
+  readonly value?: string;
+  readonly description: string;
+  readonly schema: z.ZodType<T>;
+  /** Text that stands when the setting is given nowhere. */
+  readonly fallback?: string;
+}
+
+/** The flags of one command, by the names of its settings. */
+export type Flags = Readonly<Record<string, Flag<unknown>>>;
+/** The settings that flags give. */
+export type SettingsOf<F extends Flags> = {
+  readonly [K in keyof F]: F[K] extends Flag<infer T> ? T : never;
+};
+
+const port = z.coerce.number().int().min(0).max(65_535);
+const url = z.url({protocol: /^https?$/}).transform(u => u.replace(/\/$/, ''));
+const seconds = z.coerce
+  .number()
+  .nonnegative()
+  .transform(s => s * SECOND);
+const name = z.string().min(1).max(100);
+const toggle = z.enum(['true', 'false']).transform(text => text === 'true');
+
+const flag = <T>(definition: Flag<T>): Flag<T> => definition;
+
+/** Flags that more than one command has. */
+export const SHARED = {
+  vm: flag({
+    name: 'vm',
+    value: 'NAME',
+    description: "Name of this VM in the platform's list",
+    schema: name.transform(vmName),
+  }),
+  availabilityZone: flag({
+    name: 'availability-zone',
+    value: 'NAME',
+    description: 'Availability zone of this VM',
+    schema: name.transform(availabilityZone),
+  }),
+  host: flag({
+    name: 'host',
+    value: 'IP',
+    description: 'IP address that the listeners use',
+    schema: z.union([z.ipv4(), z.ipv6()]),
+    fallback: '127.0.0.1',
+  }),
+  operatorPort: flag({
+    name: 'operator-port',
+    value: 'PORT',
+    description: 'Port for operators; 0 picks a free one',
+    schema: port,
+    fallback: '0',
+  }),
+  linkPort: flag({
+    name: 'link-port',
+    value: 'PORT',
+    description: 'Port for other processes of the system; 0 picks a free one',
+    schema: port,
+    fallback: '0',
+  }),
+  linkKey: flag({
+    name: 'link-key',
+    value: 'SECRET',
+    description: 'Key that all processes of the estate share',
+    schema: z.string().min(16, 'must have at least 16 characters'),
+  }),
+  logUrl: flag({
+    name: 'log-url',
+    value: 'URL',
+    description: "Address of the platform's log",
+    schema: url,
+  }),
+  vmListUrl: flag({
+    name: 'vm-list-url',
+    value: 'URL',
+    description: "Address of the platform's VM list",
+    schema: url,
+  }),
+  drainTimeout: flag({
+    name: 'drain-timeout',
+    value: 'SECONDS',
+    description: 'How long a shutdown waits for calls that run',
+    schema: seconds,
+    fallback: '300',
+  }),
+  logLevel: flag({
+    name: 'log-level',
+    value: 'LEVEL',
+    description: `Least level that is logged: ${LOG_LEVELS.join(', ')}`,
+    schema: z.enum(LOG_LEVELS),
+    fallback: 'info',
+  }),
+  json: flag({
+    name: 'json',
+    description: 'Print JSON',
+    schema: toggle,
+    fallback: 'false',
+  }),
+} as const;
+
+/** Flags that one command has. */
+export const OWN = {
+  port: flag({
+    name: 'port',
+    value: 'PORT',
+    description: 'Port for callers; 0 picks a free one',
+    schema: port,
+    fallback: '8080',
+  }),
+  service: flag({
+    name: 'service',
+    value: 'NAME',
+    description: 'Service that the upstream is of',
+    schema: name.transform(serviceName),
+  }),
+  upstreamUrl: flag({
+    name: 'upstream-url',
+    value: 'URL',
+    description: 'Address of the upstream beside this sidecar',
+    schema: url,
+  }),
+  base: flag({
+    name: 'base',
+    value: 'N',
+    description: 'Version that the text was made from; 0 for the first',
+    schema: z.coerce.number().int().nonnegative(),
+  }),
+  author: flag({
+    name: 'author',
+    value: 'NAME',
+    description: 'Who publishes',
+    schema: name,
+    fallback: 'operator',
+  }),
+  operatorUrl: flag({
+    name: 'operator-url',
+    value: 'URL',
+    description: "Address of a daemon's operator listener",
+    schema: url,
+  }),
+  once: flag({
+    name: 'once',
+    description: 'Print the outcomes and exit',
+    schema: toggle,
+    fallback: 'false',
+  }),
+} as const;
--- /dev/null
+++ b/src/cli/shared/run_daemon.ts
@@ -0,0 +1,50 @@
+import {randomInt} from 'node:crypto';
+
+import {Chance} from '../../core/index.js';
+import type {DaemonParts} from '../../daemons/shared/start_context.js';
+import {SystemClock} from '../../observability/clock.js';
+import {Metrics, createLogger} from '../../observability/index.js';
+import type {LogLevel} from '../../observability/index.js';
+import {EXIT} from './command.js';
+
+const MAX_SEED = 2 ** 31 - 1;
+
+/** A daemon as the command line runs it. */
+export interface Daemon {
+  start(): Promise<unknown>;
+  drain(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/**
+ * Makes the real clock, chance, logger and metrics of a daemon.
+ * @param level - the least level that is logged
+ */
+export function daemonParts(level: LogLevel): DaemonParts {
+  return {
+    clock: new SystemClock(),
+    chance: new Chance(randomInt(MAX_SEED)),
+    logger: createLogger(level),
+    metrics: new Metrics(),
+  };
+}
+
+/**
+ * Runs a daemon until a signal: the first drains it, the second stops it.
+ * @param daemon - the daemon
+ * @returns the exit code
+ */
+export async function runDaemon(daemon: Daemon): Promise<number> {
+  await daemon.start();
+  await new Promise<void>(resolve => {
+    let signals = 0;
+    const onSignal = () => {
+      signals += 1;
+      if (signals === 1) void daemon.drain().then(resolve);
+      if (signals === 2) void daemon.stop().then(resolve);
+    };
+    process.on('SIGTERM', onSignal);
+    process.on('SIGINT', onSignal);
+  });
+  return EXIT.good;
+}
--- /dev/null
+++ b/src/configuration/types.ts
@@ -0,0 +1,62 @@
+import type {z} from 'zod';
+
+import type {Offset, RecordId, Version} from '../core/index.js';
+import type {configurationSchema, priority} from './schema.js';
+
+/** A configuration text, parsed and checked. Spans are ms, sizes bytes. */
+export type Configuration = z.output<typeof configurationSchema>;
+/** One service of the configuration. */
+export type Service =
+  Configuration['services'][keyof Configuration['services']];
+export type ModelService = Extract<Service, {kind: 'model'}>;
+export type PlainService = Extract<Service, {kind: 'plain'}>;
+/** One declared route of a plain service. */
+export type Route = PlainService['routes'][number];
+/** One organisation of the configuration. */
+export type Organisation =
+  Configuration['organisations'][keyof Configuration['organisations']];
+export type Priority = z.output<typeof priority>;
+
+/** Something wrong with a text, and where. */
+export interface Finding {
+  /** Line, from 1. */
+  readonly line: number;
+  /** Column, from 1. */
+  readonly column: number;
+  readonly message: string;
+  /** Name of the rule that was broken. */
+  readonly rule: string;
+}
+
+/** An operator's wish to put a text in force. */
+export interface Publication {
+  readonly kind: 'publication';
+  readonly id: RecordId;
+  /** The version that the operator saw in force. */
+  readonly base: Version;
+  readonly author: string;
+  readonly text: string;
+}
+
+/** A copy of the folded state that outlives the log's retention. */
+export interface Checkpoint {
+  readonly kind: 'checkpoint';
+  readonly id: RecordId;
+  readonly version: Version;
+  readonly text: string;
+  /** Greatest offset that the state includes. */
+  readonly foldedTo: Offset;
+}
+
+/** What became of a publication. */
+export type Verdict =
+  | {readonly accepted: true; readonly version: Version}
+  | {
+      readonly accepted: false;
+      readonly reason: 'stale_base' | 'invalid_text' | 'unknown_schema';
+      readonly detail: string;
+      /** The version in force instead. */
+      readonly version: Version;
+      /** Who published that version. */
+      readonly author: string;
+    };
--- /dev/null
+++ b/src/core/index.ts
@@ -0,0 +1,4 @@
+/** Identifiers, time and chance that every other folder builds on. */
+export * from './chance.js';
+export * from './ids.js';
+export * from './time.js';
--- /dev/null
+++ b/src/daemons/entry/call_task.ts
@@ -0,0 +1,173 @@
+import {EntryCall} from '../../calls/index.js';
+import type {
+  AnswerMessage,
+  CallRequest,
+  EntryEffect,
+  Outcome,
+  RequestMessage,
+} from '../../calls/index.js';
+import type {Incarnation, Millis} from '../../core/index.js';
+import type {ErrorName} from '../../errors/index.js';
+import type {DaemonContext} from '../shared/context.js';
+import {Task} from '../shared/task.js';
+import type {Caller} from './caller.js';
+
+/** What a call needs of the rest of the entry. */
+export interface CallServices {
+  /** Asks for an upstream; the answer comes as `chosen` or `none`. */
+  choose(task: CallTask, exclude: readonly Incarnation[]): void;
+  /** Sends to an upstream; `unsent` comes back when no link took it. */
+  send(task: CallTask, to: Incarnation, message: RequestMessage): void;
+  /** The call is over. */
+  ended(task: CallTask): void;
+}
+
+/** What a call's task is told. */
+export type CallEvent =
+  | {readonly type: 'start'}
+  | {readonly type: 'chosen'; readonly upstream: Incarnation}
+  | {
+      readonly type: 'none';
+      readonly reason: ErrorName;
+      readonly retryAfterMs: Millis;
+    }
+  | {readonly type: 'unsent'}
+  | {readonly type: 'answer'; readonly message: AnswerMessage}
+  | {readonly type: 'link_lost'}
+  | {readonly type: 'deadline'}
+  | {readonly type: 'caller_gone'}
+  | {readonly type: 'drained'};
+
+/** Carries one call: turns the aggregate's effects into I/O. */
+export class CallTask extends Task<CallEvent> {
+  private readonly call: EntryCall;
+  private readonly timer: NodeJS.Timeout;
+  /** Frames that wait for a slow caller before they are credited. */
+  private uncredited = 0;
+  private blocked = false;
+  private over = false;
+
+  /**
+   * @param context - what the daemon's tasks share
+   * @param request - the call
+   * @param caller - where the answer goes
+   * @param services - the rest of the entry
+   */
+  constructor(
+    private readonly context: DaemonContext,
+    request: CallRequest,
+    private readonly caller: Caller,
+    private readonly services: CallServices,
+  ) {
+    super(context.system, `call-${request.callId}`, context.logger);
+    this.call = new EntryCall(request);
+    const left = request.deadlineAt - context.clock.now();
+    this.timer = setTimeout(() => this.post({type: 'deadline'}), left);
+    this.post({type: 'start'});
+  }
+
+  /** The call. */
+  get request(): CallRequest {
+    return this.call.request;
+  }
+
+  protected receive(event: CallEvent): void {
+    for (const effect of this.decide(event)) this.carryOut(effect);
+    if (this.call.settled) this.finish();
+  }
+
+  private decide(event: CallEvent): EntryEffect[] {
+    switch (event.type) {
+      case 'start':
+        return this.call.start();
+      case 'chosen':
+        return this.call.chosen(this.context.clock.now(), event.upstream);
+      case 'none':
+        return this.call.noneToChoose(event.reason, event.retryAfterMs);
+      case 'unsent':
+        return this.call.unsent();
+      case 'answer':
+        return this.call.receive(event.message);
+      case 'link_lost':
+        return this.call.linkLost();
+      case 'deadline':
+        return this.call.deadline();
+      case 'caller_gone':
+        return this.call.callerGone();
+      case 'drained':
+        return this.drained();
+    }
+  }
+
+  private carryOut(effect: EntryEffect): void {
+    const {metrics} = this.context;
+    const {service} = this.request;
+    switch (effect.type) {
+      case 'choose':
+        if (effect.retryOf) {
+          metrics.retries.inc({reason: effect.retryOf, service});
+        }
+        return this.services.choose(this, effect.exclude);
+      case 'send':
+        return this.services.send(this, effect.to, effect.message);
+      case 'head':
+        return this.caller.head(effect.status, effect.headers);
+      case 'body':
+        return this.body(effect.bytes);
+      case 'end':
+        this.caller.end();
+        return this.record({kind: 'done'});
+      case 'finish':
+        if (effect.outcome.kind !== 'done') this.caller.finish(effect.outcome);
+        return this.record(effect.outcome);
+      case 'abort':
+        this.caller.abort();
+        return this.record(effect.outcome);
+      case 'drop':
+        metrics.droppedFrames.inc({reason: effect.why});
+    }
+  }
+
+  private body(bytes: Uint8Array): void {
+    this.uncredited += 1;
+    this.blocked = !this.caller.body(bytes);
+    if (!this.blocked) this.grant();
+  }
+
+  private grant(): void {
+    const frames = this.uncredited;
+    this.uncredited = 0;
+    if (frames === 0) return;
+    this.call.consumed(frames).forEach(effect => this.carryOut(effect));
+  }
+
+  private drained(): EntryEffect[] {
+    this.blocked = false;
+    this.grant();
+    return [];
+  }
+
+  private record(outcome: Outcome): void {
+    const {service, callId, organisation} = this.request;
+    const {metrics, logger} = this.context;
+    metrics.outcomes.inc({outcome: outcome.kind, service});
+    if (outcome.kind === 'done') return;
+    const {reason} = outcome;
+    metrics.refusals.inc({reason, service});
+    logger.info('call_given_up', {
+      call: callId,
+      service,
+      organisation,
+      outcome: outcome.kind,
+      reason,
+    });
+  }
+
+  private finish(): void {
+    if (this.over) return;
+    this.over = true;
+    clearTimeout(this.timer);
+    this.services.ended(this);
+    this.stop();
+  }
+}
--- /dev/null
+++ b/src/daemons/entry/caller.ts
@@ -0,0 +1,110 @@
+import type {ServerResponse} from 'node:http';
+
+import type {Outcome} from '../../calls/index.js';
+import type {CallId, Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+import {ERRORS} from '../../errors/index.js';
+import type {Fault} from '../../errors/index.js';
+import type {ErrorName} from '../../errors/index.js';
+
+const DEFAULT_RETRY_AFTER: Millis = SECOND;
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Writes the answer to one caller. */
+export class Caller {
+  /**
+   * @param res - the HTTP response
+   * @param callId - the call
+   */
+  constructor(
+    private readonly res: ServerResponse,
+    private readonly callId: CallId,
+  ) {}
+
+  /**
+   * Starts the upstream's answer.
+   * @param status - HTTP status
+   * @param headers - the upstream's headers
+   */
+  head(status: number, headers: Readonly<Record<string, string>>): void {
+    this.res.statusCode = status;
+    for (const [name, value] of Object.entries(headers)) {
+      if (!HOP_BY_HOP.has(name)) this.res.setHeader(name, value);
+    }
+    this.res.setHeader('baobabspan-outcome', 'done');
+    this.res.setHeader('baobabspan-call-id', this.callId);
+    this.res.flushHeaders();
+  }
+
+  /**
+   * Writes a piece of the answer.
+   * @param bytes - the piece
+   * @returns whether more may be written at once
+   */
+  body(bytes: Uint8Array): boolean {
+    return this.res.write(bytes);
+  }
+
+  /** The answer is whole. */
+  end(): void {
+    this.res.end();
+  }
+
+  /** Makes the caller see that the answer is not whole. */
+  abort(): void {
+    this.res.destroy();
+  }
+
+  /**
+   * Tells a final outcome when nothing of an answer was sent.
+   * @param outcome - the outcome
+   */
+  finish(outcome: Exclude<Outcome, {kind: 'done'}>): void {
+    this.problem(outcome.kind, outcome.reason, '', outcome.retryAfterMs);
+  }
+
+  /**
+   * Refuses a request that never became a call.
+   * @param fault - why
+   */
+  refuse(fault: Fault): void {
+    const {reason, detail, retryAfterMs} = fault;
+    this.problem('not-run', reason, detail, retryAfterMs);
+  }
+
+  private problem(
+    outcome: Outcome['kind'],
+    reason: ErrorName,
+    detail: string,
+    retryAfterMs = 0,
+  ): void {
+    const {status, message, hint} = ERRORS[reason];
+    const {res} = this;
+    if (res.headersSent) {
+      res.destroy();
+      return;
+    }
+    const wait = retryAfterMs > 0 ? retryAfterMs : DEFAULT_RETRY_AFTER;
+    res.statusCode = status;
+    res.setHeader('content-type', 'application/problem+json');
+    res.setHeader('baobabspan-outcome', outcome);
+    res.setHeader('baobabspan-call-id', this.callId);
+    res.setHeader('retry-after', Math.ceil(wait / SECOND));
+    const body = {
+      type: `urn:baobabspan:error:${reason}`,
+      title: message,
+      status,
+      detail: detail === '' ? hint : detail,
+      reason,
+      outcome,
+      hint,
+      callId: this.callId,
+    };
+    res.end(`${JSON.stringify(body)}\n`);
+  }
+}
--- /dev/null
+++ b/src/daemons/entry/request_parser.ts
@@ -0,0 +1,151 @@
+import type {IncomingMessage} from 'node:http';
+
+import {err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
+
+import type {NamedOrganisation} from '../../admission/index.js';
+import {
+  isCompletion,
+  resolveCompletion,
+  resolvePlain,
+} from '../../calls/index.js';
+import type {CallRequest, Resolved} from '../../calls/index.js';
+import {PRIORITIES} from '../../configuration/index.js';
+import type {Priority} from '../../configuration/index.js';
+import type {CallId, Millis} from '../../core/index.js';
+import {Fault, describe} from '../../errors/index.js';
+import type {InForce} from './types.js';
+
+/** Headers that concern one connection only and are never passed on. */
+const HOP_BY_HOP = new Set([
+  'authorization',
+  'connection',
+  'content-length',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+const BEARER = /^Bearer +(\S+)$/i;
+
+/**
+ * Tells whose request it is.
+ * @param req - the request
+ * @param inForce - the configuration in force
+ * @returns the organisation, or `unauthorized`
+ */
+export function identify(
+  req: IncomingMessage,
+  {cfg, organisations}: InForce,
+): Result<NamedOrganisation, Fault> {
+  const header = cfg.organisationHeader?.toLowerCase();
+  const named = header === undefined ? undefined : req.headers[header];
+  const [, token] = BEARER.exec(req.headers.authorization ?? '') ?? [];
+  const found =
+    typeof named === 'string'
+      ? organisations.byName(named)
+      : organisations.byToken(token ?? '');
+  return found ? ok(found) : err(new Fault('unauthorized'));
+}
+
+/**
+ * Finds what the configuration says of a request.
+ * @param req - the request
+ * @param body - its body
+ * @param inForce - the configuration in force
+ */
+export function resolve(
+  req: IncomingMessage,
+  body: Buffer,
+  {cfg}: InForce,
+): Result<Resolved, Fault> {
+  const path = req.url ?? '/';
+  if (!isCompletion(path)) return resolvePlain(cfg, req.method ?? '', path);
+  if (req.method !== 'POST') return err(new Fault('not_found', 'use POST'));
+  return modelOf(body).andThen(model => resolveCompletion(cfg, path, model));
+}
+
+function modelOf(body: Buffer): Result<string, Fault> {
+  try {
+    const {model} = JSON.parse(body.toString('utf8')) as {model?: unknown};
+    if (typeof model === 'string') return ok(model);
+    return err(new Fault('bad_request', 'model: must be a string'));
+  } catch (thrown) {
+    return err(new Fault('bad_request', `body: ${describe(thrown)}`));
+  }
+}
+
+/** The parts of a request that become a call. */
+export interface RequestParts {
+  readonly callId: CallId;
+  readonly now: Millis;
+  readonly organisation: NamedOrganisation;
+  readonly resolved: Resolved;
+  readonly body: Buffer;
+}
+
+/**
+ * Makes the call of a request.
+ * @param req - the request
+ * @param parts - what was found out about it
+ * @returns the call, or `bad_request`
+ */
+export function toCall(
+  req: IncomingMessage,
+  {callId, now, organisation, resolved, body}: RequestParts,
+): Result<CallRequest, Fault> {
+  const deadline = deadlineOf(req, resolved.deadline);
+  if (deadline.isErr()) return err(deadline.error);
+  const priority = priorityOf(req, resolved.priority);
+  if (priority.isErr()) return err(priority.error);
+  return ok({
+    callId,
+    service: resolved.name,
+    organisation: organisation.name,
+    weight: organisation.organisation.weight,
+    priority: priority.value,
+    idempotent: resolved.idempotent,
+    deadlineAt: now + deadline.value,
+    method: req.method ?? 'GET',
+    path: resolved.path,
+    headers: forwarded(req),
+    body,
+  });
+}
+
+function deadlineOf(req: IncomingMessage, usual: Millis) {
+  const text = req.headers['baobabspan-deadline-ms'];
+  if (text === undefined) return ok(usual);
+  const asked = Number(text);
+  if (Number.isFinite(asked) && asked > 0) return ok(Math.min(asked, usual));
+  const detail = 'Baobabspan-Deadline-Ms: must be a positive number';
+  return err(new Fault('bad_request', detail));
+}
+
+function priorityOf(
+  req: IncomingMessage,
+  usual: Priority,
+): Result<Priority, Fault> {
+  const text = req.headers['baobabspan-priority'];
+  if (text === undefined) return ok(usual);
+  const found = PRIORITIES.find(known => known === text);
+  if (found !== undefined) return ok(found);
+  const detail = `Baobabspan-Priority: must be ${PRIORITIES.join(', ')}`;
+  return err(new Fault('bad_request', detail));
+}
+
+function forwarded(req: IncomingMessage): Record<string, string> {
+  const kept: Record<string, string> = {};
+  for (const [name, value] of Object.entries(req.headers)) {
+    if (HOP_BY_HOP.has(name) || name.startsWith('baobabspan-')) continue;
+    if (value !== undefined) kept[name] = String(value);
+  }
+  return kept;
+}
--- /dev/null
+++ b/src/daemons/entry/types.ts
@@ -0,0 +1,37 @@
+import type {Configuration} from '../../configuration/index.js';
+import type {CallRequest} from '../../calls/index.js';
+import type {AvailabilityZone, Version, VmName} from '../../core/index.js';
+import type {OrganisationDirectory} from '../../admission/index.js';
+
+/** Settings of an entry. */
+export interface EntrySettings {
+  readonly vm: VmName;
+  readonly availabilityZone: AvailabilityZone;
+  /** IP address that all listeners use. */
+  readonly host: string;
+  /** Port for callers; 0 picks a free one. */
+  readonly port: number;
+  /** Port for operators. */
+  readonly operatorPort: number;
+  /** Port for links of other processes. */
+  readonly linkPort: number;
+  readonly linkKey: string;
+  readonly logUrl: string;
+  readonly vmListUrl: string;
+  /** How long a shutdown waits for calls that run, ms. */
+  readonly drainTimeout: number;
+}
+
+/** The configuration in force with what is worked out from it once. */
+export interface InForce {
+  readonly version: Version;
+  readonly cfg: Configuration;
+  readonly organisations: OrganisationDirectory;
+}
+
+/** A request that passed the edge. */
+export interface AcceptedRequest {
+  readonly call: CallRequest;
+  /** Whether the caller counts as one of its organisation's in-flight. */
+  readonly receivedAt: number;
+}
--- /dev/null
+++ b/src/daemons/shared/operator_server.ts
@@ -0,0 +1,78 @@
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import type {Metrics} from '../../observability/index.js';
+
+/** What an operator may ask of a daemon. */
+export interface OperatorView {
+  readonly metrics: Metrics;
+  /** Why the platform's balancer should send nothing here, if so. */
+  notReady(): string | undefined;
+  /** What `/status` shows, as JSON. */
+  status(): object;
+}
+
+const OPERATOR_REQUEST_TIMEOUT_MS = 10_000;
+
+async function answer(
+  view: OperatorView,
+  path: string,
+  res: ServerResponse,
+): Promise<void> {
+  switch (path) {
+    case '/healthz':
+      res.end('ok\n');
+      return;
+    case '/readyz': {
+      const reason = view.notReady();
+      res.statusCode = reason === undefined ? 200 : 503;
+      res.end(`${reason ?? 'ready'}\n`);
+      return;
+    }
+    case '/metrics':
+      res.setHeader('content-type', view.metrics.registry.contentType);
+      res.end(await view.metrics.registry.metrics());
+      return;
+    case '/status':
+      res.setHeader('content-type', 'application/json');
+      res.end(`${JSON.stringify(view.status(), undefined, 2)}\n`);
+      return;
+    default:
+      res.statusCode = 404;
+      res.end('not found\n');
+  }
+}
+
+/** Serves `/healthz`, `/readyz`, `/metrics` and `/status`. */
+export class OperatorServer {
+  private readonly server: Server;
+
+  /** @param view - what to show */
+  constructor(view: OperatorView) {
+    this.server = createServer((req, res) => {
+      const path = (req.url ?? '').split('?', 1)[0] ?? '';
+      void answer(view, path, res).catch(() => res.destroy());
+    });
+    this.server.requestTimeout = OPERATOR_REQUEST_TIMEOUT_MS;
+  }
+
+  /**
+   * Starts to listen.
+   * @param host - IP address to listen on
+   * @param port - port; 0 picks a free one
+   * @returns `host:port`
+   */
+  async listen(host: string, port: number): Promise<string> {
+    this.server.listen(port, host);
+    await once(this.server, 'listening');
+    return `${host}:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Stops at once. */
+  async close(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+}
--- /dev/null
+++ b/src/daemons/shared/vm_list_task.ts
@@ -0,0 +1,64 @@
+import {SECOND} from '../../core/index.js';
+import type {Millis} from '../../core/index.js';
+import type {Fault} from '../../errors/index.js';
+import type {ListedVm} from '../../membership/index.js';
+import {HttpVmListClient} from '../../platform/index.js';
+import type {VmListClient} from '../../platform/index.js';
+import type {DaemonContext} from './context.js';
+import {Task} from './task.js';
+
+const POLL_EVERY: Millis = SECOND;
+
+type Message =
+  | {readonly type: 'poll'}
+  | {readonly type: 'listed'; readonly vms: readonly ListedVm[]}
+  | {readonly type: 'outage'; readonly fault: Fault};
+
+/** Polls the platform's VM list and passes it on. */
+export class VmListTask extends Task<Message> {
+  private readonly client: VmListClient;
+  private timer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param context - what the daemon's tasks share
+   * @param url - address of the VM list
+   * @param listed - told of each copy of the list
+   */
+  constructor(
+    private readonly context: DaemonContext,
+    url: string,
+    private readonly listed: (vms: readonly ListedVm[]) => void,
+  ) {
+    super(context.system, 'vm_list', context.logger.labelled('vm_list'));
+    this.client = new HttpVmListClient(url);
+    this.post({type: 'poll'});
+  }
+
+  override stop(): void {
+    clearTimeout(this.timer);
+    super.stop();
+  }
+
+  protected receive(message: Message): void {
+    switch (message.type) {
+      case 'poll':
+        void this.client.fetch().match(
+          vms => this.post({type: 'listed', vms}),
+          fault => this.post({type: 'outage', fault}),
+        );
+        return;
+      case 'listed':
+        this.listed(message.vms);
+        return this.again();
+      case 'outage':
+        this.context.metrics.logEvents.inc({kind: 'vm_list_failed'});
+        return this.again();
+    }
+  }
+
+  private again(): void {
+    const jitter = 1 + this.context.chance.fraction() / 2;
+    const delay = POLL_EVERY * jitter;
+    this.timer = setTimeout(() => this.post({type: 'poll'}), delay);
+  }
+}
--- /dev/null
+++ b/src/daemons/sidecar/sidecar.ts
@@ -0,0 +1,146 @@
+import type {LinkMessage} from '../../links/index.js';
+import type {Identity} from '../../membership/index.js';
+import {ConfigurationTask} from '../shared/configuration_task.js';
+import type {DaemonContext} from '../shared/context.js';
+import {LinksTask} from '../shared/links_task.js';
+import {OperatorServer} from '../shared/operator_server.js';
+import {startContext} from '../shared/start_context.js';
+import type {DaemonParts} from '../shared/start_context.js';
+import {VmListTask} from '../shared/vm_list_task.js';
+import {CallsTask} from './calls_task.js';
+import type {SidecarSettings} from './types.js';
+
+/** Addresses of a running sidecar, each `host:port`. */
+export interface SidecarAddresses {
+  readonly operators: string;
+  readonly links: string;
+}
+
+/** The daemon beside one upstream, the only way to it. */
+export class Sidecar {
+  private readonly context: DaemonContext;
+  private readonly links: LinksTask;
+  private readonly calls: CallsTask;
+  private readonly operators: OperatorServer;
+  private configuration: ConfigurationTask | undefined;
+  private vmList: VmListTask | undefined;
+  private leaving = false;
+
+  /**
+   * @param settings - the daemon's settings
+   * @param parts - clock, chance, logger and metrics
+   */
+  constructor(
+    private readonly settings: SidecarSettings,
+    parts: DaemonParts,
+  ) {
+    this.context = startContext('sidecar', settings, parts);
+    const {context} = this;
+    this.links = new LinksTask(context, settings.linkKey, {
+      up: peer => this.greet(peer),
+      down: peer =>
+        this.calls.post({type: 'entry_lost', entry: peer.incarnation}),
+      message: (peer, message) => this.receive(peer, message),
+    });
+    this.calls = new CallsTask(context, settings, (to, message) =>
+      this.links.post({type: 'send', to, message}),
+    );
+    this.operators = new OperatorServer({
+      metrics: context.metrics,
+      notReady: () => this.notReady(),
+      status: () => this.status(),
+    });
+  }
+
+  /**
+   * Starts the daemon.
+   * @returns its addresses once all listeners are open
+   */
+  async start(): Promise<SidecarAddresses> {
+    const {host, operatorPort, linkPort, service} = this.settings;
+    const links = await this.links.listen(host, linkPort);
+    this.context.self.address = links;
+    const operators = await this.operators.listen(host, operatorPort);
+    this.configuration = new ConfigurationTask(
+      this.context,
+      this.settings.logUrl,
+      (_version, cfg) => {
+        const limits = cfg.services[service]?.limits;
+        if (limits !== undefined) this.calls.post({type: 'limits', limits});
+      },
+    );
+    this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms => {
+      const self = vms.find(({vm}) => vm === this.settings.vm);
+      if (self?.state === 'leaving') this.leave();
+    });
+    this.context.logger.info('ready', {operators, links});
+    return {operators, links};
+  }
+
+  /** Refuses new work, finishes all that was accepted, then stops. */
+  async drain(): Promise<void> {
+    this.leave();
+    await new Promise<void>(resolve => {
+      this.calls.post({type: 'drain', idle: resolve});
+      setTimeout(resolve, this.settings.drainTimeout).unref();
+    });
+    await this.stop();
+  }
+
+  /** Stops at once. */
+  async stop(): Promise<void> {
+    this.configuration?.stop();
+    this.vmList?.stop();
+    this.calls.stop();
+    await this.links.close();
+    await this.operators.close();
+    this.context.logger.info('stopped');
+  }
+
+  private leave(): void {
+    if (this.leaving) return;
+    this.leaving = true;
+    this.context.logger.info('leaving');
+    this.calls.post({type: 'close'});
+    this.links.post({type: 'broadcast', message: {type: 'leaving'}});
+  }
+
+  private greet(peer: Identity): void {
+    if (!this.leaving) return;
+    const message = {type: 'leaving'} as const;
+    this.links.post({type: 'send', to: peer.incarnation, message});
+  }
+
+  private receive(peer: Identity, message: LinkMessage): void {
+    switch (message.type) {
+      case 'call':
+      case 'cancel':
+      case 'credit': {
+        const from = peer.incarnation;
+        return this.calls.post({type: 'request', from, message});
+      }
+      default:
+        return;
+    }
+  }
+
+  private notReady(): string | undefined {
+    if (this.leaving) return 'leaving';
+    const version = this.configuration?.status().version ?? 0;
+    return version === 0 ? 'no configuration' : undefined;
+  }
+
+  private status(): object {
+    const {incarnation, availabilityZone, service, program} = this.context.self;
+    return {
+      role: 'sidecar',
+      incarnation,
+      availabilityZone,
+      service,
+      program,
+      ready: this.notReady() ?? true,
+      configuration: this.configuration?.status(),
+      calls: this.calls.status(),
+    };
+  }
+}
--- /dev/null
+++ b/src/links/messages.ts
@@ -0,0 +1,49 @@
+import {z} from 'zod';
+
+import {callMessages} from '../calls/index.js';
+import {configurationMessages} from '../configuration/index.js';
+import {groupMessages} from '../expert_groups/index.js';
+import {identity, membershipMessages} from '../membership/index.js';
+import {routingMessages} from '../routing/index.js';
+
+/** Sent on an idle link so that silence means something. */
+const heartbeat = z.strictObject({type: z.literal('heartbeat')});
+
+/** Everything that an open link carries. */
+const linkMessage = z.discriminatedUnion('type', [
+  heartbeat,
+  ...callMessages,
+  ...configurationMessages,
+  ...groupMessages,
+  ...membershipMessages,
+  ...routingMessages,
+]);
+export type LinkMessage = z.output<typeof linkMessage>;
+
+const NONCE_BYTES = 16;
+const MAC_BYTES = 32;
+const nonce = z.instanceof(Uint8Array).refine(n => n.length === NONCE_BYTES);
+const mac = z.instanceof(Uint8Array).refine(m => m.length === MAC_BYTES);
+
+/** First message of the accepting side. */
+export const challenge = z.strictObject({
+  type: z.literal('challenge'),
+  nonce,
+});
+
+/** The dialling side proves that it has the key. */
+export const hello = z.strictObject({
+  type: z.literal('hello'),
+  identity,
+  nonce,
+  mac,
+});
+
+/** The accepting side proves it too: the link is open. */
+export const welcome = z.strictObject({
+  type: z.literal('welcome'),
+  identity,
+  mac,
+});
+
+export {linkMessage};
--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,4 @@
+/** Which processes are there and which of them take new work. */
+export * from './member_table.js';
+export * from './messages.js';
+export * from './types.js';
--- /dev/null
+++ b/src/observability/clock.ts
@@ -0,0 +1,13 @@
+import {Clock} from '../core/index.js';
+import type {Millis} from '../core/index.js';
+
+/** The machine's own clocks. */
+export class SystemClock extends Clock {
+  now(): Millis {
+    return performance.now();
+  }
+
+  wall(): Millis {
+    return Date.now();
+  }
+}
--- /dev/null
+++ b/src/observability/index.ts
@@ -0,0 +1,4 @@
+/** Logs, metrics and the machine's clocks. */
+export * from './clock.js';
+export * from './logger.js';
+export * from './metrics.js';
--- /dev/null
+++ b/src/observability/metrics.ts
@@ -0,0 +1,100 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+const LATENCY_BUCKETS_S = [
+  0.001, 0.003, 0.01, 0.03, 0.073, 0.1, 0.2, 0.4, 0.64, 1, 2, 5, 10, 30, 60,
+];
+
+/** Counters, gauges and histograms of one process. */
+export class Metrics {
+  readonly registry = new Registry();
+
+  /** Requests that were refused, by reason and service. */
+  readonly refusals = this.counter(
+    'baobabspan_refusals_total',
+    'Requests refused, by reason',
+    ['reason', 'service'],
+  );
+
+  /** Attempts after the first, by reason and service. */
+  readonly retries = this.counter(
+    'baobabspan_retries_total',
+    'Attempts after the first, by reason',
+    ['reason', 'service'],
+  );
+
+  /** Calls by what their callers were told. */
+  readonly outcomes = this.counter(
+    'baobabspan_outcomes_total',
+    'Calls by the outcome told to the caller',
+    ['outcome', 'service'],
+  );
+
+  /** Frames that were dropped, by reason. */
+  readonly droppedFrames = this.counter(
+    'baobabspan_dropped_frames_total',
+    'Frames dropped on links, by reason',
+    ['reason'],
+  );
+
+  /** Links that were closed by this process, by reason. */
+  readonly closedLinks = this.counter(
+    'baobabspan_closed_links_total',
+    'Links closed by this process, by reason',
+    ['reason'],
+  );
+
+  /** Events of the platform's log and its readers, by kind. */
+  readonly logEvents = this.counter(
+    'baobabspan_log_events_total',
+    "Events of reading and writing the platform's log, by kind",
+    ['kind'],
+  );
+
+  /** Version of the configuration in force here. */
+  readonly versionInForce = this.gauge(
+    'baobabspan_version_in_force',
+    'Version of the configuration in force',
+  );
+
+  /** Calls that run now, by service. */
+  readonly inFlight = this.gauge('baobabspan_in_flight', 'Calls running now', [
+    'service',
+  ]);
+
+  /** Time to the first byte of an answer. */
+  readonly firstByteSeconds = this.histogram(
+    'baobabspan_first_byte_seconds',
+    'Time from a request to the first byte of its answer',
+    ['service'],
+  );
+
+  /**
+   * Makes a counter of this process.
+   * @param name - its name, `baobabspan_..._total`
+   * @param help - one sentence
+   * @param labelNames - its labels
+   */
+  counter(name: string, help: string, labelNames: string[] = []): Counter {
+    return new Counter({name, help, labelNames, registers: [this.registry]});
+  }
+
+  /**
+   * Makes a gauge of this process.
+   * @param name - its name
+   * @param help - one sentence
+   * @param labelNames - its labels
+   */
+  gauge(name: string, help: string, labelNames: string[] = []): Gauge {
+    return new Gauge({name, help, labelNames, registers: [this.registry]});
+  }
+
+  private histogram(name: string, help: string, labelNames: string[]) {
+    return new Histogram({
+      name,
+      help,
+      labelNames,
+      buckets: LATENCY_BUCKETS_S,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,3 @@
+/** Clients of what the platform gives. */
+export * from './log_client.js';
+export * from './vm_list_client.js';
--- /dev/null
+++ b/src/platform/log_client.ts
@@ -0,0 +1,107 @@
+import {ResultAsync} from 'neverthrow';
+import {request} from 'undici';
+import type {Dispatcher} from 'undici';
+import {z} from 'zod';
+
+import {offset} from '../core/index.js';
+import type {Millis, Offset} from '../core/index.js';
+import {Fault, asFault} from '../errors/index.js';
+
+/** A record as the log keeps it. */
+export interface LogRecord {
+  readonly offset: Offset;
+  /** What its writer appended; anything at all. */
+  readonly data: unknown;
+}
+
+/** A stretch of a stream. */
+export interface LogPage {
+  /** Earliest offset that the log still keeps. */
+  readonly earliest: Offset;
+  /** Offset that the next record will get. */
+  readonly next: Offset;
+  readonly records: readonly LogRecord[];
+}
+
+/** The platform's append-only log, one stream of it. */
+export abstract class LogClient {
+  /**
+   * Reads records.
+   * @param from - offset of the first
+   * @param wait - how long the log may wait for a record to come, ms
+   * @returns the records from there that the log keeps; `log_unavailable`
+   */
+  abstract read(from: Offset, wait: Millis): ResultAsync<LogPage, Fault>;
+
+  /**
+   * Appends a record. After an error it may be in the log all the same: read
+   * it back by its id before anything depends on it.
+   * @param data - the record, with an id of the writer's making
+   * @returns its offset; `log_unavailable`
+   */
+  abstract append(data: object): ResultAsync<Offset, Fault>;
+}
+
+const page = z.object({
+  earliest: z.int().nonnegative().transform(offset),
+  next: z.int().nonnegative().transform(offset),
+  records: z.array(
+    z.object({offset: z.int().transform(offset), data: z.unknown()}),
+  ),
+});
+const appended = z.object({offset: z.int().transform(offset)});
+
+/** Time that the log has to answer beyond a long poll. */
+const ANSWER_TIMEOUT: Millis = 5_000;
+
+/** The log over HTTP. */
+export class HttpLogClient extends LogClient {
+  /**
+   * @param url - address of the log service
+   * @param stream - name of the stream
+   */
+  constructor(
+    private readonly url: string,
+    private readonly stream: string,
+  ) {
+    super();
+  }
+
+  read(from: Offset, wait: Millis): ResultAsync<LogPage, Fault> {
+    const query = `from=${Math.max(0, from)}&wait=${wait}`;
+    const timeout = wait + ANSWER_TIMEOUT;
+    return this.ask('GET', `?${query}`, timeout, undefined, page);
+  }
+
+  append(data: object): ResultAsync<Offset, Fault> {
+    const body = JSON.stringify(data);
+    return this.ask('POST', '', ANSWER_TIMEOUT, body, appended).map(
+      answer => answer.offset,
+    );
+  }
+
+  private ask<T extends z.ZodType>(
+    method: Dispatcher.HttpMethod,
+    query: string,
+    timeout: Millis,
+    body: string | undefined,
+    schema: T,
+  ): ResultAsync<z.output<T>, Fault> {
+    const url = `${this.url}/streams/${this.stream}/records${query}`;
+    const answer = request(url, {
+      method,
+      body: body ?? null,
+      headers: {'content-type': 'application/json'},
+      headersTimeout: timeout,
+      bodyTimeout: timeout,
+      signal: AbortSignal.timeout(timeout),
+    }).then(async res => {
+      const text = await res.body.text();
+      if (res.statusCode !== 200) throw new Error(`HTTP ${res.statusCode}`);
+      return schema.parse(JSON.parse(text));
+    });
+    return ResultAsync.fromPromise(answer, thrown =>
+      asFault(thrown, 'log_unavailable'),
+    );
+  }
+}
--- /dev/null
+++ b/src/platform/vm_list_client.ts
@@ -0,0 +1,38 @@
+import {ResultAsync} from 'neverthrow';
+import {request} from 'undici';
+import {z} from 'zod';
+
+import type {Millis} from '../core/index.js';
+import type {Fault} from '../errors/index.js';
+import {asFault} from '../errors/index.js';
+import {listedVm} from '../membership/index.js';
+import type {ListedVm} from '../membership/index.js';
+
+/** The platform's lagging list of live and leaving VMs. */
+export abstract class VmListClient {
+  /** Fetches the list; `log_unavailable` when the platform does not answer. */
+  abstract fetch(): ResultAsync<readonly ListedVm[], Fault>;
+}
+
+const list = z.object({vms: z.array(listedVm)});
+const ANSWER_TIMEOUT: Millis = 5_000;
+
+/** The list over HTTP. */
+export class HttpVmListClient extends VmListClient {
+  /** @param url - address of the VM list service */
+  constructor(private readonly url: string) {
+    super();
+  }
+
+  fetch(): ResultAsync<readonly ListedVm[], Fault> {
+    const answer = request(`${this.url}/vms`, {
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT),
+    }).then(async res => {
+      const body = await res.body.json();
+      return list.parse(body).vms;
+    });
+    return ResultAsync.fromPromise(answer, thrown =>
+      asFault(thrown, 'log_unavailable'),
+    );
+  }
+}
--- /dev/null
+++ b/standins/platform_server.ts
@@ -0,0 +1,145 @@
+import {EventEmitter, once} from 'node:events';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import {StandinServer, readText, sendJson} from './http_server.js';
+
+/** How the platform misbehaves. */
+export interface PlatformFaults {
+  /** Nothing answers. */
+  down: boolean;
+  /** Appends that take effect but get no answer. */
+  loseAnswers: number;
+  /** Delay of each answer, ms. */
+  slowMs: number;
+  /** Records that a stream keeps; older ones are gone. */
+  retain: number;
+}
+
+interface Stream {
+  earliest: number;
+  readonly records: unknown[];
+}
+
+/** Stands in for the platform's log and its list of VMs. */
+export class PlatformServer extends StandinServer {
+  private readonly streams = new Map<string, Stream>();
+  private readonly appended = new EventEmitter().setMaxListeners(0);
+  private vms: unknown[] = [];
+
+  /** Faults in force; change them at any time. */
+  readonly faults: PlatformFaults = {
+    down: false,
+    loseAnswers: 0,
+    slowMs: 0,
+    retain: Infinity,
+  };
+
+  /**
+   * Replaces the list of VMs.
+   * @param vms - the new list
+   */
+  setVms(vms: unknown[]): void {
+    this.vms = vms;
+  }
+
+  /**
+   * Appends a record.
+   * @param name - the stream
+   * @param data - any JSON value
+   * @returns its offset
+   */
+  append(name: string, data: unknown): number {
+    const stream = this.streamOf(name);
+    stream.records.push(data);
+    this.expire(stream);
+    this.appended.emit(name);
+    return stream.earliest + stream.records.length - 1;
+  }
+
+  /**
+   * Drops records from the start of a stream.
+   * @param name - the stream
+   * @param earliest - first offset that is kept
+   */
+  truncate(name: string, earliest: number): void {
+    const stream = this.streamOf(name);
+    const count = Math.max(0, earliest - stream.earliest);
+    stream.records.splice(0, count);
+    stream.earliest += count;
+  }
+
+  protected async handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(req.url ?? '/', 'http://standin');
+    if (url.pathname === '/control/faults') {
+      Object.assign(this.faults, JSON.parse(await readText(req)));
+      return sendJson(res, this.faults);
+    }
+    if (url.pathname === '/vms' && req.method === 'PUT') {
+      this.setVms(JSON.parse(await readText(req)) as unknown[]);
+      return sendJson(res, {});
+    }
+    if (this.faults.down) {
+      res.destroy();
+      return;
+    }
+    await new Promise(resolve => setTimeout(resolve, this.faults.slowMs));
+    if (url.pathname === '/vms') return sendJson(res, {vms: this.vms});
+    const [, name] = /^\/streams\/([^/]+)\/records$/.exec(url.pathname) ?? [];
+    if (name === undefined) return sendJson(res, {}, 404);
+    if (req.method === 'POST') return this.post(name, req, res);
+    await this.read(name, url.searchParams, res);
+  }
+
+  private async post(name: string, req: IncomingMessage, res: ServerResponse) {
+    const offset = this.append(name, JSON.parse(await readText(req)));
+    if (this.faults.loseAnswers > 0) {
+      this.faults.loseAnswers -= 1;
+      res.destroy();
+      return;
+    }
+    sendJson(res, {offset});
+  }
+
+  private async read(
+    name: string,
+    query: URLSearchParams,
+    res: ServerResponse,
+  ) {
+    const from = Number(query.get('from') ?? 0);
+    const stream = this.streamOf(name);
+    const next = () => stream.earliest + stream.records.length;
+    if (from >= next()) await this.comes(name, Number(query.get('wait') ?? 0));
+    if (this.faults.down) {
+      res.destroy();
+      return;
+    }
+    const start = Math.max(from, stream.earliest);
+    const records = stream.records
+      .slice(start - stream.earliest)
+      .map((data, index) => ({offset: start + index, data}));
+    sendJson(res, {earliest: stream.earliest, next: next(), records});
+  }
+
+  private async comes(name: string, wait: number): Promise<void> {
+    const signal = AbortSignal.timeout(wait);
+    await once(this.appended, name, {signal}).catch(() => undefined);
+  }
+
+  private expire(stream: Stream): void {
+    const excess = stream.records.length - this.faults.retain;
+    if (excess <= 0) return;
+    stream.records.splice(0, excess);
+    stream.earliest += excess;
+  }
+
+  private streamOf(name: string): Stream {
+    const known = this.streams.get(name);
+    if (known !== undefined) return known;
+    const stream = {earliest: 0, records: []};
+    this.streams.set(name, stream);
+    return stream;
+  }
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import {defineConfig} from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: ['src/**/*.test.ts', 'test/**/*.test.ts'],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    maxWorkers: 4,
+  },
+});
