Check the configuration text for everything at once

Cause: cross rules ran only on a text that fits the schema, so an operator saw findings in instalments; a service called constructor passed as declared; the search for cycles was exponential in layered graphs. Ruled out: pruning bad values and parsing again (defaults then gave findings that are not there). Rules between values now read a lenient draft instead.

--- a/src/configuration/cross_rules.ts
+++ b/src/configuration/cross_rules.ts
@@ -1,73 +1,35 @@
-import type {ServiceName} from '../core/index.js';
-import type {Configuration} from './types.js';
+import type {Draft} from './draft.js';
+import {
+  dependencyCycles,
+  duplicateDependencies,
+  missingDependencies,
+  overpromisedShares,
+  uselessShares,
+} from './rules/dependencies.js';
+import {contradictingLimits, unreachableLimits} from './rules/limits.js';
+import {duplicateNames, reservedHeader, unknownZones} from './rules/names.js';
+import {routeClashes} from './rules/routes.js';
+import type {Violation} from './rules/violation.js';
 
-/** A broken rule, with the path of the value that breaks it. */
-export interface Violation {
-  readonly path: readonly PropertyKey[];
-  readonly message: string;
-  readonly rule: string;
-}
-
-function unknownNames(cfg: Configuration): Violation[] {
-  const found: Violation[] = [];
-  const zones = new Set<string>(cfg.availabilityZones);
-  for (const [name, service] of Object.entries(cfg.services)) {
-    for (const zone of Object.keys(service.upstreams)) {
-      if (zones.has(zone)) continue;
-      found.push({
-        path: ['services', name, 'upstreams', zone],
-        message: `availability zone ${zone} is not declared`,
-        rule: 'unknown-name',
-      });
-    }
-    service.dependsOn.forEach((dependency, index) => {
-      if (dependency.service in cfg.services) return;
-      found.push({
-        path: ['services', name, 'dependsOn', index, 'service'],
-        message: `service ${dependency.service} is not declared`,
-        rule: 'unknown-name',
-      });
-    });
-  }
-  return found;
-}
-
-/** The first cycle that a depth-first walk meets from `start`, if any. */
-function cycleFrom(
-  cfg: Configuration,
-  start: ServiceName,
-  path: ServiceName[] = [],
-): ServiceName[] | undefined {
-  if (start === path[0]) return [...path, start];
-  if (path.includes(start)) return undefined;
-  for (const {service} of cfg.services[start]?.dependsOn ?? []) {
-    const cycle = cycleFrom(cfg, service, [...path, start]);
-    if (cycle !== undefined) return cycle;
-  }
-  return undefined;
-}
-
-function cycles(cfg: Configuration): Violation[] {
-  const found: Violation[] = [];
-  const reported = new Set<string>();
-  for (const name of Object.keys(cfg.services) as ServiceName[]) {
-    const cycle = cycleFrom(cfg, name);
-    if (cycle === undefined || reported.has(name)) continue;
-    cycle.forEach(member => reported.add(member));
-    found.push({
-      path: ['services', name, 'dependsOn'],
-      message: `dependency cycle: ${cycle.join(' -> ')}`,
-      rule: 'dependency-cycle',
-    });
-  }
-  return found;
-}
+const RULES: readonly ((draft: Draft) => Violation[])[] = [
+  unknownZones,
+  duplicateNames,
+  reservedHeader,
+  missingDependencies,
+  duplicateDependencies,
+  dependencyCycles,
+  overpromisedShares,
+  uselessShares,
+  contradictingLimits,
+  unreachableLimits,
+  routeClashes,
+];
 
 /**
  * Checks what a schema cannot: rules between values.
- * @param cfg - a text that fits the schema
+ * @param draft - a text as far as it makes sense
  * @returns every violation
  */
-export function crossCheck(cfg: Configuration): Violation[] {
-  return [...unknownNames(cfg), ...cycles(cfg)];
+export function crossCheck(draft: Draft): Violation[] {
+  return RULES.flatMap(rule => rule(draft));
 }
--- a/src/configuration/parse.ts
+++ b/src/configuration/parse.ts
@@ -1,33 +1,105 @@
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
-import {LineCounter, parseDocument} from 'yaml';
-import type {Document, Node} from 'yaml';
+import {LineCounter, isScalar, parseDocument, visit} from 'yaml';
+import type {Document, Node, YAMLError} from 'yaml';
 
+import {describe} from '../errors/index.js';
 import {crossCheck} from './cross_rules.js';
-import type {Violation} from './cross_rules.js';
-import {configurationSchema} from './schema.js';
+import {draftSchema} from './draft.js';
+import {namesAt} from './json_schema.js';
+import {Places} from './places.js';
+import type {Violation} from './rules/violation.js';
+import {schemaViolations} from './schema_check.js';
+import {
+  MAX_TEXT_LENGTH,
+  SCHEMA_VERSION,
+  configurationSchema,
+} from './schema.js';
 import type {Configuration, Finding} from './types.js';
 
-/** Finds the place of a path in a YAML document. */
-class Places {
-  constructor(
-    private readonly document: Document,
-    private readonly lines: LineCounter,
-  ) {}
+const START = {line: 1, column: 1};
 
-  /** Line and column of the deepest node that exists along the path. */
-  of(path: readonly PropertyKey[]): {line: number; column: number} {
-    for (let length = path.length; length > 0; length--) {
-      const node = this.document.getIn(path.slice(0, length), true) as Node;
-      if (node?.range) return this.at(node.range[0]);
-    }
-    return this.at(this.document.contents?.range?.[0] ?? 0);
+function yamlFinding(places: Places, {pos, message}: YAMLError): Finding {
+  const [text = ''] = message.split('\n', 1);
+  return {...places.at(pos[0]), message: text, rule: 'yaml'};
+}
+
+/** Names that stand twice in one mapping, or that no mapping may have. */
+function keyFindings(document: Document, places: Places): Finding[] {
+  const found: Finding[] = [];
+  const report = (key: Node, message: string, rule: string) =>
+    found.push({...places.at(key.range?.[0] ?? 0), message, rule});
+  visit(document, {
+    Map: (_, {items}) => {
+      const seen = new Set<string>();
+      for (const {key} of items) {
+        if (!isScalar(key)) continue;
+        const name = String(key.value);
+        if (seen.has(name)) {
+          report(key, `${name} stands twice in one mapping`, 'duplicate-name');
+        }
+        if (name === '__proto__') {
+          report(key, `${name}: unknown name`, 'unknown-name');
+        }
+        seen.add(name);
+      }
+    },
+  });
+  return found;
+}
+
+/** A text as YAML reads it. */
+interface Reading {
+  readonly places: Places;
+  /** What is wrong with the names of its mappings. */
+  readonly findings: Finding[];
+  readonly root: unknown;
+}
+
+/** Reads YAML, which throws for deep nesting and for too many aliases. */
+function read(text: string): Result<Reading, readonly Finding[]> {
+  try {
+    const lines = new LineCounter();
+    const document = parseDocument(text, {
+      lineCounter: lines,
+      uniqueKeys: false,
+    });
+    const places = new Places(document, lines);
+    const findings = [...document.errors, ...document.warnings].map(error =>
+      yamlFinding(places, error),
+    );
+    // Past a syntax error the values are guesses.
+    if (findings.length > 0) return err(sorted(findings));
+    findings.push(...keyFindings(document, places));
+    return ok({places, findings, root: document.toJS()});
+  } catch (thrown) {
+    return err([{...START, message: describe(thrown), rule: 'yaml'}]);
   }
+}
 
-  at(offset: number): {line: number; column: number} {
-    const {line, col} = this.lines.linePos(offset);
-    return {line: Math.max(line, 1), column: Math.max(col, 1)};
+/** A text of a version that this program does not know has one finding. */
+function unknownVersion(root: unknown): Violation | undefined {
+  const {schema} = (root ?? {}) as {schema?: unknown};
+  if (!Number.isInteger(schema) || (schema as number) <= SCHEMA_VERSION) {
+    return undefined;
   }
+  const message = `schema version ${String(schema)} is newer than ${SCHEMA_VERSION}, the newest that this program knows`;
+  return {path: ['schema'], message, rule: 'unknown-schema'};
+}
+
+/** Checks the values against the rules of their schema version. */
+function check(root: unknown): Result<Configuration, readonly Violation[]> {
+  const newer = unknownVersion(root);
+  if (newer !== undefined) return err([newer]);
+  const parsed = configurationSchema.safeParse(root);
+  const issues = parsed.error?.issues ?? [];
+  const drafted = draftSchema.safeParse(root);
+  const violations = [
+    ...schemaViolations(issues, root, namesAt),
+    ...(drafted.success ? crossCheck(drafted.data) : []),
+  ];
+  if (parsed.success && violations.length === 0) return ok(parsed.data);
+  return err(violations);
 }
 
 /**
@@ -38,32 +110,28 @@
 export function parseConfiguration(
   text: string,
 ): Result<Configuration, readonly Finding[]> {
-  const lines = new LineCounter();
-  const document = parseDocument(text, {lineCounter: lines});
-  const places = new Places(document, lines);
-  if (document.errors.length > 0) {
-    return err(
-      document.errors.map(({pos, message, code}) => ({
-        ...places.at(pos[0]),
-        message: message.split('\n', 1)[0] ?? '',
-        rule: code === 'DUPLICATE_KEY' ? 'duplicate-name' : 'yaml',
-      })),
-    );
+  if (text.length > MAX_TEXT_LENGTH) {
+    const message = `the text is longer than ${MAX_TEXT_LENGTH} characters`;
+    return err([{...START, message, rule: 'too-long'}]);
   }
-  const parsed = configurationSchema.safeParse(document.toJS());
-  const violations: Violation[] = parsed.success
-    ? crossCheck(parsed.data)
-    : parsed.error.issues.map(({path, message}) => ({
-        path,
-        message: `${path.join('.') || 'text'}: ${message}`,
-        rule: 'schema',
-      }));
-  if (parsed.success && violations.length === 0) return ok(parsed.data);
-  const findings = violations.map(({path, message, rule}) => ({
-    ...places.of(path),
-    message,
-    rule,
-  }));
-  findings.sort((a, b) => a.line - b.line || a.column - b.column);
-  return err(findings);
+  const reading = read(text);
+  if (reading.isErr()) return err(reading.error);
+  const {places, findings, root} = reading.value;
+  const checked = check(root);
+  if (checked.isOk() && findings.length === 0) return ok(checked.value);
+  for (const {path, atKey, message, rule} of checked.match(
+    () => [],
+    violations => violations,
+  )) {
+    findings.push({...places.of(path, atKey), message, rule});
+  }
+  return err(sorted(findings));
+}
+
+/** The findings in the order of the text, each once. */
+function sorted(findings: readonly Finding[]): Finding[] {
+  const once = new Map(findings.map(one => [JSON.stringify(one), one]));
+  return [...once.values()].sort(
+    (a, b) => a.line - b.line || a.column - b.column,
+  );
 }
--- /dev/null
+++ b/src/configuration/places.ts
@@ -0,0 +1,71 @@
+import {isAlias, isMap, isNode, isScalar, isSeq} from 'yaml';
+import type {Document, LineCounter, Node, Pair} from 'yaml';
+
+/** A place in a text, both from 1. */
+export interface Place {
+  readonly line: number;
+  readonly column: number;
+}
+
+/** Finds the place of a path in a YAML document. */
+export class Places {
+  /**
+   * @param document - the parsed text
+   * @param lines - where its lines start
+   */
+  constructor(
+    private readonly document: Document,
+    private readonly lines: LineCounter,
+  ) {}
+
+  /**
+   * The place of the deepest value that exists along a path.
+   * @param path - names and indexes from the root
+   * @param atKey - whether the name at the end is meant, not its value
+   */
+  of(path: readonly PropertyKey[], atKey = false): Place {
+    let node = this.resolve(this.document.contents);
+    let offset = node?.range?.[0] ?? 0;
+    for (const [depth, step] of path.entries()) {
+      const pair = pairOf(node, step);
+      const item = pair === undefined ? itemOf(node, step) : pair.value;
+      if (pair === undefined && item === undefined) break;
+      const isKey = atKey && depth === path.length - 1;
+      node = this.resolve(item);
+      // An empty value has no place of its own.
+      const shown = isKey || node === undefined ? pair?.key : item;
+      offset = rangeOf(shown) ?? rangeOf(pair?.key) ?? offset;
+    }
+    return this.at(offset);
+  }
+
+  /**
+   * The place of an offset.
+   * @param offset - UTF-16 units from the start
+   */
+  at(offset: number): Place {
+    const {line, col} = this.lines.linePos(offset);
+    return {line: Math.max(line, 1), column: Math.max(col, 1)};
+  }
+
+  private resolve(node: unknown): Node | undefined {
+    if (isAlias(node)) return node.resolve(this.document);
+    return isNode(node) ? node : undefined;
+  }
+}
+
+function pairOf(node: Node | undefined, step: PropertyKey): Pair | undefined {
+  if (!isMap(node)) return undefined;
+  const wanted = String(step);
+  return node.items.findLast(
+    ({key}) => String(isScalar(key) ? key.value : key) === wanted,
+  );
+}
+
+function itemOf(node: Node | undefined, step: PropertyKey): unknown {
+  return isSeq(node) ? node.items[Number(step)] : undefined;
+}
+
+function rangeOf(node: unknown): number | undefined {
+  return isNode(node) ? node.range?.[0] : undefined;
+}
--- /dev/null
+++ b/src/configuration/rules/dependencies.ts
@@ -0,0 +1,135 @@
+import type {Draft} from '../draft.js';
+import {suggestion} from './violation.js';
+import type {Violation} from './violation.js';
+
+/** One service's wish to call another, with where it stands. */
+interface Edge {
+  readonly from: string;
+  readonly to: string;
+  readonly share: number | undefined;
+  readonly path: readonly PropertyKey[];
+}
+
+function edgesOf(draft: Draft): Edge[] {
+  return Object.entries(draft.services).flatMap(([from, service]) =>
+    (service?.dependsOn ?? []).flatMap((dependency, index) => {
+      if (dependency?.service === undefined) return [];
+      const path = ['services', from, 'dependsOn', index];
+      return [{from, to: dependency.service, share: dependency.share, path}];
+    }),
+  );
+}
+
+/**
+ * Dependencies that are not declared, or have no upstream anywhere.
+ * @param draft - the text
+ */
+export function missingDependencies(draft: Draft): Violation[] {
+  const names = Object.keys(draft.services);
+  return edgesOf(draft)
+    .filter(({to}) => !Object.hasOwn(draft.services, to))
+    .map(({to, path}) => ({
+      path: [...path, 'service'],
+      message: `service ${to} is not declared${suggestion(to, names)}`,
+      rule: 'missing-dependency',
+    }));
+}
+
+/**
+ * Dependencies that one service declares twice.
+ * @param draft - the text
+ */
+export function duplicateDependencies(draft: Draft): Violation[] {
+  const seen = new Set<string>();
+  return edgesOf(draft).flatMap(({from, to, path}) => {
+    const pair = `${from} ${to}`;
+    if (!seen.has(pair)) {
+      seen.add(pair);
+      return [];
+    }
+    const message = `${from} depends on ${to} more than once`;
+    return [{path, message, rule: 'duplicate-name'}];
+  });
+}
+
+/** Walks the dependencies depth first, each service once. */
+class CycleSearch {
+  readonly found: Violation[] = [];
+  private readonly done = new Set<string>();
+  private readonly trail: string[] = [];
+  private readonly edges = new Map<string, Edge[]>();
+
+  constructor(draft: Draft) {
+    for (const edge of edgesOf(draft)) {
+      const known = this.edges.get(edge.from);
+      if (known) known.push(edge);
+      else this.edges.set(edge.from, [edge]);
+    }
+  }
+
+  visit(name: string): void {
+    if (this.done.has(name)) return;
+    this.trail.push(name);
+    for (const edge of this.edges.get(name) ?? []) this.follow(edge);
+    this.trail.pop();
+    this.done.add(name);
+  }
+
+  private follow({to, path}: Edge): void {
+    const start = this.trail.indexOf(to);
+    if (start < 0) return this.visit(to);
+    const cycle = [...this.trail.slice(start), to].join(' -> ');
+    const message = `dependency cycle: ${cycle}`;
+    this.found.push({path, message, rule: 'dependency-cycle'});
+  }
+}
+
+/**
+ * Cycles of dependencies, each told as its path at the item that closes it.
+ * @param draft - the text
+ */
+export function dependencyCycles(draft: Draft): Violation[] {
+  const search = new CycleSearch(draft);
+  for (const name of Object.keys(draft.services)) search.visit(name);
+  return search.found;
+}
+
+/** Rounding that sums of decimal shares may show. */
+const SHARE_ROUNDING = 1e-9;
+
+/**
+ * Services of which more than the whole is promised to those that call them.
+ * @param draft - the text
+ */
+export function overpromisedShares(draft: Draft): Violation[] {
+  const promised = new Map<string, number>();
+  return edgesOf(draft).flatMap(({to, share = 0, path}) => {
+    const before = promised.get(to) ?? 0;
+    const sum = before + share;
+    promised.set(to, sum);
+    if (sum <= 1 + SHARE_ROUNDING || before > 1 + SHARE_ROUNDING) return [];
+    const message = `shares of ${to} sum to more than 1 from here on`;
+    return [{path, message, rule: 'share-sum'}];
+  });
+}
+
+/**
+ * Shares so small that they never allow one call.
+ * @param draft - the text
+ */
+export function uselessShares(draft: Draft): Violation[] {
+  return edgesOf(draft).flatMap(({to, share, path}) => {
+    const called = Object.hasOwn(draft.services, to)
+      ? draft.services[to]
+      : undefined;
+    const concurrency = called?.limits?.concurrency;
+    const counts = Object.values(called?.upstreams ?? {});
+    if (share === undefined || concurrency === undefined) return [];
+    if (counts.length === 0 || counts.includes(undefined)) return [];
+    const upstreams = counts.reduce<number>((sum, n) => sum + (n ?? 0), 0);
+    const calls = upstreams * concurrency;
+    if (share * calls >= 1) return [];
+    const message = `a share of ${share} of ${calls} calls allows none`;
+    return [{path, message, rule: 'contradicting-limits'}];
+  });
+}
--- /dev/null
+++ b/src/configuration/rules/names.ts
@@ -0,0 +1,113 @@
+import type {Draft} from '../draft.js';
+import {suggestion} from './violation.js';
+import type {Violation} from './violation.js';
+
+/** Headers that have a meaning of their own on the way through. */
+const RESERVED_HEADERS = new Set([
+  'authorization',
+  'connection',
+  'content-length',
+  'cookie',
+  'expect',
+  'host',
+  'idempotency-key',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Reports each value that was seen before, with where it was. */
+class Seen {
+  readonly found: Violation[] = [];
+  private readonly first = new Map<string, string>();
+
+  constructor(private readonly rule: string) {}
+
+  add(
+    value: string | undefined,
+    where: string,
+    path: readonly PropertyKey[],
+    what: string,
+  ): void {
+    if (value === undefined) return;
+    const earlier = this.first.get(value);
+    if (earlier === undefined) {
+      this.first.set(value, where);
+      return;
+    }
+    const message = `${what} is already used by ${earlier}`;
+    this.found.push({path, message, rule: this.rule});
+  }
+}
+
+/**
+ * Upstreams in availability zones that are not declared.
+ * @param draft - the text
+ */
+export function unknownZones({
+  availabilityZones = [],
+  services,
+}: Draft): Violation[] {
+  const zones = availabilityZones.filter(zone => zone !== undefined);
+  const declared = new Set(zones);
+  const found: Violation[] = [];
+  for (const [name, service] of Object.entries(services)) {
+    for (const zone of Object.keys(service?.upstreams ?? {})) {
+      if (declared.has(zone)) continue;
+      const hint = suggestion(zone, zones);
+      found.push({
+        path: ['services', name, 'upstreams', zone],
+        message: `availability zone ${zone} is not declared${hint}`,
+        rule: 'unknown-name',
+        atKey: true,
+      });
+    }
+  }
+  return found;
+}
+
+/**
+ * Zones, models and tokens that stand twice.
+ * @param draft - the text
+ */
+export function duplicateNames(draft: Draft): Violation[] {
+  const zones = new Seen('duplicate-name');
+  draft.availabilityZones?.forEach((zone, index) =>
+    zones.add(
+      zone,
+      `item ${index + 1}`,
+      ['availabilityZones', index],
+      `availability zone ${zone}`,
+    ),
+  );
+  const models = new Seen('duplicate-name');
+  for (const [name, service] of Object.entries(draft.services)) {
+    if (service?.kind !== 'model') continue;
+    const {model = name} = service;
+    const own = service.model === undefined ? [] : ['model'];
+    const path = ['services', name, ...own];
+    models.add(model, `service ${name}`, path, `model ${model}`);
+  }
+  const tokens = new Seen('duplicate-token');
+  for (const [name, organisation] of Object.entries(draft.organisations)) {
+    organisation?.tokensSha256?.forEach((token, index) => {
+      const path = ['organisations', name, 'tokensSha256', index];
+      tokens.add(token, `organisation ${name}`, path, 'this token');
+    });
+  }
+  return [...zones.found, ...models.found, ...tokens.found];
+}
+
+/**
+ * An organisation header that means something else already.
+ * @param draft - the text
+ */
+export function reservedHeader({organisationHeader}: Draft): Violation[] {
+  const header = organisationHeader?.toLowerCase() ?? '';
+  const taken =
+    RESERVED_HEADERS.has(header) || header.startsWith('baobabspan-');
+  if (!taken) return [];
+  const message = `the header ${organisationHeader} has another meaning`;
+  return [{path: ['organisationHeader'], message, rule: 'reserved-name'}];
+}
--- /dev/null
+++ b/src/configuration/rules/routes.ts
@@ -0,0 +1,42 @@
+import type {Draft} from '../draft.js';
+import type {Violation} from './violation.js';
+
+interface Known {
+  readonly method: string;
+  readonly path: string;
+}
+
+function covers(earlier: Known, later: Known): boolean {
+  if (earlier.method !== later.method) return false;
+  if (!earlier.path.endsWith('*')) return false;
+  return later.path.startsWith(earlier.path.slice(0, -1));
+}
+
+/**
+ * Routes that stand twice, or that an earlier one takes everything from.
+ * @param draft - the text
+ */
+export function routeClashes({services}: Draft): Violation[] {
+  const found: Violation[] = [];
+  for (const [name, service] of Object.entries(services)) {
+    const earlier: Known[] = [];
+    service?.routes?.forEach((route, index) => {
+      const {method, path: target} = route ?? {};
+      if (method === undefined || target === undefined) return;
+      const later = {method, path: target};
+      const label = `${method} ${target}`;
+      const path = ['services', name, 'routes', index];
+      const twin = earlier.some(e => e.method === method && e.path === target);
+      const cover = earlier.find(other => covers(other, later));
+      if (twin) {
+        const message = `route ${label} is declared twice`;
+        found.push({path, message, rule: 'duplicate-route'});
+      } else if (cover !== undefined) {
+        const message = `route ${label} is never reached behind ${cover.path}`;
+        found.push({path, message, rule: 'unreachable-route'});
+      }
+      earlier.push(later);
+    });
+  }
+  return found;
+}
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -10,6 +10,7 @@
 import type {NamedOrganisation} from '../../admission/index.js';
 import {OrganisationLimits} from '../../admission/index.js';
 import type {CallRequest} from '../../calls/index.js';
+import {MAX_BODY_BYTES} from '../../configuration/index.js';
 import {SECOND, callId} from '../../core/index.js';
 import type {CallId} from '../../core/index.js';
 import {Fault, asFault} from '../../errors/index.js';
@@ -18,8 +19,6 @@
 import {identify, resolve, toCall} from './request_parser.js';
 import type {InForce} from './types.js';
 
-/** Largest body that is read before the service is known, bytes. */
-const MAX_BODY = 8 * 2 ** 20;
 const HEADERS_TIMEOUT_MS = 10 * SECOND;
 const REQUEST_TIMEOUT_MS = 60 * SECOND;
 const MAX_HEADER_BYTES = 32 * 2 ** 10;
@@ -113,7 +112,7 @@
     const identified = identify(req, inForce);
     if (identified.isErr()) return err(identified.error);
     const organisation = identified.value;
-    const body = await readBody(req, MAX_BODY);
+    const body = await readBody(req, MAX_BODY_BYTES);
     if (body.isErr()) return err(body.error);
     const resolved = resolve(req, body.value, inForce);
     if (resolved.isErr()) return err(resolved.error);
