Read the command line as text and report all that is wrong with it

Ruled out: typed options of cac (converted back after the zeros are gone). cac keeps commands, help and version; node:util parseArgs gives the words as text.

--- a/src/cli/shared/flags.ts
+++ b/src/cli/shared/flags.ts
@@ -27,12 +27,26 @@
   readonly [K in keyof F]: F[K] extends Flag<infer T> ? T : never;
 };
 
-const port = z.coerce.number().int().min(0).max(65_535);
+const MAX_PORT = 65_535;
+const MAX_SECONDS = 86_400;
+const MAX_VERSION = 1e9;
+
+/** A number written with digits only, so that no text passes by accident. */
+const digits = (pattern: RegExp, message: string, max: number) =>
+  z
+    .string()
+    .regex(pattern, message)
+    .transform(Number)
+    .refine(n => n <= max, `must be at most ${max}`);
+const whole = (max: number) => digits(/^\d+$/, 'must be a whole number', max);
+
+const port = whole(MAX_PORT);
 const url = z.url({protocol: /^https?$/}).transform(u => u.replace(/\/$/, ''));
-const seconds = z.coerce
-  .number()
-  .nonnegative()
-  .transform(s => s * SECOND);
+const seconds = digits(
+  /^\d+(\.\d+)?$/,
+  'must be a number of seconds',
+  MAX_SECONDS,
+).transform(s => s * SECOND);
 const name = z.string().min(1).max(100);
 const toggle = z.enum(['true', 'false']).transform(text => text === 'true');
 
@@ -138,7 +152,7 @@
     name: 'base',
     value: 'N',
     description: 'Version that the text was made from; 0 for the first',
-    schema: z.coerce.number().int().nonnegative(),
+    schema: whole(MAX_VERSION),
   }),
   author: flag({
     name: 'author',
--- a/src/cli/shared/run_daemon.ts
+++ b/src/cli/shared/run_daemon.ts
@@ -36,12 +36,12 @@
  */
 export async function runDaemon(daemon: Daemon): Promise<number> {
   await daemon.start();
-  await new Promise<void>(resolve => {
+  await new Promise<void>((resolve, reject) => {
     let signals = 0;
     const onSignal = () => {
       signals += 1;
-      if (signals === 1) void daemon.drain().then(resolve);
-      if (signals === 2) void daemon.stop().then(resolve);
+      if (signals === 1) daemon.drain().then(resolve, reject);
+      if (signals === 2) daemon.stop().then(resolve, reject);
     };
     process.on('SIGTERM', onSignal);
     process.on('SIGINT', onSignal);
--- a/src/cli/shared/settings.ts
+++ b/src/cli/shared/settings.ts
@@ -1,68 +1,93 @@
-import {distance} from 'fastest-levenshtein';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 
+import {readArguments} from './arguments.js';
+import type {Command} from './command.js';
 import type {Flag, Flags, SettingsOf} from './flags.js';
+import {nearest} from './nearest.js';
 
 const ENV_PREFIX = 'BAOBABSPAN_';
-/** Options of the command line itself. */
-const BUILT_IN = ['help', 'h', 'version', 'v', '--'];
+const POSITIONAL = /<([^>]+)>/g;
+
+/** The environment of a process. */
+export type Environment = Readonly<Record<string, string | undefined>>;
+
+/** What a command runs with. */
+export interface Invocation {
+  readonly settings: SettingsOf<Flags>;
+  readonly args: readonly string[];
+}
 
 /**
  * The environment variable of a flag.
  * @param flag - the flag
  */
-export function envName({name}: Flag<unknown>): string {
+export function envName({name}: Pick<Flag<unknown>, 'name'>): string {
   return ENV_PREFIX + name.toUpperCase().replaceAll('-', '_');
 }
 
-const camel = (name: string) =>
-  name.replaceAll(/-([a-z])/g, (_, letter: string) => letter.toUpperCase());
+/**
+ * Variables that look like settings and are none, most likely misspelt.
+ * @param commands - every command of the program
+ * @param env - the environment
+ * @returns one line for each
+ */
+export function unknownVariables(
+  commands: readonly Command[],
+  env: Environment,
+): string[] {
+  const known = commands.flatMap(({flags}) =>
+    Object.values(flags).map(envName),
+  );
+  return Object.keys(env)
+    .filter(name => name.startsWith(ENV_PREFIX) && !known.includes(name))
+    .map(name => {
+      const near = nearest(name, known);
+      const hint = near === undefined ? '' : `; did you mean ${near}?`;
+      return `${name}: unknown variable${hint}`;
+    });
+}
 
 /**
- * Reads the settings of a command: the flag first, then the environment, then
- * the fallback.
- * @param flags - the flags of the command
- * @param options - the options as parsed from the command line
+ * Reads what a command is to run with: the flag first, then the environment,
+ * then the fallback.
+ * @param command - the command
+ * @param argv - the words after the program's name, the command's among them
  * @param env - the environment
  * @returns the settings, or one line for each thing that is wrong
  */
-export function readSettings<F extends Flags>(
-  flags: F,
-  options: Readonly<Record<string, unknown>>,
-  env: Readonly<Record<string, string | undefined>>,
-): Result<SettingsOf<F>, readonly string[]> {
-  const findings = unknownOptions(flags, options);
+export function readInvocation(
+  {usage, flags}: Pick<Command, 'usage' | 'flags'>,
+  argv: readonly string[],
+  env: Environment,
+): Result<Invocation, readonly string[]> {
+  const {given, positionals, findings: misread} = readArguments(flags, argv);
+  const args = positionals.slice(1);
+  const findings = [...misread, ...positionalFindings(usage, args)];
   const settings: Record<string, unknown> = {};
   for (const [key, flag] of Object.entries(flags)) {
-    const given = options[camel(flag.name)];
-    const text = given ?? env[envName(flag)] ?? flag.fallback;
+    const variable = envName(flag);
+    const typed = given.get(flag.name);
+    const text = typed ?? env[variable] ?? flag.fallback;
     if (text === undefined) {
-      findings.push(`--${flag.name}: needed (or set ${envName(flag)})`);
+      findings.push(`--${flag.name}: needed (or set ${variable})`);
       continue;
     }
-    const parsed = flag.schema.safeParse(String(text));
+    const isTyped = typed !== undefined || env[variable] === undefined;
+    const source = isTyped ? `--${flag.name}` : variable;
+    const parsed = flag.schema.safeParse(text);
     if (parsed.success) settings[key] = parsed.data;
-    else findings.push(`--${flag.name}: ${parsed.error.issues[0]?.message}`);
+    else findings.push(`${source}: ${parsed.error.issues[0]?.message}`);
   }
-  return findings.length > 0 ? err(findings) : ok(settings as SettingsOf<F>);
-}
-
-function unknownOptions(
-  flags: Flags,
-  options: Readonly<Record<string, unknown>>,
-): string[] {
-  const names = Object.values(flags).map(({name}) => name);
-  const known = new Set([...names.map(camel), ...BUILT_IN]);
-  return Object.keys(options)
-    .filter(option => !known.has(option))
-    .map(option => `--${option}: unknown flag${nearest(option, names)}`);
+  if (findings.length > 0) return err(findings);
+  return ok({settings: settings as SettingsOf<Flags>, args});
 }
 
-function nearest(option: string, names: readonly string[]): string {
-  const close = names
-    .map(name => ({name, away: distance(name, option)}))
-    .filter(({away}) => away <= 3)
-    .sort((a, b) => a.away - b.away)[0];
-  return close === undefined ? '' : `; did you mean --${close.name}?`;
+function positionalFindings(usage: string, args: readonly string[]): string[] {
+  const wanted = [...usage.matchAll(POSITIONAL)].map(([, name]) => name);
+  const missing = wanted.slice(args.length).map(name => `<${name}>: needed`);
+  const extra = args
+    .slice(wanted.length)
+    .map(arg => `${arg}: unexpected argument`);
+  return [...missing, ...extra];
 }
--- a/src/configuration/parse.test.ts
+++ b/src/configuration/parse.test.ts
@@ -137,6 +137,11 @@
       },
       [],
     ],
+    [
+      'a service called __proto__',
+      {rest: '  __proto__:\n    kind: model\n    upstreams: {z1: 1}'},
+      ['unknown-name'],
+    ],
     [
       'a model of two services',
       {
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,4 +1,5 @@
 /** Identifiers, time and chance that every other folder builds on. */
+export * from './address.js';
 export * from './chance.js';
 export * from './ids.js';
 export * from './time.js';
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -11,7 +11,7 @@
 import {OrganisationLimits} from '../../admission/index.js';
 import type {CallRequest} from '../../calls/index.js';
 import {MAX_BODY_BYTES} from '../../configuration/index.js';
-import {SECOND, callId} from '../../core/index.js';
+import {SECOND, callId, hostPort} from '../../core/index.js';
 import type {CallId} from '../../core/index.js';
 import {Fault, asFault} from '../../errors/index.js';
 import type {DaemonContext} from '../shared/context.js';
@@ -70,7 +70,7 @@
   async listen(host: string, port: number): Promise<string> {
     this.server.listen(port, host);
     await once(this.server, 'listening');
-    return `${host}:${(this.server.address() as AddressInfo).port}`;
+    return hostPort(host, (this.server.address() as AddressInfo).port);
   }
 
   /** Closes the listener and what is left open. */
--- a/src/daemons/shared/operator_server.ts
+++ b/src/daemons/shared/operator_server.ts
@@ -3,6 +3,7 @@
 import type {Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
+import {hostPort} from '../../core/index.js';
 import type {Metrics} from '../../observability/index.js';
 
 /** What an operator may ask of a daemon. */
@@ -67,7 +68,7 @@
   async listen(host: string, port: number): Promise<string> {
     this.server.listen(port, host);
     await once(this.server, 'listening');
-    return `${host}:${(this.server.address() as AddressInfo).port}`;
+    return hostPort(host, (this.server.address() as AddressInfo).port);
   }
 
   /** Stops at once. */
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -3,7 +3,7 @@
 
 import {WebSocketServer} from 'ws';
 
-import {SECOND} from '../core/index.js';
+import {SECOND, hostPort} from '../core/index.js';
 import type {Millis} from '../core/index.js';
 import {Link, MAX_FRAME} from './link.js';
 import type {LinkContext, LinkListener} from './link.js';
@@ -44,7 +44,7 @@
   await once(server, 'listening');
   const {port: picked} = server.address() as AddressInfo;
   return {
-    address: `${host}:${picked}`,
+    address: hostPort(host, picked),
     close: () =>
       new Promise(resolve => {
         const timer = setTimeout(() => {
