--- a/eslint.config.js
+++ b/eslint.config.js
@@ -44,9 +44,12 @@
   {ignores: ['dist/', 'coverage/']},
   ...gts,
   {
-    files: ['eslint.config.js'],
-    languageOptions: {sourceType: 'module'},
-    rules: {'n/no-unpublished-import': 'off'},
+    files: ['eslint.config.js', 'scripts/*.js'],
+    languageOptions: {
+      sourceType: 'module',
+      globals: {console: 'readonly', process: 'readonly'},
+    },
+    rules: {'n/no-unpublished-import': 'off', 'n/no-process-exit': 'off'},
   },
   {
     files: ['**/*.ts'],
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,5 +6,6 @@
     testTimeout: 60_000,
     hookTimeout: 60_000,
     maxWorkers: 4,
+    reporters: ['default', ['json', {outputFile: 'dist/test_results.json'}]],
   },
 });
