--- /dev/null
+++ b/test/support/estate.ts
@@ -0,0 +1,224 @@
+import {fileURLToPath} from 'node:url';
+
+import {request} from 'undici';
+
+import {PlatformView} from './platform_view.js';
+import type {TestVm} from './platform_view.js';
+import {Processes, until} from './processes.js';
+import type {TestProcess} from './processes.js';
+import {Relay} from './relay.js';
+
+const LINK_KEY = 'test-link-key-0123456789';
+
+/** What an estate of a test is made of. */
+export interface EstatePlan {
+  /** File name of the example text. */
+  readonly example: string;
+  readonly zones: readonly string[];
+  /** The services, and the stand-in that is the upstream of each. */
+  readonly services: Readonly<Record<string, 'engine' | 'plain'>>;
+}
+
+/** A daemon of the estate. */
+export interface Daemon {
+  readonly vm: TestVm;
+  readonly process: TestProcess;
+  /** Operator address, `http://host:port`. */
+  readonly operators: string;
+  /** Caller address of an entry. */
+  readonly callers: string;
+  /** Address of the upstream of a sidecar. */
+  readonly upstreamUrl: string;
+}
+
+/** An estate of real processes whose zones can be cut off. */
+export class Estate {
+  readonly processes = new Processes();
+  readonly daemons: Daemon[] = [];
+  readonly views = new Map<string, PlatformView>();
+  platformUrl = '';
+  private readonly viewUrls = new Map<string, string>();
+  private readonly relays = new Map<string, {relay: Relay; address: string}>();
+
+  constructor(readonly plan: EstatePlan) {}
+
+  /** The example text that the estate runs on. */
+  get text(): string {
+    const url = new URL(`../../examples/${this.plan.example}`, import.meta.url);
+    return fileURLToPath(url);
+  }
+
+  async start(): Promise<void> {
+    const platform = this.processes.standin('platform');
+    this.platformUrl = (await platform.event('ready'))['url'] ?? '';
+    for (const zone of this.plan.zones) await this.openView(zone);
+    for (const zone of this.plan.zones) {
+      for (const service of Object.keys(this.plan.services)) {
+        await this.startSidecar(zone, service);
+      }
+    }
+    await this.list();
+    for (const zone of this.plan.zones) await this.startEntry(zone);
+    await this.list();
+  }
+
+  async close(): Promise<void> {
+    await this.processes.close();
+    for (const view of this.views.values()) await view.close();
+    for (const {relay} of this.relays.values()) await relay.close();
+  }
+
+  entry(zone: string): Daemon {
+    return this.find('entry', zone, undefined);
+  }
+
+  sidecar(zone: string, service: string): Daemon {
+    return this.find('sidecar', zone, service);
+  }
+
+  /** Tells the platform's list who is there. */
+  async list(): Promise<void> {
+    const body = JSON.stringify(this.daemons.map(({vm}) => vm));
+    await request(`${this.platformUrl}/vms`, {method: 'PUT', body});
+  }
+
+  async startSidecar(zone: string, service: string): Promise<Daemon> {
+    const kind = this.plan.services[service] ?? 'plain';
+    const upstream = this.processes.standin(kind);
+    const upstreamUrl = (await upstream.event('ready'))['url'] ?? '';
+    const vm = `${service}-${zone}`;
+    const process = this.processes.cli(
+      ...['sidecar', '--vm', vm, '--service', service],
+      ...['--upstream-url', upstreamUrl, ...this.common(zone)],
+    );
+    return this.add(process, 'sidecar', zone, {vm, service, upstreamUrl});
+  }
+
+  async startEntry(zone: string): Promise<Daemon> {
+    const vm = `entry-${zone}`;
+    const process = this.processes.cli(
+      ...['entry', '--vm', vm, '--port', '0', ...this.common(zone)],
+    );
+    return this.add(process, 'entry', zone, {vm, upstreamUrl: ''});
+  }
+
+  remove(daemon: Daemon): void {
+    this.daemons.splice(this.daemons.indexOf(daemon), 1);
+  }
+
+  /** Open connections to the daemon go silent for good; new ones work. */
+  silence(daemon: Daemon): void {
+    for (const relay of this.relaysTo(daemon)) relay.silence();
+  }
+
+  /** Cuts a zone off from the other zones and from the platform. */
+  cutZone(zone: string): void {
+    this.views.get(zone)?.cut();
+    for (const relay of this.relaysAcross(zone)) relay.cut();
+  }
+
+  healZone(zone: string): void {
+    this.views.get(zone)?.heal();
+    for (const relay of this.relaysAcross(zone)) relay.heal();
+  }
+
+  async faults(faults: object): Promise<void> {
+    const body = JSON.stringify(faults);
+    await request(`${this.platformUrl}/control/faults`, {method: 'PUT', body});
+  }
+
+  async status(daemon: Daemon): Promise<Record<string, unknown>> {
+    const res = await request(`${daemon.operators}/status`);
+    return (await res.body.json()) as Record<string, unknown>;
+  }
+
+  /** Version in force at a daemon. */
+  async version(daemon: Daemon): Promise<number> {
+    const status = await this.status(daemon);
+    return (status['configuration'] as {version: number}).version;
+  }
+
+  /** Waits until a version is in force at all the given daemons. */
+  async inForce(version: number, daemons = this.daemons): Promise<void> {
+    for (const daemon of daemons) {
+      await until(async () => (await this.version(daemon)) >= version);
+    }
+  }
+
+  private common(zone: string): string[] {
+    const view = this.viewUrls.get(zone) ?? '';
+    return [
+      ...['--availability-zone', zone, '--link-key', LINK_KEY],
+      ...['--log-url', view, '--vm-list-url', view],
+    ];
+  }
+
+  private async add(
+    process: TestProcess,
+    role: TestVm['role'],
+    zone: string,
+    more: {vm: string; service?: string; upstreamUrl: string},
+  ): Promise<Daemon> {
+    const ready = await process.event('ready');
+    const {upstreamUrl, ...named} = more;
+    const address = ready['links'] ?? '';
+    const placed = {availabilityZone: zone, role, address} as const;
+    const vm: TestVm = {...named, ...placed, state: 'live'};
+    const daemon = {
+      vm,
+      process,
+      operators: `http://${ready['operators']}`,
+      callers: `http://${ready['callers']}`,
+      upstreamUrl,
+    };
+    for (const from of this.plan.zones) await this.openRelay(from, vm);
+    this.daemons.push(daemon);
+    return daemon;
+  }
+
+  private async openView(zone: string): Promise<void> {
+    const view = new PlatformView(this.platformUrl, vm => {
+      const key = `${zone} ${vm.availabilityZone} ${vm.address}`;
+      return this.relays.get(key)?.address ?? vm.address;
+    });
+    this.views.set(zone, view);
+    this.viewUrls.set(zone, await view.listen());
+  }
+
+  private async openRelay(from: string, vm: TestVm): Promise<void> {
+    const relay = new Relay(vm.address);
+    const address = await relay.listen();
+    const key = `${from} ${vm.availabilityZone} ${vm.address}`;
+    this.relays.set(key, {relay, address});
+  }
+
+  private relaysTo({vm}: Daemon): Relay[] {
+    return [...this.relays]
+      .filter(([key]) => key.endsWith(` ${vm.address}`))
+      .map(([, {relay}]) => relay);
+  }
+
+  private relaysAcross(zone: string): Relay[] {
+    return [...this.relays]
+      .filter(([key]) => {
+        const [from, to] = key.split(' ');
+        return (from === zone) !== (to === zone);
+      })
+      .map(([, {relay}]) => relay);
+  }
+
+  private find(
+    role: TestVm['role'],
+    zone: string,
+    service: string | undefined,
+  ): Daemon {
+    const found = this.daemons.find(
+      ({vm}) =>
+        vm.role === role &&
+        vm.availabilityZone === zone &&
+        vm.service === service,
+    );
+    if (!found) throw new Error(`no ${role} ${service ?? ''} in ${zone}`);
+    return found;
+  }
+}
--- /dev/null
+++ b/test/support/relay.ts
@@ -0,0 +1,76 @@
+import {once} from 'node:events';
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+
+interface Pair {
+  readonly near: Socket;
+  readonly far: Socket;
+  silent: boolean;
+}
+
+/** A TCP relay that can be cut, or whose open connections can go silent. */
+export class Relay {
+  private readonly server: Server;
+  private readonly pairs = new Set<Pair>();
+  private isCut = false;
+
+  /** @param target - where it leads, `host:port` */
+  constructor(private readonly target: string) {
+    this.server = createServer(near => this.accept(near));
+  }
+
+  async listen(): Promise<string> {
+    this.server.listen(0, '127.0.0.1');
+    await once(this.server, 'listening');
+    const {port} = this.server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  /** Open connections carry nothing any more and stay open; new ones work. */
+  silence(): void {
+    for (const pair of this.pairs) pair.silent = true;
+  }
+
+  /** Nothing passes, and new connections are closed at once. */
+  cut(): void {
+    this.isCut = true;
+    for (const {near, far} of this.pairs) {
+      near.destroy();
+      far.destroy();
+    }
+  }
+
+  heal(): void {
+    this.isCut = false;
+  }
+
+  async close(): Promise<void> {
+    this.cut();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+
+  private accept(near: Socket): void {
+    if (this.isCut) {
+      near.destroy();
+      return;
+    }
+    const [host, port] = this.target.split(':');
+    const far = connect(Number(port), host);
+    const pair = {near, far, silent: false};
+    this.pairs.add(pair);
+    this.pass(pair, near, far);
+    this.pass(pair, far, near);
+  }
+
+  private pass(pair: Pair, from: Socket, to: Socket): void {
+    from.on('data', chunk => {
+      if (!pair.silent) to.write(chunk);
+    });
+    from.on('error', () => from.destroy());
+    from.on('close', () => {
+      if (pair.silent) return;
+      this.pairs.delete(pair);
+      to.destroy();
+    });
+  }
+}
