--- a/src/cli/publish/index.ts
+++ b/src/cli/publish/index.ts
@@ -1,20 +1,110 @@
 import {createHash} from 'node:crypto';
 import {readFile} from 'node:fs/promises';
 
-import {recordId, version} from '../../core/index.js';
+import {z} from 'zod';
+
+import {CONFIGURATION_STREAM} from '../../configuration/index.js';
+import type {Publication, Verdict} from '../../configuration/index.js';
+import {SECOND, recordId, version} from '../../core/index.js';
 import {describe} from '../../errors/index.js';
+import type {Fault} from '../../errors/index.js';
+import {HttpLogClient} from '../../platform/index.js';
 import {EXIT, complain, defineCommand, print} from '../shared/command.js';
 import {OWN, SHARED} from '../shared/flags.js';
-import {publish} from './publisher.js';
+import type {Flag} from '../shared/flags.js';
+import {lineDiff} from './line_diff.js';
+import {Publisher} from './publisher.js';
+import {waitInForce} from './wait_in_force.js';
+
+const wait: Flag<boolean> = {
+  name: 'wait',
+  description: 'Wait until the version is in force at all known processes',
+  schema: z.enum(['true', 'false']).transform(text => text === 'true'),
+  fallback: 'false',
+};
+const waitTimeout: Flag<number> = {
+  name: 'wait-timeout',
+  value: 'SECONDS',
+  description: 'How long --wait waits',
+  schema: z.coerce
+    .number()
+    .positive()
+    .transform(s => s * SECOND),
+  fallback: '60',
+};
+const operatorUrl: Flag<string> = {
+  ...OWN.operatorUrl,
+  description: 'Operator listener of any daemon, for --wait',
+  schema: z.union([z.literal(''), OWN.operatorUrl.schema]),
+  fallback: '',
+};
+
+function fail({reason, message, hint}: Fault): number {
+  complain(`${reason}: ${message}`);
+  complain(hint);
+  return EXIT.refused;
+}
+
+/** The same text on the same base is the same publication when repeated. */
+function publicationOf(
+  base: number,
+  author: string,
+  text: string,
+): Publication {
+  const digest = createHash('sha256')
+    .update(`${base}\n${author}\n${text}`)
+    .digest('hex');
+  const id = recordId(digest);
+  return {kind: 'publication', id, base: version(base), author, text};
+}
+
+/** Shows what would change, unless the base is not the version in force. */
+function preview(publisher: Publisher, {base, text}: Publication): boolean {
+  const inForce = publisher.folded;
+  const diff = lineDiff(inForce.text, text);
+  if (inForce.version === base) {
+    print(`changes to version ${base}:`);
+    diff.forEach(print);
+    return true;
+  }
+  const {version: current, author} = inForce;
+  complain(`refused: stale_base: based on ${base}, not sent`);
+  complain(`in force: version ${current} by ${author || 'nobody'}`);
+  complain('this text differs from it by:');
+  diff.forEach(complain);
+  return false;
+}
+
+function report(verdict: Verdict): number {
+  if (verdict.accepted) {
+    print(`version ${verdict.version} accepted`);
+    return EXIT.good;
+  }
+  const winner = verdict.author || 'nobody';
+  complain(`refused: ${verdict.reason}: ${verdict.detail}`);
+  complain(`in force: version ${verdict.version} by ${winner}`);
+  return EXIT.refused;
+}
 
 /** `baobabspan publish` */
 export const publishCommand = defineCommand({
   usage: 'publish <file>',
   summary: 'Publish a configuration text',
-  flags: {base: OWN.base, author: OWN.author, logUrl: SHARED.logUrl},
+  flags: {
+    base: OWN.base,
+    author: OWN.author,
+    logUrl: SHARED.logUrl,
+    wait,
+    waitTimeout,
+    operatorUrl,
+  },
   example:
     'publish examples/kivuli.yaml --base 0 --log-url http://127.0.0.1:7000',
-  run: async ({base, author, logUrl}, [file = '']) => {
+  run: async (settings, [file = '']) => {
+    if (settings.wait && settings.operatorUrl === '') {
+      complain('--wait: needs --operator-url');
+      return EXIT.usage;
+    }
     let text: string;
     try {
       text = await readFile(file, 'utf8');
@@ -22,30 +112,21 @@
       complain(`${file}: ${describe(thrown)}`);
       return EXIT.usage;
     }
-    // The same text on the same base is the same publication when repeated.
-    const digest = createHash('sha256')
-      .update(`${base}\n${author}\n${text}`)
-      .digest('hex');
-    const outcome = await publish(logUrl, {
-      kind: 'publication',
-      id: recordId(digest),
-      base: version(base),
-      author,
-      text,
-    });
-    if (outcome.isErr()) {
-      complain(`${outcome.error.reason}: ${outcome.error.message}`);
-      complain(outcome.error.hint);
-      return EXIT.refused;
-    }
-    const verdict = outcome.value;
-    if (verdict.accepted) {
-      print(`version ${verdict.version} accepted`);
-      return EXIT.good;
+    const publication = publicationOf(settings.base, settings.author, text);
+    const log = new HttpLogClient(settings.logUrl, CONFIGURATION_STREAM);
+    const publisher = new Publisher(log);
+    const caughtUp = await publisher.catchUp();
+    if (caughtUp.isErr()) return fail(caughtUp.error);
+    let verdict = publisher.verdictOn(publication.id);
+    if (verdict?.accepted !== true) {
+      if (!preview(publisher, publication)) return EXIT.refused;
+      const published = await publisher.publish(publication);
+      if (published.isErr()) return fail(published.error);
+      verdict = published.value;
     }
-    const winner = verdict.author || 'nobody';
-    complain(`refused: ${verdict.reason}: ${verdict.detail}`);
-    complain(`in force: version ${verdict.version} by ${winner}`);
-    return EXIT.refused;
+    const code = report(verdict);
+    if (!verdict.accepted || !settings.wait) return code;
+    const host = new URL(settings.operatorUrl).host;
+    return waitInForce(host, verdict.version, settings.waitTimeout);
   },
 });
--- /dev/null
+++ b/src/cli/publish/line_diff.ts
@@ -0,0 +1,74 @@
+/** Longest stretch pair that is compared line by line, lines times lines. */
+const MAX_COMPARED = 4_000_000;
+
+/** Lengths of the longest common subsequences of all suffixes. */
+function suffixLengths(
+  before: readonly string[],
+  after: readonly string[],
+): Uint32Array[] {
+  const rows = [new Uint32Array(after.length + 1)];
+  for (let i = before.length - 1; i >= 0; i--) {
+    const below = rows[0] ?? new Uint32Array();
+    const row = new Uint32Array(after.length + 1);
+    for (let j = after.length - 1; j >= 0; j--) {
+      row[j] =
+        before[i] === after[j]
+          ? (below[j + 1] ?? 0) + 1
+          : Math.max(below[j] ?? 0, row[j + 1] ?? 0);
+    }
+    rows.unshift(row);
+  }
+  return rows;
+}
+
+function compare(
+  before: readonly string[],
+  after: readonly string[],
+): string[] {
+  if (before.length * after.length > MAX_COMPARED) {
+    return [...before.map(l => `- ${l}`), ...after.map(l => `+ ${l}`)];
+  }
+  const lengths = suffixLengths(before, after);
+  const lines: string[] = [];
+  let i = 0;
+  let j = 0;
+  while (i < before.length || j < after.length) {
+    if (i < before.length && before[i] === after[j]) {
+      i += 1;
+      j += 1;
+      continue;
+    }
+    const drop = lengths[i + 1]?.[j] ?? -1;
+    const add = j < after.length ? (lengths[i]?.[j + 1] ?? -1) : -1;
+    if (i < before.length && drop >= add) lines.push(`- ${before[i++]}`);
+    else lines.push(`+ ${after[j++]}`);
+  }
+  return lines;
+}
+
+/**
+ * The lines that differ between two texts.
+ * @param before - the older text
+ * @param after - the newer text
+ * @returns removed lines with `- ` and added lines with `+ ` before them
+ */
+export function lineDiff(before: string, after: string): string[] {
+  const old = before === '' ? [] : before.split('\n');
+  const now = after === '' ? [] : after.split('\n');
+  let start = 0;
+  while (start < old.length && old[start] === now[start]) {
+    if (start >= now.length) break;
+    start += 1;
+  }
+  let end = 0;
+  while (
+    end < Math.min(old.length, now.length) - start &&
+    old[old.length - 1 - end] === now[now.length - 1 - end]
+  ) {
+    end += 1;
+  }
+  return compare(
+    old.slice(start, old.length - end),
+    now.slice(start, now.length - end),
+  );
+}
--- a/src/cli/publish/publisher.ts
+++ b/src/cli/publish/publisher.ts
@@ -1,49 +1,82 @@
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 
-import {
-  CONFIGURATION_STREAM,
-  History,
-  configurationRecord,
+import {LogFollower} from '../../configuration/index.js';
+import type {
+  FoldedState,
+  Publication,
+  Verdict,
 } from '../../configuration/index.js';
-import type {Publication, Verdict} from '../../configuration/index.js';
-import {offset} from '../../core/index.js';
-import type {Millis} from '../../core/index.js';
+import type {Millis, RecordId} from '../../core/index.js';
 import {Fault} from '../../errors/index.js';
-import {HttpLogClient} from '../../platform/index.js';
+import {compressRecord, expandRecord} from '../../platform/index.js';
+import type {LogClient} from '../../platform/index.js';
 
 const READ_WAIT: Millis = 1_000;
+const RETRY_AFTER: Millis = 500;
+/** Reads after which a publication counts as unsettled. */
 const MAX_READS = 10;
 
-/**
- * Publishes and learns from the log's order what became of it.
- * @param logUrl - address of the platform's log
- * @param publication - what to publish
- * @returns the verdict, or `publication_unsettled` or `log_unavailable`
- */
-export async function publish(
-  logUrl: string,
-  publication: Publication,
-): Promise<Result<Verdict, Fault>> {
-  const log = new HttpLogClient(logUrl, CONFIGURATION_STREAM);
-  // An append without an answer may have been taken: the log itself tells.
-  const appended = await log.append(publication);
-  const history = new History();
-  for (let reads = 0; reads < MAX_READS; reads++) {
-    const from = offset(history.folded.foldedTo + 1);
-    const page = await log.read(from, READ_WAIT);
-    if (page.isErr()) continue;
-    for (const record of page.value.records) {
-      const parsed = configurationRecord.safeParse(record.data);
-      if (parsed.data?.kind === 'publication') {
-        history.publish(record.offset, parsed.data);
-      } else {
-        history.skip(record.offset);
-      }
+/** Publishes for one operator and learns from the log what became of it. */
+export class Publisher {
+  private readonly follower = new LogFollower();
+
+  /** @param log - the configuration stream */
+  constructor(private readonly log: LogClient) {}
+
+  /** The state as far as the log was read. */
+  get folded(): FoldedState {
+    return this.follower.history.folded;
+  }
+
+  /**
+   * What became of a publication, as far as the log was read.
+   * @param id - its id
+   */
+  verdictOn(id: RecordId): Verdict | undefined {
+    return this.follower.history.verdictOn(id);
+  }
+
+  /**
+   * Reads the log to its end.
+   * @returns the state there; `log_unavailable`, `log_gap` where retention
+   *     took records that no checkpoint stands for, or `newer_schema`
+   */
+  async catchUp(): Promise<Result<FoldedState, Fault>> {
+    for (let reads = 0; reads < MAX_READS; reads++) {
+      const failed = await this.read(0);
+      if (failed !== undefined) return err(failed);
+      if (this.follower.caughtUp) return ok(this.folded);
     }
-    const verdict = history.verdictOn(publication.id);
-    if (verdict !== undefined) return ok(verdict);
+    const blocked = this.follower.history.blockedAt !== undefined;
+    return err(new Fault(blocked ? 'newer_schema' : 'log_gap'));
+  }
+
+  /**
+   * Appends a publication and reads on until the log's order has judged it.
+   * @param publication - what to publish
+   * @returns the verdict; `publication_unsettled` when the log does not tell
+   */
+  async publish(publication: Publication): Promise<Result<Verdict, Fault>> {
+    // An append without an answer may have been taken: the log itself tells.
+    await this.log.append(compressRecord(publication));
+    for (let reads = 0; reads < MAX_READS; reads++) {
+      const failed = await this.read(READ_WAIT);
+      if (failed) await new Promise(wake => setTimeout(wake, RETRY_AFTER));
+      const verdict = this.verdictOn(publication.id);
+      if (verdict !== undefined) return ok(verdict);
+    }
+    return err(new Fault('publication_unsettled'));
+  }
+
+  private async read(wait: Millis): Promise<Fault | undefined> {
+    const page = await this.log.read(this.follower.position, wait);
+    if (page.isErr()) return page.error;
+    const records = page.value.records.map(({offset, data}) => ({
+      offset,
+      data: expandRecord(data),
+    }));
+    this.follower.take({...page.value, records});
+    return undefined;
   }
-  if (appended.isErr()) return err(appended.error);
-  return err(new Fault('publication_unsettled'));
 }
--- /dev/null
+++ b/src/cli/status/estate_view.ts
@@ -0,0 +1,127 @@
+import {request} from 'undici';
+import {z} from 'zod';
+
+import type {Millis} from '../../core/index.js';
+import {describe} from '../../errors/index.js';
+
+const ANSWER_TIMEOUT: Millis = 3_000;
+/** Daemons that are asked at once. */
+const ASKED_AT_ONCE = 32;
+
+const daemonStatus = z.object({
+  incarnation: z.string(),
+  configuration: z
+    .object({
+      version: z.number(),
+      foldedVersion: z.number(),
+      foldedTo: z.number(),
+      lag: z.string().optional(),
+    })
+    .optional(),
+  members: z.array(
+    z.object({
+      vm: z.string(),
+      availabilityZone: z.string(),
+      role: z.string(),
+      operators: z.string().optional(),
+      linked: z.boolean(),
+      leaving: z.boolean(),
+    }),
+  ),
+});
+type DaemonStatus = z.output<typeof daemonStatus>;
+
+/** What is known of one process of the estate. */
+export interface EstateRow {
+  readonly vm: string;
+  /** The version in force there; nothing when it did not answer. */
+  readonly version: number | undefined;
+  readonly foldedTo: number | undefined;
+  /** Why the version may lag. */
+  readonly reason: string | undefined;
+}
+
+async function ask(address: string): Promise<DaemonStatus | string> {
+  try {
+    const res = await request(`http://${address}/status`, {
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT),
+    });
+    return daemonStatus.parse(await res.body.json());
+  } catch (thrown) {
+    return describe(thrown);
+  }
+}
+
+function vmOf(incarnation: string): string {
+  return incarnation.slice(0, incarnation.lastIndexOf('/'));
+}
+
+/** Finds the estate's processes, from one to those that it knows, and so on. */
+export class EstateView {
+  private readonly rows = new Map<string, EstateRow>();
+  private readonly asked = new Set<string>();
+
+  /**
+   * Asks everyone for the version in force.
+   * @param start - operator address of one daemon, `host:port`
+   * @returns one row for each VM, by name
+   */
+  static async look(start: string): Promise<EstateRow[]> {
+    const view = new EstateView();
+    let wave = [start];
+    while (wave.length > 0) {
+      const next = await view.askAll(wave.splice(0, ASKED_AT_ONCE));
+      wave = [...new Set([...wave, ...next])];
+    }
+    return [...view.rows.values()].sort((a, b) => (a.vm < b.vm ? -1 : 1));
+  }
+
+  private async askAll(addresses: readonly string[]): Promise<string[]> {
+    addresses.forEach(address => this.asked.add(address));
+    const found = await Promise.all(
+      addresses.map(async address => this.take(await ask(address))),
+    );
+    return found.flat().filter(address => !this.asked.has(address));
+  }
+
+  /** Notes a status; returns the operator addresses that it names. */
+  private take(status: DaemonStatus | string): string[] {
+    if (typeof status === 'string') return [];
+    const vm = vmOf(status.incarnation);
+    const {version, foldedTo, lag} = status.configuration ?? {};
+    this.rows.set(vm, {vm, version, foldedTo, reason: lag});
+    const addresses: string[] = [];
+    for (const member of status.members) {
+      if (member.leaving) continue;
+      this.mention(member.vm, member.operators !== undefined);
+      if (member.operators !== undefined) addresses.push(member.operators);
+    }
+    return addresses;
+  }
+
+  private mention(vm: string, hasAnswered: boolean): void {
+    if (this.rows.get(vm)?.version !== undefined) return;
+    const reason = hasAnswered ? 'does not answer' : 'listed, never linked';
+    this.rows.set(vm, {
+      vm,
+      version: undefined,
+      foldedTo: undefined,
+      reason,
+    });
+  }
+}
+
+/**
+ * One line for people.
+ * @param row - a process
+ * @param newest - the newest version that is in force anywhere
+ */
+export function describeRow(
+  {vm, version, foldedTo, reason}: EstateRow,
+  newest: number,
+): string {
+  const why = reason === undefined ? '' : `: ${reason}`;
+  if (version === undefined) return `${vm} unknown${why}`;
+  const lags = version < newest ? ' lags' : '';
+  return `${vm} version ${version} folded to ${foldedTo}${lags}${why}`;
+}
--- /dev/null
+++ b/src/configuration/delta.ts
@@ -0,0 +1,94 @@
+/** Lines `[from, from + count)` of the base, or new lines. */
+export type DeltaPart =
+  | {readonly from: number; readonly count: number}
+  | {readonly lines: readonly string[]};
+
+/** Places of one line that are tried for the longest run. */
+const MAX_PLACES = 16;
+
+function placesOf(lines: readonly string[]): Map<string, number[]> {
+  const places = new Map<string, number[]>();
+  lines.forEach((line, at) => {
+    const known = places.get(line);
+    if (known === undefined) places.set(line, [at]);
+    else if (known.length < MAX_PLACES) known.push(at);
+  });
+  return places;
+}
+
+function runLength(
+  base: readonly string[],
+  from: number,
+  target: readonly string[],
+  at: number,
+): number {
+  let count = 0;
+  while (
+    from + count < base.length &&
+    at + count < target.length &&
+    base[from + count] === target[at + count]
+  ) {
+    count += 1;
+  }
+  return count;
+}
+
+/**
+ * Describes a text by the lines that it shares with another.
+ * @param base - the text that the reader has
+ * @param text - the text that it should get
+ */
+export function makeDelta(base: string, text: string): DeltaPart[] {
+  const old = base.split('\n');
+  const target = text.split('\n');
+  const places = placesOf(old);
+  const parts: DeltaPart[] = [];
+  let fresh: string[] = [];
+  let expected = 0;
+  for (let at = 0; at < target.length;) {
+    const tried = [expected, ...(places.get(target[at] ?? '') ?? [])];
+    let best = {from: 0, count: 0};
+    for (const from of tried) {
+      const count = runLength(old, from, target, at);
+      if (count > best.count) best = {from, count};
+    }
+    if (best.count === 0) {
+      fresh.push(target[at] ?? '');
+      at += 1;
+      // A changed line most often stands for the one that it replaced.
+      expected += 1;
+      continue;
+    }
+    if (fresh.length > 0) parts.push({lines: fresh});
+    fresh = [];
+    parts.push(best);
+    at += best.count;
+    expected = best.from + best.count;
+  }
+  if (fresh.length > 0) parts.push({lines: fresh});
+  return parts;
+}
+
+/**
+ * Makes the text that a delta describes.
+ * @param base - the text that the delta was made against
+ * @param parts - the delta
+ * @returns the text, or nothing when the delta does not fit the base
+ */
+export function applyDelta(
+  base: string,
+  parts: readonly DeltaPart[],
+): string | undefined {
+  const old = base.split('\n');
+  const lines: string[] = [];
+  for (const part of parts) {
+    if ('lines' in part) {
+      lines.push(...part.lines);
+      continue;
+    }
+    const {from, count} = part;
+    if (from < 0 || count < 0 || from + count > old.length) return undefined;
+    lines.push(...old.slice(from, from + count));
+  }
+  return lines.join('\n');
+}
--- a/src/configuration/history.ts
+++ b/src/configuration/history.ts
@@ -1,44 +1,70 @@
-import {offset as asOffset, version as asVersion} from '../core/index.js';
+import {
+  offset as asOffset,
+  version as asVersion,
+  recordId,
+} from '../core/index.js';
 import type {Offset, RecordId, Version} from '../core/index.js';
+import {declaresNewerSchema} from './declared_schema.js';
 import {parseConfiguration} from './parse.js';
-import type {Checkpoint, Configuration, Publication, Verdict} from './types.js';
-
-/** The part of the state that travels between processes. */
-export interface FoldedState {
-  readonly version: Version;
-  readonly text: string;
-  readonly author: string;
-  /** Greatest offset that the state includes; -1 before the first record. */
-  readonly foldedTo: Offset;
-}
+import type {
+  Checkpoint,
+  Configuration,
+  FoldedState,
+  Publication,
+  Verdict,
+} from './types.js';
 
 const EMPTY: FoldedState = {
   version: asVersion(0),
   text: '',
   author: '',
+  publicationId: recordId(''),
   foldedTo: asOffset(-1),
 };
 
 /** Publications whose verdict is remembered for operators who ask. */
 const REMEMBERED_VERDICTS = 1_000;
 
+/** A configuration with the version that it is. */
+export interface VersionInForce {
+  readonly version: Version;
+  readonly cfg: Configuration;
+}
+
 /**
  * Folds the records of the configuration stream into the version in force.
- * The result depends on the records and their order alone.
+ * The result depends on the records and their order alone: never on who
+ * folds, when, or from which trusted state it started. A repeated publication
+ * needs no memory of ids: once accepted, its base is behind for good.
  */
 export class History {
   private state: FoldedState = EMPTY;
-  private configuration: Configuration | undefined;
+  private current: VersionInForce | undefined;
+  private blocked: Offset | undefined;
   private readonly verdicts = new Map<RecordId, Verdict>();
 
-  /** The state to hand to peers. */
+  /** The state to hand to peers, whether this program can read it or not. */
   get folded(): FoldedState {
     return this.state;
   }
 
-  /** The configuration in force, if any was accepted. */
-  get inForce(): Configuration | undefined {
-    return this.configuration;
+  /** The newest version that this program can read, if there is one. */
+  get inForce(): VersionInForce | undefined {
+    return this.current;
+  }
+
+  /**
+   * Offset of a publication that only a newer program can judge. Nothing is
+   * folded from there on until a state that includes it is adopted.
+   */
+  get blockedAt(): Offset | undefined {
+    return this.blocked;
+  }
+
+  /** Whether the folded version is one that this program cannot read. */
+  get unreadable(): boolean {
+    const readable = this.current?.version ?? asVersion(0);
+    return this.state.version > readable;
   }
 
   /**
@@ -46,46 +72,60 @@
    * @param id - the publication's id
    */
   verdictOn(id: RecordId): Verdict | undefined {
+    const {version, publicationId} = this.state;
+    if (version > 0 && publicationId === id) return {accepted: true, version};
     return this.verdicts.get(id);
   }
 
   /**
    * Folds one publication.
-   * @param at - its offset; anything already folded is ignored
+   * @param at - its offset; only the one after the last folded is taken
    * @param publication - the record
-   * @returns its verdict, or nothing when it was folded before
+   * @returns its verdict, or nothing when it was not folded
    */
   publish(at: Offset, publication: Publication): Verdict | undefined {
-    if (at <= this.state.foldedTo) return this.verdicts.get(publication.id);
-    const known = this.verdicts.get(publication.id);
-    const verdict = known ?? this.judge(publication);
+    if (!this.isNext(at)) return undefined;
+    const verdict = this.judge(publication);
+    if (verdict === undefined) {
+      this.blocked = at;
+      return undefined;
+    }
     this.state = {...this.state, foldedTo: at};
-    if (known !== undefined) return known;
     this.remember(publication.id, verdict);
     return verdict;
   }
 
   /**
    * Passes over a record that changes nothing.
-   * @param at - its offset
+   * @param at - its offset; only the one after the last folded is taken
    */
   skip(at: Offset): void {
-    if (at <= this.state.foldedTo) return;
-    this.state = {...this.state, foldedTo: at};
+    if (this.isNext(at)) this.state = {...this.state, foldedTo: at};
   }
 
   /**
-   * Takes over a state that was folded further than this one.
-   * @param other - a peer's state or a trusted checkpoint
+   * Takes over a state that was folded further than this one. The caller
+   * vouches that it is a true fold: a peer's, or a trusted checkpoint.
+   * @param other - the state
    * @returns whether it was taken
    */
   adopt(other: FoldedState): boolean {
     if (other.foldedTo <= this.state.foldedTo) return false;
     if (other.version < this.state.version) return false;
-    const parsed = parseConfiguration(other.text);
-    if (parsed.isErr() && other.version > 0) return false;
+    const same = other.version === this.state.version;
+    if (same && other.text !== this.state.text) return false;
+    if (!same) {
+      const parsed = parseConfiguration(other.text);
+      // A text that no program accepts was never in force.
+      if (parsed.isErr() && !declaresNewerSchema(other.text)) return false;
+      if (parsed.isOk()) {
+        this.current = {version: other.version, cfg: parsed.value};
+      }
+    }
     this.state = other;
-    this.configuration = parsed.isOk() ? parsed.value : undefined;
+    if (this.blocked !== undefined && other.foldedTo >= this.blocked) {
+      this.blocked = undefined;
+    }
     return true;
   }
 
@@ -94,11 +134,15 @@
    * @param id - id of the new record
    */
   checkpoint(id: RecordId): Checkpoint {
-    const {version, text, foldedTo} = this.state;
-    return {kind: 'checkpoint', id, version, text, foldedTo};
+    return {kind: 'checkpoint', id, ...this.state};
+  }
+
+  private isNext(at: Offset): boolean {
+    return this.blocked === undefined && at === this.state.foldedTo + 1;
   }
 
-  private judge({base, text, author}: Publication): Verdict {
+  private judge(publication: Publication): Verdict | undefined {
+    const {base, text, author, id} = publication;
     const {version, author: winner} = this.state;
     const refused = {accepted: false, version, author: winner} as const;
     if (base !== version) {
@@ -107,17 +151,22 @@
     }
     const parsed = parseConfiguration(text);
     if (parsed.isErr()) {
+      if (declaresNewerSchema(text)) return undefined;
       const [first] = parsed.error;
       const detail = `${first?.line}:${first?.column}: ${first?.message}`;
       return {...refused, reason: 'invalid_text', detail};
     }
     const next = asVersion(version + 1);
-    this.configuration = parsed.value;
-    this.state = {...this.state, version: next, text, author};
+    this.current = {version: next, cfg: parsed.value};
+    const {foldedTo} = this.state;
+    this.state = {version: next, text, author, publicationId: id, foldedTo};
     return {accepted: true, version: next};
   }
 
   private remember(id: RecordId, verdict: Verdict): void {
+    // A repeat of an accepted publication is told what the first was told.
+    if (this.verdicts.get(id)?.accepted === true) return;
+    this.verdicts.delete(id);
     this.verdicts.set(id, verdict);
     if (this.verdicts.size <= REMEMBERED_VERDICTS) return;
     const [oldest] = this.verdicts.keys();
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -1,7 +1,14 @@
 /** The configuration text, its checks and its history. */
+export * from './checkpoint_policy.js';
+export * from './configuration_node.js';
+export * from './delta.js';
 export * from './history.js';
+export * from './log_follower.js';
 export * from './messages.js';
+export * from './node_types.js';
 export * from './parse.js';
 export * from './records.js';
+export * from './relay_topology.js';
 export {PRIORITIES, SCHEMA_VERSION, configurationSchema} from './schema.js';
+export * from './state_codec.js';
 export * from './types.js';
--- a/src/configuration/messages.ts
+++ b/src/configuration/messages.ts
@@ -1,24 +1,54 @@
 import {z} from 'zod';
 
-import {offset, version} from '../core/index.js';
+import {offset, recordId, version} from '../core/index.js';
+
+/** Largest deflated text that a message carries, bytes. */
+const MAX_DEFLATED = 4 * 2 ** 20;
+const deflated = z
+  .instanceof(Uint8Array)
+  .refine(bytes => bytes.length <= MAX_DEFLATED, 'too large');
 
 const watermark = {
   version: z.int().nonnegative().transform(version),
   foldedTo: z.int().min(-1).transform(offset),
 };
 
-/** Asks a peer for its folded state if it is ahead of the asker's. */
+/** How the text of a state travels. */
+const body = z.discriminatedUnion('kind', [
+  z.strictObject({kind: z.literal('whole'), deflated}),
+  z.strictObject({
+    kind: z.literal('delta'),
+    /** The version whose text the delta was made against. */
+    base: z.int().positive().transform(version),
+    /** SHA-256 of the whole text. */
+    digest: z.string(),
+    deflated,
+  }),
+]);
+export type StateBody = z.output<typeof body>;
+
+/**
+ * Asks a peer for its folded state if that is ahead of the asker's, and to be
+ * told of later ones for a while.
+ */
 const pull = z.strictObject({
   type: z.literal('configuration_pull'),
   ...watermark,
+  /** The asker follows the log itself: a watermark is enough. */
+  reads: z.boolean(),
+  /** The asker could not use a delta. */
+  whole: z.boolean(),
 });
 
-/** The answer to a pull. The text is left out when the asker has it. */
+/** A folded state, without its text when the receiver needs none. */
 const state = z.strictObject({
   type: z.literal('configuration_state'),
   ...watermark,
   author: z.string(),
-  text: z.string().optional(),
+  publicationId: z.string().transform(recordId),
+  /** Time since the sender or its source last heard from the log, ms. */
+  logAge: z.number().nonnegative(),
+  body: body.optional(),
 });
 
 /** Messages about the configuration between processes. */
@@ -26,3 +56,5 @@
 export type ConfigurationMessage = z.output<
   (typeof configurationMessages)[number]
 >;
+export type ConfigurationPull = z.output<typeof pull>;
+export type ConfigurationState = z.output<typeof state>;
--- a/src/configuration/records.ts
+++ b/src/configuration/records.ts
@@ -18,6 +18,8 @@
   id: z.string().min(1).transform(recordId),
   version: z.int().nonnegative().transform(version),
   text: z.string(),
+  author: z.string().default(''),
+  publicationId: z.string().default('').transform(recordId),
   foldedTo: z.int().min(-1).transform(offset),
 });
 
--- /dev/null
+++ b/src/configuration/relay_topology.ts
@@ -0,0 +1,68 @@
+import type {AvailabilityZone, VmName} from '../core/index.js';
+import {rendezvous} from './rendezvous.js';
+
+/** Processes of an availability zone that follow the log. */
+export const READERS_PER_ZONE = 2;
+/** Other availability zones that a reader compares itself with. */
+export const NEIGHBOUR_ZONES = 2;
+
+/** A VM that may take part in the relay. */
+export interface RelayVm {
+  readonly vm: VmName;
+  readonly availabilityZone: AvailabilityZone;
+}
+
+/** The part of one process in the relay. */
+export interface RelayRole {
+  /** Whether it follows the log. */
+  readonly reads: boolean;
+  /** Whom it pulls from. */
+  readonly sources: readonly VmName[];
+  /** Whom it pulls from as well while the sources are of no help. */
+  readonly fallbacks: readonly VmName[];
+}
+
+/**
+ * Works out the part of a process. No vote is needed: whoever reads, the fold
+ * is the same, and too many or too few readers cost messages, never safety.
+ * @param self - the process's own VM
+ * @param others - the other VMs that are thought to be there
+ */
+export function relayRole(
+  self: RelayVm,
+  others: readonly RelayVm[],
+): RelayRole {
+  const zones = new Map<AvailabilityZone, VmName[]>();
+  for (const {vm, availabilityZone} of [self, ...others]) {
+    const known = zones.get(availabilityZone);
+    if (known === undefined) zones.set(availabilityZone, [vm]);
+    else known.push(vm);
+  }
+  const own = rendezvous(
+    self.availabilityZone,
+    zones.get(self.availabilityZone) ?? [],
+  );
+  const rank = own.indexOf(self.vm);
+  const reads = rank < READERS_PER_ZONE;
+  const near = own.slice(0, READERS_PER_ZONE).filter(vm => vm !== self.vm);
+  const far = neighbours(self.availabilityZone, zones).map(zone => {
+    const ranked = rendezvous(zone, zones.get(zone) ?? []);
+    const readers = ranked.slice(0, READERS_PER_ZONE);
+    return readers[rank % readers.length] ?? self.vm;
+  });
+  if (reads) return {reads, sources: [...near, ...far], fallbacks: []};
+  const rest = own.filter(vm => vm !== self.vm && !near.includes(vm));
+  const companion = rendezvous(self.vm, rest).slice(0, 1);
+  return {reads, sources: near, fallbacks: [...companion, ...far]};
+}
+
+/** The zones after `zone`, in the order of their names and round again. */
+function neighbours(
+  zone: AvailabilityZone,
+  zones: ReadonlyMap<AvailabilityZone, unknown>,
+): AvailabilityZone[] {
+  const names = [...zones.keys()].sort();
+  const at = names.indexOf(zone);
+  const ring = [...names.slice(at + 1), ...names.slice(0, at)];
+  return ring.slice(0, NEIGHBOUR_ZONES);
+}
--- /dev/null
+++ b/src/configuration/state_codec.ts
@@ -0,0 +1,123 @@
+import {z} from 'zod';
+
+import type {Version} from '../core/index.js';
+import {applyDelta, makeDelta} from './delta.js';
+import type {StateBody} from './messages.js';
+import type {FoldedState} from './types.js';
+
+/** Compresses texts. */
+export abstract class TextCodec {
+  /**
+   * Compresses a text.
+   * @param text - the text
+   */
+  abstract deflate(text: string): Uint8Array<ArrayBuffer>;
+
+  /**
+   * Undoes `deflate`.
+   * @param bytes - anything at all
+   * @returns the text, or nothing when the bytes are not from `deflate`
+   */
+  abstract inflate(bytes: Uint8Array): string | undefined;
+
+  /**
+   * SHA-256 of a text.
+   * @param text - the text
+   */
+  abstract digest(text: string): string;
+}
+
+/** Texts and encoded bodies that are kept. */
+const KEPT_TEXTS = 16;
+const KEPT_BODIES = 32;
+
+const deltaParts = z.array(
+  z.union([
+    z.strictObject({
+      from: z.int().nonnegative(),
+      count: z.int().nonnegative(),
+    }),
+    z.strictObject({lines: z.array(z.string())}),
+  ]),
+);
+
+function keep<K, V>(map: Map<K, V>, key: K, value: V, most: number): void {
+  map.set(key, value);
+  if (map.size <= most) return;
+  const [oldest] = map.keys();
+  if (oldest !== undefined) map.delete(oldest);
+}
+
+/**
+ * Packs texts for peers: as a delta against the version that the peer has,
+ * else whole. One version has one text everywhere, so a version names a base.
+ */
+export class StateCodec {
+  private readonly texts = new Map<Version, string>();
+  private readonly bodies = new Map<string, StateBody>();
+
+  /** @param codec - compresses the packed text */
+  constructor(private readonly codec: TextCodec) {}
+
+  /**
+   * Keeps a text as a base for later deltas.
+   * @param state - the state that has it
+   */
+  remember({version, text}: FoldedState): void {
+    if (version > 0) keep(this.texts, version, text, KEPT_TEXTS);
+  }
+
+  /**
+   * Packs the text of a state.
+   * @param state - the state
+   * @param base - version that the receiver has; none for the whole text
+   */
+  pack(state: FoldedState, base: Version | undefined): StateBody {
+    const known = base === undefined ? undefined : this.texts.get(base);
+    const key = `${known === undefined ? '' : base}-${state.version}`;
+    const packed = this.bodies.get(key) ?? this.encode(state, base, known);
+    keep(this.bodies, key, packed, KEPT_BODIES);
+    return packed;
+  }
+
+  /**
+   * Unpacks a text.
+   * @param body - what came
+   * @param own - the receiver's own state
+   * @returns the text, or nothing when the whole text has to be asked for
+   */
+  unpack(body: StateBody, own: FoldedState): string | undefined {
+    const inflated = this.codec.inflate(body.deflated);
+    if (inflated === undefined || body.kind === 'whole') return inflated;
+    if (body.base !== own.version) return undefined;
+    const parts = parseParts(inflated);
+    const text = parts && applyDelta(own.text, parts);
+    if (text === undefined) return undefined;
+    return this.codec.digest(text) === body.digest ? text : undefined;
+  }
+
+  private encode(
+    {text}: FoldedState,
+    base: Version | undefined,
+    known: string | undefined,
+  ): StateBody {
+    const whole: StateBody = {
+      kind: 'whole',
+      deflated: this.codec.deflate(text),
+    };
+    if (base === undefined || known === undefined) return whole;
+    const parts = JSON.stringify(makeDelta(known, text));
+    const deflated = this.codec.deflate(parts);
+    if (deflated.length >= whole.deflated.length) return whole;
+    const digest = this.codec.digest(text);
+    return {kind: 'delta', base, digest, deflated};
+  }
+}
+
+function parseParts(text: string) {
+  try {
+    return deltaParts.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -38,22 +38,30 @@
   readonly text: string;
 }
 
-/** A copy of the folded state that outlives the log's retention. */
-export interface Checkpoint {
-  readonly kind: 'checkpoint';
-  readonly id: RecordId;
+/** What the records of the stream up to an offset amount to. */
+export interface FoldedState {
   readonly version: Version;
   readonly text: string;
-  /** Greatest offset that the state includes. */
+  /** Who published that version. */
+  readonly author: string;
+  /** The publication that became that version. */
+  readonly publicationId: RecordId;
+  /** Greatest offset that the state includes; -1 before the first record. */
   readonly foldedTo: Offset;
 }
 
+/** A copy of the folded state that outlives the log's retention. */
+export interface Checkpoint extends FoldedState {
+  readonly kind: 'checkpoint';
+  readonly id: RecordId;
+}
+
 /** What became of a publication. */
 export type Verdict =
   | {readonly accepted: true; readonly version: Version}
   | {
       readonly accepted: false;
-      readonly reason: 'stale_base' | 'invalid_text' | 'unknown_schema';
+      readonly reason: 'stale_base' | 'invalid_text';
       readonly detail: string;
       /** The version in force instead. */
       readonly version: Version;
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,4 +1,5 @@
 /** Identifiers, time and chance that every other folder builds on. */
 export * from './chance.js';
 export * from './ids.js';
+export * from './log.js';
 export * from './time.js';
--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -1,13 +1,16 @@
 import type {ServerResponse} from 'node:http';
 
 import {OrganisationDirectory} from '../../admission/index.js';
-import type {CallRequest} from '../../calls/index.js';
+import type {AnswerMessage, CallRequest} from '../../calls/index.js';
 import type {CallId} from '../../core/index.js';
+import type {ErrorName} from '../../errors/index.js';
 import type {LinkMessage} from '../../links/index.js';
 import type {Identity} from '../../membership/index.js';
 import {ConfigurationTask} from '../shared/configuration_task.js';
 import type {DaemonContext} from '../shared/context.js';
+import {configurationPorts, membersPorts} from '../shared/control_ports.js';
 import {LinksTask} from '../shared/links_task.js';
+import {MembersTask} from '../shared/members_task.js';
 import {OperatorServer} from '../shared/operator_server.js';
 import {startContext} from '../shared/start_context.js';
 import type {DaemonParts} from '../shared/start_context.js';
@@ -32,6 +35,7 @@
   private readonly calls = new Map<CallId, CallTask>();
   private readonly links: LinksTask;
   private readonly router: RouterTask;
+  private readonly members: MembersTask;
   private readonly edge: HttpEdge;
   private readonly operators: OperatorServer;
   private configuration: ConfigurationTask | undefined;
@@ -50,12 +54,25 @@
     this.context = startContext('entry', settings, parts);
     const {context} = this;
     this.links = new LinksTask(context, settings.linkKey, {
-      up: peer => this.router.post({type: 'up', peer}),
-      down: peer => this.router.post({type: 'down', peer}),
+      up: peer => {
+        this.members.post({type: 'up', peer});
+        this.router.post({type: 'up', peer});
+      },
+      down: peer => {
+        this.members.post({type: 'down', peer});
+        this.router.post({type: 'down', peer});
+      },
       message: (peer, message) => this.receive(peer, message),
     });
     this.router = new RouterTask(context, addresses =>
-      this.links.post({type: 'want', addresses}),
+      this.links.post({type: 'want', purpose: 'calls', addresses}),
+    );
+    this.members = new MembersTask(
+      context,
+      membersPorts(this.links, () => this.configuration, {
+        departed: peer => this.router.post({type: 'leaving', peer}),
+        leave: () => this.context.logger.info('listed_leaving'),
+      }),
     );
     this.edge = new HttpEdge(context, {
       inForce: () => this.inForce,
@@ -80,17 +97,19 @@
     this.context.self.address = links;
     const operators = await this.operators.listen(host, operatorPort);
     const callers = await this.edge.listen(host, port);
+    this.context.self.operators = operators;
     this.configuration = new ConfigurationTask(
       this.context,
       this.settings.logUrl,
-      (version, cfg) => {
+      configurationPorts(this.links, (version, cfg) => {
         const organisations = new OrganisationDirectory(cfg);
         this.inForce = {version, cfg, organisations};
-      },
-    );
-    this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms =>
-      this.router.post({type: 'listed', vms}),
+      }),
     );
+    this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms => {
+      this.members.post({type: 'listed', vms});
+      this.router.post({type: 'listed', vms});
+    });
     this.context.logger.info('ready', {callers, operators, links});
     return {callers, operators, links};
   }
@@ -98,6 +117,7 @@
   /** Takes no new request, finishes all that were accepted, then stops. */
   async drain(): Promise<void> {
     this.accepting = false;
+    this.links.post({type: 'broadcast', message: {type: 'leaving'}});
     this.context.logger.info('draining', {calls: this.calls.size});
     await this.untilIdle();
     await this.stop();
@@ -110,6 +130,7 @@
     this.vmList?.stop();
     await this.edge.close();
     await this.links.close();
+    this.members.stop();
     this.router.stop();
     await this.operators.close();
     this.context.logger.info('stopped');
@@ -155,22 +176,40 @@
     }
     switch (message.type) {
       case 'refused':
+        this.noteRefusal(peer, message.reason);
+        return this.answer(message);
       case 'head':
       case 'data':
       case 'end':
-      case 'failed': {
-        const task = this.calls.get(message.callId);
-        if (task) task.post({type: 'answer', message});
-        else this.context.metrics.droppedFrames.inc({reason: 'no_call'});
+      case 'failed':
+        return this.answer(message);
+      case 'leaving':
+        return this.noteRefusal(peer, 'draining');
+      case 'departures':
+        return this.members.post(message);
+      case 'configuration_pull':
+      case 'configuration_state': {
+        const from = peer.incarnation;
+        this.configuration?.post({type: 'message', from, message});
         return;
       }
-      case 'leaving':
-        return this.router.post({type: 'leaving', peer});
       default:
         return;
     }
   }
 
+  private answer(message: AnswerMessage): void {
+    const task = this.calls.get(message.callId);
+    if (task) task.post({type: 'answer', message});
+    else this.context.metrics.droppedFrames.inc({reason: 'no_call'});
+  }
+
+  private noteRefusal(peer: Identity, reason: ErrorName): void {
+    if (reason !== 'draining') return;
+    const incarnations = [peer.incarnation];
+    this.members.post({type: 'departures', incarnations});
+  }
+
   private notReady(): string | undefined {
     if (!this.accepting) return 'draining';
     return this.inForce === undefined ? 'no configuration' : undefined;
@@ -186,7 +225,7 @@
       ready: this.notReady() ?? true,
       configuration: this.configuration?.status(),
       calls: this.calls.size,
-      members: this.router.status(),
+      members: this.members.status(),
     };
   }
 }
--- a/src/daemons/entry/router_task.ts
+++ b/src/daemons/entry/router_task.ts
@@ -30,7 +30,7 @@
   | {readonly type: 'listed'; readonly vms: readonly ListedVm[]}
   | {readonly type: 'up'; readonly peer: Identity}
   | {readonly type: 'down'; readonly peer: Identity}
-  | {readonly type: 'leaving'; readonly peer: Identity}
+  | {readonly type: 'leaving'; readonly peer: Incarnation}
   | {
       readonly type: 'load';
       readonly peer: Incarnation;
@@ -74,11 +74,12 @@
       case 'listed':
         return this.listed(message.vms);
       case 'up':
-        return this.members.linkUp(message.peer);
+        return this.members.linkUp(this.context.clock.now(), message.peer);
       case 'down':
         return this.down(message.peer);
       case 'leaving':
-        return this.members.leave(message.peer.incarnation);
+        this.members.leave(message.peer);
+        return;
       case 'load':
         return this.loaded(message.peer, message.load);
       case 'choose':
@@ -89,13 +90,13 @@
   }
 
   private listed(vms: readonly ListedVm[]): void {
-    this.members.list(vms);
+    this.members.list(this.context.clock.now(), vms);
     const sidecars = vms.filter(({role}) => role === 'sidecar');
     this.dial(new Set(sidecars.map(({address}) => address)));
   }
 
   private down(peer: Identity): void {
-    this.members.linkDown(peer.incarnation);
+    this.members.linkDown(this.context.clock.now(), peer.incarnation);
     for (const [call, upstream] of this.assigned) {
       if (upstream === peer.incarnation) call.post({type: 'link_lost'});
     }
--- a/src/daemons/shared/configuration_task.ts
+++ b/src/daemons/shared/configuration_task.ts
@@ -1,150 +1,197 @@
 import {
   CONFIGURATION_STREAM,
-  History,
-  configurationRecord,
+  ConfigurationNode,
 } from '../../configuration/index.js';
-import type {Configuration} from '../../configuration/index.js';
-import {SECOND, offset} from '../../core/index.js';
-import type {Millis, Offset, Version} from '../../core/index.js';
+import type {
+  Checkpoint,
+  Configuration,
+  ConfigurationEffect,
+  ConfigurationMessage,
+  ConfigurationStatus,
+  RelayPeer,
+} from '../../configuration/index.js';
+import type {Incarnation, Millis, Offset, Version} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
-import type {LogClient, LogPage, LogRecord} from '../../platform/index.js';
-import {HttpLogClient} from '../../platform/index.js';
+import {
+  DeflateCodec,
+  HttpLogClient,
+  compressRecord,
+  expandRecord,
+} from '../../platform/index.js';
+import type {LogClient, LogPage} from '../../platform/index.js';
 import type {DaemonContext} from './context.js';
 import {Task} from './task.js';
 
-const LONG_POLL: Millis = 20 * SECOND;
-const BACKOFF_BASE: Millis = 200;
-const BACKOFF_CAP: Millis = 10 * SECOND;
-
-/** What `/status` shows of the configuration. */
-export interface ConfigurationStatus {
-  readonly version: Version;
-  readonly foldedTo: Offset;
-  readonly author: string;
-  /** Records of the stream that no program can read. */
-  readonly malformedRecords: number;
-  /** Why the log cannot be read now, if it cannot. */
-  readonly outage: string | undefined;
+const TICK_EVERY: Millis = 250;
+
+/** What the task does through the daemon. */
+export interface ConfigurationPorts {
+  /** A version came in force. */
+  inForce(version: Version, cfg: Configuration): void;
+  /** Sends to a peer. */
+  send(to: Incarnation, message: ConfigurationMessage): void;
+  /** These link addresses should have a link. */
+  dial(addresses: ReadonlySet<string>): void;
 }
 
 type Message =
-  | {readonly type: 'poll'}
+  | {readonly type: 'tick'}
   | {readonly type: 'page'; readonly page: LogPage}
-  | {readonly type: 'outage'; readonly fault: Fault};
+  | {readonly type: 'read_failed'; readonly fault: Fault}
+  | {readonly type: 'append_failed'; readonly fault: Fault}
+  | {readonly type: 'members'; readonly peers: readonly RelayPeer[]}
+  | {
+      readonly type: 'message';
+      readonly from: Incarnation;
+      readonly message: ConfigurationMessage;
+    };
 
-/** Follows the configuration stream and tells what is in force. */
+/** Does the I/O of a configuration node. */
 export class ConfigurationTask extends Task<Message> {
-  private readonly history = new History();
+  private readonly node: ConfigurationNode;
   private readonly log: LogClient;
-  private malformedRecords = 0;
-  private outage: string | undefined;
-  private failures = 0;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly timer: NodeJS.Timeout;
+  private isOut = false;
 
   /**
    * @param context - what the daemon's tasks share
    * @param logUrl - address of the platform's log
-   * @param inForce - told of each version that comes in force
+   * @param ports - what the task does through the daemon
    */
   constructor(
     private readonly context: DaemonContext,
     logUrl: string,
-    private readonly inForce: (version: Version, cfg: Configuration) => void,
+    private readonly ports: ConfigurationPorts,
   ) {
     super(
       context.system,
       'configuration',
       context.logger.labelled('configuration'),
     );
+    const {self, chance, clock} = context;
+    const codec = new DeflateCodec();
+    this.node = new ConfigurationNode(clock.now(), self, chance, codec);
     this.log = new HttpLogClient(logUrl, CONFIGURATION_STREAM);
-    this.post({type: 'poll'});
+    this.timer = setInterval(() => this.post({type: 'tick'}), TICK_EVERY);
+    this.post({type: 'tick'});
   }
 
   /** What `/status` shows. */
   status(): ConfigurationStatus {
-    const {version, foldedTo, author} = this.history.folded;
-    const {malformedRecords, outage} = this;
-    return {version, foldedTo, author, malformedRecords, outage};
+    return this.node.status(this.context.clock.now());
+  }
+
+  /** Peers that this process pulls from or that pull from it. */
+  relayPeers(): Incarnation[] {
+    return this.node.relayPeers();
   }
 
   override stop(): void {
-    clearTimeout(this.timer);
+    clearInterval(this.timer);
     super.stop();
   }
 
   protected receive(message: Message): void {
+    const now = this.context.clock.now();
     switch (message.type) {
-      case 'poll':
-        return this.poll();
+      case 'tick':
+        return this.perform(this.node.tick(now));
       case 'page':
-        return this.fold(message.page);
-      case 'outage':
-        return this.wait(message.fault);
+        return this.took(now, message.page);
+      case 'read_failed':
+        return this.failed(now, message.fault);
+      case 'append_failed':
+        this.count('append_failed');
+        return this.node.appendFailed();
+      case 'members':
+        return this.perform(this.node.members(now, message.peers));
+      case 'message': {
+        const {from, message: sent} = message;
+        return this.perform(this.node.message(now, from, sent));
+      }
     }
   }
 
-  private poll(): void {
-    const from = offset(this.history.folded.foldedTo + 1);
-    void this.log.read(from, LONG_POLL).match(
-      page => this.post({type: 'page', page}),
-      fault => this.post({type: 'outage', fault}),
-    );
+  private took(now: Millis, page: LogPage): void {
+    if (this.isOut) this.logger.info('log_recovered');
+    this.isOut = false;
+    const records = page.records.map(({offset, data}) => ({
+      offset,
+      data: expandRecord(data),
+    }));
+    this.perform(this.node.page(now, {...page, records}));
   }
 
-  private fold(page: LogPage): void {
-    const before = this.history.folded.version;
-    for (const record of page.records) this.foldOne(record);
-    this.failures = 0;
-    this.outage = undefined;
-    const {version} = this.history.folded;
-    const cfg = this.history.inForce;
-    if (version > before && cfg !== undefined) this.announce(version, cfg);
-    this.poll();
+  private failed(now: Millis, fault: Fault): void {
+    if (!this.isOut) this.logger.warn('log_outage', {detail: fault.detail});
+    this.isOut = true;
+    this.count('read_failed');
+    this.perform(this.node.readFailed(now));
   }
 
-  private foldOne(record: LogRecord): void {
-    const parsed = configurationRecord.safeParse(record.data);
-    if (!parsed.success) {
-      this.malformedRecords += 1;
-      this.context.metrics.logEvents.inc({kind: 'malformed_record'});
-      this.logger.warn('malformed_record', {offset: record.offset});
-      this.history.skip(record.offset);
-      return;
-    }
-    if (parsed.data.kind === 'checkpoint') {
-      this.history.adopt({...parsed.data, author: ''});
-      this.history.skip(record.offset);
-      return;
-    }
-    const verdict = this.history.publish(record.offset, parsed.data);
-    if (verdict?.accepted === false) {
-      const {reason, detail} = verdict;
-      this.logger.info('publication_refused', {
-        id: parsed.data.id,
-        reason,
-        detail,
-      });
+  private perform(effects: readonly ConfigurationEffect[]): void {
+    for (const effect of effects) this.performOne(effect);
+  }
+
+  private performOne(effect: ConfigurationEffect): void {
+    switch (effect.type) {
+      case 'read':
+        return this.read(effect.from, effect.wait);
+      case 'append':
+        return this.append(effect.record);
+      case 'send':
+        return this.ports.send(effect.to, effect.message);
+      case 'dial':
+        return this.ports.dial(effect.addresses);
+      case 'in_force':
+        return this.announce(effect.version, effect.cfg);
+      case 'judged': {
+        const {id, verdict} = effect;
+        if (verdict.accepted) return;
+        const {reason, detail} = verdict;
+        this.count(`publication_${reason}`);
+        this.logger.info('publication_refused', {id, reason, detail});
+        return;
+      }
+      case 'malformed':
+        this.count('malformed_record');
+        this.logger.warn('malformed_record', {offset: effect.offset});
+        return;
+      case 'restored':
+        this.count('checkpoint_restored');
+        this.logger.info('checkpoint_restored', {foldedTo: effect.foldedTo});
+        return;
+      case 'contradiction':
+        this.count('peer_contradicts');
+        this.logger.error('peer_contradicts', {peer: effect.from});
+        return;
     }
   }
 
+  private read(from: Offset, wait: Millis): void {
+    void this.log.read(from, wait).match(
+      page => this.post({type: 'page', page}),
+      fault => this.post({type: 'read_failed', fault}),
+    );
+  }
+
+  private append(record: Checkpoint): void {
+    const {version, foldedTo} = record;
+    this.logger.info('checkpoint_appended', {version, foldedTo});
+    this.count('checkpoint_appended');
+    void this.log.append(compressRecord(record)).match(
+      () => undefined,
+      fault => this.post({type: 'append_failed', fault}),
+    );
+  }
+
   private announce(version: Version, cfg: Configuration): void {
     this.context.metrics.versionInForce.set(version);
     this.logger.info('configuration_in_force', {version});
-    this.inForce(version, cfg);
+    this.ports.inForce(version, cfg);
   }
 
-  private wait(fault: Fault): void {
-    if (this.outage === undefined) {
-      this.logger.warn('log_outage', {detail: fault.detail});
-    }
-    this.outage = fault.detail;
-    this.context.metrics.logEvents.inc({kind: 'read_failed'});
-    const delay = this.context.chance.backoff(
-      this.failures,
-      BACKOFF_BASE,
-      BACKOFF_CAP,
-    );
-    this.failures += 1;
-    this.timer = setTimeout(() => this.post({type: 'poll'}), delay);
+  private count(kind: string): void {
+    this.context.metrics.logEvents.inc({kind});
   }
 }
--- /dev/null
+++ b/src/daemons/shared/control_ports.ts
@@ -0,0 +1,58 @@
+import type {Configuration, RelayPeer} from '../../configuration/index.js';
+import type {Incarnation, Version} from '../../core/index.js';
+import type {Member} from '../../membership/index.js';
+import type {
+  ConfigurationPorts,
+  ConfigurationTask,
+} from './configuration_task.js';
+import type {LinksTask} from './links_task.js';
+import type {MembersPorts} from './members_task.js';
+
+/**
+ * Joins the configuration task to the links.
+ * @param links - the links of the process
+ * @param inForce - told of each version that comes in force
+ */
+export function configurationPorts(
+  links: LinksTask,
+  inForce: (version: Version, cfg: Configuration) => void,
+): ConfigurationPorts {
+  return {
+    inForce,
+    send: (to, message) => links.post({type: 'send', to, message}),
+    dial: addresses =>
+      links.post({type: 'want', purpose: 'control', addresses}),
+  };
+}
+
+function relayPeer(member: Member): RelayPeer {
+  const {vm, availabilityZone, address, linked, incarnation} = member;
+  const process = linked ? incarnation : undefined;
+  return {vm, availabilityZone, address, incarnation: process};
+}
+
+/**
+ * Joins the members task to the links and the configuration task.
+ * @param links - the links of the process
+ * @param configuration - the task, once it runs
+ * @param own - what the daemon does
+ */
+export function membersPorts(
+  links: LinksTask,
+  configuration: () => ConfigurationTask | undefined,
+  own: {departed(process: Incarnation): void; leave(): void},
+): MembersPorts {
+  return {
+    departed: process => own.departed(process),
+    leave: () => own.leave(),
+    changed: members => {
+      const task = configuration();
+      const peers = members.filter(({vm, leaving}) => {
+        return vm !== links.self.vm && !leaving;
+      });
+      task?.post({type: 'members', peers: peers.map(relayPeer)});
+    },
+    relayPeers: () => configuration()?.relayPeers() ?? [],
+    send: (to, message) => links.post({type: 'send', to, message}),
+  };
+}
--- a/src/daemons/shared/links_task.ts
+++ b/src/daemons/shared/links_task.ts
@@ -23,8 +23,22 @@
   message(peer: Identity, message: LinkMessage): void;
 }
 
+/** What links are dialled for. */
+export type LinkPurpose = 'calls' | 'control';
+
+/** The links of one process, at most one that each side dialled. */
+interface PeerLinks {
+  readonly peer: Identity;
+  /** The link in use first. */
+  readonly links: Link[];
+}
+
 type Message =
-  | {readonly type: 'want'; readonly addresses: ReadonlySet<string>}
+  | {
+      readonly type: 'want';
+      readonly purpose: LinkPurpose;
+      readonly addresses: ReadonlySet<string>;
+    }
   | {readonly type: 'dial'; readonly address: string}
   | {readonly type: 'up'; readonly link: Link; readonly peer: Identity}
   | {
@@ -45,11 +59,11 @@
 
 /** Owns all links of a process: accepts, dials, redials and sends. */
 export class LinksTask extends Task<Message> {
-  private readonly open = new Map<Incarnation, Link>();
+  private readonly open = new Map<Incarnation, PeerLinks>();
   private readonly dialled = new Map<string, Link | undefined>();
   private readonly failures = new Map<string, number>();
   private readonly timers = new Set<NodeJS.Timeout>();
-  private wanted: ReadonlySet<string> = new Set();
+  private readonly wants = new Map<LinkPurpose, ReadonlySet<string>>();
   private listening: Listening | undefined;
 
   /**
@@ -65,6 +79,11 @@
     super(context.system, 'links', context.logger.labelled('links'));
   }
 
+  /** How this process introduces itself. */
+  get self(): Identity {
+    return this.context.self;
+  }
+
   /**
    * Starts to accept links.
    * @param host - IP address to listen on
@@ -91,7 +110,7 @@
   protected receive(message: Message): void {
     switch (message.type) {
       case 'want':
-        return this.want(message.addresses);
+        return this.want(message.purpose, message.addresses);
       case 'dial':
         return this.dialOne(message.address);
       case 'up':
@@ -99,12 +118,14 @@
       case 'closed':
         return this.closed(message.link, message.address, message.reason);
       case 'send': {
-        const link = this.open.get(message.to);
+        const [link] = this.open.get(message.to)?.links ?? [];
         if (link?.send(message.message) !== true) message.unsent?.();
         return;
       }
       case 'broadcast':
-        for (const link of this.open.values()) link.send(message.message);
+        for (const {links} of this.open.values()) {
+          links[0]?.send(message.message);
+        }
         return;
       case 'finish':
         this.finish();
@@ -113,21 +134,33 @@
   }
 
   private finish(): void {
-    this.wanted = new Set();
+    this.wants.clear();
     for (const timer of this.timers) clearTimeout(timer);
-    for (const link of this.open.values()) link.finish();
+    for (const {links} of this.open.values()) {
+      for (const link of links) link.finish();
+    }
     for (const link of this.dialled.values()) link?.finish();
   }
 
-  private want(addresses: ReadonlySet<string>): void {
-    this.wanted = addresses;
+  private want(purpose: LinkPurpose, addresses: ReadonlySet<string>): void {
+    const before = this.wants.get(purpose) ?? new Set();
+    this.wants.set(purpose, addresses);
     for (const address of addresses) {
       if (!this.dialled.has(address)) this.dialOne(address);
     }
+    // Calls may still run on links that are no longer wanted for calls.
+    if (purpose !== 'control') return;
+    for (const address of before) {
+      if (!this.isWanted(address)) this.dialled.get(address)?.finish();
+    }
+  }
+
+  private isWanted(address: string): boolean {
+    return [...this.wants.values()].some(wanted => wanted.has(address));
   }
 
   private dialOne(address: string): void {
-    if (!this.wanted.has(address)) {
+    if (!this.isWanted(address)) {
       this.dialled.delete(address);
       return;
     }
@@ -137,24 +170,37 @@
 
   private up(link: Link, peer: Identity): void {
     this.failures.delete(peer.address);
-    const older = this.open.get(peer.incarnation);
-    this.open.set(peer.incarnation, link);
-    if (older !== undefined && older !== link) older.finish();
+    const known = this.open.get(peer.incarnation)?.links ?? [];
+    // A peer dials again only once it gave its older link up. A link that the
+    // other side dialled stands beside it, so that neither closes the other's.
+    const replaced = known.filter(({side}) => side === link.side);
+    const others = known.filter(({side}) => side !== link.side);
+    const links = [...others, link];
+    this.open.set(peer.incarnation, {peer, links});
+    for (const older of replaced) if (older !== link) older.finish();
     this.logger.info('link_up', {peer: peer.incarnation});
     this.events.up(peer);
   }
 
   private closed(link: Link, address: string | undefined, reason: Fault): void {
-    const peer = link.remote;
-    if (peer !== undefined && this.open.get(peer.incarnation) === link) {
-      this.open.delete(peer.incarnation);
-      this.logger.info('link_down', {
-        peer: peer.incarnation,
-        reason: reason.detail,
-      });
-      this.events.down(peer);
+    if (link.remote !== undefined) this.drop(link, link.remote, reason);
+    if (address !== undefined && this.dialled.get(address) === link) {
+      this.redial(address);
+    }
+  }
+
+  private drop(link: Link, peer: Identity, reason: Fault): void {
+    const known = this.open.get(peer.incarnation);
+    if (!known?.links.includes(link)) return;
+    const links = known.links.filter(other => other !== link);
+    const {detail} = reason;
+    this.logger.info('link_down', {peer: peer.incarnation, reason: detail});
+    if (links.length > 0) {
+      this.open.set(peer.incarnation, {peer, links});
+      return;
     }
-    if (address !== undefined) this.redial(address);
+    this.open.delete(peer.incarnation);
+    this.events.down(peer);
   }
 
   private redial(address: string): void {
--- a/src/daemons/sidecar/sidecar.ts
+++ b/src/daemons/sidecar/sidecar.ts
@@ -2,7 +2,9 @@
 import type {Identity} from '../../membership/index.js';
 import {ConfigurationTask} from '../shared/configuration_task.js';
 import type {DaemonContext} from '../shared/context.js';
+import {configurationPorts, membersPorts} from '../shared/control_ports.js';
 import {LinksTask} from '../shared/links_task.js';
+import {MembersTask} from '../shared/members_task.js';
 import {OperatorServer} from '../shared/operator_server.js';
 import {startContext} from '../shared/start_context.js';
 import type {DaemonParts} from '../shared/start_context.js';
@@ -21,6 +23,7 @@
   private readonly context: DaemonContext;
   private readonly links: LinksTask;
   private readonly calls: CallsTask;
+  private readonly members: MembersTask;
   private readonly operators: OperatorServer;
   private configuration: ConfigurationTask | undefined;
   private vmList: VmListTask | undefined;
@@ -37,14 +40,26 @@
     this.context = startContext('sidecar', settings, parts);
     const {context} = this;
     this.links = new LinksTask(context, settings.linkKey, {
-      up: peer => this.greet(peer),
-      down: peer =>
-        this.calls.post({type: 'entry_lost', entry: peer.incarnation}),
+      up: peer => {
+        this.members.post({type: 'up', peer});
+        this.greet(peer);
+      },
+      down: peer => {
+        this.members.post({type: 'down', peer});
+        this.calls.post({type: 'entry_lost', entry: peer.incarnation});
+      },
       message: (peer, message) => this.receive(peer, message),
     });
     this.calls = new CallsTask(context, settings, (to, message) =>
       this.links.post({type: 'send', to, message}),
     );
+    this.members = new MembersTask(
+      context,
+      membersPorts(this.links, () => this.configuration, {
+        departed: () => undefined,
+        leave: () => this.leave(),
+      }),
+    );
     this.operators = new OperatorServer({
       metrics: context.metrics,
       notReady: () => this.notReady(),
@@ -61,18 +76,18 @@
     const links = await this.links.listen(host, linkPort);
     this.context.self.address = links;
     const operators = await this.operators.listen(host, operatorPort);
+    this.context.self.operators = operators;
     this.configuration = new ConfigurationTask(
       this.context,
       this.settings.logUrl,
-      (_version, cfg) => {
+      configurationPorts(this.links, (_version, cfg) => {
         const limits = cfg.services[service]?.limits;
         if (limits !== undefined) this.calls.post({type: 'limits', limits});
-      },
+      }),
+    );
+    this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms =>
+      this.members.post({type: 'listed', vms}),
     );
-    this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms => {
-      const self = vms.find(({vm}) => vm === this.settings.vm);
-      if (self?.state === 'leaving') this.leave();
-    });
     this.context.logger.info('ready', {operators, links});
     return {operators, links};
   }
@@ -91,6 +106,7 @@
   async stop(): Promise<void> {
     this.configuration?.stop();
     this.vmList?.stop();
+    this.members.stop();
     this.calls.stop();
     await this.links.close();
     await this.operators.close();
@@ -119,6 +135,18 @@
         const from = peer.incarnation;
         return this.calls.post({type: 'request', from, message});
       }
+      case 'leaving': {
+        const incarnations = [peer.incarnation];
+        return this.members.post({type: 'departures', incarnations});
+      }
+      case 'departures':
+        return this.members.post(message);
+      case 'configuration_pull':
+      case 'configuration_state': {
+        const from = peer.incarnation;
+        this.configuration?.post({type: 'message', from, message});
+        return;
+      }
       default:
         return;
     }
@@ -141,6 +169,7 @@
       ready: this.notReady() ?? true,
       configuration: this.configuration?.status(),
       calls: this.calls.status(),
+      members: this.members.status(),
     };
   }
 }
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -147,6 +147,16 @@
     'The log did not tell whether the publication was taken.',
     'Run the same command again: the same publication is not taken twice.',
   ),
+  log_gap: entry(
+    503,
+    'The log no longer keeps all records, and holds no checkpoint for them.',
+    'Wait for a checkpoint of a running process; see docs/OPERATIONS.md.',
+  ),
+  newer_schema: entry(
+    422,
+    'The log holds a text that only a newer program can judge.',
+    'Publish with the newest program.',
+  ),
   usage: entry(2, 'The command line or the settings are wrong.', 'See --help.'),
   internal: entry(
     500,
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -59,7 +59,7 @@
    */
   constructor(
     private readonly socket: WebSocket,
-    private readonly side: 'dial' | 'accept',
+    readonly side: 'dial' | 'accept',
     private readonly context: LinkContext,
     private readonly listener: LinkListener,
   ) {
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -21,6 +21,8 @@
   service: z.string().max(100).transform(serviceName).optional(),
   /** Where its link listener is, `host:port`. */
   address: z.string().max(100),
+  /** Where its operator listener is, `host:port`, once it is open. */
+  operators: z.string().max(100).optional(),
   /** Version of the program. */
   program: z.string().max(50),
 });
@@ -44,6 +46,8 @@
   readonly address: string;
   readonly role: Role;
   readonly service: ListedVm['service'];
+  /** Where its operator listener is, once a process said so. */
+  readonly operators: string | undefined;
   /** The process that answered last, if one has. */
   readonly incarnation: Identity['incarnation'] | undefined;
   /** Whether a link to that process is open and heard from. */
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,3 +1,4 @@
 /** Clients of what the platform gives. */
 export * from './log_client.js';
+export * from './text_compression.js';
 export * from './vm_list_client.js';
--- a/src/platform/log_client.ts
+++ b/src/platform/log_client.ts
@@ -4,24 +4,10 @@
 import {z} from 'zod';
 
 import {offset} from '../core/index.js';
-import type {Millis, Offset} from '../core/index.js';
+import type {LogPage, LogRecord, Millis, Offset} from '../core/index.js';
 import {Fault, asFault} from '../errors/index.js';
 
-/** A record as the log keeps it. */
-export interface LogRecord {
-  readonly offset: Offset;
-  /** What its writer appended; anything at all. */
-  readonly data: unknown;
-}
-
-/** A stretch of a stream. */
-export interface LogPage {
-  /** Earliest offset that the log still keeps. */
-  readonly earliest: Offset;
-  /** Offset that the next record will get. */
-  readonly next: Offset;
-  readonly records: readonly LogRecord[];
-}
+export type {LogPage, LogRecord};
 
 /** The platform's append-only log, one stream of it. */
 export abstract class LogClient {
--- /dev/null
+++ b/src/platform/text_compression.ts
@@ -0,0 +1,55 @@
+import {createHash} from 'node:crypto';
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
+
+import {TextCodec} from '../configuration/index.js';
+
+/** Longest text that is unpacked, bytes. */
+const MAX_TEXT = 4 * 2 ** 20;
+
+/** Texts by raw DEFLATE. */
+export class DeflateCodec extends TextCodec {
+  deflate(text: string): Uint8Array<ArrayBuffer> {
+    return new Uint8Array(deflateRawSync(text));
+  }
+
+  inflate(bytes: Uint8Array): string | undefined {
+    try {
+      const options = {maxOutputLength: MAX_TEXT};
+      return inflateRawSync(bytes, options).toString('utf8');
+    } catch {
+      return undefined;
+    }
+  }
+
+  digest(text: string): string {
+    return createHash('sha256').update(text).digest('hex');
+  }
+}
+
+const codec = new DeflateCodec();
+
+/**
+ * Puts the text of a record in compressed form, for the log.
+ * @param record - a publication or checkpoint
+ */
+export function compressRecord<T extends {readonly text: string}>({
+  text,
+  ...rest
+}: T): Omit<T, 'text'> & {readonly deflated: string} {
+  const bytes = codec.deflate(text);
+  return {...rest, deflated: Buffer.from(bytes).toString('base64')};
+}
+
+/**
+ * Undoes `compressRecord`. What is no such record stays as it is, so that all
+ * readers refuse it alike.
+ * @param data - a record of the log, anything at all
+ */
+export function expandRecord(data: unknown): unknown {
+  if (typeof data !== 'object' || data === null) return data;
+  if (!('deflated' in data) || 'text' in data) return data;
+  const {deflated, ...rest} = data;
+  if (typeof deflated !== 'string') return data;
+  const text = codec.inflate(Buffer.from(deflated, 'base64'));
+  return text === undefined ? data : {...rest, text};
+}
