--- /dev/null
+++ b/bench/control/control_estate.ts
@@ -0,0 +1,381 @@
+import {Packr} from 'msgpackr';
+
+import {ConfigurationNode} from '../../src/configuration/index.js';
+import type {
+  ConfigurationEffect,
+  TextCodec,
+  TextParser,
+} from '../../src/configuration/index.js';
+import {
+  Chance,
+  SECOND,
+  availabilityZone,
+  newIncarnation,
+  vmName,
+} from '../../src/core/index.js';
+import type {Incarnation, Millis} from '../../src/core/index.js';
+import {MemberTable} from '../../src/membership/index.js';
+import type {Identity, ListedVm} from '../../src/membership/index.js';
+import {FakeLog} from './fake_log.js';
+import {Timeline} from './timeline.js';
+
+const TICK_EVERY: Millis = 250;
+const SILENT_AFTER: Millis = 3 * SECOND;
+const READ_TIMEOUT: Millis = 15 * SECOND;
+const WITHIN_ZONE: Millis = 0.2;
+const BETWEEN_ZONES: Millis = 1.5;
+const TO_PLATFORM: Millis = 2;
+/** 2026-01-01, so that incarnations look as they do. */
+const EPOCH = 1_767_225_600_000;
+
+/** Counts of what one process sent. */
+export interface Sent {
+  messages: number;
+  bytes: number;
+  bytesAcrossZones: number;
+}
+
+/** One running process. */
+export interface Process {
+  readonly identity: Identity;
+  readonly node: ConfigurationNode;
+  readonly table: MemberTable;
+  readonly startedAt: Millis;
+  readonly inForce: number[];
+  readonly sent: Sent;
+  paused: boolean;
+  dead: boolean;
+  wanted: ReadonlySet<string>;
+  /** What arrived while it was paused. */
+  inbox: (() => void)[];
+}
+
+interface Link {
+  readonly a: Process;
+  readonly b: Process;
+  heardAt: Millis;
+}
+
+/** What the estate is made of. */
+export interface EstateParts {
+  readonly zones: number;
+  readonly perZone: number;
+  readonly seed: number;
+  readonly codec: TextCodec;
+  /** Judges texts at the process of a VM. */
+  readonly parser?: (index: number) => TextParser | undefined;
+  /** Called when a version comes in force at a process. */
+  readonly inForce?: (process: Process, version: number) => void;
+  /** Whether bytes are counted; costs an encoding for each message. */
+  readonly counts?: boolean;
+}
+
+/** Configuration nodes on a fake network and a fake log, in virtual time. */
+export class ControlEstate {
+  readonly time = new Timeline();
+  readonly log = new FakeLog();
+  readonly slots: Process[] = [];
+  logDown = false;
+  /** Appends that take effect and are not answered. */
+  loseAnswers = 0;
+  /** Zones that do not reach the platform. */
+  readonly cutFromPlatform = new Set<number>();
+  /** Zones that reach no other zone. */
+  readonly cutFromZones = new Set<number>();
+  private readonly links = new Map<string, Link>();
+  private readonly byAddress = new Map<string, Process>();
+  private readonly byIncarnation = new Map<Incarnation, Process>();
+  private readonly chance: Chance;
+  private readonly packr = new Packr({useRecords: false});
+  private starts = 0;
+
+  constructor(private readonly parts: EstateParts) {
+    this.chance = new Chance(parts.seed);
+    for (let i = 0; i < parts.zones * parts.perZone; i++) this.start(i);
+  }
+
+  get size(): number {
+    return this.parts.zones * this.parts.perZone;
+  }
+
+  zoneOf(slot: number): number {
+    return slot % this.parts.zones;
+  }
+
+  /** Kills the process of a VM and starts another in its place. */
+  restart(slot: number): void {
+    const old = this.slots[slot];
+    if (old) old.dead = true;
+    this.start(slot);
+  }
+
+  pause(slot: number): void {
+    this.slots[slot]!.paused = true;
+  }
+
+  resume(slot: number): void {
+    const process = this.slots[slot]!;
+    process.paused = false;
+    for (const act of process.inbox.splice(0)) act();
+  }
+
+  heal(): void {
+    this.logDown = false;
+    this.cutFromPlatform.clear();
+    this.cutFromZones.clear();
+    for (let i = 0; i < this.size; i++) this.resume(i);
+  }
+
+  private start(slot: number): void {
+    const vm = vmName(`vm-${slot}`);
+    const zone = availabilityZone(`zone-${this.zoneOf(slot)}`);
+    this.starts += 1;
+    const incarnation = newIncarnation(
+      vm,
+      EPOCH + Math.round(this.time.now),
+      this.starts.toString(16),
+    );
+    const identity: Identity = {
+      incarnation,
+      vm,
+      availabilityZone: zone,
+      role: 'sidecar',
+      address: `10.0.0.${slot}:1`,
+      program: 'test',
+    };
+    const seed = this.chance.between(1, 2 ** 30);
+    const process: Process = {
+      identity,
+      node: new ConfigurationNode(
+        this.time.now,
+        identity,
+        new Chance(seed),
+        this.parts.codec,
+        this.parts.parser?.(slot),
+      ),
+      table: new MemberTable(),
+      startedAt: this.time.now,
+      inForce: [],
+      sent: {messages: 0, bytes: 0, bytesAcrossZones: 0},
+      paused: false,
+      dead: false,
+      wanted: new Set(),
+      inbox: [],
+    };
+    this.slots[slot] = process;
+    this.byAddress.set(identity.address, process);
+    this.byIncarnation.set(incarnation, process);
+    this.time.after(0, () => this.listTo(process));
+    const phase = this.chance.fraction() * TICK_EVERY;
+    this.time.after(phase, () => this.tick(process));
+  }
+
+  private list(): ListedVm[] {
+    return Array.from({length: this.size}, (_, slot) => ({
+      vm: vmName(`vm-${slot}`),
+      availabilityZone: availabilityZone(`zone-${this.zoneOf(slot)}`),
+      address: `10.0.0.${slot}:1`,
+      state: 'live' as const,
+      role: 'sidecar' as const,
+    }));
+  }
+
+  /** The VM list is a service of its own: it outlives an outage of the log. */
+  private listTo(process: Process): void {
+    if (process.dead) return;
+    process.table.list(this.time.now, this.list());
+    this.membersChanged(process);
+  }
+
+  private membersChanged(process: Process): void {
+    const peers = process.table
+      .all()
+      .filter(({vm, leaving}) => vm !== process.identity.vm && !leaving)
+      .map(({vm, availabilityZone, address, linked, incarnation}) => ({
+        vm,
+        availabilityZone,
+        address,
+        incarnation: linked ? incarnation : undefined,
+      }));
+    const {node} = process;
+    this.perform(process, node.members(this.time.now, peers));
+  }
+
+  private tick(process: Process): void {
+    if (process.dead) return;
+    this.time.after(TICK_EVERY, () => this.tick(process));
+    if (process.paused) return;
+    this.dialMissing(process);
+    this.perform(process, process.node.tick(this.time.now));
+  }
+
+  private dialMissing(process: Process): void {
+    for (const address of process.wanted) {
+      const peer = this.byAddress.get(address);
+      if (peer === undefined || !this.reaches(process, peer)) continue;
+      const key = linkKey(process, peer);
+      if (this.links.has(key)) continue;
+      const link = {a: process, b: peer, heardAt: this.time.now};
+      this.links.set(key, link);
+      this.linkUp(process, peer);
+      this.linkUp(peer, process);
+      this.time.after(SECOND, () => this.watch(key, link));
+    }
+  }
+
+  private watch(key: string, link: Link): void {
+    const {a, b} = link;
+    if (this.reaches(a, b)) link.heardAt = this.time.now;
+    if (this.time.now - link.heardAt < SILENT_AFTER) {
+      this.time.after(SECOND, () => this.watch(key, link));
+      return;
+    }
+    this.links.delete(key);
+    this.at(a, () => this.linkDown(a, b));
+    this.at(b, () => this.linkDown(b, a));
+  }
+
+  private linkUp(process: Process, peer: Process): void {
+    process.table.linkUp(this.time.now, peer.identity);
+    this.membersChanged(process);
+  }
+
+  private linkDown(process: Process, peer: Process): void {
+    process.table.linkDown(this.time.now, peer.identity.incarnation);
+    this.membersChanged(process);
+  }
+
+  private reaches(a: Process, b: Process): boolean {
+    if (a.dead || b.dead || a.paused || b.paused) return false;
+    const [zoneA, zoneB] = [a, b].map(({identity}) => this.zone(identity));
+    if (zoneA === zoneB) return true;
+    return !this.cutFromZones.has(zoneA!) && !this.cutFromZones.has(zoneB!);
+  }
+
+  private zone(identity: Identity): number {
+    return Number(identity.availabilityZone.slice('zone-'.length));
+  }
+
+  private reachesLog(process: Process): boolean {
+    const zone = this.zone(process.identity);
+    return !this.logDown && !this.cutFromPlatform.has(zone);
+  }
+
+  /** Acts at a process now, or once it wakes. */
+  private at(process: Process, act: () => void): void {
+    if (process.dead) return;
+    if (process.paused) process.inbox.push(act);
+    else act();
+  }
+
+  private perform(
+    process: Process,
+    effects: readonly ConfigurationEffect[],
+  ): void {
+    for (const effect of effects) {
+      switch (effect.type) {
+        case 'read':
+          this.read(process, effect);
+          break;
+        case 'append':
+          this.append(process, effect.record);
+          break;
+        case 'send':
+          this.send(process, effect.to, effect.message);
+          break;
+        case 'dial':
+          process.wanted = effect.addresses;
+          break;
+        case 'in_force':
+          process.inForce.push(effect.version);
+          this.parts.inForce?.(process, effect.version);
+          break;
+        default:
+          break;
+      }
+    }
+  }
+
+  private read(
+    process: Process,
+    {from, wait}: {from: Parameters<FakeLog['page']>[0]; wait: Millis},
+  ): void {
+    const {time, log} = this;
+    let open = true;
+    const settle = (act: () => void) => {
+      if (!open) return;
+      open = false;
+      cancel();
+      this.at(process, act);
+    };
+    const failed = () =>
+      this.perform(process, process.node.readFailed(time.now));
+    let cancel = () => {};
+    if (!this.reachesLog(process)) {
+      time.after(TO_PLATFORM, () => settle(failed));
+      return;
+    }
+    const answer = (page: ReturnType<FakeLog['page']>) =>
+      time.after(TO_PLATFORM, () => {
+        // What the platform sent is lost when the way back is cut.
+        if (!this.reachesLog(process)) return;
+        if (open && !process.dead) {
+          log.bytesRead += JSON.stringify(page).length;
+        }
+        settle(() => this.perform(process, process.node.page(time.now, page)));
+      });
+    cancel = log.read(from, answer);
+    time.after(wait, () => {
+      if (open && this.reachesLog(process)) answer(log.page(from));
+    });
+    time.after(READ_TIMEOUT, () => settle(failed));
+  }
+
+  private append(process: Process, record: object): void {
+    const reached = this.reachesLog(process);
+    if (reached) this.time.after(TO_PLATFORM, () => this.log.append(record));
+    if (reached && this.loseAnswers === 0) return;
+    if (reached) this.loseAnswers -= 1;
+    this.time.after(READ_TIMEOUT, () =>
+      this.at(process, () => process.node.appendFailed()),
+    );
+  }
+
+  private send(process: Process, to: Incarnation, message: object): void {
+    const peer = this.byIncarnation.get(to);
+    if (peer === undefined || !this.links.has(linkKey(process, peer))) return;
+    const across =
+      peer.identity.availabilityZone !== process.identity.availabilityZone;
+    process.sent.messages += 1;
+    if (this.parts.counts) {
+      const {length} = this.packr.pack(message);
+      process.sent.bytes += length;
+      if (across) process.sent.bytesAcrossZones += length;
+    }
+    this.time.after(across ? BETWEEN_ZONES : WITHIN_ZONE, () => {
+      if (process.dead || !this.reachesNetwork(process, peer)) return;
+      this.at(peer, () =>
+        this.perform(
+          peer,
+          peer.node.message(
+            this.time.now,
+            process.identity.incarnation,
+            message as Parameters<ConfigurationNode['message']>[2],
+          ),
+        ),
+      );
+    });
+  }
+
+  /** Whether the network carries, whether the peer is paused or not. */
+  private reachesNetwork(a: Process, b: Process): boolean {
+    const [zoneA, zoneB] = [a, b].map(({identity}) => this.zone(identity));
+    if (zoneA === zoneB) return true;
+    return !this.cutFromZones.has(zoneA!) && !this.cutFromZones.has(zoneB!);
+  }
+}
+
+function linkKey(a: Process, b: Process): string {
+  const names = [a.identity.incarnation, b.identity.incarnation].sort();
+  return names.join(' ');
+}
--- /dev/null
+++ b/src/configuration/configuration_node.test.ts
@@ -0,0 +1,317 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {ControlEstate} from '../../bench/control/control_estate.js';
+import type {Process} from '../../bench/control/control_estate.js';
+import {
+  CachingParser,
+  NewerTextParser,
+  publicationOf,
+  tinyText,
+} from '../../test/support/texts.js';
+import {MINUTE, SECOND, recordId} from '../core/index.js';
+import {DeflateCodec} from '../platform/index.js';
+import {LogFollower} from './log_follower.js';
+import {CurrentTextParser} from './text_parser.js';
+
+const ZONES = 3;
+const PER_ZONE = 3;
+const SIZE = ZONES * PER_ZONE;
+const HEAL_WITHIN = 90 * SECOND;
+
+const JUNK = [
+  'text',
+  'stale',
+  'repeat',
+  'object',
+  'future',
+  'late',
+  'late',
+] as const;
+type Junk = (typeof JUNK)[number];
+
+type Step =
+  | {kind: 'publish'; operators: number; schema: number; lost: boolean}
+  | {kind: 'junk'; what: Junk}
+  | {kind: 'outage'; on: boolean}
+  | {kind: 'expire'; keep: number}
+  | {kind: 'restart' | 'pause' | 'resume'; slot: number}
+  | {kind: 'cutPlatform' | 'cutZones' | 'join'; zone: number}
+  | {kind: 'loseAnswers'; count: number}
+  | {kind: 'wait'; ms: number};
+
+const slot = fc.nat(SIZE - 1);
+const zone = fc.nat(ZONES - 1);
+const publish = fc.record({
+  kind: fc.constant('publish' as const),
+  operators: fc.constantFrom(1, 1, 2, 5),
+  schema: fc.constant(1),
+  lost: fc.boolean(),
+});
+const steps: fc.Arbitrary<Step>[] = [
+  publish,
+  publish,
+  fc.record({
+    kind: fc.constant('junk' as const),
+    what: fc.constantFrom(...JUNK),
+  }),
+  fc.record({kind: fc.constant('outage' as const), on: fc.boolean()}),
+  fc.record({kind: fc.constant('expire' as const), keep: fc.nat(4)}),
+  fc.record({kind: fc.constantFrom('restart', 'pause', 'resume'), slot}),
+  fc.record({kind: fc.constantFrom('cutPlatform', 'cutZones', 'join'), zone}),
+  fc.record({
+    kind: fc.constant('loseAnswers' as const),
+    count: fc.integer({min: 1, max: 3}),
+  }),
+  fc.record({
+    kind: fc.constant('wait' as const),
+    ms: fc.constantFrom(100, SECOND, 5 * SECOND, 20 * SECOND, 2 * MINUTE),
+  }),
+];
+const newerSchema = fc.record({
+  kind: fc.constant('publish' as const),
+  operators: fc.constant(1),
+  schema: fc.constantFrom(1, 2),
+  lost: fc.constant(false),
+});
+
+const current = new CachingParser(new CurrentTextParser());
+const newer = new CachingParser(new NewerTextParser());
+
+/** Runs steps on an estate and checks what must hold all the time. */
+class Run {
+  /** What the whole log, never expired, amounts to. */
+  private readonly reference = new LogFollower(newer);
+  readonly accepted = new Map<number, string>();
+  readonly faults: string[] = [];
+  readonly estate: ControlEstate;
+  private readonly snapshots: object[] = [];
+  private texts = 0;
+  private last: object = {kind: 'nothing'};
+
+  constructor(
+    seed: number,
+    readonly old: ReadonlySet<number> = new Set(),
+  ) {
+    this.estate = new ControlEstate({
+      zones: ZONES,
+      perZone: PER_ZONE,
+      seed,
+      codec: new DeflateCodec(),
+      parser: i => (old.has(i) ? current : newer),
+      inForce: (process, version) => this.check(process, version),
+    });
+  }
+
+  get version(): number {
+    return this.reference.history.folded.version;
+  }
+
+  do(step: Step): void {
+    const {estate} = this;
+    switch (step.kind) {
+      case 'publish':
+        for (let i = 0; i < step.operators; i++) this.publish(step.schema);
+        break;
+      case 'junk':
+        this.junk(step.what);
+        break;
+      case 'outage':
+        estate.logDown = step.on;
+        break;
+      case 'expire':
+        estate.log.expire(estate.log.all.length - step.keep);
+        break;
+      case 'loseAnswers':
+        estate.loseAnswers = step.count;
+        break;
+      case 'restart':
+        estate.restart(step.slot);
+        break;
+      case 'pause':
+        estate.pause(step.slot);
+        break;
+      case 'resume':
+        estate.resume(step.slot);
+        break;
+      case 'cutPlatform':
+        estate.cutFromPlatform.add(step.zone);
+        break;
+      case 'cutZones':
+        estate.cutFromZones.add(step.zone);
+        break;
+      case 'join':
+        estate.cutFromPlatform.delete(step.zone);
+        estate.cutFromZones.delete(step.zone);
+        break;
+      case 'wait':
+        estate.time.advance(step.ms);
+        break;
+    }
+    this.fold();
+  }
+
+  /** Whether any process or record still tells what is in force. */
+  isRecoverable(): boolean {
+    const {estate} = this;
+    const bridges = (foldedTo: number) => foldedTo + 1 >= estate.log.earliest;
+    const known = estate.slots.some(({node}) =>
+      bridges(node.status(estate.time.now).foldedTo),
+    );
+    const {records} = estate.log.page(0 as never);
+    return (
+      known ||
+      estate.log.earliest === 0 ||
+      records.some(({offset, data}) => {
+        const record = data as {kind?: string; foldedTo?: number};
+        if (record?.kind !== 'checkpoint') return false;
+        const {foldedTo = -1} = record;
+        return foldedTo < offset && bridges(foldedTo);
+      })
+    );
+  }
+
+  fold(): void {
+    const {log} = this.estate;
+    const from = this.reference.position;
+    const records = log.all
+      .slice(from)
+      .map((data, i) => ({offset: (from + i) as never, data}));
+    for (const record of records) {
+      const next = (record.offset + 1) as never;
+      const page = {earliest: 0 as never, next, records: [record]};
+      this.reference.take(page);
+      const {history} = this.reference;
+      this.snapshots.push(
+        history.checkpoint(recordId(`late-${record.offset}`)),
+      );
+      const {version, text} = this.reference.history.folded;
+      if (!this.accepted.has(version)) this.accepted.set(version, text);
+    }
+  }
+
+  private publish(schema: number): void {
+    this.texts += 1;
+    const id = `p${this.texts}`;
+    const text = tinyText(`z${this.texts}`, schema);
+    this.fold();
+    // Racing operators start from one version: all but the first are stale.
+    const base = this.version;
+    this.last = publicationOf(base, text, id);
+    if (this.estate.logDown) return;
+    this.estate.log.append(this.last);
+    // An operator whose answer was lost sends the same record again.
+    if (this.texts % 3 === 0) this.estate.log.append(this.last);
+  }
+
+  private junk(what: Junk): void {
+    const {log} = this.estate;
+    const checkpoint = {kind: 'checkpoint', id: 'x', text: tinyText('evil')};
+    const records = {
+      text: publicationOf(this.version, 'schema: [', 'bad'),
+      stale: publicationOf(this.version + 1, tinyText('ahead'), 'ahead'),
+      repeat: this.last,
+      object: {kind: 'publication', base: 'none'},
+      // A writer was paused between its decision and its append.
+      late: this.snapshots[this.snapshots.length >> 1] ?? {},
+      future: {...checkpoint, version: 999, foldedTo: log.all.length + 5},
+    };
+    log.append(records[what]);
+  }
+
+  private check(process: Process, version: number): void {
+    this.fold();
+    const name = process.identity.incarnation;
+    const before = process.inForce.at(-2) ?? 0;
+    if (version <= before) this.faults.push(`${name}: ${before}->${version}`);
+    const {foldedVersion} = process.node.status(this.estate.time.now);
+    if (!this.accepted.has(version)) {
+      this.faults.push(`${name}: ${version} was never accepted`);
+    }
+    if (foldedVersion < version) this.faults.push(`${name}: ahead of fold`);
+    const floor = this.floor(process);
+    if (process.inForce.length === 1 && version < floor) {
+      this.faults.push(`${name}: ${version} below all others, ${floor}`);
+    }
+  }
+
+  /** The least version in force at those that ran before the process. */
+  private floor(process: Process): number {
+    const others = this.estate.slots.filter(
+      other =>
+        other !== process &&
+        !other.dead &&
+        other.startedAt < process.startedAt &&
+        other.inForce.length > 0,
+    );
+    if (others.length === 0) return 0;
+    return Math.min(...others.map(({inForce}) => inForce.at(-1) ?? 0));
+  }
+}
+
+function versionsOf(run: Run): (number | undefined)[] {
+  const {estate} = run;
+  return estate.slots.map(
+    ({node}) => node.status(estate.time.now).version as number,
+  );
+}
+
+describe('configuration nodes under faults', () => {
+  it('keep one sequence, never fall back, and agree once healed', () => {
+    let recovered = 0;
+    fc.assert(
+      fc.property(
+        fc.nat(1_000_000),
+        fc.array(fc.oneof(...steps), {minLength: 5, maxLength: 40}),
+        (seed, plan) => {
+          const run = new Run(seed);
+          plan.forEach(step => run.do(step));
+          const isRecoverable = run.isRecoverable();
+          run.estate.heal();
+          run.do({kind: 'wait', ms: HEAL_WITHIN});
+          expect(run.faults).toEqual([]);
+          if (!isRecoverable) return;
+          recovered += 1;
+          const all = versionsOf(run);
+          expect(all).toEqual(all.map(() => run.version));
+        },
+      ),
+      {seed: 20_260_101, numRuns: 120},
+    );
+    expect(recovered).toBeGreaterThan(60);
+  });
+
+  it('of old and new programs keep one sequence', () => {
+    fc.assert(
+      fc.property(
+        fc.nat(1_000_000),
+        fc.uniqueArray(slot, {minLength: 1, maxLength: SIZE - 3}),
+        fc.array(fc.oneof(newerSchema, newerSchema, ...steps), {
+          minLength: 5,
+          maxLength: 30,
+        }),
+        (seed, old, plan) => {
+          const run = new Run(seed, new Set(old));
+          plan.forEach(step => run.do(step));
+          const isRecoverable = run.isRecoverable();
+          run.estate.heal();
+          run.do({kind: 'wait', ms: HEAL_WITHIN});
+          expect(run.faults).toEqual([]);
+          if (!isRecoverable) return;
+          run.estate.slots.forEach(({node}, i) => {
+            const status = node.status(run.estate.time.now);
+            if (!run.old.has(i)) expect(status.version).toBe(run.version);
+            else expect(status.version).toBeLessThanOrEqual(run.version);
+          });
+          // Once upgraded, an old one agrees too.
+          for (const i of old) (run.old as Set<number>).delete(i);
+          for (const i of old) run.estate.restart(i);
+          run.do({kind: 'wait', ms: HEAL_WITHIN});
+          const all = versionsOf(run);
+          expect(all).toEqual(all.map(() => run.version));
+        },
+      ),
+      {seed: 20_260_102, numRuns: 60},
+    );
+  });
+});
--- a/src/configuration/configuration_node.ts
+++ b/src/configuration/configuration_node.ts
@@ -21,6 +21,7 @@
 import {relayRole} from './relay_topology.js';
 import type {RelayRole, RelayVm} from './relay_topology.js';
 import type {TextCodec} from './state_codec.js';
+import type {TextParser} from './text_parser.js';
 
 /** How long the log may hold a read open. */
 const LONG_POLL: Millis = 10 * SECOND;
@@ -45,7 +46,7 @@
  * the present time and returns what is to be done.
  */
 export class ConfigurationNode {
-  private readonly follower = new LogFollower();
+  private readonly follower: LogFollower;
   private readonly relay: Relay;
   private readonly checkpoints: CheckpointPolicy;
   private readonly suspects = new Map<VmName, Millis>();
@@ -69,13 +70,16 @@
    * @param self - this process
    * @param chance - spreads retries and writers
    * @param codec - compresses texts for peers
+   * @param parser - judges texts
    */
   constructor(
     private readonly startedAt: Millis,
     private readonly self: RelayVm & {readonly incarnation: Incarnation},
     private readonly chance: Chance,
     codec: TextCodec,
+    parser?: TextParser,
   ) {
+    this.follower = new LogFollower(parser);
     this.relay = new Relay(codec);
     this.checkpoints = new CheckpointPolicy(chance);
     this.nextReadAt = startedAt;
--- a/src/configuration/history.ts
+++ b/src/configuration/history.ts
@@ -4,8 +4,8 @@
   recordId,
 } from '../core/index.js';
 import type {Offset, RecordId, Version} from '../core/index.js';
-import {declaresNewerSchema} from './declared_schema.js';
-import {parseConfiguration} from './parse.js';
+import {CurrentTextParser} from './text_parser.js';
+import type {TextParser} from './text_parser.js';
 import type {
   Checkpoint,
   Configuration,
@@ -43,6 +43,9 @@
   private blocked: Offset | undefined;
   private readonly verdicts = new Map<RecordId, Verdict>();
 
+  /** @param parser - judges texts */
+  constructor(private readonly parser: TextParser = new CurrentTextParser()) {}
+
   /** The state to hand to peers, whether this program can read it or not. */
   get folded(): FoldedState {
     return this.state;
@@ -115,9 +118,9 @@
     const same = other.version === this.state.version;
     if (same && other.text !== this.state.text) return false;
     if (!same) {
-      const parsed = parseConfiguration(other.text);
+      const parsed = this.parser.parse(other.text);
       // A text that no program accepts was never in force.
-      if (parsed.isErr() && !declaresNewerSchema(other.text)) return false;
+      if (parsed.isErr() && parsed.error.kind === 'invalid') return false;
       if (parsed.isOk()) {
         this.current = {version: other.version, cfg: parsed.value};
       }
@@ -149,11 +152,10 @@
       const detail = `based on ${base}, but ${version} is in force`;
       return {...refused, reason: 'stale_base', detail};
     }
-    const parsed = parseConfiguration(text);
+    const parsed = this.parser.parse(text);
     if (parsed.isErr()) {
-      if (declaresNewerSchema(text)) return undefined;
-      const [first] = parsed.error;
-      const detail = `${first?.line}:${first?.column}: ${first?.message}`;
+      if (parsed.error.kind === 'newer_schema') return undefined;
+      const {detail} = parsed.error;
       return {...refused, reason: 'invalid_text', detail};
     }
     const next = asVersion(version + 1);
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -11,4 +11,5 @@
 export * from './relay_topology.js';
 export {PRIORITIES, SCHEMA_VERSION, configurationSchema} from './schema.js';
 export * from './state_codec.js';
+export * from './text_parser.js';
 export * from './types.js';
--- a/src/configuration/log_follower.ts
+++ b/src/configuration/log_follower.ts
@@ -3,6 +3,7 @@
 import {History} from './history.js';
 import {configurationRecord} from './records.js';
 import type {ConfigurationRecord} from './records.js';
+import type {TextParser} from './text_parser.js';
 import type {Checkpoint, FoldedState, Verdict} from './types.js';
 
 /** What a page of the log brought. */
@@ -33,11 +34,16 @@
  */
 export class LogFollower {
   /** The fold itself. */
-  readonly history = new History();
+  readonly history: History;
   /** Greatest offset that was looked at, folded or not. */
   private scannedTo = asOffset(-1);
   private known: {earliest: Offset; next: Offset} | undefined;
 
+  /** @param parser - judges texts */
+  constructor(parser?: TextParser) {
+    this.history = new History(parser);
+  }
+
   /** Offset to read from next. */
   get position(): Offset {
     return asOffset(Math.max(this.scannedTo, this.foldedTo) + 1);
