--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -2,4 +2,5 @@
 export * from './address.js';
 export * from './chance.js';
 export * from './ids.js';
+export * from './log.js';
 export * from './time.js';
