--- a/src/calls/entry_call.ts
+++ b/src/calls/entry_call.ts
@@ -1,18 +1,38 @@
 import type {Incarnation, Millis} from '../core/index.js';
 import {SECOND} from '../core/index.js';
 import type {ErrorName} from '../errors/index.js';
-import type {AnswerMessage} from './messages.js';
+import {AnswerReader} from './answer_reader.js';
+import {CLAIM_WITHIN} from './claim_batcher.js';
+import type {Claim} from './claim_records.js';
+import {callMessage, settleMessage, vmOf} from './entry_messages.js';
+import type {AttemptName} from './ledger_entry.js';
+import type {
+  AnswerMessage,
+  RefusedMessage,
+  RequestMessage,
+} from './messages.js';
 import {NotRunProof} from './not_run_proof.js';
-import type {CallRequest, EntryEffect, Outcome} from './types.js';
+import type {
+  CallRequest,
+  ClaimResult,
+  EntryEffect,
+  Outcome,
+  OutcomeNotDone,
+} from './types.js';
 
-/** Attempts after the first that a call may get. */
+/** Upstreams that are tried after the first. */
 const MAX_RETRIES = 2;
-/** Frames that a sidecar may send ahead of the caller. */
-const WINDOW_FRAMES = 64;
+/** Claims and attempts that one call may make before it gives up. */
+const MAX_ATTEMPTS = 8;
 /** When coming back makes sense if nothing better is known. */
 const DEFAULT_RETRY_AFTER: Millis = SECOND;
 
-type State = 'choosing' | 'dispatched' | 'answering' | 'settled';
+/**
+ * `open`: sent, an answer may come; `settling`: contact was lost and the
+ * sidecar is asked what became of the attempt.
+ */
+type State =
+  'looking_up' | 'choosing' | 'claiming' | 'open' | 'settling' | 'settled';
 
 /**
  * One call as its entry sees it, from the request to the caller's last byte.
@@ -23,11 +43,19 @@
   private attempt = 0;
   private upstream: Incarnation | undefined;
   private readonly tried: Incarnation[] = [];
-  private nextSeq = 0;
-  private bytes = 0;
-  private proof: NotRunProof | undefined = NotRunProof.nothingSent();
+  private readonly reader = new AnswerReader();
+  /** Evidence that nothing has run, as long as there is any. */
+  private proof: NotRunProof | undefined = NotRunProof.nothingSent(0);
   /** Whether an earlier attempt ended without telling if it ran. */
   private mayHaveRun = false;
+  /** The attempt whose fate decides: the own one, or an earlier call's. */
+  private target: AttemptName | undefined;
+  /** The claim under which the target runs. */
+  private claim: Claim | undefined;
+  /** A claim that is seen later may have been released meanwhile. */
+  private claimBy: Millis = 0;
+  /** Claims proven never to run, whose release is not written yet. */
+  private dead: string[] = [];
 
   /** @param request - the caller's request */
   constructor(readonly request: CallRequest) {}
@@ -37,8 +65,38 @@
     return this.state === 'settled';
   }
 
-  /** Starts the call. */
-  start(): EntryEffect[] {
+  /** The process that has, or may have, the call. */
+  get destination(): Incarnation | undefined {
+    return this.upstream;
+  }
+
+  /**
+   * Starts the call.
+   * @param now - present time
+   */
+  start(now: Millis): EntryEffect[] {
+    const {key} = this.request;
+    if (key?.kind === 'caller') {
+      this.state = 'looking_up';
+      return [{type: 'look_up'}];
+    }
+    if (key?.kind === 'issued') return this.chosen(now, key.sidecar);
+    return [this.choose(undefined)];
+  }
+
+  /**
+   * The standing claim of the call's key was looked up.
+   * @param standing - the claim, if the log has shown one
+   * @param coveredFrom - time from which the log still has all claims
+   */
+  lookedUp(standing: Claim | undefined, coveredFrom = 0): EntryEffect[] {
+    if (this.state !== 'looking_up') return [];
+    if (standing !== undefined) return this.follow(standing);
+    const {key} = this.request;
+    const madeAt = key?.kind === 'caller' ? key.madeAt : undefined;
+    if (madeAt !== undefined && madeAt < coveredFrom) {
+      return this.giveUp('key_expired', 0);
+    }
     return [this.choose(undefined)];
   }
 
@@ -49,38 +107,12 @@
    */
   chosen(now: Millis, upstream: Incarnation): EntryEffect[] {
     if (this.state !== 'choosing') return [];
-    const remainingMs = this.request.deadlineAt - now;
-    if (remainingMs <= 0) return this.deadline();
-    this.state = 'dispatched';
+    if (now >= this.request.deadlineAt) return this.deadline();
     this.attempt += 1;
     this.upstream = upstream;
-    this.tried.push(upstream);
-    this.proof = undefined;
-    this.nextSeq = 0;
-    const {callId, service, organisation, weight, priority} = this.request;
-    const {idempotent, method, path, headers, body} = this.request;
-    return [
-      {
-        type: 'send',
-        to: upstream,
-        message: {
-          type: 'call',
-          callId,
-          attempt: this.attempt,
-          service,
-          organisation,
-          weight,
-          priority,
-          idempotent,
-          remainingMs,
-          method,
-          path,
-          headers: {...headers},
-          body: body as Uint8Array<ArrayBuffer>,
-          credit: WINDOW_FRAMES,
-        },
-      },
-    ];
+    if (this.request.key?.kind === 'caller')
+      return this.wantClaim(now, upstream);
+    return this.dispatch(now, upstream);
   }
 
   /**
@@ -94,12 +126,48 @@
   }
 
   /**
-   * The message could not be handed to any link: nothing left this process.
+   * The log told what became of the claim.
+   * @param now - present time
+   * @param result - whether the claim stands
    */
-  unsent(): EntryEffect[] {
-    if (this.state !== 'dispatched') return [];
-    this.proof = NotRunProof.nothingSent();
-    return this.retryOr('no_upstream', DEFAULT_RETRY_AFTER);
+  claimed(now: Millis, result: ClaimResult): EntryEffect[] {
+    const {claim, upstream} = this;
+    if (this.state !== 'claiming' || !claim || !upstream) return [];
+    if (result.kind === 'unavailable') {
+      return this.giveUp('log_unavailable', result.retryAfterMs);
+    }
+    if (result.kind === 'released') {
+      this.claim = undefined;
+      return this.retryOr('never_received', 0);
+    }
+    if (result.kind === 'lost') {
+      this.claim = undefined;
+      return this.follow(result.standing);
+    }
+    if (now >= this.request.deadlineAt) return this.deadline();
+    if (now > this.claimBy) return this.giveUp('log_unavailable', 0);
+    return this.dispatch(now, upstream);
+  }
+
+  /**
+   * A message could not be handed to any link.
+   * @param message - the message
+   */
+  unsent(message: RequestMessage): EntryEffect[] {
+    const isOwn = message.type === 'call' && message.attempt === this.attempt;
+    if (!isOwn || (this.state !== 'open' && this.state !== 'settling')) {
+      return [];
+    }
+    if (this.request.key?.kind === 'issued') {
+      // An earlier request with the key may have run there.
+      this.state = 'settling';
+      return [];
+    }
+    return this.notRun(
+      NotRunProof.notHandedOver(message),
+      'no_upstream',
+      SECOND,
+    );
   }
 
   /**
@@ -108,30 +176,56 @@
    */
   receive(message: AnswerMessage): EntryEffect[] {
     if (this.state === 'settled') return [{type: 'drop', why: 'settled'}];
-    if (message.attempt !== this.attempt) return [{type: 'drop', why: 'late'}];
+    const isOpen = this.state === 'open' || this.state === 'settling';
+    if (!isOpen || message.attempt !== this.attempt) {
+      return [{type: 'drop', why: 'late'}];
+    }
     switch (message.type) {
+      case 'pending':
+        return [];
       case 'refused':
-        this.proof = NotRunProof.refusedBy(message);
-        return this.retryOr(message.reason, message.retryAfterMs);
+        return this.refused(message);
       case 'head':
-        if (this.nextSeq !== 0) return [{type: 'drop', why: 'late'}];
-        this.nextSeq = 1;
-        this.state = 'answering';
-        return [
-          {type: 'head', status: message.status, headers: message.headers},
-        ];
+        return this.read(this.reader.head(message));
       case 'data':
-        return this.take(message.seq, message.body);
+        return this.read(this.reader.data(message));
       case 'end':
-        return this.close(message.frames, message.bytes);
+        return this.read(this.reader.end(message));
       case 'failed':
         return this.lost(message.reason);
     }
   }
 
-  /** The link to the upstream was lost. */
-  linkLost(): EntryEffect[] {
-    if (this.state !== 'dispatched' && this.state !== 'answering') return [];
+  /**
+   * The link to a process was lost.
+   * @param peer - the process
+   */
+  linkLost(peer: Incarnation): EntryEffect[] {
+    if (peer !== this.upstream) return [];
+    if (this.state === 'settling') return this.ask();
+    if (this.state !== 'open') return [];
+    if (this.request.idempotent) return this.lost('upstream_lost');
+    this.state = 'settling';
+    return this.ask();
+  }
+
+  /**
+   * A link to a process opened.
+   * @param peer - the process
+   */
+  linkUp(peer: Incarnation): EntryEffect[] {
+    if (this.upstream === undefined) return [];
+    if (peer === this.upstream) return this.linkLost(peer);
+    return vmOf(peer) === vmOf(this.upstream) ? this.gone(this.upstream) : [];
+  }
+
+  /**
+   * A process is gone for good: nobody can tell what it did.
+   * @param peer - the process
+   */
+  gone(peer: Incarnation): EntryEffect[] {
+    if (peer !== this.upstream) return [];
+    if (this.state !== 'open' && this.state !== 'settling') return [];
     return this.lost('upstream_lost');
   }
 
@@ -141,10 +235,16 @@
     return [...this.cancel(), ...this.giveUp('deadline_passed', 0)];
   }
 
+  /** The entry stops before the call is over. */
+  cut(): EntryEffect[] {
+    if (this.state === 'settled') return [];
+    return [...this.cancel(), ...this.giveUp('draining', 0)];
+  }
+
   /** The caller went away. */
   callerGone(): EntryEffect[] {
     if (this.state === 'settled') return [];
-    const effects = this.cancel();
+    const effects = [...this.cancel(), ...this.releases()];
     this.state = 'settled';
     return effects;
   }
@@ -154,38 +254,106 @@
    * @param frames - how many
    */
   consumed(frames: number): EntryEffect[] {
-    if (this.state !== 'answering' || this.upstream === undefined) return [];
+    if (this.state !== 'open' || this.upstream === undefined) return [];
     const {callId} = this.request;
     const {attempt} = this;
     const message = {type: 'credit', callId, attempt, frames} as const;
     return [{type: 'send', to: this.upstream, message}];
   }
 
-  private take(seq: number, body: Uint8Array): EntryEffect[] {
-    if (seq < this.nextSeq) return [{type: 'drop', why: 'late'}];
-    if (seq > this.nextSeq) return this.lost('upstream_failed');
-    this.nextSeq += 1;
-    this.bytes += body.byteLength;
-    return [{type: 'body', bytes: body}];
+  private dispatch(now: Millis, upstream: Incarnation): EntryEffect[] {
+    this.state = 'open';
+    this.tried.push(upstream);
+    this.proof = undefined;
+    const {resumeFrom} = this.reader;
+    this.reader.restart();
+    const {request, attempt} = this;
+    this.target = {callId: request.callId, attempt};
+    const message = callMessage(now, request, attempt, resumeFrom);
+    return [{type: 'send', to: upstream, message}];
   }
 
-  private close(frames: number, bytes: number): EntryEffect[] {
-    const whole = frames === this.nextSeq - 1 && bytes === this.bytes;
-    if (!whole) return this.lost('upstream_failed');
-    this.state = 'settled';
-    return [{type: 'end'}];
+  private wantClaim(now: Millis, sidecar: Incarnation): EntryEffect[] {
+    const {callId, service, organisation, key} = this.request;
+    const {attempt} = this;
+    this.state = 'claiming';
+    this.claimBy = now + CLAIM_WITHIN;
+    this.claim = {
+      id: `${callId}#${attempt}`,
+      callId,
+      attempt,
+      service,
+      organisation,
+      key: key?.value ?? '',
+      digest: key?.digest ?? '',
+      sidecar,
+    };
+    const releases = this.dead.splice(0);
+    return [{type: 'claim', claim: this.claim, releases}];
+  }
+
+  /** Waits for what becomes of the claim that came first. */
+  private follow(standing: Claim): EntryEffect[] {
+    if (standing.digest !== this.request.key?.digest) {
+      return this.giveUp('key_reused', 0);
+    }
+    this.state = 'settling';
+    this.attempt += 1;
+    this.proof = undefined;
+    this.claim = standing;
+    this.target = {callId: standing.callId, attempt: standing.attempt};
+    this.upstream = standing.sidecar;
+    this.reader.restart();
+    return this.ask();
+  }
+
+  private ask(): EntryEffect[] {
+    const {upstream, target, request, attempt} = this;
+    if (upstream === undefined || target === undefined) return [];
+    const from = this.reader.expected;
+    const message = settleMessage(request, attempt, target, from);
+    return [{type: 'send', to: upstream, message}];
+  }
+
+  private refused(message: RefusedMessage): EntryEffect[] {
+    const {reason, retryAfterMs} = message;
+    return this.notRun(NotRunProof.refusedBy(message), reason, retryAfterMs);
+  }
+
+  /** The target never ran and never will. */
+  private notRun(
+    proof: NotRunProof,
+    reason: ErrorName,
+    retryAfterMs: Millis,
+  ): EntryEffect[] {
+    this.proof = proof;
+    if (this.claim !== undefined) this.dead.push(this.claim.id);
+    this.claim = undefined;
+    if (this.request.key?.kind === 'issued') {
+      return this.giveUp(reason, retryAfterMs);
+    }
+    return this.retryOr(reason, retryAfterMs);
+  }
+
+  private read(read: EntryEffect[] | 'broken'): EntryEffect[] {
+    if (read === 'broken') return this.lost('upstream_failed');
+    if (read.some(({type}) => type === 'end')) this.state = 'settled';
+    return read;
   }
 
   /** The attempt ended without a whole answer and may have run. */
   private lost(reason: ErrorName): EntryEffect[] {
     this.mayHaveRun = true;
-    if (this.state === 'answering') return this.giveUp(reason, 0);
-    if (this.request.idempotent) return this.retryOr(reason, 0);
-    return this.giveUp(reason, 0);
+    const {flowing, resumeFrom} = this.reader;
+    const stuck = flowing && resumeFrom === undefined;
+    if (!this.request.idempotent || stuck) return this.giveUp(reason, 0);
+    return [...this.cancel(), ...this.retryOr(reason, 0)];
   }
 
   private retryOr(reason: ErrorName, retryAfterMs: Millis): EntryEffect[] {
-    if (this.attempt > MAX_RETRIES) return this.giveUp(reason, retryAfterMs);
+    const isLast =
+      this.tried.length > MAX_RETRIES || this.attempt >= MAX_ATTEMPTS;
+    if (isLast) return this.giveUp(reason, retryAfterMs);
     this.state = 'choosing';
     return [this.choose(reason)];
   }
@@ -195,16 +363,30 @@
   }
 
   private giveUp(reason: ErrorName, retryAfterMs: Millis): EntryEffect[] {
-    const delivered = this.state === 'answering';
+    const releases = this.releases();
     this.state = 'settled';
-    const outcome: Outcome =
-      this.proof === undefined || this.mayHaveRun
-        ? {kind: 'unknown', reason, retryAfterMs}
-        : {kind: 'not-run', reason, proof: this.proof, retryAfterMs};
-    return [{type: delivered ? 'abort' : 'finish', outcome}];
+    const outcome = this.outcome(reason, retryAfterMs || DEFAULT_RETRY_AFTER);
+    const type = this.reader.flowing ? 'abort' : 'finish';
+    return [...releases, {type, outcome}];
+  }
+
+  private outcome(reason: ErrorName, retryAfterMs: Millis): OutcomeNotDone {
+    const {proof} = this;
+    if (proof === undefined || this.mayHaveRun || this.reader.flowing) {
+      return {kind: 'unknown', reason, retryAfterMs};
+    }
+    return {kind: 'not-run', reason, proof, retryAfterMs} satisfies Outcome;
+  }
+
+  /** Frees the key when nothing ran under the call's claims. */
+  private releases(): EntryEffect[] {
+    const ids = this.dead.splice(0);
+    if (this.state === 'claiming' && this.claim) ids.push(this.claim.id);
+    return ids.length === 0 ? [] : [{type: 'release', releases: ids}];
   }
 
   private cancel(): EntryEffect[] {
+    if (this.state !== 'open' && this.state !== 'settling') return [];
     if (this.upstream === undefined) return [];
     const {callId} = this.request;
     const message = {type: 'cancel', callId, attempt: this.attempt} as const;
--- /dev/null
+++ b/src/calls/entry_messages.ts
@@ -0,0 +1,73 @@
+import type {Incarnation, Millis} from '../core/index.js';
+import type {AttemptName} from './ledger_entry.js';
+import type {CallMessage, SettleMessage} from './messages.js';
+import type {CallRequest} from './types.js';
+
+/** Frames that a sidecar may send ahead of the caller. */
+const WINDOW_FRAMES = 64;
+
+/**
+ * The message that asks a sidecar to run a call.
+ * @param now - present time
+ * @param request - the call
+ * @param attempt - the attempt
+ * @param resumeFrom - events of a stream that the caller has
+ */
+export function callMessage(
+  now: Millis,
+  request: CallRequest,
+  attempt: number,
+  resumeFrom: number | undefined,
+): CallMessage {
+  const {callId, service, organisation, weight, priority} = request;
+  const {idempotent, method, path, headers, body} = request;
+  return {
+    type: 'call',
+    callId,
+    attempt,
+    service,
+    organisation,
+    weight,
+    priority,
+    idempotent,
+    remainingMs: request.deadlineAt - now,
+    method,
+    path,
+    headers: {...headers},
+    body: body as Uint8Array<ArrayBuffer>,
+    credit: WINDOW_FRAMES,
+    ...issuedKey(request),
+    ...(resumeFrom === undefined ? {} : {resumeFrom}),
+  };
+}
+
+/**
+ * The message that asks what became of an attempt.
+ * @param request - the call that asks
+ * @param attempt - under which attempt the answer is expected
+ * @param target - the attempt that is asked about
+ * @param from - first sequence number that is wanted
+ */
+export function settleMessage(
+  request: CallRequest,
+  attempt: number,
+  target: AttemptName,
+  from: number,
+): SettleMessage {
+  const {callId} = request;
+  const key = issuedKey(request);
+  return {type: 'settle', callId, attempt, target, from, ...key};
+}
+
+/**
+ * The VM that a process runs or ran on.
+ * @param process - the process
+ */
+export function vmOf(process: Incarnation): string {
+  return process.slice(0, process.lastIndexOf('/'));
+}
+
+function issuedKey({key, organisation}: CallRequest) {
+  if (key?.kind !== 'issued') return {};
+  return {key: `${organisation}/${key.value}`, digest: key.digest};
+}
--- /dev/null
+++ b/src/calls/ledger_entry.ts
@@ -0,0 +1,96 @@
+import type {CallId, Incarnation, Millis} from '../core/index.js';
+import type {ErrorName} from '../errors/index.js';
+import type {KeptAnswer} from './kept_answer.js';
+import type {AnswerMessage} from './messages.js';
+
+type WithoutLoad<T> = T extends {load: unknown} ? Omit<T, 'load'> : T;
+/** A sidecar's message before its load report is added. */
+export type Answer = WithoutLoad<AnswerMessage>;
+
+/** A message and the process that it goes to. */
+export interface Reply {
+  readonly to: Incarnation;
+  readonly message: Answer;
+}
+
+/** One attempt of one call. */
+export interface AttemptName {
+  readonly callId: CallId;
+  readonly attempt: number;
+}
+
+/** Who wants the answer, and under which name. */
+export interface Listener extends AttemptName {
+  readonly to: Incarnation;
+}
+
+/** Why an attempt did not run, or failed. */
+interface Refusal {
+  readonly reason: ErrorName;
+  readonly retryAfterMs: Millis;
+}
+
+/**
+ * `queued` and `running` are open; `not-run` is definite, for good; `whole`
+ * has its whole answer; `failed` may have run.
+ */
+export type LedgerState = 'queued' | 'running' | 'not-run' | 'whole' | 'failed';
+
+/** What a ledger knows of one attempt. */
+export interface LedgerEntry {
+  readonly name: AttemptName;
+  readonly idempotent: boolean;
+  readonly key: string | undefined;
+  readonly digest: string | undefined;
+  readonly deadlineAt: Millis;
+  state: LedgerState;
+  refusal: Refusal;
+  readonly answer: KeptAnswer;
+  listeners: Listener[];
+  endedAt: Millis | undefined;
+}
+
+/** What is said of an attempt that never came. */
+export const NEVER: Refusal = {reason: 'never_received', retryAfterMs: 0};
+
+type WithoutName<T> = T extends AttemptName ? Omit<T, keyof AttemptName> : T;
+/** An answer that is not addressed yet. */
+export type Unnamed = WithoutName<Answer>;
+
+/**
+ * Names an attempt as text.
+ * @param name - the attempt
+ */
+export function idOf({callId, attempt}: AttemptName): string {
+  return `${callId}#${attempt}`;
+}
+
+/**
+ * Who is to get the answer to a message.
+ * @param to - the process that sent it
+ * @param name - the attempt that it names
+ */
+export function listenerOf(to: Incarnation, name: AttemptName): Listener {
+  return {to, callId: name.callId, attempt: name.attempt};
+}
+
+/**
+ * Addresses an answer.
+ * @param listener - who gets it
+ * @param message - the answer
+ */
+export function reply(
+  {to, callId, attempt}: Listener,
+  message: Unnamed,
+): Reply {
+  return {to, message: {...message, callId, attempt} as Answer};
+}
+
+/**
+ * Tells that an attempt is certain not to have run.
+ * @param entry - the attempt
+ * @param listener - who gets it
+ */
+export function refusals({refusal}: LedgerEntry, listener: Listener): Reply[] {
+  return [reply(listener, {type: 'refused', ...refusal})];
+}
--- a/src/calls/messages.ts
+++ b/src/calls/messages.ts
@@ -8,6 +8,8 @@
 
 const MAX_HEADERS = 100;
 const MAX_CALL_ID = 200;
+const MAX_KEY = 500;
+const MAX_DIGEST = 100;
 
 const bytes = z.instanceof(Uint8Array);
 const count = z.int().nonnegative();
@@ -22,6 +24,13 @@
   attempt: z.int().positive(),
 };
 
+/** A key that the system issued, with what it was first used for. */
+const keyFields = {
+  key: z.string().min(1).max(MAX_KEY).optional(),
+  /** SHA-256 of method, path and body. */
+  digest: z.string().max(MAX_DIGEST).optional(),
+};
+
 /** Asks the sidecar to run a call. */
 const call = z.strictObject({
   type: z.literal('call'),
@@ -40,6 +49,9 @@
   body: bytes,
   /** Frames that the sidecar may send before it needs more credit. */
   credit: count,
+  ...keyFields,
+  /** Events of a stream that the caller has; the answer goes on from there. */
+  resumeFrom: count.optional(),
 });
 
 /** The sidecar refused before anything reached the upstream. */
@@ -58,6 +70,8 @@
   seq: z.literal(0),
   status: z.int().min(100).max(599),
   headers,
+  /** Index of the first event, when the answer is split into its events. */
+  firstEvent: count.optional(),
   load: loadReport,
 });
 
@@ -67,6 +81,8 @@
   ...attempt,
   seq: z.int().positive(),
   body: bytes,
+  /** Index of this event in the whole stream. */
+  event: count.optional(),
 });
 
 /** End of the upstream's answer, with what the whole of it is. */
@@ -98,6 +114,27 @@
   frames: z.int().positive(),
 });
 
+/**
+ * Asks what became of an attempt. A sidecar that does not know the attempt
+ * never runs it from then on.
+ */
+const settle = z.strictObject({
+  type: z.literal('settle'),
+  ...attempt,
+  /** The attempt that is asked about; the asker's own or an earlier call's. */
+  target: z.strictObject(attempt),
+  /** First sequence number that the asker lacks. */
+  from: count,
+  ...keyFields,
+});
+
+/** The attempt that was asked about waits or runs; its answer follows. */
+const pending = z.strictObject({
+  type: z.literal('pending'),
+  ...attempt,
+  load: loadReport,
+});
+
 /** Messages about calls between an entry and a sidecar. */
 export const callMessages = [
   call,
@@ -108,6 +145,8 @@
   failed,
   cancel,
   credit,
+  settle,
+  pending,
 ] as const;
 
 export type CallMessage = z.output<typeof call>;
@@ -118,7 +157,12 @@
   | z.output<typeof head>
   | z.output<typeof data>
   | z.output<typeof end>
-  | z.output<typeof failed>;
+  | z.output<typeof failed>
+  | z.output<typeof pending>;
+export type SettleMessage = z.output<typeof settle>;
 /** What an entry sends about a call. */
 export type RequestMessage =
-  CallMessage | z.output<typeof cancel> | z.output<typeof credit>;
+  | CallMessage
+  | SettleMessage
+  | z.output<typeof cancel>
+  | z.output<typeof credit>;
--- a/src/calls/types.ts
+++ b/src/calls/types.ts
@@ -7,9 +7,36 @@
   ServiceName,
 } from '../core/index.js';
 import type {ErrorName} from '../errors/index.js';
+import type {Claim} from './claim_records.js';
 import type {RequestMessage} from './messages.js';
 import type {NotRunProof} from './not_run_proof.js';
 
+/** The idempotency key of a call that is not idempotent by itself. */
+export type CallKey =
+  | {
+      /** The caller made it: claimed in the log. */
+      readonly kind: 'caller';
+      readonly value: string;
+      readonly digest: string;
+      /** When it was made, if it tells: ms since 1970. */
+      readonly madeAt: number | undefined;
+    }
+  | {
+      /** The system issued it: kept by the sidecar that it names. */
+      readonly kind: 'issued';
+      readonly value: string;
+      readonly digest: string;
+      readonly sidecar: Incarnation;
+    };
+
+/** What became of a wish to claim a key. */
+export type ClaimResult =
+  | {readonly kind: 'won'}
+  | {readonly kind: 'lost'; readonly standing: Claim}
+  /** A repeat freed the key before this entry saw its own claim. */
+  | {readonly kind: 'released'}
+  | {readonly kind: 'unavailable'; readonly retryAfterMs: Millis};
+
 /** A caller's request once it is parsed and its organisation is known. */
 export interface CallRequest {
   readonly callId: CallId;
@@ -24,6 +51,7 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
+  readonly key?: CallKey | undefined;
 }
 
 /** What a caller is told of a call. */
@@ -41,6 +69,9 @@
       readonly retryAfterMs: Millis;
     };
 
+/** What a caller is told when there is no whole answer. */
+export type OutcomeNotDone = Exclude<Outcome, {kind: 'done'}>;
+
 /** What the entry has to do next for a call. */
 export type EntryEffect =
   | {
@@ -50,6 +81,16 @@
       /** Why this is not the first attempt. */
       readonly retryOf: ErrorName | undefined;
     }
+  /** Asks for the standing claim of the call's key. */
+  | {readonly type: 'look_up'}
+  /** Claims the key, after freeing it of a claim that never ran. */
+  | {
+      readonly type: 'claim';
+      readonly claim: Claim;
+      readonly releases: readonly string[];
+    }
+  /** Frees the key of claims that never ran. */
+  | {readonly type: 'release'; readonly releases: readonly string[]}
   | {
       readonly type: 'send';
       readonly to: Incarnation;
@@ -61,10 +102,12 @@
       readonly headers: Readonly<Record<string, string>>;
     }
   | {readonly type: 'body'; readonly bytes: Uint8Array}
+  /** A piece is held back: it waits here, not at the caller. */
+  | {readonly type: 'held'}
   /** The whole answer was delivered. */
   | {readonly type: 'end'}
   /** Nothing was delivered yet: tell the outcome. */
-  | {readonly type: 'finish'; readonly outcome: Outcome}
+  | {readonly type: 'finish'; readonly outcome: OutcomeNotDone}
   /** Part was delivered: make the caller see that the rest is missing. */
-  | {readonly type: 'abort'; readonly outcome: Outcome}
-  | {readonly type: 'drop'; readonly why: 'late' | 'gap' | 'settled'};
+  | {readonly type: 'abort'; readonly outcome: OutcomeNotDone}
+  | {readonly type: 'drop'; readonly why: 'late' | 'repeated' | 'settled'};
--- a/src/daemons/entry/call_task.ts
+++ b/src/daemons/entry/call_task.ts
@@ -1,7 +1,9 @@
-import {EntryCall} from '../../calls/index.js';
+import {EntryCall, keyScope} from '../../calls/index.js';
 import type {
   AnswerMessage,
   CallRequest,
+  Claim,
+  ClaimResult,
   EntryEffect,
   Outcome,
   RequestMessage,
@@ -25,6 +27,14 @@
   ): void;
   /** Sends to an upstream; `unsent` comes back when no link took it. */
   send(task: CallTask, to: Incarnation, message: RequestMessage): void;
+  /** Looks up the standing claim of a key; comes back as `looked_up`. */
+  lookUp(task: CallTask, scope: string): void;
+  /** Claims a key; comes back as `claimed`. */
+  claim(task: CallTask, claim: Claim, releases: readonly string[]): void;
+  /** Frees keys of claims that never ran. */
+  release(releases: readonly string[]): void;
+  /** Whether a process is known to be gone for good. */
+  isGone(upstream: Incarnation): boolean;
   /** The call is over. */
   ended(task: CallTask): void;
 }
@@ -38,9 +48,17 @@
       readonly reason: ErrorName;
       readonly retryAfterMs: Millis;
     }
-  | {readonly type: 'unsent'}
+  | {readonly type: 'unsent'; readonly message: RequestMessage}
   | {readonly type: 'answer'; readonly message: AnswerMessage}
-  | {readonly type: 'link_lost'}
+  | {
+      readonly type: 'looked_up';
+      readonly standing: Claim | undefined;
+      readonly coveredFrom: number;
+    }
+  | {readonly type: 'claimed'; readonly result: ClaimResult}
+  | {readonly type: 'link_lost'; readonly upstream: Incarnation}
+  | {readonly type: 'link_up'; readonly upstream: Incarnation}
+  | {readonly type: 'cut'}
   | {readonly type: 'deadline'}
   | {readonly type: 'caller_gone'}
   | {readonly type: 'drained'};
@@ -49,6 +67,7 @@
 export class CallTask extends Task<CallEvent> {
   private readonly call: EntryCall;
   private readonly timer: NodeJS.Timeout;
+  private readonly startedAt: Millis;
   /** Frames that wait for a slow caller before they are credited. */
   private uncredited = 0;
   private blocked = false;
@@ -68,7 +87,8 @@
   ) {
     super(context.system, `call-${request.callId}`, context.logger);
     this.call = new EntryCall(request);
-    const left = request.deadlineAt - context.clock.now();
+    this.startedAt = context.clock.now();
+    const left = request.deadlineAt - this.startedAt;
     this.timer = setTimeout(() => this.post({type: 'deadline'}), left);
     this.post({type: 'start'});
   }
@@ -84,19 +104,28 @@
   }
 
   private decide(event: CallEvent): EntryEffect[] {
+    const now = this.context.clock.now();
     switch (event.type) {
       case 'start':
-        return this.call.start();
+        return this.call.start(now);
+      case 'looked_up':
+        return this.call.lookedUp(event.standing, event.coveredFrom);
+      case 'claimed':
+        return this.call.claimed(now, event.result);
       case 'chosen':
-        return this.call.chosen(this.context.clock.now(), event.upstream);
+        return this.call.chosen(now, event.upstream);
       case 'none':
         return this.call.noneToChoose(event.reason, event.retryAfterMs);
       case 'unsent':
-        return this.call.unsent();
+        return this.unsent(event.message);
       case 'answer':
         return this.call.receive(event.message);
       case 'link_lost':
-        return this.call.linkLost();
+        return this.call.linkLost(event.upstream);
+      case 'link_up':
+        return this.call.linkUp(event.upstream);
+      case 'cut':
+        return this.call.cut();
       case 'deadline':
         return this.call.deadline();
       case 'caller_gone':
@@ -115,20 +144,28 @@
           metrics.retries.inc({reason: effect.retryOf, service});
         }
         return this.services.choose(this, effect.exclude, effect.retryOf);
+      case 'look_up':
+        return this.lookUp();
+      case 'claim':
+        return this.services.claim(this, effect.claim, effect.releases);
+      case 'release':
+        return this.services.release(effect.releases);
       case 'send':
         return this.services.send(this, effect.to, effect.message);
       case 'head':
         return this.caller.head(effect.status, effect.headers);
       case 'body':
         return this.body(effect.bytes);
+      case 'held':
+        return this.credit(1);
       case 'end':
         this.caller.end();
         return this.record({kind: 'done'});
       case 'finish':
-        if (effect.outcome.kind !== 'done') this.caller.finish(effect.outcome);
+        this.caller.finish(effect.outcome);
         return this.record(effect.outcome);
       case 'abort':
-        this.caller.abort();
+        this.caller.abort(effect.outcome);
         return this.record(effect.outcome);
       case 'drop':
         metrics.droppedFrames.inc({reason: effect.why});
@@ -144,10 +181,26 @@
   private grant(): void {
     const frames = this.uncredited;
     this.uncredited = 0;
-    if (frames === 0) return;
+    if (frames > 0) this.credit(frames);
+  }
+
+  private credit(frames: number): void {
     this.call.consumed(frames).forEach(effect => this.carryOut(effect));
   }
 
+  private lookUp(): void {
+    const {service, organisation, key} = this.request;
+    const scope = keyScope({service, organisation, key: key?.value ?? ''});
+    this.services.lookUp(this, scope);
+  }
+
+  private unsent(message: RequestMessage): EntryEffect[] {
+    const effects = this.call.unsent(message);
+    const {destination} = this.call;
+    const isGone = destination && this.services.isGone(destination);
+    return isGone ? [...effects, ...this.call.gone(destination)] : effects;
+  }
+
   private drained(): EntryEffect[] {
     this.blocked = false;
     this.grant();
@@ -160,6 +213,7 @@
     metrics.outcomes.inc({outcome: outcome.kind, service});
     if (outcome.kind === 'done') return;
     const {reason} = outcome;
+    const afterMs = this.context.clock.now() - this.startedAt;
     metrics.refusals.inc({reason, service});
     logger.info('call_given_up', {
       call: callId,
@@ -167,6 +221,7 @@
       organisation,
       outcome: outcome.kind,
       reason,
+      afterMs: Math.round(afterMs),
     });
   }
 
--- a/src/daemons/entry/caller.ts
+++ b/src/daemons/entry/caller.ts
@@ -55,9 +55,21 @@
     this.res.end();
   }
 
-  /** Makes the caller see that the answer is not whole. */
-  abort(): void {
-    this.res.destroy();
+  /**
+   * Makes the caller see that the answer is not whole: an error event where it
+   * is a stream of events, and a connection that breaks off.
+   * @param outcome - what is known of the call
+   */
+  abort({kind, reason}: Exclude<Outcome, {kind: 'done'}>): void {
+    const type = String(this.res.getHeader('content-type') ?? '');
+    if (!type.startsWith('text/event-stream')) {
+      this.res.destroy();
+      return;
+    }
+    const error = {type: `urn:baobabspan:error:${reason}`, reason};
+    const data = JSON.stringify({error: {...error, outcome: kind}});
+    const event = `event: error\ndata: ${data}\n\n`;
+    this.res.write(event, () => this.res.destroy());
   }
 
   /**
--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -1,10 +1,14 @@
 import type {ServerResponse} from 'node:http';
 
 import {OrganisationDirectory} from '../../admission/index.js';
-import type {CallRequest} from '../../calls/index.js';
-import type {CallId} from '../../core/index.js';
+import {vmOf} from '../../calls/index.js';
+import type {CallRequest, Claim, ClaimResult} from '../../calls/index.js';
+import {SECOND} from '../../core/index.js';
+import type {CallId, Incarnation, Millis, VmName} from '../../core/index.js';
+import {Fault} from '../../errors/index.js';
 import type {LinkMessage} from '../../links/index.js';
 import type {Identity} from '../../membership/index.js';
+import {ClaimsTask} from '../shared/claims_task.js';
 import {ConfigurationTask} from '../shared/configuration_task.js';
 import type {DaemonContext} from '../shared/context.js';
 import {LinksTask} from '../shared/links_task.js';
@@ -15,9 +19,13 @@
 import {CallTask} from './call_task.js';
 import type {Caller} from './caller.js';
 import {HttpEdge} from './http_edge.js';
+import {issueFor} from './key_issuer.js';
 import {RouterTask} from './router_task.js';
 import type {EntrySettings, InForce} from './types.js';
 
+/** Time that callers have to hear what a stop cuts. */
+const CUT_WITHIN: Millis = SECOND;
+
 /** Addresses of a running entry, each `host:port`. */
 export interface EntryAddresses {
   readonly callers: string;
@@ -30,6 +38,13 @@
   private inForce: InForce | undefined;
   private accepting = true;
   private readonly calls = new Map<CallId, CallTask>();
+  /** Responses whose last byte has not left yet. */
+  private readonly unfinished = new Set<ServerResponse>();
+  /** The process that last opened a link from each VM. */
+  private readonly latest = new Map<string, Incarnation>();
+  private listed: ReadonlySet<VmName> = new Set();
+  private stopped: Promise<void> | undefined;
+  private readonly claims: ClaimsTask;
   private readonly links: LinksTask;
   private readonly router: RouterTask;
   private readonly edge: HttpEdge;
@@ -50,16 +65,18 @@
     this.context = startContext('entry', settings, parts);
     const {context} = this;
     this.links = new LinksTask(context, settings.linkKey, {
-      up: peer => this.router.post({type: 'up', peer}),
-      down: peer => this.router.post({type: 'down', peer}),
+      up: peer => this.linkUp(peer),
+      down: peer => this.linkDown(peer),
       message: (peer, message) => this.receive(peer, message),
     });
+    this.claims = new ClaimsTask(context, settings.logUrl);
     this.router = new RouterTask(context, addresses =>
       this.links.post({type: 'want', addresses}),
     );
     this.edge = new HttpEdge(context, {
       inForce: () => this.inForce,
       accepting: () => this.accepting,
+      issueKey: service => issueFor(context, this.router.status(), service),
       carry: (request, caller, res, ended) =>
         this.carry(request, caller, res, ended),
     });
@@ -88,9 +105,10 @@
         this.inForce = {version, cfg, organisations};
       },
     );
-    this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms =>
-      this.router.post({type: 'listed', vms}),
-    );
+    this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms => {
+      this.listed = new Set(vms.map(({vm}) => vm));
+      this.router.post({type: 'listed', vms});
+    });
     this.context.logger.info('ready', {callers, operators, links});
     return {callers, operators, links};
   }
@@ -99,13 +117,24 @@
   async drain(): Promise<void> {
     this.accepting = false;
     this.context.logger.info('draining', {calls: this.calls.size});
-    await this.untilIdle();
+    await this.untilIdle(this.settings.drainTimeout);
     await this.stop();
   }
 
-  /** Stops at once. */
-  async stop(): Promise<void> {
+  /** Stops at once, and tells the callers what it cuts. */
+  stop(): Promise<void> {
+    this.stopped ??= this.stopAll();
+    return this.stopped;
+  }
+
+  private async stopAll(): Promise<void> {
     this.accepting = false;
+    if (this.calls.size > 0) {
+      this.context.logger.warn('cutting', {calls: this.calls.size});
+      for (const call of this.calls.values()) call.post({type: 'cut'});
+      await this.untilIdle(CUT_WITHIN);
+    }
+    this.claims.stop();
     this.configuration?.stop();
     this.vmList?.stop();
     await this.edge.close();
@@ -115,36 +144,85 @@
     this.context.logger.info('stopped');
   }
 
-  private async untilIdle(): Promise<void> {
-    if (this.calls.size === 0) return;
+  private async untilIdle(limit: Millis): Promise<void> {
+    if (this.isIdle()) return;
     await new Promise<void>(resolve => {
       this.idle = resolve;
-      setTimeout(resolve, this.settings.drainTimeout).unref();
+      setTimeout(resolve, limit).unref();
     });
   }
 
+  private isIdle(): boolean {
+    return this.calls.size === 0 && this.unfinished.size === 0;
+  }
+
+  private linkUp(peer: Identity): void {
+    const {incarnation, vm} = peer;
+    this.latest.set(vm, incarnation);
+    this.router.post({type: 'up', peer});
+    for (const call of this.calls.values()) {
+      call.post({type: 'link_up', upstream: incarnation});
+    }
+  }
+
+  private linkDown(peer: Identity): void {
+    this.router.post({type: 'down', peer});
+    for (const call of this.calls.values()) {
+      call.post({type: 'link_lost', upstream: peer.incarnation});
+    }
+  }
+
+  /** Whether another process has taken a process's place, or nobody has. */
+  private isGone(upstream: Incarnation): boolean {
+    const vm = vmOf(upstream) as VmName;
+    const latest = this.latest.get(vm);
+    if (latest !== undefined && latest !== upstream) return true;
+    return this.listed.size > 0 && !this.listed.has(vm);
+  }
+
   private carry(
     request: CallRequest,
     caller: Caller,
     res: ServerResponse,
     ended: () => void,
   ): void {
+    if (this.stopped !== undefined) {
+      ended();
+      return caller.refuse(new Fault('draining'));
+    }
     const task = new CallTask(this.context, request, caller, {
       choose: (call, exclude, retryOf) =>
         this.router.post({type: 'choose', call, exclude, retryOf}),
       send: (call, to, message) => {
-        const unsent = () => call.post({type: 'unsent'});
+        const unsent = () => call.post({type: 'unsent', message});
         this.links.post({type: 'send', to, message, unsent});
       },
+      lookUp: (call, scope) => {
+        const tell = (standing: Claim | undefined, coveredFrom: number) =>
+          call.post({type: 'looked_up', standing, coveredFrom});
+        this.claims.post({type: 'look_up', scope, tell});
+      },
+      claim: (call, claim, releases) => {
+        const tell = (result: ClaimResult) =>
+          call.post({type: 'claimed', result});
+        this.claims.post({type: 'claim', claim, releases, tell});
+      },
+      release: releases => this.claims.post({type: 'release', releases}),
+      isGone: upstream => this.isGone(upstream),
       ended: call => {
         this.calls.delete(request.callId);
         this.router.post({type: 'ended', call});
         ended();
-        if (this.calls.size === 0) this.idle?.();
+        if (this.isIdle()) this.idle?.();
       },
     });
     this.calls.set(request.callId, task);
-    res.on('close', () => task.post({type: 'caller_gone'}));
+    this.unfinished.add(res);
+    res.on('close', () => {
+      this.unfinished.delete(res);
+      task.post({type: 'caller_gone'});
+      if (this.isIdle()) this.idle?.();
+    });
     res.on('drain', () => task.post({type: 'drained'}));
   }
 
@@ -158,7 +236,8 @@
       case 'head':
       case 'data':
       case 'end':
-      case 'failed': {
+      case 'failed':
+      case 'pending': {
         const task = this.calls.get(message.callId);
         if (task) task.post({type: 'answer', message});
         else this.context.metrics.droppedFrames.inc({reason: 'no_call'});
@@ -186,6 +265,7 @@
       ready: this.notReady() ?? true,
       configuration: this.configuration?.status(),
       calls: this.calls.size,
+      claims: this.claims.status(),
       members: this.router.status(),
     };
   }
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -15,6 +15,8 @@
 import {Fault, asFault} from '../../errors/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import {Caller} from './caller.js';
+import {answerKeyRequest, isKeyRequest} from './key_issuer.js';
+import type {IssuedKey} from './key_issuer.js';
 import {identify, resolve, toCall} from './request_parser.js';
 import type {InForce} from './types.js';
 
@@ -37,6 +39,8 @@
     res: ServerResponse,
     ended: () => void,
   ): void;
+  /** Issues an idempotency key for a service. */
+  issueKey(service: string): Result<IssuedKey, Fault>;
 }
 
 /** The HTTP server that callers reach. */
@@ -85,6 +89,10 @@
   private async serve(req: IncomingMessage, res: ServerResponse) {
     const id = this.newCallId();
     const caller = new Caller(res, id);
+    if (isKeyRequest(req)) {
+      await answerKeyRequest(req, res, caller, this.services);
+      return;
+    }
     const admitted = await this.admit(req, id).catch(thrown =>
       err(asFault(thrown, 'internal')),
     );
@@ -121,7 +129,8 @@
       return err(new Fault('body_too_large'));
     }
     const now = this.context.clock.now();
-    const parts = {callId: id, now, organisation, body: body.value};
+    const wall = this.context.clock.wall();
+    const parts = {callId: id, now, wall, organisation, body: body.value};
     const call = toCall(req, {...parts, resolved: resolved.value});
     if (call.isErr()) return err(call.error);
     const {name, organisation: entry} = organisation;
@@ -137,7 +146,12 @@
   }
 }
 
-async function readBody(
+/**
+ * Reads the body of a request.
+ * @param req - the request
+ * @param limit - largest body that is taken, bytes
+ */
+export async function readBody(
   req: IncomingMessage,
   limit: number,
 ): Promise<Result<Buffer, Fault>> {
--- /dev/null
+++ b/src/daemons/entry/key_issuer.ts
@@ -0,0 +1,115 @@
+import {randomBytes} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import {err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
+
+import {KEY_WINDOW, issueKey} from '../../calls/index.js';
+import type {ServiceName} from '../../core/index.js';
+import {Fault, asFault} from '../../errors/index.js';
+import type {Member} from '../../membership/index.js';
+import type {DaemonContext} from '../shared/context.js';
+import type {Caller} from './caller.js';
+import {readBody} from './http_edge.js';
+import {identify} from './request_parser.js';
+import type {InForce} from './types.js';
+
+const KEYS_PATH = '/baobabspan/keys';
+const MAX_BODY = 4_096;
+const RANDOM_BYTES = 12;
+const CREATED = 201;
+
+/** An idempotency key that a sidecar keeps. */
+export interface IssuedKey {
+  readonly key: string;
+  readonly service: ServiceName;
+  /** When it cannot be used any longer, ms since 1970. */
+  readonly expiresAt: number;
+}
+
+/** What a key request needs of the rest of the entry. */
+interface KeyServices {
+  inForce(): InForce | undefined;
+  accepting(): boolean;
+  issueKey(service: string): Result<IssuedKey, Fault>;
+}
+
+/**
+ * Issues a key that a sidecar of the service keeps, own zone first.
+ * @param context - what the daemon's tasks share
+ * @param members - everyone known
+ * @param service - the service that the key is for
+ * @returns the key, or `no_upstream`
+ */
+export function issueFor(
+  {clock, chance, self}: DaemonContext,
+  members: readonly Member[],
+  service: string,
+): Result<IssuedKey, Fault> {
+  const usable = members.filter(
+    member => member.service === service && member.linked && !member.leaving,
+  );
+  const near = usable.filter(
+    ({availabilityZone}) => availabilityZone === self.availabilityZone,
+  );
+  const pool = near.length > 0 ? near : usable;
+  const sidecar = pool.length > 0 ? chance.pick(pool) : undefined;
+  if (sidecar?.incarnation === undefined || sidecar.service === undefined) {
+    return err(new Fault('no_upstream'));
+  }
+  const wall = clock.wall();
+  const random = randomBytes(RANDOM_BYTES).toString('hex');
+  const key = issueKey(wall, sidecar.incarnation, random);
+  return ok({key, service: sidecar.service, expiresAt: wall + KEY_WINDOW});
+}
+
+/**
+ * Whether a request asks for an idempotency key.
+ * @param req - the request
+ */
+export function isKeyRequest(req: IncomingMessage): boolean {
+  return req.method === 'POST' && req.url === KEYS_PATH;
+}
+
+/**
+ * Answers a request for an idempotency key.
+ * @param req - the request, whose body names the service
+ * @param res - its response
+ * @param caller - where refusals go
+ * @param services - the rest of the entry
+ */
+export async function answerKeyRequest(
+  req: IncomingMessage,
+  res: ServerResponse,
+  caller: Caller,
+  services: KeyServices,
+): Promise<void> {
+  const service = await requested(req, services).catch(
+    (thrown): Result<string, Fault> => err(asFault(thrown, 'bad_request')),
+  );
+  const issued = service.andThen(name => services.issueKey(name));
+  if (issued.isErr()) return caller.refuse(issued.error);
+  res.statusCode = CREATED;
+  res.setHeader('content-type', 'application/json');
+  res.end(`${JSON.stringify(issued.value)}\n`);
+}
+
+async function requested(
+  req: IncomingMessage,
+  services: KeyServices,
+): Promise<Result<string, Fault>> {
+  const inForce = services.inForce();
+  if (!services.accepting()) return err(new Fault('draining'));
+  if (inForce === undefined) return err(new Fault('no_configuration'));
+  const organisation = identify(req, inForce);
+  if (organisation.isErr()) return err(organisation.error);
+  const body = await readBody(req, MAX_BODY);
+  if (body.isErr()) return err(body.error);
+  const {service} = JSON.parse(body.value.toString('utf8')) as {
+    service?: unknown;
+  };
+  if (typeof service !== 'string' || !(service in inForce.cfg.services)) {
+    return err(new Fault('unknown_service'));
+  }
+  return ok(service);
+}
--- a/src/daemons/entry/request_parser.ts
+++ b/src/daemons/entry/request_parser.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import type {IncomingMessage} from 'node:http';
 
 import {err, ok} from 'neverthrow';
@@ -6,10 +7,11 @@
 import type {NamedOrganisation} from '../../admission/index.js';
 import {
   isCompletion,
+  parseKey,
   resolveCompletion,
   resolvePlain,
 } from '../../calls/index.js';
-import type {CallRequest, Resolved} from '../../calls/index.js';
+import type {CallKey, CallRequest, Resolved} from '../../calls/index.js';
 import {PRIORITIES} from '../../configuration/index.js';
 import type {Priority} from '../../configuration/index.js';
 import type {CallId, Millis} from '../../core/index.js';
@@ -33,6 +35,7 @@
   'upgrade',
 ]);
 
+const KEY_HEADER = 'idempotency-key';
 const BEARER = /^Bearer +(\S+)$/i;
 
 /**
@@ -86,6 +89,8 @@
 export interface RequestParts {
   readonly callId: CallId;
   readonly now: Millis;
+  /** Wall-clock time, ms since 1970. */
+  readonly wall: number;
   readonly organisation: NamedOrganisation;
   readonly resolved: Resolved;
   readonly body: Buffer;
@@ -99,27 +104,52 @@
  */
 export function toCall(
   req: IncomingMessage,
-  {callId, now, organisation, resolved, body}: RequestParts,
+  parts: RequestParts,
 ): Result<CallRequest, Fault> {
+  const {callId, now, organisation, resolved, body} = parts;
   const deadline = deadlineOf(req, resolved.deadline);
   if (deadline.isErr()) return err(deadline.error);
   const priority = priorityOf(req, resolved.priority);
   if (priority.isErr()) return err(priority.error);
+  const key = keyOf(req, parts);
+  if (key.isErr()) return err(key.error);
+  const headers = forwarded(req);
+  // Told apart by organisation, so that no caller gets another's answer.
+  const usual = headers[KEY_HEADER];
+  if (usual !== undefined)
+    headers[KEY_HEADER] = `${organisation.name}/${usual}`;
+  const isRemembered =
+    usual !== undefined && resolved.service.acceptsIdempotencyKeys;
   return ok({
     callId,
     service: resolved.name,
     organisation: organisation.name,
     weight: organisation.organisation.weight,
     priority: priority.value,
-    idempotent: resolved.idempotent,
+    idempotent: resolved.idempotent || isRemembered,
     deadlineAt: now + deadline.value,
     method: req.method ?? 'GET',
     path: resolved.path,
-    headers: forwarded(req),
+    headers,
     body,
+    key: key.value,
   });
 }
 
+/** The key of a call that the system itself has to run at most once. */
+function keyOf(
+  req: IncomingMessage,
+  {wall, resolved, body}: RequestParts,
+): Result<CallKey | undefined, Fault> {
+  const value = req.headers[KEY_HEADER];
+  const {idempotent, service} = resolved;
+  if (typeof value !== 'string') return ok(undefined);
+  if (idempotent || service.acceptsIdempotencyKeys) return ok(undefined);
+  const hash = createHash('sha256');
+  hash.update(`${req.method} ${resolved.path}\n`).update(body);
+  return parseKey(wall, value, hash.digest('base64url'));
+}
+
 function deadlineOf(req: IncomingMessage, usual: Millis) {
   const text = req.headers['baobabspan-deadline-ms'];
   if (text === undefined) return ok(usual);
--- a/src/daemons/entry/router_task.ts
+++ b/src/daemons/entry/router_task.ts
@@ -97,7 +97,8 @@
   private down(peer: Identity): void {
     this.members.linkDown(peer.incarnation);
     for (const [call, upstream] of this.assigned) {
-      if (upstream === peer.incarnation) call.post({type: 'link_lost'});
+      if (upstream === peer.incarnation)
+        call.post({type: 'link_lost', upstream: peer.incarnation});
     }
   }
 
--- a/src/daemons/sidecar/calls_task.ts
+++ b/src/daemons/sidecar/calls_task.ts
@@ -6,7 +6,9 @@
 import type {
   AnswerMessage,
   CallMessage,
+  Reply,
   RequestMessage,
+  SettleMessage,
 } from '../../calls/index.js';
 import type {CallId, Incarnation, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
@@ -15,6 +17,7 @@
 import {Task} from '../shared/task.js';
 import type {SidecarSettings} from './types.js';
 import {UpstreamRequest, upstreamAgent} from './upstream_request.js';
+import type {UpstreamListener} from './upstream_request.js';
 
 const DEFAULT_LIMITS: QueueLimits = {concurrency: 16, queue: 64};
 const RETRY_UNREACHABLE: Millis = SECOND;
@@ -25,8 +28,6 @@
   readonly call: CallMessage;
   readonly from: Incarnation;
   running: UpstreamRequest | undefined;
-  frames: number;
-  bytes: number;
 }
 
 type Message =
@@ -34,13 +35,17 @@
       readonly type: 'request';
       readonly from: Incarnation;
       readonly message: RequestMessage;
+      readonly receivedAt: Millis;
     }
   | {readonly type: 'entry_lost'; readonly entry: Incarnation}
   | {readonly type: 'over'; readonly job: Job}
   | {readonly type: 'limits'; readonly limits: QueueLimits}
   | {readonly type: 'sweep'}
   | {readonly type: 'close'}
-  | {readonly type: 'drain'; readonly idle: () => void};
+  | {readonly type: 'drain'; readonly idle: () => void}
+  | {readonly type: 'cut'; readonly done: () => void};
+
+type Received = Extract<Message, {type: 'request'}>;
 
 /** Admits, runs and answers the calls of one upstream. */
 export class CallsTask extends Task<Message> {
@@ -69,7 +74,8 @@
 
   /** What `/status` shows. */
   status(): object {
-    return {...this.queue.report(), remembered: this.ledger.size};
+    const {size: remembered, bytes: keptBytes} = this.ledger;
+    return {...this.queue.report(), remembered, keptBytes};
   }
 
   override stop(): void {
@@ -82,7 +88,7 @@
   protected receive(message: Message): void {
     switch (message.type) {
       case 'request':
-        return this.request(message.from, message.message);
+        return this.request(message);
       case 'entry_lost':
         return this.entryLost(message.entry);
       case 'over':
@@ -97,24 +103,45 @@
       case 'drain':
         this.idle = message.idle;
         return this.tellIfIdle();
+      case 'cut':
+        this.cutAll();
+        return message.done();
     }
   }
 
-  private request(from: Incarnation, message: RequestMessage): void {
-    if (message.type === 'call') return this.offer(from, message);
-    const job = this.jobs.get(message.callId);
-    if (job === undefined || job.call.attempt !== message.attempt) return;
-    if (message.type === 'credit') job.running?.grant(message.frames);
-    else this.cancel(job);
+  private request({from, message, receivedAt}: Received): void {
+    if (message.type === 'call') return this.offer(from, message, receivedAt);
+    if (message.type === 'settle') return this.settle(from, message);
+    if (message.type === 'credit') {
+      const job = this.jobs.get(message.callId);
+      if (job?.call.attempt !== message.attempt) return;
+      return job.running?.grant(message.frames);
+    }
+    const stop = this.ledger.cancel(from, message);
+    const job = stop && this.jobs.get(stop.callId);
+    if (job?.call.attempt === stop?.attempt && job) this.cancel(job);
   }
 
-  private offer(from: Incarnation, call: CallMessage): void {
-    const now = this.context.clock.now();
-    if (!this.ledger.take(call.callId, call.attempt)) {
+  private settle(from: Incarnation, message: SettleMessage): void {
+    const replies = this.ledger.settle(this.now(), from, message);
+    const outcome = replies[0]?.message.type ?? 'none';
+    this.logger.info('settled', {call: message.target.callId, outcome});
+    this.say(replies);
+  }
+
+  private offer(
+    from: Incarnation,
+    call: CallMessage,
+    receivedAt: Millis,
+  ): void {
+    const now = this.now();
+    const {isNew, replies} = this.ledger.take(now, from, call, receivedAt);
+    this.say(replies);
+    if (!isNew) {
       this.context.metrics.droppedFrames.inc({reason: 'repeated_call'});
       return;
     }
-    const job = {call, from, running: undefined, frames: 0, bytes: 0};
+    const job = {call, from, running: undefined};
     if (call.service !== this.settings.service) {
       return this.refuse(job, 'unknown_service', 0);
     }
@@ -124,7 +151,7 @@
       organisation: call.organisation,
       weight: call.weight,
       priority: call.priority,
-      deadlineAt: now + call.remainingMs,
+      deadlineAt: receivedAt + call.remainingMs,
     });
     if (verdict.decision === 'refuse') {
       return this.refuse(job, verdict.reason, verdict.retryAfterMs);
@@ -134,68 +161,85 @@
   }
 
   private refuse(job: Job, reason: ErrorName, retryAfterMs: Millis): void {
-    const {callId, attempt, service} = job.call;
-    const load = this.queue.report();
-    this.ledger.end(this.context.clock.now(), callId, attempt);
+    const {call} = job;
+    const {service} = call;
     this.context.metrics.refusals.inc({reason, service});
-    const refusal = {callId, attempt, reason, retryAfterMs, load};
-    this.answer(job.from, {type: 'refused', ...refusal});
+    this.say(this.ledger.refuse(this.now(), call, reason, retryAfterMs));
   }
 
   private run(job: Job): void {
-    const {callId, attempt} = job.call;
-    const name = {callId, attempt};
-    const say = (message: AnswerMessage) => this.answer(job.from, message);
-    const report = () => this.queue.report();
+    const {call} = job;
+    const {run, replies} = this.ledger.start(this.now(), call);
+    this.say(replies);
+    if (!run) {
+      const {service} = call;
+      this.context.metrics.refusals.inc({reason: 'deadline_passed', service});
+      this.post({type: 'over', job});
+      return;
+    }
+    const {upstreamUrl} = this.settings;
+    const listener = this.listen(job);
     const request = new UpstreamRequest(
-      this.settings.upstreamUrl,
+      upstreamUrl,
       this.agent,
-      job.call,
-      {
-        head: (status, headers) =>
-          say({type: 'head', ...name, seq: 0, status, headers, load: report()}),
-        data: body => {
-          job.frames += 1;
-          job.bytes += body.byteLength;
-          const piece = body as Uint8Array<ArrayBuffer>;
-          say({type: 'data', ...name, seq: job.frames, body: piece});
-        },
-        end: () => {
-          const {frames, bytes} = job;
-          say({type: 'end', ...name, frames, bytes, load: report()});
-        },
-        unreachable: detail => {
-          this.logger.warn('upstream_unreachable', {detail});
-          this.refuse(job, 'engine_unreachable', RETRY_UNREACHABLE);
-        },
-        failed: detail => {
-          this.logger.warn('upstream_failed', {call: callId, detail});
-          const reason = 'upstream_failed';
-          say({type: 'failed', ...name, reason, load: report()});
-        },
-      },
+      call,
+      listener,
     );
     job.running = request;
     void request.run().finally(() => this.post({type: 'over', job}));
   }
 
+  private listen(job: Job): UpstreamListener {
+    const {call} = job;
+    const {ledger} = this;
+    return {
+      head: head => this.say(ledger.head(call, head)),
+      data: piece => this.say(ledger.data(call, piece)),
+      end: () => this.say(ledger.end(this.now(), call)),
+      isPaced: () => ledger.isPaced(call),
+      unreachable: detail => {
+        this.logger.warn('upstream_unreachable', {detail});
+        this.refuse(job, 'engine_unreachable', RETRY_UNREACHABLE);
+      },
+      failed: detail => {
+        this.logger.warn('upstream_failed', {call: call.callId, detail});
+        this.say(ledger.fail(this.now(), call, 'upstream_failed'));
+      },
+    };
+  }
+
   private cancel(job: Job): void {
-    if (job.running !== undefined) job.running.cancel();
-    else this.over(job);
+    if (job.running !== undefined) return job.running.cancel();
+    this.refuse(job, 'deadline_passed', 0);
+    this.over(job);
   }
 
   private entryLost(entry: Incarnation): void {
     for (const job of this.jobs.values()) {
-      if (job.from === entry && job.call.idempotent) this.cancel(job);
+      if (job.from !== entry) continue;
+      if (job.call.idempotent) this.cancel(job);
+      // Nobody can grant more credit, and the call must come to its end.
+      else job.running?.grant(Infinity);
+    }
+  }
+
+  /** Ends all that is left: what waits never runs, what runs may have. */
+  private cutAll(): void {
+    this.closed = true;
+    for (const job of this.jobs.values()) {
+      const {callId} = job.call;
+      const outcome = job.running === undefined ? 'not-run' : 'unknown';
+      this.logger.warn('call_cut', {call: callId, outcome});
+      if (job.running === undefined) this.refuse(job, 'draining', SECOND);
+      else this.say(this.ledger.fail(this.now(), job.call, 'draining'));
     }
   }
 
   private over(job: Job): void {
-    const {callId, attempt} = job.call;
-    const now = this.context.clock.now();
-    if (this.jobs.get(callId) === job) this.jobs.delete(callId);
-    this.ledger.end(now, callId, attempt);
-    for (const next of this.queue.end(now, callId)) {
+    const {callId} = job.call;
+    if (this.jobs.get(callId) !== job) return;
+    this.jobs.delete(callId);
+    for (const next of this.queue.end(this.now(), callId)) {
       const started = this.jobs.get(next);
       if (started) this.run(started);
     }
@@ -205,4 +249,15 @@
   private tellIfIdle(): void {
     if (this.jobs.size === 0) this.idle?.();
   }
+
+  private say(replies: readonly Reply[]): void {
+    for (const {to, message} of replies) {
+      if (message.type === 'data') this.answer(to, message);
+      else this.answer(to, {...message, load: this.queue.report()});
+    }
+  }
+
+  private now(): Millis {
+    return this.context.clock.now();
+  }
 }
--- a/src/daemons/sidecar/sidecar.ts
+++ b/src/daemons/sidecar/sidecar.ts
@@ -25,6 +25,7 @@
   private configuration: ConfigurationTask | undefined;
   private vmList: VmListTask | undefined;
   private leaving = false;
+  private stopped: Promise<void> | undefined;
 
   /**
    * @param settings - the daemon's settings
@@ -87,8 +88,15 @@
     await this.stop();
   }
 
-  /** Stops at once. */
-  async stop(): Promise<void> {
+  /** Stops at once, and tells the entries what it cuts. */
+  stop(): Promise<void> {
+    this.stopped ??= this.stopAll();
+    return this.stopped;
+  }
+
+  private async stopAll(): Promise<void> {
+    this.leave();
+    await new Promise<void>(done => this.calls.post({type: 'cut', done}));
     this.configuration?.stop();
     this.vmList?.stop();
     this.calls.stop();
@@ -115,9 +123,11 @@
     switch (message.type) {
       case 'call':
       case 'cancel':
-      case 'credit': {
+      case 'credit':
+      case 'settle': {
         const from = peer.incarnation;
-        return this.calls.post({type: 'request', from, message});
+        const receivedAt = this.context.clock.now();
+        return this.calls.post({type: 'request', from, message, receivedAt});
       }
       default:
         return;
--- a/src/daemons/sidecar/upstream_request.ts
+++ b/src/daemons/sidecar/upstream_request.ts
@@ -1,15 +1,23 @@
 import {Agent, request} from 'undici';
 import type {Dispatcher} from 'undici';
 
-import type {CallMessage} from '../../calls/index.js';
+import type {AnswerHead, AnswerPiece, CallMessage} from '../../calls/index.js';
 import {describe} from '../../errors/index.js';
+import {EventSplitter} from './event_splitter.js';
+
+/** Asks the engine to go on after this many events of the same stream. */
+const RESUME_FROM = 'baobabspan-resume-from';
+/** With it the engine vouches for the index of its first event. */
+const RESUMED_FROM = 'baobabspan-resumed-from';
 
 /** What is heard of a request to the upstream. */
 export interface UpstreamListener {
-  head(status: number, headers: Record<string, string>): void;
-  data(bytes: Uint8Array): void;
+  head(head: AnswerHead): void;
+  data(piece: AnswerPiece): void;
   /** The whole answer was passed on. */
   end(): void;
+  /** Whether the answer goes on only with credit. */
+  isPaced(): boolean;
   /** The upstream cannot have got any of it. */
   unreachable(detail: string): void;
   /** No whole answer came; the call may have run. */
@@ -69,11 +77,9 @@
       return;
     }
     try {
-      this.listener.head(res.statusCode, flat(res.headers));
-      for await (const chunk of res.body) {
-        await this.spend();
-        this.listener.data(chunk as Buffer);
-      }
+      const head = this.headOf(res);
+      this.listener.head(head);
+      await this.passOn(res, head.firstEvent);
       this.listener.end();
     } catch (thrown) {
       this.listener.failed(describe(thrown));
@@ -95,26 +101,59 @@
     this.refill?.();
   }
 
+  private headOf({statusCode: status, headers: raw}: Dispatcher.ResponseData) {
+    const headers = flat(raw);
+    const type = headers['content-type'] ?? '';
+    const isSplit =
+      this.call.idempotent && type.startsWith('text/event-stream');
+    if (!isSplit) return {status, headers, firstEvent: undefined};
+    const resumed = headers[RESUMED_FROM];
+    const firstEvent = this.call.resumeFrom ? Number(resumed) : 0;
+    if (Number.isInteger(firstEvent)) return {status, headers, firstEvent};
+    return {status, headers, firstEvent: undefined};
+  }
+
+  private async passOn(
+    res: Dispatcher.ResponseData,
+    firstEvent: number | undefined,
+  ): Promise<void> {
+    const splitter = new EventSplitter();
+    let event = firstEvent;
+    for await (const chunk of res.body as AsyncIterable<Buffer>) {
+      if (event === undefined) {
+        await this.spend();
+        this.listener.data({body: new Uint8Array(chunk)});
+        continue;
+      }
+      for (const body of splitter.push(chunk)) {
+        await this.spend();
+        this.listener.data({body, event});
+        event += 1;
+      }
+    }
+  }
+
   private send(): Promise<Dispatcher.ResponseData> {
-    const {method, path, headers, body} = this.call;
+    const {method, path, headers, body, resumeFrom} = this.call;
+    const resume = resumeFrom ? {[RESUME_FROM]: String(resumeFrom)} : {};
     const hasBody = body.byteLength > 0;
     return request(`${this.url}${path}`, {
       dispatcher: this.agent,
       method: method as Dispatcher.HttpMethod,
-      headers: {...headers, 'baobabspan-call-id': this.call.callId},
+      headers: {...headers, ...resume, 'baobabspan-call-id': this.call.callId},
       body: hasBody ? body : null,
       signal: this.abort.signal,
     });
   }
 
   private async spend(): Promise<void> {
-    while (this.credit === 0) {
+    while (this.credit === 0 && this.listener.isPaced()) {
       this.abort.signal.throwIfAborted();
       await new Promise<void>(resolve => {
         this.refill = resolve;
       });
     }
-    this.credit -= 1;
+    this.credit = Math.max(0, this.credit - 1);
   }
 }
 
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -115,6 +115,16 @@
     'The idempotency key is older than keys are remembered.',
     'Look up whether the first call took effect; use a new key.',
   ),
+  never_received: entry(
+    503,
+    'The sidecar never got the request and will not run it.',
+    'Send the request again.',
+  ),
+  answer_expired: entry(
+    410,
+    'The call ran, but its answer is no longer kept.',
+    'Look up what the call did; do not send it with a new key.',
+  ),
   key_in_progress: entry(
     409,
     'The first call with this idempotency key is still running.',
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -122,7 +122,13 @@
 
   private receive(frame: Uint8Array): void {
     if (this.isClosed) return;
-    this.heardAt = this.context.clock.now();
+    const now = this.context.clock.now();
+    if (now - this.heardAt > SILENT_AFTER) {
+      // This process was paused: what waited meanwhile may be out of date.
+      this.close(asFault('was paused', 'link_closed'));
+      return;
+    }
+    this.heardAt = now;
     try {
       if (this.peer === undefined) this.negotiate(frame);
       else this.deliver(decode(linkMessage, frame));
