Drive calls, ledger and claims through faults at every step

Cause: the decisions of a call that is not idempotent had no check. The model puts two entries, two sidecars and the log under 16 kinds of fault, one at every step for each kind of key, and 2, 5 and 9 at random with fixed seeds; it counts the runs at the service and compares them with what callers were told.

Seen failing first: a call with a caller's key was never dispatched, because the look-up left the state in which a chosen upstream is taken; mended here.

--- /dev/null
+++ b/src/calls/calls_model.test.ts
@@ -0,0 +1,97 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {CallWorld, FAULTS} from '../../test/support/call_world.js';
+import type {Fault, KeyKind} from '../../test/support/call_world.js';
+
+const KEY_KINDS: readonly KeyKind[] = ['none', 'caller', 'issued'];
+/** Steps that one fault-free session takes, with room. */
+const STEPS = 45;
+const SHORT = 30_000;
+const LONG = 600_000;
+
+interface Injection {
+  readonly at: number;
+  readonly fault: Fault;
+  readonly pick: number;
+}
+
+interface Session {
+  readonly kind: KeyKind;
+  readonly span: number;
+  /** Step of the repeat with the same key. */
+  readonly repeatAt: number;
+  readonly faults: readonly Injection[];
+  /** Which of the possible steps comes next; the first when it runs out. */
+  readonly order: readonly number[];
+}
+
+function play(session: Session): CallWorld {
+  const {kind, span, repeatAt, faults, order} = session;
+  const world = new CallWorld();
+  const key = kind === 'issued' ? world.issuedKey('crates') : 'loading-7';
+  world.request(0, 'crates', kind, key, span);
+  for (let step = 0; step < STEPS; step++) {
+    if (step === repeatAt && kind !== 'none') {
+      world.request(1, 'crates', kind, key, span);
+    }
+    for (const {at, fault, pick} of faults) {
+      if (at === step) world.inject(fault, pick);
+    }
+    world.step(order[step] ?? 0);
+  }
+  if (kind !== 'none') world.request(1, 'crates', kind, key, span);
+  world.finish();
+  return world;
+}
+
+const injection = fc.record({
+  at: fc.nat({max: STEPS - 1}),
+  fault: fc.constantFrom(...FAULTS),
+  pick: fc.nat({max: 7}),
+});
+const session = (faults: number) =>
+  fc.record({
+    kind: fc.constantFrom(...KEY_KINDS),
+    span: fc.constantFrom(SHORT, LONG),
+    repeatAt: fc.nat({max: STEPS - 1}),
+    faults: fc.array(injection, {minLength: 1, maxLength: faults}),
+    order: fc.array(fc.nat({max: 11}), {maxLength: STEPS}),
+  });
+
+describe.each(KEY_KINDS)('a call that is not idempotent, key: %s', kind => {
+  it('is done once where nothing fails', () => {
+    const faults: Injection[] = [];
+    const world = play({kind, span: SHORT, repeatAt: 10, faults, order: []});
+    expect(world.violations).toEqual([]);
+    const told = world.told.map(one => one.kind);
+    expect(told).toEqual(kind === 'none' ? ['done'] : ['done', 'done', 'done']);
+  });
+
+  it.each(FAULTS)('keeps its promises under %s at every step', fault => {
+    for (let at = 0; at < STEPS; at++) {
+      for (let pick = 0; pick < 4; pick++) {
+        for (const span of [SHORT, LONG]) {
+          const faults = [{at, fault, pick}];
+          const world = play({kind, span, repeatAt: 6, faults, order: []});
+          expect(world.violations, `step ${at} pick ${pick}`).toEqual([]);
+        }
+      }
+    }
+  });
+});
+
+describe('calls that are not idempotent', () => {
+  it.each([
+    {faults: 2, seed: 11, numRuns: 6_000},
+    {faults: 5, seed: 12, numRuns: 4_000},
+    {faults: 9, seed: 13, numRuns: 2_000},
+  ])('keep their promises under $faults faults', ({faults, seed, numRuns}) => {
+    fc.assert(
+      fc.property(session(faults), one => {
+        expect(play(one).violations).toEqual([]);
+      }),
+      {seed, numRuns},
+    );
+  });
+});
--- a/src/calls/entry_call.ts
+++ b/src/calls/entry_call.ts
@@ -354,11 +354,11 @@
     const isLast =
       this.tried.length > MAX_RETRIES || this.attempt >= MAX_ATTEMPTS;
     if (isLast) return this.giveUp(reason, retryAfterMs);
-    this.state = 'choosing';
     return [this.choose(reason)];
   }
 
   private choose(retryOf: ErrorName | undefined): EntryEffect {
+    this.state = 'choosing';
     return {type: 'choose', exclude: [...this.tried], retryOf};
   }
 
--- /dev/null
+++ b/test/support/call_world.ts
@@ -0,0 +1,558 @@
+import {
+  CallLedger,
+  ClaimBatcher,
+  ClaimBook,
+  EntryCall,
+  issueKey,
+  keyScope,
+  parseKey,
+} from '../../src/calls/index.js';
+import type {
+  AnswerMessage,
+  AttemptName,
+  CallMessage,
+  CallRequest,
+  Claim,
+  ClaimRecord,
+  EntryEffect,
+  Reply,
+  RequestMessage,
+} from '../../src/calls/index.js';
+import {
+  callId,
+  incarnation,
+  offset,
+  organisationName,
+  recordId,
+  serviceName,
+} from '../../src/core/index.js';
+import type {Incarnation, Millis} from '../../src/core/index.js';
+
+export type KeyKind = 'none' | 'caller' | 'issued';
+export const FAULTS = [
+  'drop_frame',
+  'repeat_frame',
+  'late_frame',
+  'cut_link',
+  'cut_link_keep_frames',
+  'crash_sidecar',
+  'crash_entry',
+  'pause_entry',
+  'long_pause',
+  'lose_append',
+  'lose_append_answer',
+  'delay_append',
+  'append_unavailable',
+  'refuse',
+  'fail_upstream',
+  'caller_leaves',
+] as const;
+export type Fault = (typeof FAULTS)[number];
+
+const PARTS = ['head', 'one ', 'two ', 'end'] as const;
+/** Links deliver nothing that is older, see `Link`. */
+const LATEST_FRAME: Millis = 10_000;
+const LONG: Millis = 70_000;
+
+interface Frame {
+  readonly entry: number;
+  readonly sidecar: Incarnation;
+  readonly up: boolean;
+  readonly message: RequestMessage | AnswerMessage;
+  readonly sentAt: Millis;
+  late: boolean;
+}
+
+interface Sidecar {
+  incarnation: Incarnation;
+  ledger: CallLedger;
+  queued: CallMessage[];
+  running: {call: CallMessage; part: number}[];
+}
+
+interface Told {
+  readonly request: CallRequest;
+  readonly op: string;
+  kind: 'done' | 'not-run' | 'unknown' | undefined;
+  text: string;
+  /** Whether somebody still waits for the answer. */
+  alive: boolean;
+}
+
+interface Entry {
+  incarnation: Incarnation;
+  calls: Map<string, {call: EntryCall; told: Told}>;
+  inbox: (() => void)[];
+  book: ClaimBook;
+  batcher: ClaimBatcher;
+  foldedTo: number;
+  waiting: Map<string, {claim: Claim; call: EntryCall}>;
+  appending: boolean;
+  paused: number;
+  /** Per sidecar: the process that the link leads to. */
+  links: (Incarnation | undefined)[];
+}
+
+/** Entries, sidecars, a log and a service, driven one step at a time. */
+export class CallWorld {
+  now: Millis = 0;
+  readonly told: Told[] = [];
+  readonly violations: string[] = [];
+  private frames: Frame[] = [];
+  private readonly log: ClaimRecord[] = [];
+  private delayed: ClaimRecord[] = [];
+  private appendFault: Fault | undefined;
+  private refuseNext = false;
+  private births = 0;
+  private readonly runs = new Map<string, string[]>();
+  private readonly entries: Entry[];
+  private readonly sidecars: Sidecar[];
+
+  constructor() {
+    this.entries = [0, 1].map(i => this.newEntry(i));
+    this.sidecars = [0, 1].map(i => this.newSidecar(i));
+    for (const entry of this.entries) {
+      entry.links = this.sidecars.map(s => s.incarnation);
+    }
+  }
+
+  issuedKey(op: string): string {
+    const hex = Buffer.from(op).toString('hex');
+    return issueKey(1_000, this.sidecars[0]!.incarnation, hex);
+  }
+
+  request(at: number, op: string, kind: KeyKind, key: string, span: Millis) {
+    const entry = this.entries[at]!;
+    const parsed =
+      kind === 'none' ? undefined : parseKey(1_000, key, op)._unsafeUnwrap();
+    const request: CallRequest = {
+      callId: callId(`${entry.incarnation}/${++this.births}`),
+      service: serviceName('depot'),
+      organisation: organisationName('org'),
+      weight: 1,
+      priority: 'normal',
+      idempotent: false,
+      deadlineAt: this.now + span,
+      method: 'POST',
+      path: '/loadings',
+      headers: {},
+      body: new TextEncoder().encode(op),
+      key: parsed,
+    };
+    const call = new EntryCall(request);
+    const told: Told = {request, op, kind: undefined, text: '', alive: true};
+    this.told.push(told);
+    entry.calls.set(request.callId, {call, told});
+    entry.inbox.push(() => this.act(entry, call, call.start(this.now)));
+  }
+
+  /** One step without a fault; false when nothing is left to do. */
+  step(pick: number): boolean {
+    this.now += 1;
+    const actions = this.actions();
+    if (actions.length === 0) return false;
+    actions[pick % actions.length]!();
+    return true;
+  }
+
+  /** Lets the time of every request pass, then runs to the end. */
+  finish(): void {
+    this.appendFault = undefined;
+    for (let i = 0; i < 3_000 && this.step(0); i++);
+    this.now += 700_000;
+    for (const entry of this.entries) {
+      entry.paused = 0;
+      for (const {call} of entry.calls.values()) {
+        entry.inbox.push(() => this.act(entry, call, call.deadline()));
+      }
+    }
+    for (let i = 0; i < 3_000 && this.step(0); i++);
+    this.check();
+  }
+
+  inject(fault: Fault, pick: number): void {
+    const at = pick % 2;
+    const entry = this.entries[at]!;
+    const frame = this.frames[pick % Math.max(1, this.frames.length)];
+    switch (fault) {
+      case 'drop_frame':
+        this.frames = this.frames.filter(other => other !== frame);
+        return;
+      case 'repeat_frame':
+        if (frame) this.frames.push({...frame, late: true});
+        return;
+      case 'late_frame':
+        if (frame) frame.late = true;
+        return;
+      case 'cut_link':
+        return this.cut(at, (pick >> 1) % 2, false);
+      case 'cut_link_keep_frames':
+        return this.cut(at, (pick >> 1) % 2, true);
+      case 'crash_sidecar':
+        return this.crashSidecar(at);
+      case 'crash_entry':
+        return this.crashEntry(at);
+      case 'pause_entry':
+        entry.paused = 15;
+        return;
+      case 'long_pause':
+        this.now += LONG;
+        entry.paused = 15;
+        for (const sidecar of this.sidecars) sidecar.ledger.sweep(this.now);
+        return;
+      case 'refuse':
+        this.refuseNext = true;
+        return;
+      case 'fail_upstream':
+        return this.failUpstream(at);
+      case 'caller_leaves':
+        return this.leave(entry);
+      default:
+        this.appendFault = fault;
+    }
+  }
+
+  private actions(): (() => void)[] {
+    const actions: (() => void)[] = [];
+    for (const [at, entry] of this.entries.entries()) {
+      if (entry.paused > 0) {
+        entry.paused -= 1;
+        continue;
+      }
+      if (entry.inbox.length > 0) actions.push(() => entry.inbox.shift()!());
+      if (!entry.appending && this.hasRecord(entry)) {
+        actions.push(() => this.append(entry));
+      }
+      if (entry.foldedTo < this.log.length) {
+        actions.push(() => this.read(entry));
+      }
+      entry.links.forEach((link, s) => {
+        if (link === undefined) actions.push(() => this.linkUp(at, s));
+      });
+    }
+    const ready = this.frames.find(({late}) => !late) ?? this.frames[0];
+    if (ready) actions.push(() => this.deliver(ready));
+    for (const sidecar of this.sidecars) {
+      if (sidecar.queued.length > 0) actions.push(() => this.run(sidecar));
+      if (sidecar.running.length > 0) actions.push(() => this.answer(sidecar));
+    }
+    if (this.delayed.length > 0) {
+      actions.push(() => this.log.push(...this.delayed.splice(0)));
+    }
+    return actions;
+  }
+
+  private act(entry: Entry, call: EntryCall, effects: EntryEffect[]): void {
+    const known = entry.calls.get(call.request.callId);
+    if (known === undefined) return;
+    for (const effect of effects) this.carryOut(entry, known, effect);
+    if (call.settled) entry.calls.delete(call.request.callId);
+  }
+
+  private carryOut(
+    entry: Entry,
+    {call, told}: {call: EntryCall; told: Told},
+    effect: EntryEffect,
+  ): void {
+    const {callId: id, service, organisation, key} = call.request;
+    const later = (events: () => EntryEffect[]) =>
+      entry.inbox.push(() => this.act(entry, call, events()));
+    switch (effect.type) {
+      case 'look_up': {
+        const scope = keyScope({service, organisation, key: key!.value});
+        const standing = entry.book.find(scope);
+        return void later(() => call.lookedUp(standing));
+      }
+      case 'claim':
+        entry.batcher.release(effect.releases);
+        entry.batcher.claim(effect.claim);
+        entry.waiting.set(effect.claim.id, {claim: effect.claim, call});
+        return;
+      case 'release':
+        for (const claimId of effect.releases) {
+          entry.waiting.delete(claimId);
+          entry.batcher.withdraw(claimId);
+        }
+        return;
+      case 'choose': {
+        const free = this.sidecars.find(
+          s => !effect.exclude.includes(s.incarnation),
+        );
+        if (free === undefined) {
+          return void later(() => call.noneToChoose('no_upstream', 1));
+        }
+        return void later(() => call.chosen(this.now, free.incarnation));
+      }
+      case 'send':
+        return this.send(entry, call, effect.to, effect.message);
+      case 'body':
+        told.text += new TextDecoder().decode(effect.bytes);
+        return;
+      case 'end':
+        return this.tell(told, 'done');
+      case 'abort':
+      case 'finish': {
+        const {outcome} = effect;
+        const ran = this.runs.get(told.op)?.length ?? 0;
+        const isProof =
+          outcome.kind === 'not-run' &&
+          outcome.proof.evidence === 'sidecar_refused';
+        if (isProof && ran > 0 && told.request.key === undefined) {
+          this.violations.push(`${id}: not-run after ${ran} runs`);
+        }
+        return this.tell(told, outcome.kind);
+      }
+    }
+  }
+
+  private tell(told: Told, kind: NonNullable<Told['kind']>): void {
+    if (told.kind) this.violations.push(`${told.request.callId}: told twice`);
+    told.kind = kind;
+  }
+
+  private send(
+    entry: Entry,
+    call: EntryCall,
+    to: Incarnation,
+    message: RequestMessage,
+  ): void {
+    const s = entry.links.indexOf(to);
+    if (s < 0) {
+      const gone = !this.sidecars.some(one => one.incarnation === to);
+      entry.inbox.push(() => {
+        this.act(entry, call, call.unsent(message));
+        if (gone) this.act(entry, call, call.gone(to));
+      });
+      return;
+    }
+    const at = this.entries.indexOf(entry);
+    const frame = {entry: at, sidecar: to, up: true, message, late: false};
+    this.frames.push({...frame, sentAt: this.now});
+  }
+
+  private reply(sidecar: Sidecar, replies: readonly Reply[]): void {
+    const load = {queued: 0, running: 0, concurrency: 1, drainPerSecond: 0};
+    for (const {to, message} of replies) {
+      const entry = this.entries.findIndex(one => one.incarnation === to);
+      if (!this.entries[entry]?.links.includes(sidecar.incarnation)) continue;
+      const full = {...message, load} as unknown as AnswerMessage;
+      const from = sidecar.incarnation;
+      const frame = {entry, sidecar: from, up: false, message: full};
+      this.frames.push({...frame, sentAt: this.now, late: false});
+    }
+  }
+
+  private deliver(frame: Frame): void {
+    this.frames = this.frames.filter(other => other !== frame);
+    if (this.now - frame.sentAt > LATEST_FRAME) return;
+    const sidecar = this.sidecars.find(s => s.incarnation === frame.sidecar);
+    const entry = this.entries[frame.entry]!;
+    if (!frame.up) {
+      const known = entry.calls.get(frame.message.callId);
+      const message = frame.message as AnswerMessage;
+      if (!known) return;
+      const {call} = known;
+      entry.inbox.push(() => this.act(entry, call, call.receive(message)));
+      return;
+    }
+    if (sidecar) this.receive(sidecar, entry.incarnation, frame);
+  }
+
+  private receive(sidecar: Sidecar, from: Incarnation, frame: Frame): void {
+    const message = frame.message as RequestMessage;
+    const {ledger} = sidecar;
+    if (message.type === 'settle') {
+      this.reply(sidecar, ledger.settle(this.now, from, message));
+    } else if (message.type === 'cancel') {
+      const stop = ledger.cancel(from, message);
+      if (stop) this.stop(sidecar, stop);
+    } else if (message.type === 'call') {
+      const {isNew, replies} = ledger.take(this.now, from, message);
+      this.reply(sidecar, replies);
+      if (isNew && this.refuseNext) {
+        this.refuseNext = false;
+        const refusal = ledger.refuse(this.now, message, 'overloaded', 1);
+        this.reply(sidecar, refusal);
+      } else if (isNew) sidecar.queued.push(message);
+    }
+  }
+
+  private stop(sidecar: Sidecar, name: AttemptName): void {
+    const call = sidecar.queued.find(
+      one => one.callId === name.callId && one.attempt === name.attempt,
+    );
+    if (call === undefined) return;
+    sidecar.queued = sidecar.queued.filter(one => one !== call);
+    const replies = sidecar.ledger.refuse(this.now, call, 'overloaded', 1);
+    this.reply(sidecar, replies);
+  }
+
+  private run(sidecar: Sidecar): void {
+    const call = sidecar.queued.shift()!;
+    const {run, replies} = sidecar.ledger.start(this.now, call);
+    this.reply(sidecar, replies);
+    if (!run) return;
+    const op = new TextDecoder().decode(call.body);
+    const ran = [...(this.runs.get(op) ?? []), call.callId];
+    this.runs.set(op, ran);
+    if (ran.length > 1) this.violations.push(`${op}: ran ${ran.join()}`);
+    sidecar.running.push({call, part: 0});
+  }
+
+  private answer(sidecar: Sidecar): void {
+    const job = sidecar.running[0]!;
+    const {call} = job;
+    const part = PARTS[job.part++]!;
+    const {ledger} = sidecar;
+    const text = `${part}${new TextDecoder().decode(call.body)} `;
+    if (part === 'head') {
+      this.reply(sidecar, ledger.head(call, {status: 200, headers: {}}));
+    } else if (part === 'end') {
+      this.reply(sidecar, ledger.end(this.now, call));
+      sidecar.running.shift();
+    } else {
+      const body = new TextEncoder().encode(text);
+      this.reply(sidecar, ledger.data(call, {body}));
+    }
+  }
+
+  private hasRecord(entry: Entry): boolean {
+    return entry.batcher.next(0, () => this.recordId(entry)) !== undefined;
+  }
+
+  private recordId(entry: Entry) {
+    return recordId(`${entry.incarnation}/r${++this.births}`);
+  }
+
+  private append(entry: Entry): void {
+    const record = entry.batcher.next(0, () => this.recordId(entry))!;
+    const fault = this.appendFault;
+    this.appendFault = undefined;
+    if (fault === 'append_unavailable') {
+      for (const [id, {call}] of [...entry.waiting]) {
+        entry.waiting.delete(id);
+        const result = {kind: 'unavailable', retryAfterMs: 1} as const;
+        this.act(entry, call, call.claimed(this.now, result));
+      }
+    }
+    if (fault === 'delay_append') this.delayed.push(record);
+    if (fault === undefined || fault === 'lose_append_answer') {
+      this.log.push(record);
+    }
+    if (fault === undefined) entry.batcher.confirmed(record.id);
+  }
+
+  private read(entry: Entry): void {
+    const record = this.log[entry.foldedTo]!;
+    entry.book.fold(offset(entry.foldedTo), record);
+    entry.foldedTo += 1;
+    entry.batcher.confirmed(record.id);
+    for (const [id, {claim, call}] of [...entry.waiting]) {
+      if (!entry.book.hasSeen(id)) continue;
+      entry.waiting.delete(id);
+      const standing = entry.book.find(keyScope(claim));
+      const result =
+        standing === undefined
+          ? ({kind: 'released'} as const)
+          : standing.id === id
+            ? ({kind: 'won'} as const)
+            : ({kind: 'lost', standing} as const);
+      entry.inbox.push(() =>
+        this.act(entry, call, call.claimed(this.now, result)),
+      );
+    }
+  }
+
+  private cut(at: number, s: number, keep: boolean): void {
+    const entry = this.entries[at]!;
+    const peer = entry.links[s];
+    if (peer === undefined) return;
+    entry.links[s] = undefined;
+    const ofLink = (frame: Frame) =>
+      frame.entry === at && frame.sidecar === peer;
+    for (const frame of this.frames.filter(ofLink)) frame.late = true;
+    if (!keep) this.frames = this.frames.filter(frame => !ofLink(frame));
+    this.forAll(entry, call => call.linkLost(peer));
+  }
+
+  private linkUp(at: number, s: number): void {
+    const entry = this.entries[at]!;
+    const peer = this.sidecars[s]!.incarnation;
+    entry.links[s] = peer;
+    this.forAll(entry, call => call.linkUp(peer));
+  }
+
+  private forAll(entry: Entry, event: (call: EntryCall) => EntryEffect[]) {
+    for (const {call} of entry.calls.values()) {
+      entry.inbox.push(() => this.act(entry, call, event(call)));
+    }
+  }
+
+  private crashSidecar(s: number): void {
+    [0, 1].forEach(at => this.cut(at, s, true));
+    this.sidecars[s] = this.newSidecar(s);
+  }
+
+  private crashEntry(at: number): void {
+    for (const {told} of this.entries[at]!.calls.values()) told.alive = false;
+    const entry = this.newEntry(at);
+    entry.links = this.sidecars.map(() => undefined);
+    this.entries[at] = entry;
+  }
+
+  private failUpstream(s: number): void {
+    const sidecar = this.sidecars[s]!;
+    const job = sidecar.running.shift();
+    if (!job) return;
+    const {ledger} = sidecar;
+    this.reply(sidecar, ledger.fail(this.now, job.call, 'upstream_failed'));
+  }
+
+  private leave(entry: Entry): void {
+    for (const {call, told} of entry.calls.values()) {
+      told.alive = false;
+      entry.inbox.push(() => this.act(entry, call, call.callerGone()));
+    }
+  }
+
+  private newEntry(at: number): Entry {
+    return {
+      incarnation: incarnation(`entry-${at}/${++this.births}`),
+      calls: new Map(),
+      inbox: [],
+      book: new ClaimBook(),
+      batcher: new ClaimBatcher(),
+      foldedTo: 0,
+      waiting: new Map(),
+      appending: false,
+      paused: 0,
+      links: [],
+    };
+  }
+
+  private newSidecar(at: number): Sidecar {
+    const name = incarnation(`depot-${at}/${++this.births}`);
+    const ledger = new CallLedger();
+    return {incarnation: name, ledger, queued: [], running: []};
+  }
+
+  private check(): void {
+    for (const {request, op, kind, text, alive} of this.told) {
+      const id = request.callId;
+      const ran = this.runs.get(op) ?? [];
+      if (kind === 'not-run' && ran.includes(id)) {
+        this.violations.push(`${id}: told not-run, but ran`);
+      }
+      if (kind === 'done' && (ran.length !== 1 || text !== whole(op))) {
+        this.violations.push(`${id}: done with "${text}", ${ran.length} runs`);
+      }
+      if (kind === undefined && alive) {
+        this.violations.push(`${id}: never told`);
+      }
+    }
+  }
+}
+
+function whole(op: string): string {
+  return `one ${op} two ${op} `;
+}
