Choose replicas by expected first token; admit by priority and fair share

Cause: the router knew only a backlog and a coin toss, the sidecar queue only priority; a prompt's cached start, token cost and deadlines counted nothing.

Replica choice now weighs the sidecar's reported queue and prefill, what this entry sent since, and the prompt's blocks that are not cached. The sidecar queues by priority and start-time fair queueing, adapts its concurrency and refuses at once what cannot start before its deadline. Retries are paid from a budget per service, calls of one service to another are bounded by the declared share, replicas that fail or lag are left out with a floor, and /status shows the latest decisions. Calls that a service makes name it by a header that the sidecar adds, so that only the outermost call is retried.

Ruled out: pushing prefix hashes through the calls' headers, since the link's message has a schema of its own.

--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -10,6 +10,17 @@
   readonly priority: Priority;
   /** When its answer must be there. */
   readonly deadlineAt: Millis;
+  /** Tokens that it may take; 1 when not known. */
+  readonly cost?: number | undefined;
+  /** Prompt blocks to prefill; 1 when not known. */
+  readonly blocks?: number | undefined;
+}
+
+/** A call that is refused although it was let wait before. */
+export interface Refusal {
+  readonly callId: CallId;
+  readonly reason: ErrorName;
+  readonly retryAfterMs: Millis;
 }
 
 /** What becomes of an applicant. */
--- a/src/calls/entry_call.ts
+++ b/src/calls/entry_call.ts
@@ -59,6 +59,7 @@
     this.nextSeq = 0;
     const {callId, service, organisation, weight, priority} = this.request;
     const {idempotent, method, path, headers, body} = this.request;
+    const {prefix, cost} = this.request;
     return [
       {
         type: 'send',
@@ -77,6 +78,8 @@
           path,
           headers: {...headers},
           body: body as Uint8Array<ArrayBuffer>,
+          ...(prefix && {prefix: [...prefix]}),
+          ...(cost && {cost}),
           credit: WINDOW_FRAMES,
         },
       },
--- a/src/calls/messages.ts
+++ b/src/calls/messages.ts
@@ -4,7 +4,7 @@
 import {callId, organisationName, serviceName} from '../core/index.js';
 import {ERRORS} from '../errors/index.js';
 import type {ErrorName} from '../errors/index.js';
-import {loadReport} from '../routing/index.js';
+import {MAX_PREFIX_BLOCKS, blockHash, loadReport} from '../routing/index.js';
 
 const MAX_HEADERS = 100;
 const MAX_CALL_ID = 200;
@@ -38,6 +38,10 @@
   path: z.string().max(8_192),
   headers,
   body: bytes,
+  /** Hashes of the prompt's leading blocks, if it has a prompt. */
+  prefix: z.array(blockHash).max(MAX_PREFIX_BLOCKS).optional(),
+  /** Tokens that it may take. */
+  cost: z.number().positive().optional(),
   /** Frames that the sidecar may send before it needs more credit. */
   credit: count,
 });
--- a/src/calls/types.ts
+++ b/src/calls/types.ts
@@ -10,6 +10,12 @@
 import type {RequestMessage} from './messages.js';
 import type {NotRunProof} from './not_run_proof.js';
 
+/**
+ * Names the service that an upstream runs. Sidecars add it to what they send
+ * to the upstream, which passes it on with the calls that it makes itself.
+ */
+export const CALLER_SERVICE_HEADER = 'baobabspan-caller-service';
+
 /** A caller's request once it is parsed and its organisation is known. */
 export interface CallRequest {
   readonly callId: CallId;
@@ -24,6 +30,12 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
+  /** The service that makes the call, if one does. */
+  readonly callerService?: ServiceName | undefined;
+  /** Hashes of the prompt's leading blocks, if it has a prompt. */
+  readonly prefix?: readonly number[] | undefined;
+  /** Tokens that it may take. */
+  readonly cost?: number | undefined;
 }
 
 /** What a caller is told of a call. */
--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -5,6 +5,7 @@
 import type {CallId} from '../../core/index.js';
 import type {LinkMessage} from '../../links/index.js';
 import type {Identity} from '../../membership/index.js';
+import type {AttemptResult} from '../../routing/index.js';
 import {ConfigurationTask} from '../shared/configuration_task.js';
 import type {DaemonContext} from '../shared/context.js';
 import {LinksTask} from '../shared/links_task.js';
@@ -18,6 +19,8 @@
 import {RouterTask} from './router_task.js';
 import type {EntrySettings, InForce} from './types.js';
 
+const FIRST_SERVER_ERROR = 500;
+
 /** Addresses of a running entry, each `host:port`. */
 export interface EntryAddresses {
   readonly callers: string;
@@ -86,6 +89,7 @@
       (version, cfg) => {
         const organisations = new OrganisationDirectory(cfg);
         this.inForce = {version, cfg, organisations};
+        this.router.post({type: 'configured', cfg});
       },
     );
     this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms =>
@@ -153,6 +157,12 @@
       const {load} = message;
       this.router.post({type: 'load', peer: peer.incarnation, load});
     }
+    const result = attemptResult(message);
+    if (result !== undefined && 'callId' in message) {
+      const {callId} = message;
+      const {incarnation} = peer;
+      this.router.post({type: 'answered', peer: incarnation, callId, result});
+    }
     switch (message.type) {
       case 'refused':
       case 'head':
@@ -166,6 +176,12 @@
       }
       case 'leaving':
         return this.router.post({type: 'leaving', peer});
+      case 'cache':
+        return this.router.post({
+          type: 'cache',
+          peer: peer.incarnation,
+          message,
+        });
       default:
         return;
     }
@@ -187,6 +203,21 @@
       configuration: this.configuration?.status(),
       calls: this.calls.size,
       members: this.router.status(),
+      decisions: this.router.explain(),
     };
   }
 }
+
+/** What a message tells of the health of the replica that sent it. */
+function attemptResult(message: LinkMessage): AttemptResult | undefined {
+  switch (message.type) {
+    case 'head':
+      return message.status < FIRST_SERVER_ERROR ? 'answered' : 'failed';
+    case 'failed':
+      return 'failed';
+    case 'refused':
+      return message.reason === 'engine_unreachable' ? 'failed' : 'refused';
+    default:
+      return undefined;
+  }
+}
--- a/src/daemons/entry/request_parser.ts
+++ b/src/daemons/entry/request_parser.ts
@@ -9,11 +9,14 @@
   resolveCompletion,
   resolvePlain,
 } from '../../calls/index.js';
+import {CALLER_SERVICE_HEADER} from '../../calls/index.js';
 import type {CallRequest, Resolved} from '../../calls/index.js';
 import {PRIORITIES} from '../../configuration/index.js';
 import type {Priority} from '../../configuration/index.js';
-import type {CallId, Millis} from '../../core/index.js';
+import {serviceName} from '../../core/index.js';
+import type {CallId, Millis, ServiceName} from '../../core/index.js';
 import {Fault, describe} from '../../errors/index.js';
+import {workOf} from './request_work.js';
 import type {InForce} from './types.js';
 
 /** Headers that concern one connection only and are never passed on. */
@@ -117,6 +120,8 @@
     path: resolved.path,
     headers: forwarded(req),
     body,
+    callerService: callerService(req),
+    ...workOf(resolved, body),
   });
 }
 
@@ -141,6 +146,11 @@
   return err(new Fault('bad_request', detail));
 }
 
+function callerService(req: IncomingMessage): ServiceName | undefined {
+  const name = req.headers[CALLER_SERVICE_HEADER];
+  return typeof name === 'string' ? serviceName(name) : undefined;
+}
+
 function forwarded(req: IncomingMessage): Record<string, string> {
   const kept: Record<string, string> = {};
   for (const [name, value] of Object.entries(req.headers)) {
--- a/src/daemons/entry/router_task.ts
+++ b/src/daemons/entry/router_task.ts
@@ -1,29 +1,40 @@
-import type {
-  Chance,
-  Incarnation,
-  Millis,
-  ServiceName,
-} from '../../core/index.js';
-import {SECOND} from '../../core/index.js';
+import type {Configuration} from '../../configuration/index.js';
+import type {CallId, Incarnation, ServiceName} from '../../core/index.js';
 import type {ErrorName} from '../../errors/index.js';
 import {MemberTable} from '../../membership/index.js';
 import type {Identity, ListedVm, Member} from '../../membership/index.js';
-import {PowerOfTwoPolicy} from '../../routing/index.js';
+import {Router} from '../../routing/index.js';
 import type {
-  Candidate,
+  AttemptResult,
+  BulkheadLimits,
+  CacheMessage,
   LoadReport,
-  ReplicaPolicy,
+  RouteVerdict,
 } from '../../routing/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import {Task} from '../shared/task.js';
 import type {CallTask} from './call_task.js';
 
-const RETRY_WITHOUT_UPSTREAM: Millis = SECOND;
+/** Decisions that `/status` shows. */
+const SHOWN_DECISIONS = 200;
 
-interface UpstreamState {
-  inFlight: number;
-  load: LoadReport | undefined;
-  loadAt: Millis;
+/** Why a call went where it went, or nowhere. */
+export interface RouteDecision {
+  readonly call: CallId;
+  readonly service: ServiceName;
+  /** Where it went. */
+  readonly upstream?: Incarnation;
+  /** Why it went nowhere. */
+  readonly refused?: string;
+  /** Why it is not the first attempt. */
+  readonly retryOf?: ErrorName;
+  /** Upstreams weighed, and blocks of the prompt cached at the chosen one. */
+  readonly considered?: number;
+  readonly matched?: number;
+  /** Load of the chosen one, as known here. */
+  readonly queued?: number;
+  readonly running?: number;
+  readonly loadAge?: number;
 }
 
 type Message =
@@ -31,11 +42,23 @@
   | {readonly type: 'up'; readonly peer: Identity}
   | {readonly type: 'down'; readonly peer: Identity}
   | {readonly type: 'leaving'; readonly peer: Identity}
+  | {readonly type: 'configured'; readonly cfg: Configuration}
   | {
       readonly type: 'load';
       readonly peer: Incarnation;
       readonly load: LoadReport;
     }
+  | {
+      readonly type: 'cache';
+      readonly peer: Incarnation;
+      readonly message: CacheMessage;
+    }
+  | {
+      readonly type: 'answered';
+      readonly peer: Incarnation;
+      readonly callId: CallId;
+      readonly result: AttemptResult;
+    }
   | {
       readonly type: 'choose';
       readonly call: CallTask;
@@ -47,10 +70,9 @@
 /** Knows who is there and how busy, and chooses the upstream of each call. */
 export class RouterTask extends Task<Message> {
   private readonly members = new MemberTable();
-  private readonly policy: ReplicaPolicy = new PowerOfTwoPolicy();
-  private readonly states = new Map<Incarnation, UpstreamState>();
-  private readonly assigned = new Map<CallTask, Incarnation>();
-  private readonly chance: Chance;
+  private readonly router: Router;
+  private readonly calls = new Map<CallId, CallTask>();
+  private readonly decisions: RouteDecision[] = [];
 
   /**
    * @param context - what the daemon's tasks share
@@ -61,7 +83,8 @@
     private readonly dial: (addresses: ReadonlySet<string>) => void,
   ) {
     super(context.system, 'router', context.logger.labelled('router'));
-    this.chance = context.chance;
+    const {availabilityZone} = context.self;
+    this.router = new Router(availabilityZone, context.chance);
   }
 
   /** Everyone known, for `/status`. */
@@ -69,22 +92,38 @@
     return this.members.all();
   }
 
+  /** The latest decisions, for `/status`. */
+  explain(): readonly RouteDecision[] {
+    return this.decisions;
+  }
+
   protected receive(message: Message): void {
+    const now = this.context.clock.now();
     switch (message.type) {
       case 'listed':
         return this.listed(message.vms);
       case 'up':
+        this.router.came(now, message.peer.incarnation);
         return this.members.linkUp(message.peer);
       case 'down':
         return this.down(message.peer);
       case 'leaving':
         return this.members.leave(message.peer.incarnation);
+      case 'configured':
+        return this.router.configure(bulkheadsOf(message.cfg));
       case 'load':
-        return this.loaded(message.peer, message.load);
+        return this.router.loaded(now, message.peer, message.load);
+      case 'cache':
+        return this.cached(message.peer, message.message);
+      case 'answered': {
+        const {callId, peer, result} = message;
+        return this.router.answered(now, callId, peer, result);
+      }
       case 'choose':
-        return this.choose(message.call, message.exclude);
+        return this.choose(message.call, message.exclude, message.retryOf);
       case 'ended':
-        return this.release(message.call);
+        this.calls.delete(message.call.request.callId);
+        return this.router.ended(now, message.call.request.callId);
     }
   }
 
@@ -96,65 +135,76 @@
 
   private down(peer: Identity): void {
     this.members.linkDown(peer.incarnation);
-    for (const [call, upstream] of this.assigned) {
-      if (upstream === peer.incarnation) call.post({type: 'link_lost'});
+    for (const callId of this.router.callsAt(peer.incarnation)) {
+      this.calls.get(callId)?.post({type: 'link_lost'});
     }
   }
 
-  private loaded(peer: Incarnation, load: LoadReport): void {
-    const state = this.stateOf(peer);
-    state.load = load;
-    state.loadAt = this.context.clock.now();
+  private cached(peer: Incarnation, message: CacheMessage): void {
+    if (this.router.cached(peer, message)) return;
+    this.context.metrics.droppedFrames.inc({reason: 'cache_event_gap'});
+    this.logger.debug('cache_event_gap', {upstream: peer});
   }
 
-  private choose(call: CallTask, exclude: readonly Incarnation[]): void {
-    this.release(call);
-    const candidates = this.candidates(call.request.service, exclude);
-    if (candidates.length === 0) {
-      call.post({
-        type: 'none',
-        reason: exclude.length === 0 ? 'no_upstream' : 'overloaded',
-        retryAfterMs: RETRY_WITHOUT_UPSTREAM,
-      });
+  private choose(
+    call: CallTask,
+    exclude: readonly Incarnation[],
+    retryOf: ErrorName | undefined,
+  ): void {
+    const {request} = call;
+    const replicas = this.members.upstreams(request.service);
+    const now = this.context.clock.now();
+    const wish = {call: request, replicas, exclude, retryOf};
+    const route = this.router.choose(now, wish);
+    this.record(call, route, retryOf);
+    if (!route.chosen) {
+      const {reason, retryAfterMs} = route;
+      call.post({type: 'none', reason, retryAfterMs});
       return;
     }
-    const {incarnation} = this.policy.choose(candidates, {
-      now: this.context.clock.now(),
-      chance: this.chance,
-      ownZone: this.context.self.availabilityZone,
-    });
-    this.stateOf(incarnation).inFlight += 1;
-    this.assigned.set(call, incarnation);
-    call.post({type: 'chosen', upstream: incarnation});
+    this.calls.set(request.callId, call);
+    call.post({type: 'chosen', upstream: route.upstream.incarnation});
   }
 
-  private candidates(
-    service: ServiceName,
-    exclude: readonly Incarnation[],
-  ): Candidate[] {
-    const now = this.context.clock.now();
-    return this.members
-      .upstreams(service)
-      .filter(({incarnation}) => !exclude.includes(incarnation))
-      .map(({incarnation, availabilityZone}) => {
-        const {inFlight, load, loadAt} = this.stateOf(incarnation);
-        const loadAge = now - loadAt;
-        return {incarnation, availabilityZone, inFlight, load, loadAge};
-      });
+  private record(
+    {request}: CallTask,
+    route: RouteVerdict,
+    retryOf: ErrorName | undefined,
+  ): void {
+    const {callId, service} = request;
+    const retry = retryOf === undefined ? {} : {retryOf};
+    const decision = {call: callId, service, ...retry, ...detailOf(route)};
+    this.decisions.push(decision);
+    if (this.decisions.length > SHOWN_DECISIONS) this.decisions.shift();
+    if (route.chosen) this.logger.debug('call_routed', decision);
+    else this.logger.info('call_not_routed', decision);
   }
+}
 
-  private release(call: CallTask): void {
-    const upstream = this.assigned.get(call);
-    if (upstream === undefined) return;
-    this.assigned.delete(call);
-    this.stateOf(upstream).inFlight -= 1;
-  }
+function detailOf(route: RouteVerdict) {
+  if (!route.chosen) return {refused: route.why};
+  const {incarnation, matched, load, loadAge} = route.upstream;
+  const reported = load && {
+    queued: load.queued,
+    running: load.running,
+    loadAge,
+  };
+  const {considered} = route;
+  return {upstream: incarnation, considered, matched, ...reported};
+}
 
-  private stateOf(upstream: Incarnation): UpstreamState {
-    const known = this.states.get(upstream);
-    if (known !== undefined) return known;
-    const state = {inFlight: 0, load: undefined, loadAt: 0};
-    this.states.set(upstream, state);
-    return state;
+function bulkheadsOf(cfg: Configuration): Map<ServiceName, BulkheadLimits> {
+  const services = Object.entries(cfg.services);
+  const limits = new Map(
+    services.map(([name, {limits}]) => [
+      name as ServiceName,
+      {inFlight: limits.inFlight, shares: new Map<ServiceName, number>()},
+    ]),
+  );
+  for (const [caller, {dependsOn}] of services) {
+    for (const {service, share} of dependsOn) {
+      limits.get(service)?.shares.set(caller as ServiceName, share);
+    }
   }
+  return limits;
 }
--- a/src/daemons/sidecar/calls_task.ts
+++ b/src/daemons/sidecar/calls_task.ts
@@ -11,6 +11,8 @@
 import type {CallId, Incarnation, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import type {ErrorName} from '../../errors/index.js';
+import {PrefixMap} from '../../routing/index.js';
+import type {CacheMessage} from '../../routing/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import {Task} from '../shared/task.js';
 import type {SidecarSettings} from './types.js';
@@ -19,6 +21,8 @@
 const DEFAULT_LIMITS: QueueLimits = {concurrency: 16, queue: 64};
 const RETRY_UNREACHABLE: Millis = SECOND;
 const SWEEP_EVERY: Millis = 10 * SECOND;
+/** How often waiting calls are checked against their deadlines. */
+const EXPIRE_EVERY: Millis = 100;
 
 /** An attempt that waits or runs here. */
 interface Job {
@@ -27,6 +31,8 @@
   running: UpstreamRequest | undefined;
   frames: number;
   bytes: number;
+  /** When the answer's head came, ms. */
+  headAt: Millis;
 }
 
 type Message =
@@ -39,6 +45,8 @@
   | {readonly type: 'over'; readonly job: Job}
   | {readonly type: 'limits'; readonly limits: QueueLimits}
   | {readonly type: 'sweep'}
+  | {readonly type: 'expire'}
+  | {readonly type: 'cache'; readonly message: CacheMessage}
   | {readonly type: 'close'}
   | {readonly type: 'drain'; readonly idle: () => void};
 
@@ -48,7 +56,8 @@
   private readonly ledger = new CallLedger();
   private readonly jobs = new Map<CallId, Job>();
   private readonly agent: Agent = upstreamAgent();
-  private readonly timer: NodeJS.Timeout;
+  private readonly timers: readonly NodeJS.Timeout[];
+  private readonly prefixes = new PrefixMap();
   /** Whether new work is refused. */
   private closed = false;
   private idle: (() => void) | undefined;
@@ -64,7 +73,10 @@
     private readonly answer: (to: Incarnation, message: AnswerMessage) => void,
   ) {
     super(context.system, 'calls', context.logger.labelled('calls'));
-    this.timer = setInterval(() => this.post({type: 'sweep'}), SWEEP_EVERY);
+    this.timers = [
+      setInterval(() => this.post({type: 'sweep'}), SWEEP_EVERY),
+      setInterval(() => this.post({type: 'expire'}), EXPIRE_EVERY),
+    ];
   }
 
   /** What `/status` shows. */
@@ -73,7 +85,7 @@
   }
 
   override stop(): void {
-    clearInterval(this.timer);
+    this.timers.forEach(timer => clearInterval(timer));
     for (const job of this.jobs.values()) job.running?.cancel();
     super.stop();
     void this.agent.destroy();
@@ -90,7 +102,14 @@
       case 'limits':
         return this.queue.configure(message.limits);
       case 'sweep':
-        return this.ledger.sweep(this.context.clock.now());
+        this.ledger.sweep(this.context.clock.now());
+        return;
+      case 'expire':
+        this.queue.sweep(this.context.clock.now());
+        return this.refuseWaiting();
+      case 'cache':
+        this.prefixes.apply(message.message);
+        return;
       case 'close':
         this.closed = true;
         return;
@@ -114,7 +133,14 @@
       this.context.metrics.droppedFrames.inc({reason: 'repeated_call'});
       return;
     }
-    const job = {call, from, running: undefined, frames: 0, bytes: 0};
+    const job = {
+      call,
+      from,
+      running: undefined,
+      frames: 0,
+      bytes: 0,
+      headAt: 0,
+    };
     if (call.service !== this.settings.service) {
       return this.refuse(job, 'unknown_service', 0);
     }
@@ -125,7 +151,10 @@
       weight: call.weight,
       priority: call.priority,
       deadlineAt: now + call.remainingMs,
+      cost: call.cost,
+      blocks: this.newBlocks(call),
     });
+    this.refuseWaiting();
     if (verdict.decision === 'refuse') {
       return this.refuse(job, verdict.reason, verdict.retryAfterMs);
     }
@@ -142,6 +171,24 @@
     this.answer(job.from, {type: 'refused', ...refusal});
   }
 
+  /** Blocks of the prompt that the engine seems to have to prefill. */
+  private newBlocks({prefix = []}: CallMessage): number {
+    const matched = this.prefixes.match(prefix);
+    this.prefixes.used(prefix);
+    return prefix.length - matched;
+  }
+
+  /** Refuses calls that waited and were displaced or became too late. */
+  private refuseWaiting(): void {
+    for (const {callId, reason, retryAfterMs} of this.queue.takeRefused()) {
+      const job = this.jobs.get(callId);
+      if (job === undefined) continue;
+      this.jobs.delete(callId);
+      this.refuse(job, reason, retryAfterMs);
+    }
+    this.tellIfIdle();
+  }
+
   private run(job: Job): void {
     const {callId, attempt} = job.call;
     const name = {callId, attempt};
@@ -152,8 +199,12 @@
       this.agent,
       job.call,
       {
-        head: (status, headers) =>
-          say({type: 'head', ...name, seq: 0, status, headers, load: report()}),
+        head: (status, headers) => {
+          job.headAt = this.context.clock.now();
+          this.queue.firstToken(job.headAt, callId);
+          const load = report();
+          say({type: 'head', ...name, seq: 0, status, headers, load});
+        },
         data: body => {
           job.frames += 1;
           job.bytes += body.byteLength;
@@ -161,7 +212,8 @@
           say({type: 'data', ...name, seq: job.frames, body: piece});
         },
         end: () => {
-          const {frames, bytes} = job;
+          const {frames, bytes, headAt} = job;
+          this.queue.streamed(this.context.clock.now() - headAt, frames);
           say({type: 'end', ...name, frames, bytes, load: report()});
         },
         unreachable: detail => {
@@ -195,9 +247,11 @@
     const now = this.context.clock.now();
     if (this.jobs.get(callId) === job) this.jobs.delete(callId);
     this.ledger.end(now, callId, attempt);
-    for (const next of this.queue.end(now, callId)) {
-      const started = this.jobs.get(next);
-      if (started) this.run(started);
+    const started = this.queue.end(now, callId);
+    this.refuseWaiting();
+    for (const next of started) {
+      const waiting = this.jobs.get(next);
+      if (waiting) this.run(waiting);
     }
     this.tellIfIdle();
   }
--- a/src/daemons/sidecar/upstream_request.ts
+++ b/src/daemons/sidecar/upstream_request.ts
@@ -1,6 +1,7 @@
 import {Agent, request} from 'undici';
 import type {Dispatcher} from 'undici';
 
+import {CALLER_SERVICE_HEADER} from '../../calls/index.js';
 import type {CallMessage} from '../../calls/index.js';
 import {describe} from '../../errors/index.js';
 
@@ -101,7 +102,11 @@
     return request(`${this.url}${path}`, {
       dispatcher: this.agent,
       method: method as Dispatcher.HttpMethod,
-      headers: {...headers, 'baobabspan-call-id': this.call.callId},
+      headers: {
+        ...headers,
+        'baobabspan-call-id': this.call.callId,
+        [CALLER_SERVICE_HEADER]: this.call.service,
+      },
       body: hasBody ? body : null,
       signal: this.abort.signal,
     });
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -75,6 +75,11 @@
     'The share of this service that the caller may use is taken.',
     'Come back after Retry-After.',
   ),
+  undeclared_dependency: entry(
+    403,
+    'The calling service does not declare that it depends on this one.',
+    'Add the service to dependsOn of the caller, or drop the header.',
+  ),
   deadline_passed: entry(
     504,
     'The deadline passed before the answer was there.',
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,4 +1,12 @@
 /** Choice of the upstream for a call. */
+export * from './bulkhead.js';
+export * from './first_token_policy.js';
 export * from './messages.js';
+export * from './outlier_detector.js';
+export * from './prefix_map.js';
+export * from './prompt_prefix.js';
+export * from './replica_book.js';
 export * from './replica_policy.js';
+export * from './retry_budget.js';
+export * from './router.js';
 export * from './types.js';
--- /dev/null
+++ b/src/routing/prefix_map.ts
@@ -0,0 +1,82 @@
+import type {CacheMessage} from './messages.js';
+import type {PromptPrefix} from './prompt_prefix.js';
+
+/** Blocks remembered of one replica. */
+export const PREFIX_CAPACITY = 4_096;
+
+/**
+ * Which blocks one replica seems to have cached: those of the calls that went
+ * there, corrected by the engine's late events. Forgets the least recently
+ * used first, as engines do. A lost event drops all that was known.
+ */
+export class PrefixMap {
+  /** Kept in the order of use, the least recent first. */
+  private readonly blocks = new Set<number>();
+  private nextSeq: number | undefined;
+  private gapCount = 0;
+
+  /** @param capacity - blocks to remember */
+  constructor(private readonly capacity = PREFIX_CAPACITY) {}
+
+  /** Blocks remembered. */
+  get size(): number {
+    return this.blocks.size;
+  }
+
+  /** Gaps met in the events. */
+  get gaps(): number {
+    return this.gapCount;
+  }
+
+  /**
+   * Counts the leading blocks that are cached. A block is cached only with
+   * those before it, so the count is found by halving.
+   * @param prefix - hashes of the prompt
+   */
+  match(prefix: PromptPrefix): number {
+    let low = 0;
+    let high = prefix.length;
+    while (low < high) {
+      const middle = (low + high + 1) >> 1;
+      if (this.blocks.has(prefix[middle - 1] as number)) low = middle;
+      else high = middle - 1;
+    }
+    return low;
+  }
+
+  /**
+   * A call with this prompt went to the replica.
+   * @param prefix - hashes of the prompt
+   */
+  used(prefix: PromptPrefix): void {
+    for (let i = prefix.length - 1; i >= 0; i--) this.add(prefix[i] as number);
+  }
+
+  /**
+   * Takes in the engine's events.
+   * @param message - a batch of them
+   * @returns whether none was lost before it
+   */
+  apply({seq, stored, removed}: CacheMessage): boolean {
+    const whole = this.nextSeq === undefined || seq === this.nextSeq;
+    if (this.nextSeq !== undefined && seq < this.nextSeq) return true;
+    if (!whole) this.distrust();
+    this.nextSeq = seq + 1;
+    for (const hash of stored) this.add(hash);
+    for (const hash of removed) this.blocks.delete(hash);
+    return whole;
+  }
+
+  private distrust(): void {
+    this.gapCount += 1;
+    this.blocks.clear();
+  }
+
+  private add(hash: number): void {
+    this.blocks.delete(hash);
+    this.blocks.add(hash);
+    if (this.blocks.size <= this.capacity) return;
+    const [oldest] = this.blocks;
+    this.blocks.delete(oldest as number);
+  }
+}
--- a/src/routing/replica_policy.ts
+++ b/src/routing/replica_policy.ts
@@ -7,6 +7,8 @@
   readonly chance: Chance;
   /** The entry's own availability zone. */
   readonly ownZone: AvailabilityZone;
+  /** Blocks of the prompt; 0 for a call without one. */
+  readonly promptBlocks: number;
 }
 
 /** A way to choose among the upstreams of a service. */
@@ -22,10 +24,49 @@
   abstract choose(candidates: readonly Candidate[], choice: Choice): Candidate;
 }
 
-/** Calls ahead of a new one, as far as the entry knows. */
-function backlog({load, inFlight}: Candidate): number {
+/**
+ * Calls ahead of a new one, as far as the entry knows.
+ * @param candidate - the upstream
+ */
+export function backlog({load, inFlight, sentCalls}: Candidate): number {
   const reported = load === undefined ? 0 : load.queued + load.running;
-  return Math.max(reported, inFlight);
+  return Math.max(reported + sentCalls, inFlight);
+}
+
+/** The candidates of the entry's own zone, or all when it has none. */
+function near(candidates: readonly Candidate[], {ownZone}: Choice) {
+  const own = candidates.filter(c => c.availabilityZone === ownZone);
+  return own.length > 0 ? own : candidates;
+}
+
+/** Each in turn. */
+export class RoundRobinPolicy extends ReplicaPolicy {
+  readonly name = 'round-robin';
+  private turn = 0;
+
+  choose(candidates: readonly Candidate[]): Candidate {
+    this.turn += 1;
+    return candidates[this.turn % candidates.length] as Candidate;
+  }
+}
+
+/** Any. */
+export class RandomPolicy extends ReplicaPolicy {
+  readonly name = 'random';
+
+  choose(candidates: readonly Candidate[], {chance}: Choice): Candidate {
+    return chance.pick(candidates);
+  }
+}
+
+/** The one that has the fewest calls of this entry. */
+export class LeastInFlightPolicy extends ReplicaPolicy {
+  readonly name = 'least-in-flight';
+
+  choose(candidates: readonly Candidate[], {chance}: Choice): Candidate {
+    const least = Math.min(...candidates.map(({inFlight}) => inFlight));
+    return chance.pick(candidates.filter(c => c.inFlight === least));
+  }
 }
 
 const SAMPLE = 2;
@@ -35,11 +76,7 @@
   readonly name = 'power-of-two';
 
   choose(candidates: readonly Candidate[], choice: Choice): Candidate {
-    const near = candidates.filter(
-      ({availabilityZone}) => availabilityZone === choice.ownZone,
-    );
-    const pool = near.length > 0 ? near : candidates;
-    const drawn = choice.chance.sample(pool, SAMPLE);
+    const drawn = choice.chance.sample(near(candidates, choice), SAMPLE);
     return drawn.reduce((best, next) =>
       backlog(next) < backlog(best) ? next : best,
     );
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -11,4 +11,12 @@
   readonly load: LoadReport | undefined;
   /** Age of that report, ms. */
   readonly loadAge: Millis;
+  /** Calls of this entry sent there since that report. */
+  readonly sentCalls: number;
+  /** Prompt blocks of those calls that had to be prefilled. */
+  readonly sentBlocks: number;
+  /** Leading blocks of the present prompt that it seems to have cached. */
+  readonly matched: number;
+  /** How long it has answered nothing while calls of this entry wait, ms. */
+  readonly silence: Millis;
 }
