--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -15,6 +15,7 @@
 import type {LinkMessage} from '../../links/index.js';
 import type {Identity} from '../../membership/index.js';
 import {ClaimsTask} from '../shared/claims_task.js';
+import type {AttemptResult} from '../../routing/index.js';
 import {ConfigurationTask} from '../shared/configuration_task.js';
 import type {DaemonContext} from '../shared/context.js';
 import {configurationPorts, membersPorts} from '../shared/control_ports.js';
@@ -33,6 +34,7 @@
 
 /** Time that callers have to hear what a stop cuts. */
 const CUT_WITHIN: Millis = SECOND;
+const FIRST_SERVER_ERROR = 500;
 
 /** Addresses of a running entry, each `host:port`. */
 export interface EntryAddresses {
@@ -120,6 +122,7 @@
       configurationPorts(this.links, (version, cfg) => {
         const organisations = new OrganisationDirectory(cfg);
         this.inForce = {version, cfg, organisations};
+        this.router.post({type: 'configured', cfg});
       }),
     );
     this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms => {
@@ -253,6 +256,12 @@
       const {load} = message;
       this.router.post({type: 'load', peer: peer.incarnation, load});
     }
+    const result = attemptResult(message);
+    if (result !== undefined && 'callId' in message) {
+      const {callId} = message;
+      const {incarnation} = peer;
+      this.router.post({type: 'answered', peer: incarnation, callId, result});
+    }
     switch (message.type) {
       case 'refused':
         this.noteRefusal(peer, message.reason);
@@ -273,6 +282,12 @@
         this.configuration?.post({type: 'message', from, message});
         return;
       }
+      case 'cache':
+        return this.router.post({
+          type: 'cache',
+          peer: peer.incarnation,
+          message,
+        });
       default:
         return;
     }
@@ -307,6 +322,21 @@
       calls: this.calls.size,
       claims: this.claims.status(),
       members: this.members.status(),
+      decisions: this.router.explain(),
     };
   }
 }
+
+/** What a message tells of the health of the replica that sent it. */
+function attemptResult(message: LinkMessage): AttemptResult | undefined {
+  switch (message.type) {
+    case 'head':
+      return message.status < FIRST_SERVER_ERROR ? 'answered' : 'failed';
+    case 'failed':
+      return 'failed';
+    case 'refused':
+      return message.reason === 'engine_unreachable' ? 'failed' : 'refused';
+    default:
+      return undefined;
+  }
+}
