Change the expert map of a group by promise and decision of all ranks

Cause: the folder held a term guard and two messages; nothing kept all ranks of a group on one map while it changes.

Ruled out: a vote of most ranks (a lock-step group without one rank stands still, so asking all costs nothing) and the log as arbiter (down for long stretches, and changes must go on).

--- /dev/null
+++ b/src/expert_groups/protocol.test.ts
@@ -0,0 +1,100 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {GroupWorld} from '../../test/support/group_world.js';
+import type {WorldFault} from '../../test/support/group_world.js';
+
+const FAULTY_FOR = 30_000;
+const KINDS = [
+  'kill_sidecar',
+  'kill_engine',
+  'replace',
+  'replace_zombie',
+  'pause',
+  'store_down',
+] as const;
+
+const fault = (size: number): fc.Arbitrary<WorldFault> =>
+  fc.record({
+    at: fc.integer({min: 500, max: FAULTY_FOR}),
+    kind: fc.constantFrom(...KINDS),
+    // Rank 0 coordinates: it is struck as often as all others together.
+    rank: fc.oneof(fc.constant(0), fc.integer({min: 0, max: size - 1})),
+    lasts: fc.integer({min: 1, max: 8_000}),
+  });
+
+const share = (most: number) => fc.double({min: 0, max: most, noNaN: true});
+
+const session = (size: number, strikes: number) =>
+  fc.record({
+    seed: fc.integer({min: 0, max: 2 ** 30}),
+    lost: share(0.2),
+    duplicated: share(0.3),
+    answerLost: share(0.3),
+    delay: fc.constantFrom(5, 100, 700),
+    faults: fc.array(fault(size), {minLength: 0, maxLength: strikes}),
+  });
+
+describe('one map in every step', () => {
+  it.each([
+    {size: 2, runs: 150, strikes: 14, healed: 30_000},
+    {size: 8, runs: 80, strikes: 14, healed: 30_000},
+    {size: 128, runs: 6, strikes: 10, healed: 40_000},
+  ])('holds and goes on at $size ranks', ({size, runs, strikes, healed}) => {
+    const property = fc.property(session(size, strikes), input => {
+      const {seed, faults, ...rates} = input;
+      const world = new GroupWorld(size, seed);
+      Object.assign(world.faults, rates);
+      world.schedule(faults);
+      world.run(FAULTY_FOR);
+      expect(world.violations).toEqual([]);
+      world.heal();
+      world.run(FAULTY_FOR + healed);
+      expect(world.violations).toEqual([]);
+      const {completed} = world;
+      const before = world.ended.length;
+      world.run(FAULTY_FOR + healed + 15_000);
+      expect(world.completed).toBeGreaterThan(completed + 50);
+      const outcomes = world.ended.slice(before).map(({outcome}) => outcome);
+      expect(outcomes).toContain('committed');
+    });
+    fc.assert(property, {numRuns: runs, seed: 70 + size, endOnFailure: true});
+  });
+});
+
+describe('whole sessions of three ranks', () => {
+  it.each<{name: string; until: number; faults: WorldFault[]}>([
+    {name: 'change', until: 2_500, faults: []},
+    {
+      name: 'cancelled',
+      until: 8_500,
+      faults: [{at: 1_508, kind: 'pause', rank: 2, lasts: 5_600}],
+    },
+    {
+      name: 'succession',
+      until: 4_500,
+      faults: [{at: 1_520, kind: 'kill_sidecar', rank: 0, lasts: 700}],
+    },
+    {
+      name: 'succession_after_commit',
+      until: 4_500,
+      faults: [
+        {at: 1_520, kind: 'kill_sidecar', rank: 1, lasts: 600},
+        {at: 1_531, kind: 'kill_sidecar', rank: 0, lasts: 700},
+      ],
+    },
+    {
+      name: 'replaced_rank',
+      until: 4_500,
+      faults: [{at: 1_529, kind: 'replace', rank: 1, lasts: 400}],
+    },
+  ])('$name', async ({name, until, faults}) => {
+    const world = new GroupWorld(3, 7, true);
+    world.schedule(faults);
+    world.run(until);
+    expect(world.violations).toEqual([]);
+    await expect(`${world.lines.join('\n')}\n`).toMatchFileSnapshot(
+      `__golden__/${name}.txt`,
+    );
+  });
+});
--- a/src/expert_groups/term_guard.ts
+++ b/src/expert_groups/term_guard.ts
@@ -1,20 +1,33 @@
+import type {Incarnation} from '../core/index.js';
+import type {Term} from './types.js';
+
 /** Refuses orders of a coordinator that a later one has replaced. */
 export class TermGuard {
-  private highest = 0;
+  private highest: Term = 0;
+  private owner: Incarnation | undefined;
 
   /** The highest term that was accepted. */
-  get term(): number {
+  get term(): Term {
     return this.highest;
   }
 
+  /** The coordinator of that term. */
+  get coordinator(): Incarnation | undefined {
+    return this.owner;
+  }
+
   /**
-   * Checks an order's term and remembers it.
+   * Checks an order's term and remembers it. Two coordinators may pick the
+   * same term; only the first to ask gets it.
    * @param term - the term that the order carries
+   * @param from - the process that gave the order
    * @returns whether the order may be obeyed
    */
-  accepts(term: number): boolean {
+  accepts(term: Term, from: Incarnation): boolean {
     if (term < this.highest) return false;
+    if (term === this.highest) return this.owner === from;
     this.highest = term;
+    this.owner = from;
     return true;
   }
 }
