Relay the configuration along a tree and measure it

Now: processes of a zone pull along a tree of 8 children, every 10 s instead of 5 s, the origin of a version travels with its text only, and a reader asks the log again at once instead of at its next tick. Scenarios of cuts, outages, retention and lost readers are tests of their own.

--- a/bench/control/control_estate.ts
+++ b/bench/control/control_estate.ts
@@ -28,11 +28,12 @@
 /** 2026-01-01, so that incarnations look as they do. */
 const EPOCH = 1_767_225_600_000;
 
-/** Counts of what one process sent. */
+/** Counts of one process's traffic. */
 export interface Sent {
   messages: number;
   bytes: number;
   bytesAcrossZones: number;
+  bytesFromLog: number;
 }
 
 /** One running process. */
@@ -66,6 +67,8 @@
   readonly parser?: (index: number) => TextParser | undefined;
   /** Called when a version comes in force at a process. */
   readonly inForce?: (process: Process, version: number) => void;
+  /** Whether nodes know of each other; else each reads the log. */
+  readonly relay?: boolean;
   /** Whether bytes are counted; costs an encoding for each message. */
   readonly counts?: boolean;
 }
@@ -109,6 +112,11 @@
     this.start(slot);
   }
 
+  /** Kills the process of a VM; the platform's list does not notice. */
+  kill(slot: number): void {
+    this.slots[slot]!.dead = true;
+  }
+
   pause(slot: number): void {
     this.slots[slot]!.paused = true;
   }
@@ -156,7 +164,7 @@
       table: new MemberTable(),
       startedAt: this.time.now,
       inForce: [],
-      sent: {messages: 0, bytes: 0, bytesAcrossZones: 0},
+      sent: {messages: 0, bytes: 0, bytesAcrossZones: 0, bytesFromLog: 0},
       paused: false,
       dead: false,
       wanted: new Set(),
@@ -198,7 +206,8 @@
         incarnation: linked ? incarnation : undefined,
       }));
     const {node} = process;
-    this.perform(process, node.members(this.time.now, peers));
+    const known = this.parts.relay === false ? [] : peers;
+    this.perform(process, node.members(this.time.now, known));
   }
 
   private tick(process: Process): void {
@@ -320,7 +329,7 @@
         // What the platform sent is lost when the way back is cut.
         if (!this.reachesLog(process)) return;
         if (open && !process.dead) {
-          log.bytesRead += JSON.stringify(page).length;
+          process.sent.bytesFromLog += log.sizeOf(page);
         }
         settle(() => this.perform(process, process.node.page(time.now, page)));
       });
--- a/bench/control/fake_log.ts
+++ b/bench/control/fake_log.ts
@@ -12,16 +12,17 @@
   readonly all: unknown[] = [];
   /** Earliest offset that is kept. */
   earliest = 0;
-  /** Bytes that readers took, as JSON. */
-  bytesRead = 0;
+  private readonly sizes: number[] = [];
   private waiters: Waiter[] = [];
 
   /**
    * Appends a record and answers the reads that wait for it.
    * @param data - the record
+   * @param size - its bytes as readers get it
    */
-  append(data: unknown): Offset {
+  append(data: unknown, size = 0): Offset {
     this.all.push(data);
+    this.sizes.push(size);
     const waiters = this.waiters.splice(0);
     for (const {from, answer} of waiters) answer(this.page(from));
     return offset(this.all.length - 1);
@@ -61,6 +62,17 @@
     };
   }
 
+  /**
+   * Bytes of the records of a page.
+   * @param page - the page
+   */
+  sizeOf({records}: LogPage): number {
+    return records.reduce(
+      (sum, {offset}) => sum + (this.sizes[offset] ?? 0),
+      0,
+    );
+  }
+
   /**
    * Lets records expire.
    * @param earliest - first offset that is kept
--- /dev/null
+++ b/bench/control/live_estate.ts
@@ -0,0 +1,147 @@
+import {readFile} from 'node:fs/promises';
+
+import {build} from 'hdr-histogram-js';
+
+import {
+  Chance,
+  SECOND,
+  availabilityZone,
+  serviceName,
+  vmName,
+} from '../../src/core/index.js';
+import type {Millis} from '../../src/core/index.js';
+import {Entry} from '../../src/daemons/entry/index.js';
+import {Sidecar} from '../../src/daemons/sidecar/index.js';
+import {Metrics} from '../../src/observability/index.js';
+import type {Fields, Logger} from '../../src/observability/index.js';
+import {SystemClock} from '../../src/observability/clock.js';
+import {PlatformServer} from '../../standins/platform_server.js';
+
+const ZONES = ['dar-kariakoo', 'dar-mikocheni', 'dar-temeke'];
+const ENTRIES_PER_ZONE = 3;
+const SIDECARS_PER_ZONE = 8;
+const SETTLE: Millis = 5 * SECOND;
+const CHANGE_EVERY: Millis = SECOND;
+const IDLE: Millis = 10 * SECOND;
+
+/** Hears when a version comes in force at one process. */
+class InForceLogger implements Logger {
+  constructor(private readonly heard: (version: number) => void) {}
+
+  info(event: string, fields: Fields = {}): void {
+    if (event !== 'configuration_in_force') return;
+    this.heard(Number(fields['version']));
+  }
+
+  warn(): void {}
+  error(): void {}
+  debug(): void {}
+
+  labelled(): Logger {
+    return this;
+  }
+}
+
+const pause = (ms: Millis) => new Promise(wake => setTimeout(wake, ms));
+
+/**
+ * Times publications at 9 entries and 24 sidecars, all daemons of one process
+ * over loopback, with the stand-in of the platform.
+ * @param changes - publications that are timed
+ */
+export async function measureLive(changes: number): Promise<string[]> {
+  const platform = new PlatformServer();
+  const platformUrl = await platform.listen();
+  const example = new URL('../../../examples/kivuli.yaml', import.meta.url);
+  const text = await readFile(example, 'utf8');
+  const inForceAt = new Map<number, number[]>();
+  const heard = (version: number) => {
+    const times = inForceAt.get(version) ?? [];
+    times.push(performance.now());
+    inForceAt.set(version, times);
+  };
+  const parts = (seed: number) => ({
+    clock: new SystemClock(),
+    chance: new Chance(seed),
+    logger: new InForceLogger(heard),
+    metrics: new Metrics(),
+  });
+  const acceptedAt: number[] = [];
+  const publish = (base: number) => {
+    const record = {kind: 'publication', id: `p${base}`, base, author: 'bench'};
+    acceptedAt[base + 1] = performance.now();
+    platform.append('configuration', {...record, text: `${text}# ${base}\n`});
+  };
+  publish(0);
+  const daemons: (Entry | Sidecar)[] = [];
+  const vms: object[] = [];
+  for (const zone of ZONES) {
+    const perZone = ENTRIES_PER_ZONE + SIDECARS_PER_ZONE;
+    for (let i = 0; i < perZone; i++) {
+      const isEntry = i < ENTRIES_PER_ZONE;
+      const settings = {
+        vm: vmName(`${isEntry ? 'entry' : 'upstream'}-${zone}-${i}`),
+        availabilityZone: availabilityZone(zone),
+        host: '127.0.0.1',
+        operatorPort: 0,
+        linkPort: 0,
+        linkKey: 'bench-link-key-0123456789',
+        logUrl: platformUrl,
+        vmListUrl: platformUrl,
+        drainTimeout: SECOND,
+      };
+      const service = serviceName('depot');
+      const upstreamUrl = platformUrl;
+      const seed = daemons.length + 1;
+      const daemon = isEntry
+        ? new Entry({...settings, port: 0}, parts(seed))
+        : new Sidecar({...settings, service, upstreamUrl}, parts(seed));
+      daemons.push(daemon);
+      const {links: address} = await daemon.start();
+      const role = isEntry ? 'entry' : 'sidecar';
+      const {vm, availabilityZone: az} = settings;
+      const listed = {vm, availabilityZone: az, address, role, state: 'live'};
+      vms.push(isEntry ? listed : {...listed, service});
+    }
+  }
+  platform.setVms(vms);
+  await pause(SETTLE);
+  const idle = await cpuShare(IDLE, daemons.length);
+  const cpuBefore = process.cpuUsage();
+  for (let base = 1; base <= changes; base++) {
+    publish(base);
+    await pause(CHANGE_EVERY);
+  }
+  const {user, system} = process.cpuUsage(cpuBefore);
+  await pause(SETTLE);
+  const delays = build();
+  const last = build();
+  let complete = 0;
+  for (let version = 2; version <= changes + 1; version++) {
+    const times = inForceAt.get(version) ?? [];
+    const from = acceptedAt[version] ?? 0;
+    times.forEach(at => delays.recordValue(Math.round((at - from) * 10)));
+    last.recordValue(Math.round((Math.max(...times) - from) * 10));
+    if (times.length === daemons.length) complete += 1;
+  }
+  for (const daemon of daemons) await daemon.stop();
+  await platform.close();
+  const share = (user + system) / 10 / (changes * CHANGE_EVERY);
+  const ms = (histogram: typeof delays, percentile: number) =>
+    `${histogram.getValueAtPercentile(percentile) / 10} ms`;
+  return [
+    `${daemons.length} daemons, ${changes} changes, ${complete} in force at all`,
+    `each process: p50 ${ms(delays, 50)}, p99 ${ms(delays, 99)}`,
+    `all processes: p50 ${ms(last, 50)}, p99 ${ms(last, 99)}`,
+    `CPU a daemon: ${idle.toFixed(2)}% of a core idle, ` +
+      `${(share / daemons.length).toFixed(2)}% at one change a second`,
+  ];
+}
+
+/** Share of a core that each daemon takes, in per cent. */
+async function cpuShare(span: Millis, daemons: number): Promise<number> {
+  const before = process.cpuUsage();
+  await pause(span);
+  const {user, system} = process.cpuUsage(before);
+  return (user + system) / 10 / span / daemons;
+}
--- /dev/null
+++ b/bench/control/slopes.ts
@@ -0,0 +1,129 @@
+import {build} from 'hdr-histogram-js';
+
+import {CurrentTextParser, TextParser} from '../../src/configuration/index.js';
+import {SECOND, recordId, version} from '../../src/core/index.js';
+import type {Millis} from '../../src/core/index.js';
+import {DeflateCodec, compressRecord} from '../../src/platform/index.js';
+import {ControlEstate} from './control_estate.js';
+import {largeText} from './large_text.js';
+
+/** 2,100 changes a day. */
+const CHANGE_EVERY: Millis = 41 * SECOND;
+const CHANGES = 3;
+const WARM_UP: Millis = 10 * SECOND;
+const MIB = 2 ** 20;
+
+/** One parse for all nodes of the process; its cost is measured apart. */
+class SharedParser extends TextParser {
+  private readonly current = new CurrentTextParser();
+  private readonly known = new Map<string, ReturnType<TextParser['parse']>>();
+
+  parse(text: string) {
+    const known = this.known.get(text) ?? this.current.parse(text);
+    this.known.set(text, known);
+    return known;
+  }
+}
+
+/** What a run of many nodes gave. */
+export interface Slope {
+  readonly nodes: number;
+  readonly relay: boolean;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly maxMs: number;
+  readonly messagesPerNodeSecond: number;
+  readonly bytesPerNodeSecond: number;
+  readonly busiestBytesPerSecond: number;
+  readonly peerBytesAcrossZones: number;
+  readonly logBytesAcrossZones: number;
+  readonly cpuMsPerNodeSecond: number;
+  readonly heapMibPerNode: number;
+}
+
+function heapUsed(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+/**
+ * Runs many nodes through some changes of a large text.
+ * @param zones - availability zones
+ * @param perZone - nodes in each
+ * @param relay - whether nodes relay, or each reads the log
+ */
+export function measureSlope(
+  zones: number,
+  perZone: number,
+  relay: boolean,
+): Slope {
+  const heapBefore = heapUsed();
+  const parser = new SharedParser();
+  const delays = build();
+  let publishedAt = 0;
+  const estate: ControlEstate = new ControlEstate({
+    zones,
+    perZone,
+    seed: 1,
+    codec: new DeflateCodec(),
+    parser: () => parser,
+    relay,
+    counts: true,
+    inForce: (_process, inForce) => {
+      if (inForce > 1) {
+        delays.recordValue(Math.round((estate.time.now - publishedAt) * 10));
+      }
+    },
+  });
+  const publish = (revision: number) => {
+    const text = largeText(revision);
+    const id = recordId(`p${revision}`);
+    const author = 'bench';
+    const base = version(revision);
+    const record = {kind: 'publication', id, base, author, text};
+    const size = JSON.stringify(compressRecord(record)).length;
+    publishedAt = estate.time.now;
+    estate.log.append(record, size);
+  };
+  publish(0);
+  estate.time.advance(WARM_UP);
+  for (const {sent} of estate.slots) {
+    Object.assign(sent, {
+      messages: 0,
+      bytes: 0,
+      bytesAcrossZones: 0,
+      bytesFromLog: 0,
+    });
+  }
+  const cpuBefore = process.cpuUsage();
+  for (let revision = 1; revision <= CHANGES; revision++) {
+    publish(revision);
+    estate.time.advance(CHANGE_EVERY);
+  }
+  const {user, system} = process.cpuUsage(cpuBefore);
+  const seconds = (CHANGES * CHANGE_EVERY) / SECOND;
+  const nodes = estate.size;
+  const sent = estate.slots.map(slot => slot.sent);
+  const sum = (of: (one: (typeof sent)[number]) => number) =>
+    sent.reduce((total, one) => total + of(one), 0);
+  // The log stands in the first zone; the others read it across zones.
+  const far = sent.filter((_, slot) => estate.zoneOf(slot) !== 0);
+  const perNodeSecond = nodes * seconds;
+  return {
+    nodes,
+    relay,
+    p50Ms: delays.getValueAtPercentile(50) / 10,
+    p99Ms: delays.getValueAtPercentile(99) / 10,
+    maxMs: delays.maxValue / 10,
+    messagesPerNodeSecond: sum(one => one.messages) / perNodeSecond,
+    bytesPerNodeSecond:
+      sum(one => one.bytes + one.bytesFromLog) / perNodeSecond,
+    busiestBytesPerSecond:
+      Math.max(...sent.map(one => one.bytes + one.bytesFromLog)) / seconds,
+    peerBytesAcrossZones: sum(one => one.bytesAcrossZones) / CHANGES,
+    logBytesAcrossZones:
+      far.reduce((total, one) => total + one.bytesFromLog, 0) / CHANGES,
+    cpuMsPerNodeSecond: (user + system) / 1_000 / perNodeSecond,
+    heapMibPerNode: (heapUsed() - heapBefore) / MIB / nodes,
+  };
+}
--- a/src/configuration/configuration_node.test.ts
+++ b/src/configuration/configuration_node.test.ts
@@ -9,9 +9,20 @@
   publicationOf,
   tinyText,
 } from '../../test/support/texts.js';
-import {MINUTE, SECOND, recordId} from '../core/index.js';
+import {
+  Chance,
+  MINUTE,
+  SECOND,
+  newIncarnation,
+  offset,
+  recordId,
+  version,
+  vmName,
+} from '../core/index.js';
 import {DeflateCodec} from '../platform/index.js';
+import {ConfigurationNode} from './configuration_node.js';
 import {LogFollower} from './log_follower.js';
+import type {ConfigurationEffect} from './node_types.js';
 import {CurrentTextParser} from './text_parser.js';
 
 const ZONES = 3;
@@ -92,10 +103,11 @@
   constructor(
     seed: number,
     readonly old: ReadonlySet<number> = new Set(),
+    perZone = PER_ZONE,
   ) {
     this.estate = new ControlEstate({
       zones: ZONES,
-      perZone: PER_ZONE,
+      perZone,
       seed,
       codec: new DeflateCodec(),
       parser: i => (old.has(i) ? current : newer),
@@ -256,6 +268,191 @@
   );
 }
 
+/** An estate with one version in force everywhere. */
+function settled(): Run {
+  const run = new Run(5);
+  publishNext(run);
+  run.do({kind: 'wait', ms: 20 * SECOND});
+  expect(versionsOf(run)).toEqual(Array(SIZE).fill(1));
+  return run;
+}
+
+function publishNext(run: Run): void {
+  run.do({kind: 'publish', operators: 1, schema: 1, lost: false});
+}
+
+/** Time passes, and the log keeps what is younger than some minutes. */
+function age(run: Run, minutes: number, retention: number): void {
+  const {log} = run.estate;
+  const lengths: number[] = [];
+  for (let minute = 0; minute < minutes; minute++) {
+    lengths.push(log.all.length);
+    run.do({kind: 'wait', ms: MINUTE});
+    log.expire(lengths[minute - retention] ?? 0);
+  }
+}
+
+function inZone(zone: number): number[] {
+  return Array.from({length: PER_ZONE}, (_, i) => zone + i * ZONES);
+}
+
+const WITHIN = 16 * SECOND;
+const everywhere = (version: number) => Array(SIZE).fill(version);
+
+describe('an estate of configuration nodes', () => {
+  it('tells a zone that is cut from the platform only', () => {
+    const run = settled();
+    run.do({kind: 'cutPlatform', zone: 1});
+    run.do({kind: 'wait', ms: MINUTE});
+    publishNext(run);
+    run.do({kind: 'wait', ms: WITHIN});
+    expect(versionsOf(run)).toEqual(everywhere(2));
+  });
+
+  it('tells a zone that was cut from everything once it is back', () => {
+    const run = settled();
+    run.do({kind: 'cutPlatform', zone: 1});
+    run.do({kind: 'cutZones', zone: 1});
+    run.do({kind: 'wait', ms: MINUTE});
+    publishNext(run);
+    run.do({kind: 'wait', ms: MINUTE});
+    for (const slot of inZone(1)) expect(versionsOf(run)[slot]).toBe(1);
+    run.do({kind: 'join', zone: 1});
+    run.do({kind: 'wait', ms: WITHIN});
+    expect(versionsOf(run)).toEqual(everywhere(2));
+  });
+
+  it.each([0, 1, 2])('keeps zone %i through replacement in an outage', zone => {
+    const run = settled();
+    run.do({kind: 'outage', on: true});
+    run.do({kind: 'wait', ms: MINUTE});
+    for (const slot of inZone(zone)) {
+      run.estate.restart(slot);
+      run.do({kind: 'wait', ms: 10 * SECOND});
+      expect(versionsOf(run)).toEqual(everywhere(1));
+    }
+  });
+
+  it('outlives retention in a quiet stream, at a bounded append rate', () => {
+    const run = settled();
+    age(run, 120, 20);
+    expect(run.estate.log.earliest).toBeGreaterThan(0);
+    expect(run.estate.log.all.length).toBeLessThan(40);
+    for (let slot = 0; slot < SIZE; slot++) run.estate.restart(slot);
+    run.do({kind: 'wait', ms: WITHIN});
+    expect(versionsOf(run)).toEqual(everywhere(1));
+  });
+
+  it('writes a checkpoint first after an outage beyond retention', () => {
+    const run = settled();
+    run.do({kind: 'outage', on: true});
+    age(run, 60, 20);
+    expect(run.estate.log.page(0 as never).records).toEqual([]);
+    run.do({kind: 'outage', on: false});
+    run.do({kind: 'wait', ms: 30 * SECOND});
+    for (let slot = 0; slot < SIZE; slot++) run.estate.restart(slot);
+    run.do({kind: 'wait', ms: WITHIN});
+    expect(versionsOf(run)).toEqual(everywhere(1));
+  });
+
+  it('settles a checkpoint whose answer was lost by reading', () => {
+    const run = settled();
+    run.estate.loseAnswers = 1_000;
+    age(run, 60, 20);
+    expect(run.estate.log.all.length).toBeLessThan(30);
+  });
+
+  it('serves nothing without a trustworthy state, and says so', () => {
+    const run = settled();
+    run.estate.log.expire(run.estate.log.all.length);
+    for (let slot = 0; slot < SIZE; slot++) run.estate.restart(slot);
+    run.do({kind: 'wait', ms: MINUTE});
+    expect(versionsOf(run)).toEqual(everywhere(0));
+    const {gap, lag} = run.estate.slots[0]!.node.status(run.estate.time.now);
+    expect({gap, lag}).toEqual({
+      gap: true,
+      lag: 'records expired before they were read',
+    });
+  });
+
+  it('goes on when the readers of a zone are gone from one moment on', () => {
+    const run = new Run(6, new Set(), 8);
+    publishNext(run);
+    run.do({kind: 'wait', ms: 20 * SECOND});
+    const {slots, time} = run.estate;
+    const dead = slots.flatMap(({node}, slot) =>
+      node.status(time.now).reads && slot % ZONES === 0 ? [slot] : [],
+    );
+    expect(dead.length).toBe(2);
+    dead.forEach(slot => run.estate.kill(slot));
+    run.do({kind: 'wait', ms: SECOND});
+    publishNext(run);
+    run.do({kind: 'wait', ms: WITHIN});
+    const alive = versionsOf(run).filter((_, slot) => !dead.includes(slot));
+    expect(alive).toEqual(alive.map(() => 2));
+  });
+
+  it('gives few processes the log to read, and each few links', () => {
+    const run = new Run(7, new Set(), 40);
+    publishNext(run);
+    run.do({kind: 'wait', ms: MINUTE});
+    const {slots, time} = run.estate;
+    const statuses = slots.map(({node}) => node.status(time.now));
+    expect(statuses.filter(({reads}) => reads).length).toBe(2 * ZONES);
+    const links = slots.map(({node}) => node.relayPeers().length);
+    expect(Math.max(...links)).toBeLessThanOrEqual(24);
+  });
+});
+
+describe('a new configuration node', () => {
+  const codec = new DeflateCodec();
+  const self = new ControlEstate({zones: 1, perZone: 1, seed: 1, codec})
+    .slots[0]!.identity;
+  const newNode = () => new ConfigurationNode(0, self, new Chance(1), codec);
+  const inForce = (effects: readonly ConfigurationEffect[]) =>
+    effects.flatMap(effect =>
+      effect.type === 'in_force' ? [effect.version] : [],
+    );
+  const record = (at: number) => ({
+    offset: offset(at),
+    data: publicationOf(at, tinyText(`z${at}`), `p${at}`),
+  });
+
+  it('serves no old version while it reads the log in pieces', () => {
+    const node = newNode();
+    const bounds = {earliest: offset(0), next: offset(2)};
+    node.tick(0);
+    expect(inForce(node.page(1, {...bounds, records: [record(0)]}))).toEqual(
+      [],
+    );
+    expect(inForce(node.page(2, {...bounds, records: [record(1)]}))).toEqual([
+      2,
+    ]);
+  });
+
+  it('compares what its peers say before it serves', () => {
+    const node = newNode();
+    const peer = newIncarnation(vmName('vm-9'), 1, 'x');
+    const say = (now: number, at: number) =>
+      node.message(now, peer, {
+        type: 'configuration_state',
+        version: version(at),
+        foldedTo: offset(at),
+        logAge: 0,
+        body: {
+          kind: 'whole',
+          author: '',
+          publicationId: recordId(`p${at}`),
+          deflated: codec.deflate(tinyText(`z${at}`)),
+        },
+      });
+    expect(inForce(say(0, 3))).toEqual([]);
+    expect(inForce(say(500, 7))).toEqual([]);
+    expect(inForce(say(600, 5))).toEqual([]);
+    expect(inForce(node.tick(SECOND))).toEqual([7]);
+  });
+});
+
 describe('configuration nodes under faults', () => {
   it('keep one sequence, never fall back, and agree once healed', () => {
     let recovered = 0;
--- a/src/configuration/configuration_node.ts
+++ b/src/configuration/configuration_node.ts
@@ -146,7 +146,6 @@
   page(now: Millis, page: LogPage): ConfigurationEffect[] {
     this.reading = false;
     this.failures = 0;
-    this.nextReadAt = now + LEAST_BETWEEN_READS;
     this.logHeardAt = now;
     if (this.outageSince !== undefined) {
       this.checkpoints.recovered(now - this.outageSince);
@@ -360,6 +359,7 @@
     const isTold = isNew || this.relay.logHeardAt(now) !== undefined;
     if (!this.role.reads && isTold) return;
     this.reading = true;
+    this.nextReadAt = now + LEAST_BETWEEN_READS;
     const from = this.follower.position;
     this.effects.push({type: 'read', from, wait: LONG_POLL});
   }
--- a/src/configuration/log_follower.test.ts
+++ b/src/configuration/log_follower.test.ts
@@ -159,12 +159,14 @@
   });
 
   it.each([
-    ['an older state', {version: 2, text: A, foldedTo: 0}],
-    ['a lower version further on', {version: 0, text: '', foldedTo: 9}],
-    ['another text for the version', {version: 1, text: B, foldedTo: 9}],
-    ['a text that no program accepts', {version: 2, text: '][', foldedTo: 9}],
+    ['an older state', {version: 3, text: A, foldedTo: 0}],
+    ['a lower version further on', {version: 1, text: A, foldedTo: 9}],
+    ['another text for the version', {version: 2, text: A, foldedTo: 9}],
+    ['a text that no program accepts', {version: 3, text: '][', foldedTo: 9}],
   ])('does not adopt %s', (_name, state) => {
-    const {follower} = follow(pageFrom(0, publicationOf(0, A, 'p1')));
+    const {follower} = follow(
+      pageFrom(0, publicationOf(0, A, 'p1'), publicationOf(1, B, 'p2')),
+    );
     const adopted = follower.adopt({
       version: version(state.version),
       text: state.text,
@@ -173,6 +175,6 @@
       foldedTo: offset(state.foldedTo),
     });
     expect(adopted).toBe(false);
-    expect(follower.history.inForce?.version).toBe(1);
+    expect(follower.history.inForce?.version).toBe(2);
   });
 });
--- a/src/configuration/messages.ts
+++ b/src/configuration/messages.ts
@@ -13,11 +13,18 @@
   foldedTo: z.int().min(-1).transform(offset),
 };
 
-/** How the text of a state travels. */
+/** Who published a version, and as what. */
+const origin = {
+  author: z.string(),
+  publicationId: z.string().transform(recordId),
+};
+
+/** How the text of a version travels. */
 const body = z.discriminatedUnion('kind', [
-  z.strictObject({kind: z.literal('whole'), deflated}),
+  z.strictObject({kind: z.literal('whole'), ...origin, deflated}),
   z.strictObject({
     kind: z.literal('delta'),
+    ...origin,
     /** The version whose text the delta was made against. */
     base: z.int().positive().transform(version),
     /** SHA-256 of the whole text. */
@@ -44,8 +51,6 @@
 const state = z.strictObject({
   type: z.literal('configuration_state'),
   ...watermark,
-  author: z.string(),
-  publicationId: z.string().transform(recordId),
   /** Time since the sender or its source last heard from the log, ms. */
   logAge: z.number().nonnegative(),
   body: body.optional(),
--- a/src/configuration/relay.ts
+++ b/src/configuration/relay.ts
@@ -6,7 +6,7 @@
 import type {FoldedState} from './types.js';
 
 /** How often a process pulls from each of its sources. */
-const PULL_EVERY: Millis = 5 * SECOND;
+const PULL_EVERY: Millis = 10 * SECOND;
 /** How often it does while it has no configuration. */
 const PULL_EVERY_WITHOUT_STATE: Millis = SECOND;
 /** A peer that has not pulled this long is told nothing more. */
@@ -159,22 +159,22 @@
     message: ConfigurationState,
     own: FoldedState,
   ): {readonly state?: FoldedState; readonly again?: ConfigurationPull} {
-    const {version, author, publicationId, foldedTo, logAge, body} = message;
+    const {version, foldedTo, logAge, body} = message;
     const known = this.sources.get(from);
     if (known !== undefined) {
       const logHeardAt = now - logAge;
       this.sources.set(from, {...known, heardAt: now, logHeardAt, foldedTo});
     }
     if (foldedTo <= own.foldedTo || version < own.version) return {};
-    const state = {version, author, publicationId, foldedTo};
-    if (version === own.version) return {state: {...state, text: own.text}};
+    if (version === own.version) return {state: {...own, foldedTo}};
     if (body === undefined) {
       this.behindSince ??= now;
       return {};
     }
     const text = this.states.unpack(body, own);
     if (text === undefined) return {again: pullOf(own, false, true)};
-    return {state: {...state, text}};
+    const {author, publicationId} = body;
+    return {state: {version, text, author, publicationId, foldedTo}};
   }
 
   /**
@@ -226,8 +226,8 @@
     {version: has, reads, whole}: Subscriber,
     {state, logAge}: RelayView,
   ): ConfigurationState {
-    const {version, foldedTo, author, publicationId} = state;
-    const watermark = {version, foldedTo, author, publicationId, logAge};
+    const {version, foldedTo} = state;
+    const watermark = {version, foldedTo, logAge};
     const message = {type: 'configuration_state', ...watermark} as const;
     if (reads || has >= version) return message;
     const base = whole || has === 0 ? undefined : has;
--- a/src/configuration/relay_topology.ts
+++ b/src/configuration/relay_topology.ts
@@ -3,6 +3,8 @@
 
 /** Processes of an availability zone that follow the log. */
 export const READERS_PER_ZONE = 2;
+/** Processes that have the same first source. */
+const CHILDREN = 8;
 /** Other availability zones that a reader compares itself with. */
 export const NEIGHBOUR_ZONES = 2;
 
@@ -25,6 +27,10 @@
 /**
  * Works out the part of a process. No vote is needed: whoever reads, the fold
  * is the same, and too many or too few readers cost messages, never safety.
+ * Within a zone the processes form a tree, so that each has few links: at most
+ * two sources and twice as many followers as there are children. A source
+ * stands earlier in the zone's order, also when views of the zone differ, so
+ * that no two processes wait for each other.
  * @param self - the process's own VM
  * @param others - the other VMs that are thought to be there
  */
@@ -44,7 +50,7 @@
   );
   const rank = own.indexOf(self.vm);
   const reads = rank < READERS_PER_ZONE;
-  const near = own.slice(0, READERS_PER_ZONE).filter(vm => vm !== self.vm);
+  const near = sourcesOf(rank, own);
   const far = neighbours(self.availabilityZone, zones).map(zone => {
     const ranked = rendezvous(zone, zones.get(zone) ?? []);
     const readers = ranked.slice(0, READERS_PER_ZONE);
@@ -56,6 +62,18 @@
   return {reads, sources: near, fallbacks: [...companion, ...far]};
 }
 
+/** The sources within the zone of the process at a rank. */
+function sourcesOf(rank: number, ranked: readonly VmName[]): VmName[] {
+  if (rank < READERS_PER_ZONE) {
+    return ranked.slice(0, READERS_PER_ZONE).filter((_, i) => i !== rank);
+  }
+  const first = Math.floor((rank - READERS_PER_ZONE) / CHILDREN);
+  // Sources come in pairs, so that one lost source cuts nobody off.
+  return [first, first ^ 1]
+    .map(at => ranked[at])
+    .filter(vm => vm !== undefined);
+}
+
 /** The zones after `zone`, in the order of their names and round again. */
 function neighbours(
   zone: AvailabilityZone,
--- a/src/configuration/state_codec.ts
+++ b/src/configuration/state_codec.ts
@@ -97,12 +97,14 @@
   }
 
   private encode(
-    {text}: FoldedState,
+    {text, author, publicationId}: FoldedState,
     base: Version | undefined,
     known: string | undefined,
   ): StateBody {
+    const origin = {author, publicationId};
     const whole: StateBody = {
       kind: 'whole',
+      ...origin,
       deflated: this.codec.deflate(text),
     };
     if (base === undefined || known === undefined) return whole;
@@ -110,7 +112,7 @@
     const deflated = this.codec.deflate(parts);
     if (deflated.length >= whole.deflated.length) return whole;
     const digest = this.codec.digest(text);
-    return {kind: 'delta', base, digest, deflated};
+    return {kind: 'delta', ...origin, base, digest, deflated};
   }
 }
 
