Prove the configuration at separate processes; dial what the list gives

The failure count of an address was cleared by the peer's own name for it, so backoff never reset behind such a view.

--- a/src/daemons/shared/links_task.ts
+++ b/src/daemons/shared/links_task.ts
@@ -40,7 +40,13 @@
       readonly addresses: ReadonlySet<string>;
     }
   | {readonly type: 'dial'; readonly address: string}
-  | {readonly type: 'up'; readonly link: Link; readonly peer: Identity}
+  | {
+      readonly type: 'up';
+      readonly link: Link;
+      readonly peer: Identity;
+      /** The address that was dialled, if this side did. */
+      readonly address: string | undefined;
+    }
   | {
       readonly type: 'closed';
       readonly link: Link;
@@ -114,6 +120,9 @@
       case 'dial':
         return this.dialOne(message.address);
       case 'up':
+        if (message.address !== undefined) {
+          this.failures.delete(message.address);
+        }
         return this.up(message.link, message.peer);
       case 'closed':
         return this.closed(message.link, message.address, message.reason);
@@ -169,7 +178,6 @@
   }
 
   private up(link: Link, peer: Identity): void {
-    this.failures.delete(peer.address);
     const known = this.open.get(peer.incarnation)?.links ?? [];
     // A peer dials again only once it gave its older link up. A link that the
     // other side dialled stands beside it, so that neither closes the other's.
@@ -223,7 +231,7 @@
 
   private listener(address: string | undefined): LinkListener {
     return {
-      open: (link, peer) => this.post({type: 'up', link, peer}),
+      open: (link, peer) => this.post({type: 'up', link, peer, address}),
       closed: (link, reason) =>
         this.post({type: 'closed', link, address, reason}),
       message: (link, message) => {
--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -152,10 +152,8 @@
     return {
       vm: shown.vm,
       availabilityZone: shown.availabilityZone,
-      // A process that answers knows its address; the list may be behind.
-      address: process?.linked
-        ? shown.address
-        : (listing?.vm.address ?? shown.address),
+      // The address that the list gives is the one that this VM can reach.
+      address: listing?.vm.address ?? shown.address,
       role: shown.role,
       service: shown.service,
       operators: process?.identity.operators,
--- a/standins/platform_server.ts
+++ b/standins/platform_server.ts
@@ -7,6 +7,8 @@
 export interface PlatformFaults {
   /** Nothing answers. */
   down: boolean;
+  /** The log does not answer; the list of VMs does. */
+  logDown: boolean;
   /** Appends that take effect but get no answer. */
   loseAnswers: number;
   /** Delay of each answer, ms. */
@@ -29,6 +31,7 @@
   /** Faults in force; change them at any time. */
   readonly faults: PlatformFaults = {
     down: false,
+    logDown: false,
     loseAnswers: 0,
     slowMs: 0,
     retain: Infinity,
@@ -89,6 +92,10 @@
     if (url.pathname === '/vms') return sendJson(res, {vms: this.vms});
     const [, name] = /^\/streams\/([^/]+)\/records$/.exec(url.pathname) ?? [];
     if (name === undefined) return sendJson(res, {}, 404);
+    if (this.faults.logDown) {
+      res.destroy();
+      return;
+    }
     if (req.method === 'POST') return this.post(name, req, res);
     await this.read(name, url.searchParams, res);
   }
@@ -112,7 +119,7 @@
     const stream = this.streamOf(name);
     const next = () => stream.earliest + stream.records.length;
     if (from >= next()) await this.comes(name, Number(query.get('wait') ?? 0));
-    if (this.faults.down) {
+    if (this.faults.down || this.faults.logDown) {
       res.destroy();
       return;
     }
