Let the estate's kill wait for a booking at the very upstream

Cause: the test took for granted that an earlier booking had run at the same upstream; with links that open in another order it had not, and the test waited for ever. Found in a run of the whole suite; the condition now is that a new booking runs there.

--- a/test/whole_estate.test.ts
+++ b/test/whole_estate.test.ts
@@ -1,6 +1,5 @@
-import {readFile, writeFile} from 'node:fs/promises';
 import {once} from 'node:events';
-import {mkdtemp} from 'node:fs/promises';
+import {mkdtemp, readFile, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 
@@ -9,6 +8,7 @@
 
 import {completionTokens, streamEvent} from '../standins/engine_server.js';
 import {CallerLog, runsAt} from './support/caller_log.js';
+import type {Told} from './support/caller_log.js';
 import {Estate} from './support/estate.js';
 import type {Daemon} from './support/estate.js';
 import {until} from './support/processes.js';
@@ -68,12 +68,19 @@
     await request(`${daemon.upstreamUrl}/control/delay`, {method: 'PUT', body});
   }
 
-  /** Books and waits until the booking has reached the upstream. */
-  async function bookInFlight(entry: Daemon, at: Daemon) {
-    const ranBefore = (await runsAt([at.upstreamUrl])).size;
-    const told = callers.book(entry);
-    await until(async () => (await runsAt([at.upstreamUrl])).size > ranBefore);
-    return told;
+  /** Books until a booking runs at the given upstream. */
+  async function bookAt(
+    entry: Daemon,
+    at: Daemon,
+  ): Promise<{told: Promise<Told>}> {
+    const runs = async () => (await runsAt([at.upstreamUrl])).size;
+    const before = await runs();
+    for (;;) {
+      let answered = false;
+      const told = callers.book(entry).finally(() => (answered = true));
+      await until(async () => answered || (await runs()) > before);
+      if ((await runs()) > before) return {told};
+    }
   }
 
   async function expectNoLies(): Promise<void> {
@@ -118,8 +125,7 @@
   it('kill: a sidecar dies with a booking at its upstream', async () => {
     const victim = estate.sidecar(first, plain);
     await slowUpstream(victim, 1_500);
-    const told = bookInFlight(estate.entry(first), victim);
-    await until(async () => (await runsAt([victim.upstreamUrl])).size > 1);
+    const {told} = await bookAt(estate.entry(first), victim);
     await victim.process.kill('SIGKILL');
     expect((await told).outcome).toBe('unknown');
     await bookUntilDone(estate.entry(first));
--- a/test/whole_path.test.ts
+++ b/test/whole_path.test.ts
@@ -57,9 +57,11 @@
     const ready = await entry.event('ready');
     callers = `http://${ready['callers']}`;
     await entry.event('configuration_in_force');
-    await until(
-      () => entry.lines.filter(line => line['event'] === 'link_up').length >= 2,
-    );
+    const linked = () =>
+      entry.lines.filter(
+        ({event, side}) => event === 'link_up' && side === 'dial',
+      );
+    await until(() => linked().length >= 2);
   });
 
   afterAll(() => processes.close());
