Bound what a peer can do over a link, and prove it by faults

Cause: a peer without the key could make a process hold 16 MiB a connection before its hello; a peer that does not read grew memory without bound; a fault of a listener closed a healthy link; a link was given up right after a pause of its own process, with the peer's frames still unread. Ruled out: counting bytes from the upgrade event on the dialling side (the first frames are lost; a failed trial, every handshake stalled). Before: no test of links. After: 35 rows over real sockets with a fake clock. Conclusion: reasons link_silent and link_overflow are counted; a call is not handed to a link with 32 MiB waiting, and 64 MiB closes it.

--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -122,6 +122,16 @@
   ),
   // Between processes and inside them.
   link_closed: entry(502, 'The link to the peer closed.', 'See its log.'),
+  link_silent: entry(
+    502,
+    'The peer was silent for too long.',
+    'See whether it runs and whether the network between the two is whole.',
+  ),
+  link_overflow: entry(
+    502,
+    'The peer did not take what was sent to it.',
+    'See whether it is short of processor time.',
+  ),
   link_refused: entry(
     403,
     'The peer did not prove that it has the link key.',
--- a/src/links/dial.ts
+++ b/src/links/dial.ts
@@ -21,5 +21,10 @@
     perMessageDeflate: false,
     handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
   });
-  return new Link(socket, 'dial', context, listener);
+  const link = new Link(socket, 'dial', context, listener);
+  socket.once('upgrade', ({socket: tcp}) => {
+    // Listening before the connection is open would take its first bytes away.
+    socket.once('open', () => link.guard(tcp));
+  });
+  return link;
 }
--- /dev/null
+++ b/src/links/link.test.ts
@@ -0,0 +1,423 @@
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {WebSocket, WebSocketServer} from 'ws';
+
+import {until} from '../../test/support/processes.js';
+import {Clock} from '../core/index.js';
+import type {Millis} from '../core/index.js';
+import type {Fault} from '../errors/index.js';
+import {identity} from '../membership/index.js';
+import type {Identity} from '../membership/index.js';
+import {Metrics} from '../observability/index.js';
+import {encode} from './codec.js';
+import {dial} from './dial.js';
+import {Handshake} from './handshake.js';
+import {CALLS_WAIT_ABOVE, MAX_BUFFERED, MAX_FRAME} from './link.js';
+import type {Link, LinkContext, LinkListener} from './link.js';
+import {MAX_UNPROVED, acceptLinks} from './listener.js';
+import type {Listening} from './listener.js';
+import type {LinkMessage} from './messages.js';
+
+class FakeClock extends Clock {
+  time: Millis = 0;
+  now(): Millis {
+    return this.time;
+  }
+  wall(): Millis {
+    return this.time;
+  }
+}
+
+/** How often a link looks at the time, ms. */
+const TICK = 500;
+const KEY = 'a link key of the estate';
+
+const named = (vm: string): Identity =>
+  identity.parse({
+    incarnation: `${vm}/1`,
+    vm,
+    availabilityZone: 'z1',
+    role: 'entry',
+    address: '127.0.0.1:1',
+    program: '0.1.0',
+  });
+
+/** One process's side of its links, and all that it hears of them. */
+class Endpoint implements LinkListener {
+  readonly clock = new FakeClock();
+  readonly metrics = new Metrics();
+  readonly links: Link[] = [];
+  readonly messages: LinkMessage[] = [];
+  readonly reasons: string[] = [];
+  throws = false;
+
+  constructor(
+    readonly vm: string,
+    private readonly key = KEY,
+  ) {}
+
+  get context(): LinkContext {
+    const {clock, metrics, key} = this;
+    return {self: named(this.vm), key, clock, metrics};
+  }
+
+  open(link: Link): void {
+    this.links.push(link);
+  }
+
+  message(_link: Link, message: LinkMessage): void {
+    if (this.throws) throw new Error('fault of the listener');
+    this.messages.push(message);
+  }
+
+  closed(_link: Link, {reason}: Fault): void {
+    this.reasons.push(reason);
+  }
+
+  async count(name: string, reason: string): Promise<number> {
+    const {values} = await this.metrics.registry
+      .getSingleMetric(`baobabspan_${name}_total`)!
+      .get();
+    return values.find(({labels}) => labels['reason'] === reason)?.value ?? 0;
+  }
+}
+
+/** A peer that speaks the frames by itself. */
+class RawPeer {
+  readonly socket: WebSocket;
+  readonly frames: Buffer[] = [];
+  /** Its hello, to be sent again. */
+  hello: Uint8Array = new Uint8Array();
+  private readonly handshake = new Handshake(KEY, named('raw'));
+
+  constructor(address: string) {
+    this.socket = new WebSocket(`ws://${address}`);
+    this.socket.on('message', data => this.frames.push(data as Buffer));
+    this.socket.on('error', () => undefined);
+  }
+
+  get isClosed(): boolean {
+    return this.socket.readyState === WebSocket.CLOSED;
+  }
+
+  async challenged(): Promise<void> {
+    await until(() => this.frames.length > 0);
+  }
+
+  async welcomed(): Promise<void> {
+    await this.challenged();
+    this.hello = this.handshake.answer(this.frames[0]!);
+    this.socket.send(this.hello);
+    await until(() => this.frames.length > 1);
+  }
+}
+
+const LEAVING = {type: 'leaving'} as const;
+const NESTED = Buffer.alloc(100_000, 0x91);
+
+const call = (bytes: number) =>
+  ({
+    type: 'call',
+    ...{callId: 'c', attempt: 1, service: 's', organisation: 'o', weight: 1},
+    ...{priority: 'normal', idempotent: true, remainingMs: 1, method: 'GET'},
+    ...{path: '/', headers: {}, body: new Uint8Array(bytes), credit: 1},
+  }) as unknown as LinkMessage;
+
+describe('links', () => {
+  let here: Endpoint;
+  let good: Endpoint;
+  let goodLink: Link;
+  let listening: Listening;
+  let raws: RawPeer[];
+
+  const raw = () => {
+    const peer = new RawPeer(listening.address);
+    raws.push(peer);
+    return peer;
+  };
+
+  beforeEach(async () => {
+    vi.useFakeTimers({toFake: ['setInterval', 'clearInterval']});
+    [here, good, raws] = [new Endpoint('here'), new Endpoint('good'), []];
+    listening = await acceptLinks('127.0.0.1', 0, () => here.context, here);
+    goodLink = dial(listening.address, good.context, good);
+    await until(() => here.links.length === 1 && good.links.length === 1);
+  });
+
+  afterEach(async () => {
+    goodLink.finish();
+    raws.forEach(({socket}) => socket.terminate());
+    await listening.close();
+    vi.useRealTimers();
+  });
+
+  const expectGoodLinkToServe = async () => {
+    const before = here.messages.length;
+    expect(goodLink.send(LEAVING)).toBe(true);
+    await until(() => here.messages.length > before);
+    expect(good.reasons).toEqual([]);
+  };
+
+  const expectClosed = async (
+    peer: RawPeer,
+    counter: string,
+    reason: string,
+  ) => {
+    await until(() => peer.isClosed);
+    await until(async () => (await here.count(counter, reason)) > 0);
+    expect(here.reasons).toEqual([reason]);
+    expect(await here.count('closed_links', reason)).toBe(1);
+    await expectGoodLinkToServe();
+  };
+
+  describe('a peer that has proved nothing', () => {
+    it.each<[string, string, (peer: RawPeer) => Uint8Array | string]>([
+      ['bytes of no encoding', 'bad_frame', () => Buffer.from([0xc1])],
+      ['an empty frame', 'bad_frame', () => Buffer.alloc(0)],
+      ['text', 'bad_frame', () => 'hello'],
+      ['nesting without end', 'bad_frame', () => NESTED],
+      [
+        'an array without its items',
+        'bad_frame',
+        () => Buffer.from([0xdd, 1, 255, 255, 255]),
+      ],
+      ['a message before its hello', 'bad_frame', () => encode(LEAVING)],
+      ['an unknown message', 'bad_frame', () => encode({type: 'what'})],
+      ['a challenge of its own', 'bad_frame', peer => peer.frames[0]!],
+      [
+        'a hello without a proof',
+        'bad_frame',
+        () =>
+          encode({
+            type: 'hello',
+            identity: named('raw'),
+            nonce: new Uint8Array(16),
+            mac: new Uint8Array(0),
+          }),
+      ],
+      [
+        'a hello with a wrong proof',
+        'link_refused',
+        () =>
+          encode({
+            type: 'hello',
+            identity: named('raw'),
+            nonce: new Uint8Array(16),
+            mac: new Uint8Array(32),
+          }),
+      ],
+      [
+        'a hello with another key',
+        'link_refused',
+        peer =>
+          new Handshake('another key', named('raw')).answer(peer.frames[0]!),
+      ],
+      ['more than a handshake', 'bad_frame', () => Buffer.alloc(200 * 2 ** 10)],
+    ])('is closed for %s', async (_, reason, frame) => {
+      const peer = raw();
+      await peer.challenged();
+      peer.socket.send(frame(peer));
+      await expectClosed(peer, 'dropped_frames', reason);
+    });
+
+    it('is closed for the hello of an earlier link', async () => {
+      const first = raw();
+      await first.welcomed();
+      const second = raw();
+      await second.challenged();
+      second.socket.send(first.hello);
+      await expectClosed(second, 'dropped_frames', 'link_refused');
+    });
+
+    it('is closed for a hello whose identity was changed', async () => {
+      const peer = raw();
+      await peer.challenged();
+      const hello = new Handshake(KEY, named('raw')).answer(peer.frames[0]!);
+      const forged = Buffer.from(hello);
+      forged.write('war', forged.indexOf('raw'));
+      peer.socket.send(forged);
+      await expectClosed(peer, 'dropped_frames', 'link_refused');
+    });
+
+    it('is closed when the handshake takes too long', async () => {
+      const peer = raw();
+      await peer.challenged();
+      // The good link is heard from at the later time.
+      pass(here, 2_900);
+      await expectGoodLinkToServe();
+      expect(peer.isClosed).toBe(false);
+      pass(here, 200);
+      await until(() => peer.isClosed);
+      expect(here.reasons).toEqual(['link_silent']);
+    });
+
+    it('is turned away when too many others have proved nothing', async () => {
+      for (let i = 0; i < MAX_UNPROVED; i++) raw();
+      await Promise.all(raws.map(peer => peer.challenged()));
+      const late = raw();
+      await until(() => late.isClosed);
+      expect(await here.count('closed_links', 'overloaded')).toBe(1);
+      await expectGoodLinkToServe();
+    });
+  });
+
+  describe('an open link', () => {
+    it.each<[string, string, Uint8Array | string]>([
+      ['bytes of no encoding', 'bad_frame', Buffer.from([0xc1])],
+      ['text', 'bad_frame', 'hello'],
+      ['nesting without end', 'bad_frame', NESTED],
+      ['an unknown message', 'bad_frame', encode({type: 'what'})],
+      ['a second hello', 'bad_frame', encode({type: 'hello'})],
+      ['a field too many', 'bad_frame', encode({...LEAVING, more: 1})],
+      ['a field too few', 'bad_frame', encode({type: 'cancel', callId: 'c'})],
+      [
+        'a field of another type',
+        'bad_frame',
+        encode({type: 'cancel', callId: 7, attempt: 1}),
+      ],
+    ])('is closed for %s', async (_, reason, frame) => {
+      const peer = raw();
+      await peer.welcomed();
+      peer.socket.send(frame);
+      await expectClosed(peer, 'dropped_frames', reason);
+    });
+
+    it('is closed for a huge frame', async () => {
+      const peer = raw();
+      await peer.welcomed();
+      peer.socket.send(Buffer.alloc(MAX_FRAME + 1));
+      await expectClosed(peer, 'closed_links', 'link_closed');
+    });
+
+    it('outlives a fault of this process', async () => {
+      here.throws = true;
+      goodLink.send(LEAVING);
+      await until(
+        async () => (await here.count('dropped_frames', 'internal')) === 1,
+      );
+      here.throws = false;
+      await expectGoodLinkToServe();
+    });
+
+    it('carries a heartbeat when nothing else was sent', async () => {
+      const peer = raw();
+      await peer.welcomed();
+      pass(here, 1_000);
+      await until(() => peer.frames.length > 2);
+      expect(peer.frames[2]).toEqual(Buffer.from(encode({type: 'heartbeat'})));
+    });
+
+    it('is closed when the peer is silent', async () => {
+      const peer = raw();
+      await peer.welcomed();
+      pass(here, 2_900);
+      await expectGoodLinkToServe();
+      expect(peer.isClosed).toBe(false);
+      pass(here, 200);
+      await expectClosed(peer, 'closed_links', 'link_silent');
+    });
+
+    it('is not judged at the end of a pause of this process', async () => {
+      const peer = raw();
+      await peer.welcomed();
+      // Both the time and the peer's frame come with one step of the loop.
+      peer.socket.send(encode(LEAVING));
+      goodLink.send(LEAVING);
+      here.clock.time += 60_000;
+      vi.advanceTimersByTime(TICK);
+      await until(() => here.messages.length === 2);
+      pass(here, TICK);
+      expect(here.reasons).toEqual([]);
+    });
+
+    it('hands no call to a peer that does not read, and gives it up', async () => {
+      const peer = raw();
+      await peer.welcomed();
+      peer.socket.pause();
+      const link = here.links[1]!;
+      const size = 2 ** 20;
+      const most = () => link.buffered;
+      while (link.send(call(size)));
+      expect(most()).toBeGreaterThan(CALLS_WAIT_ABOVE);
+      expect(most()).toBeLessThan(CALLS_WAIT_ABOVE + 2 * size);
+      expect(here.reasons).toEqual([]);
+      const body = new Uint8Array(size);
+      const data = {type: 'data', callId: 'c', attempt: 1, seq: 1, body};
+      let peak = 0;
+      while (link.send(data as LinkMessage)) peak = Math.max(peak, most());
+      expect(peak).toBeLessThanOrEqual(MAX_BUFFERED);
+      expect(here.reasons).toEqual(['link_overflow']);
+      expect(await here.count('closed_links', 'link_overflow')).toBe(1);
+      await expectGoodLinkToServe();
+    });
+  });
+
+  describe('a dialled link', () => {
+    it('is closed by both sides when the keys differ', async () => {
+      const stranger = new Endpoint('stranger', 'some other key');
+      dial(listening.address, stranger.context, stranger);
+      await until(() => stranger.reasons.length === 1);
+      expect(here.reasons).toEqual(['link_refused']);
+      expect(stranger.links).toEqual([]);
+      await expectGoodLinkToServe();
+    });
+
+    it.each<[string, (socket: Socket) => void, string]>([
+      ['does not speak', () => undefined, 'link_silent'],
+      ['speaks otherwise', socket => socket.end('SSH-2.0\r\n'), 'link_closed'],
+      ['hangs up', socket => socket.destroy(), 'link_closed'],
+    ])('is closed when the other side %s', async (_, behave, reason) => {
+      const sockets: Socket[] = [];
+      const other = createServer(socket => {
+        sockets.push(socket);
+        socket.on('error', () => undefined);
+        behave(socket);
+      });
+      other.listen(0, '127.0.0.1');
+      await once(other, 'listening');
+      const {port} = other.address() as AddressInfo;
+      dial(`127.0.0.1:${port}`, good.context, good);
+      if (reason === 'link_silent') {
+        await until(() => sockets.length === 1);
+        pass(good, 2_900);
+        here.links[0]!.send(LEAVING);
+        await until(() => good.messages.length > 0);
+        pass(good, 200);
+      }
+      await until(() => good.reasons.length === 1);
+      expect(good.reasons).toEqual([reason]);
+      sockets.forEach(socket => socket.destroy());
+      other.close();
+    });
+
+    it('does not open for a side that has not the key', async () => {
+      const impostor = new WebSocketServer({host: '127.0.0.1', port: 0});
+      await once(impostor, 'listening');
+      const self = named('impostor');
+      impostor.on('connection', socket => {
+        socket.send(new Handshake('no key', self).challenge());
+        const mac = new Uint8Array(32);
+        socket.on('message', () =>
+          socket.send(encode({type: 'welcome', identity: self, mac})),
+        );
+      });
+      const {port} = impostor.address() as AddressInfo;
+      dial(`127.0.0.1:${port}`, good.context, good);
+      await until(() => good.reasons.length === 1);
+      expect(good.reasons).toEqual(['link_refused']);
+      expect(good.links).toHaveLength(1);
+      impostor.close();
+    });
+  });
+});
+
+/** Moves the time on in steps that the links' timers see. */
+function pass({clock}: Endpoint, span: Millis): void {
+  for (let left = span; left > 0; left -= TICK) {
+    clock.time += Math.min(TICK, left);
+    vi.advanceTimersByTime(TICK);
+  }
+}
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -1,9 +1,10 @@
+import type {Duplex} from 'node:stream';
+
 import type {WebSocket} from 'ws';
 
 import type {Clock, Millis} from '../core/index.js';
 import {SECOND} from '../core/index.js';
-import type {Fault} from '../errors/index.js';
-import {asFault} from '../errors/index.js';
+import {Fault, asFault} from '../errors/index.js';
 import type {Identity} from '../membership/index.js';
 import type {Metrics} from '../observability/index.js';
 import {decode, encode} from './codec.js';
@@ -13,6 +14,12 @@
 
 /** Largest frame that a link takes, bytes. */
 export const MAX_FRAME = 16 * 2 ** 20;
+/** Most bytes that are read of a peer that has proved nothing yet. */
+export const MAX_HANDSHAKE_BYTES = 128 * 2 ** 10;
+/** No new call is handed to a link that has this much waiting, bytes. */
+export const CALLS_WAIT_ABOVE = 32 * 2 ** 20;
+/** A link that has more than this waiting is given up, bytes. */
+export const MAX_BUFFERED = 64 * 2 ** 20;
 /** A heartbeat goes out when this long nothing else did. */
 const HEARTBEAT_EVERY: Millis = SECOND;
 /** A link that is silent this long is given up. */
@@ -20,6 +27,9 @@
 /** The handshake must be over by then. */
 const HANDSHAKE_WITHIN: Millis = 3 * SECOND;
 
+/** How often a link looks at the time. */
+const TICK_EVERY: Millis = HEARTBEAT_EVERY / 2;
+
 /** What every link of a process needs. */
 export interface LinkContext {
   /** How this process introduces itself. */
@@ -48,6 +58,7 @@
   private readonly handshake: Handshake;
   private readonly timer: NodeJS.Timeout;
   private isClosed = false;
+  private tickedAt: Millis;
   /** Whether the dialling side has answered the challenge. */
   private answered = false;
 
@@ -63,13 +74,13 @@
     private readonly context: LinkContext,
     private readonly listener: LinkListener,
   ) {
-    this.heardAt = this.sentAt = context.clock.now();
+    this.heardAt = this.sentAt = this.tickedAt = context.clock.now();
     this.handshake = new Handshake(context.key, context.self);
     socket.binaryType = 'nodebuffer';
     socket.on('message', data => this.receive(data as Buffer));
     socket.on('error', err => this.close(asFault(err, 'link_closed')));
     socket.on('close', () => this.close(asFault('peer closed', 'link_closed')));
-    this.timer = setInterval(() => this.tick(), HEARTBEAT_EVERY / 2);
+    this.timer = setInterval(() => this.tick(), TICK_EVERY);
     if (side === 'accept') this.write(this.handshake.challenge());
   }
 
@@ -86,13 +97,33 @@
   /**
    * Sends a message.
    * @param message - the message
-   * @returns whether it was handed to the connection
+   * @returns whether it was handed to the connection; a call is not when too
+   *   much waits there, and a link that took no other message is closed
    */
   send(message: LinkMessage): boolean {
     if (this.isClosed || this.peer === undefined) return false;
+    const waits = this.buffered > CALLS_WAIT_ABOVE;
+    if (waits && message.type === 'call') return false;
     return this.write(encode(message));
   }
 
+  /**
+   * Bounds what a peer can make this process hold before it has proved that
+   * it has the key.
+   * @param tcp - the connection below
+   */
+  guard(tcp: Duplex): void {
+    let read = 0;
+    const count = (chunk: Buffer) => {
+      read += chunk.length;
+      if (this.peer !== undefined) tcp.off('data', count);
+      else if (read > MAX_HANDSHAKE_BYTES) {
+        this.reject(new Fault('bad_frame', 'the handshake is too long'));
+      }
+    };
+    tcp.on('data', count);
+  }
+
   /**
    * Closes the link once all that was sent has left.
    */
@@ -115,6 +146,10 @@
 
   private write(frame: Uint8Array): boolean {
     if (this.socket.readyState !== this.socket.OPEN) return false;
+    if (this.buffered + frame.byteLength > MAX_BUFFERED) {
+      this.close(new Fault('link_overflow'));
+      return false;
+    }
     this.sentAt = this.context.clock.now();
     this.socket.send(frame);
     return true;
@@ -127,15 +162,23 @@
       if (this.peer === undefined) this.negotiate(frame);
       else this.deliver(decode(linkMessage, frame));
     } catch (thrown) {
-      const fault = asFault(thrown, 'internal');
-      this.context.metrics.droppedFrames.inc({reason: fault.reason});
-      this.close(fault);
+      this.reject(asFault(thrown, 'internal'));
     }
   }
 
+  private reject(fault: Fault): void {
+    this.context.metrics.droppedFrames.inc({reason: fault.reason});
+    this.close(fault);
+  }
+
   private deliver(message: LinkMessage): void {
     if (message.type === 'heartbeat') return;
-    this.listener.message(this, message);
+    try {
+      this.listener.message(this, message);
+    } catch {
+      // A fault of this process is no fault of the peer or its other calls.
+      this.context.metrics.droppedFrames.inc({reason: 'internal'});
+    }
   }
 
   private negotiate(frame: Uint8Array): void {
@@ -160,9 +203,12 @@
 
   private tick(): void {
     const now = this.context.clock.now();
+    // After a pause of this process, what the peer sent is still unread.
+    const wasPaused = now - this.tickedAt > 2 * TICK_EVERY;
+    this.tickedAt = now;
     const limit = this.peer === undefined ? HANDSHAKE_WITHIN : SILENT_AFTER;
-    if (now - this.heardAt > limit) {
-      this.close(asFault('peer is silent', 'link_closed'));
+    if (now - this.heardAt > limit && !wasPaused) {
+      this.close(new Fault('link_silent'));
       return;
     }
     if (this.peer !== undefined && now - this.sentAt >= HEARTBEAT_EVERY) {
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -11,6 +11,9 @@
 /** How long peers have to take what was sent before their link closes. */
 const CLOSE_WITHIN: Millis = 2 * SECOND;
 
+/** Accepted connections that have not proved yet that they have the key. */
+export const MAX_UNPROVED = 256;
+
 /** Where a listener listens. */
 export interface Listening {
   /** `host:port`, with the port that was picked. */
@@ -38,8 +41,27 @@
     maxPayload: MAX_FRAME,
     perMessageDeflate: false,
   });
-  server.on('connection', socket => {
-    new Link(socket, 'accept', context(), listener);
+  const unproved = new Set<Link>();
+  const watched: LinkListener = {
+    message: (link, message) => listener.message(link, message),
+    open: (link, peer) => {
+      unproved.delete(link);
+      listener.open(link, peer);
+    },
+    closed: (link, reason) => {
+      unproved.delete(link);
+      listener.closed(link, reason);
+    },
+  };
+  server.on('connection', (socket, req) => {
+    if (unproved.size >= MAX_UNPROVED) {
+      context().metrics.closedLinks.inc({reason: 'overloaded'});
+      socket.terminate();
+      return;
+    }
+    const link = new Link(socket, 'accept', context(), watched);
+    unproved.add(link);
+    link.guard(req.socket);
   });
   await once(server, 'listening');
   const {port: picked} = server.address() as AddressInfo;
