--- a/src/cli/publish/index.ts
+++ b/src/cli/publish/index.ts
@@ -3,15 +3,18 @@
 
 import {z} from 'zod';
 
-import {CONFIGURATION_STREAM} from '../../configuration/index.js';
+import {
+  CONFIGURATION_STREAM,
+  CurrentTextParser,
+} from '../../configuration/index.js';
 import type {Publication, Verdict} from '../../configuration/index.js';
 import {SECOND, recordId, version} from '../../core/index.js';
-import {describe} from '../../errors/index.js';
-import type {Fault} from '../../errors/index.js';
+import {Fault, describe} from '../../errors/index.js';
 import {HttpLogClient} from '../../platform/index.js';
 import {EXIT, complain, defineCommand, print} from '../shared/command.js';
 import {OWN, SHARED} from '../shared/flags.js';
 import type {Flag} from '../shared/flags.js';
+import {EstateView} from '../status/estate_view.js';
 import {lineDiff} from './line_diff.js';
 import {Publisher} from './publisher.js';
 import {waitInForce} from './wait_in_force.js';
@@ -32,9 +35,15 @@
     .transform(s => s * SECOND),
   fallback: '60',
 };
+const recover: Flag<boolean> = {
+  name: 'recover',
+  description: 'Put the text in force although the log lost what came before',
+  schema: z.enum(['true', 'false']).transform(text => text === 'true'),
+  fallback: 'false',
+};
 const operatorUrl: Flag<string> = {
   ...OWN.operatorUrl,
-  description: 'Operator listener of any daemon, for --wait',
+  description: 'Operator listener of any daemon, for --wait and --recover',
   schema: z.union([z.literal(''), OWN.operatorUrl.schema]),
   fallback: '',
 };
@@ -86,6 +95,29 @@
   return EXIT.refused;
 }
 
+/** Puts a text in force when no process knows what expired. */
+async function recoverWith(
+  publisher: Publisher,
+  publication: Publication,
+  operators: string,
+): Promise<number> {
+  const parsed = new CurrentTextParser().parse(publication.text);
+  if (parsed.isErr()) return fail(new Fault('invalid_configuration'));
+  const rows = await EstateView.look(operators);
+  const witness = rows.find(row => row.version !== undefined && !row.gap);
+  if (rows.length === 0 || witness !== undefined) {
+    complain(`${witness?.vm ?? operators}: may still know; not sent`);
+    return EXIT.refused;
+  }
+  const newest = Math.max(...rows.map(({version}) => version ?? 0));
+  if (publication.base < newest) {
+    complain(`version ${newest} is in force somewhere; use --base ${newest}`);
+    return EXIT.refused;
+  }
+  const verdict = await publisher.recover(publication);
+  return verdict.isErr() ? fail(verdict.error) : report(verdict.value);
+}
+
 /** `baobabspan publish` */
 export const publishCommand = defineCommand({
   usage: 'publish <file>',
@@ -97,12 +129,14 @@
     wait,
     waitTimeout,
     operatorUrl,
+    recover,
   },
   example:
     'publish examples/kivuli.yaml --base 0 --log-url http://127.0.0.1:7000',
   run: async (settings, [file = '']) => {
-    if (settings.wait && settings.operatorUrl === '') {
-      complain('--wait: needs --operator-url');
+    const {operatorUrl: operators} = settings;
+    if ((settings.wait || settings.recover) && operators === '') {
+      complain('--wait and --recover: need --operator-url');
       return EXIT.usage;
     }
     let text: string;
@@ -116,7 +150,11 @@
     const log = new HttpLogClient(settings.logUrl, CONFIGURATION_STREAM);
     const publisher = new Publisher(log);
     const caughtUp = await publisher.catchUp();
-    if (caughtUp.isErr()) return fail(caughtUp.error);
+    if (caughtUp.isErr()) {
+      const isLost = caughtUp.error.reason === 'log_gap';
+      if (!isLost || !settings.recover) return fail(caughtUp.error);
+      return recoverWith(publisher, publication, new URL(operators).host);
+    }
     let verdict = publisher.verdictOn(publication.id);
     if (verdict?.accepted !== true) {
       if (!preview(publisher, publication)) return EXIT.refused;
@@ -126,7 +164,7 @@
     }
     const code = report(verdict);
     if (!verdict.accepted || !settings.wait) return code;
-    const host = new URL(settings.operatorUrl).host;
+    const host = new URL(operators).host;
     return waitInForce(host, verdict.version, settings.waitTimeout);
   },
 });
--- /dev/null
+++ b/src/cli/publish/publisher.test.ts
@@ -0,0 +1,93 @@
+import {describe, expect, it, beforeEach, afterEach} from 'vitest';
+
+import {PlatformServer} from '../../../standins/platform_server.js';
+import {publicationOf, tinyText} from '../../../test/support/texts.js';
+import {CONFIGURATION_STREAM} from '../../configuration/index.js';
+import {HttpLogClient} from '../../platform/index.js';
+import {lineDiff} from './line_diff.js';
+import {Publisher} from './publisher.js';
+
+const TEXT = tinyText('a');
+
+describe('Publisher', () => {
+  let platform: PlatformServer;
+  let url: string;
+  const publisher = () =>
+    new Publisher(new HttpLogClient(url, CONFIGURATION_STREAM));
+  const append = (data: unknown) => platform.append(CONFIGURATION_STREAM, data);
+
+  beforeEach(async () => {
+    platform = new PlatformServer();
+    url = await platform.listen();
+  });
+  afterEach(() => platform.close());
+
+  it.each([0, 1])('settles by reading after %i lost answers', async lost => {
+    platform.faults.loseAnswers = lost;
+    const verdict = await publisher().publish(publicationOf(0, TEXT, 'p1'));
+    expect(verdict._unsafeUnwrap()).toEqual({accepted: true, version: 1});
+    const again = publisher();
+    await again.catchUp();
+    expect(again.verdictOn(publicationOf(0, TEXT, 'p1').id)).toEqual({
+      accepted: true,
+      version: 1,
+    });
+  });
+
+  it.each([2, 5])('lets one of %i racing operators win', async operators => {
+    const verdicts = await Promise.all(
+      Array.from({length: operators}, (_, i) =>
+        publisher().publish(publicationOf(0, tinyText(`z${i}`), `p${i}`)),
+      ),
+    );
+    const accepted = verdicts.filter(v => v._unsafeUnwrap().accepted);
+    expect(accepted.length).toBe(1);
+    for (const verdict of verdicts) {
+      expect(verdict._unsafeUnwrap().version).toBe(1);
+    }
+  });
+
+  it('reads past expired records by a checkpoint', async () => {
+    const state = {version: 6, text: TEXT, foldedTo: 2, author: 'x'};
+    for (let i = 0; i < 3; i++) append({});
+    append({kind: 'checkpoint', id: 'c', ...state});
+    platform.truncate(CONFIGURATION_STREAM, 3);
+    const verdict = await publisher().publish(
+      publicationOf(6, tinyText('b'), 'p7'),
+    );
+    expect(verdict._unsafeUnwrap()).toEqual({accepted: true, version: 7});
+  });
+
+  it('sends nothing on while records are missing, then recovers', async () => {
+    append(publicationOf(0, TEXT, 'p1'));
+    platform.truncate(CONFIGURATION_STREAM, 1);
+    const first = publisher();
+    const caughtUp = await first.catchUp();
+    expect(caughtUp._unsafeUnwrapErr().reason).toBe('log_gap');
+    const second = publisher();
+    await second.catchUp();
+    const won = await first.recover(publicationOf(4, TEXT, 'r1'));
+    expect(won._unsafeUnwrap()).toEqual({accepted: true, version: 5});
+    const lost = await second.recover(publicationOf(4, tinyText('b'), 'r2'));
+    expect(lost._unsafeUnwrap()).toMatchObject({accepted: false, version: 5});
+  });
+
+  it('says that an outage leaves the publication unsettled', async () => {
+    platform.faults.logDown = true;
+    const caughtUp = await publisher().catchUp();
+    expect(caughtUp._unsafeUnwrapErr().reason).toBe('log_unavailable');
+  });
+});
+
+describe('lineDiff', () => {
+  it.each([
+    ['', 'a\nb', ['+ a', '+ b']],
+    ['a\nb\nc', 'a\nb\nc', []],
+    ['a\nb\nc', 'a\nx\nc', ['- b', '+ x']],
+    ['a\nb\nc', 'a\nc', ['- b']],
+    ['a\na', 'a\na\na', ['+ a']],
+    ['a\nb\nc\nd', 'b\nc\ne\nd', ['- a', '+ e']],
+  ])('%j to %j', (before, after, lines) => {
+    expect(lineDiff(before, after)).toEqual(lines);
+  });
+});
--- a/src/cli/publish/publisher.ts
+++ b/src/cli/publish/publisher.ts
@@ -3,10 +3,12 @@
 
 import {LogFollower} from '../../configuration/index.js';
 import type {
+  Checkpoint,
   FoldedState,
   Publication,
   Verdict,
 } from '../../configuration/index.js';
+import {offset, version} from '../../core/index.js';
 import type {Millis, RecordId} from '../../core/index.js';
 import {Fault} from '../../errors/index.js';
 import {compressRecord, expandRecord} from '../../platform/index.js';
@@ -69,6 +71,42 @@
     return err(new Fault('publication_unsettled'));
   }
 
+  /**
+   * Puts a text in force where no process and no checkpoint tells what came
+   * before: appends a checkpoint that stands for all that expired.
+   * @param publication - what to put in force
+   * @returns the verdict; the first such checkpoint in the log wins
+   */
+  async recover(publication: Publication): Promise<Result<Verdict, Fault>> {
+    const {id, base, author, text} = publication;
+    const {next} = this.follower.window ?? {next: 0};
+    const checkpoint: Checkpoint = {
+      kind: 'checkpoint',
+      id,
+      version: version(base + 1),
+      text,
+      author,
+      publicationId: id,
+      foldedTo: offset(next - 1),
+    };
+    await this.log.append(compressRecord(checkpoint));
+    for (let reads = 0; reads < MAX_READS; reads++) {
+      const failed = await this.read(READ_WAIT);
+      if (failed) await new Promise(wake => setTimeout(wake, RETRY_AFTER));
+      const verdict = this.verdictOn(id);
+      if (verdict !== undefined) return ok(verdict);
+      if (!this.follower.hasGap) return ok(this.lostTo());
+    }
+    return err(new Fault('publication_unsettled'));
+  }
+
+  private lostTo(): Verdict {
+    const {version: current, author} = this.folded;
+    const detail = 'another state was restored first';
+    const reason = 'stale_base';
+    return {accepted: false, reason, detail, version: current, author};
+  }
+
   private async read(wait: Millis): Promise<Fault | undefined> {
     const page = await this.log.read(this.follower.position, wait);
     if (page.isErr()) return page.error;
--- a/src/cli/status/estate_view.ts
+++ b/src/cli/status/estate_view.ts
@@ -15,6 +15,7 @@
       version: z.number(),
       foldedVersion: z.number(),
       foldedTo: z.number(),
+      gap: z.boolean().default(false),
       lag: z.string().optional(),
     })
     .optional(),
@@ -37,6 +38,8 @@
   /** The version in force there; nothing when it did not answer. */
   readonly version: number | undefined;
   readonly foldedTo: number | undefined;
+  /** Whether records expired that the process never read. */
+  readonly gap: boolean;
   /** Why the version may lag. */
   readonly reason: string | undefined;
 }
@@ -88,8 +91,8 @@
   private take(status: DaemonStatus | string): string[] {
     if (typeof status === 'string') return [];
     const vm = vmOf(status.incarnation);
-    const {version, foldedTo, lag} = status.configuration ?? {};
-    this.rows.set(vm, {vm, version, foldedTo, reason: lag});
+    const {version, foldedTo, gap = false, lag} = status.configuration ?? {};
+    this.rows.set(vm, {vm, version, foldedTo, gap, reason: lag});
     const addresses: string[] = [];
     for (const member of status.members) {
       if (member.leaving) continue;
@@ -106,6 +109,7 @@
       vm,
       version: undefined,
       foldedTo: undefined,
+      gap: false,
       reason,
     });
   }
--- a/src/configuration/configuration_node.test.ts
+++ b/src/configuration/configuration_node.test.ts
@@ -355,6 +355,17 @@
     expect(versionsOf(run)).toEqual(everywhere(1));
   });
 
+  it('writes a checkpoint after an outage within retention too', () => {
+    const run = settled();
+    const {log} = run.estate;
+    run.do({kind: 'outage', on: true});
+    run.do({kind: 'wait', ms: 2 * MINUTE});
+    const before = log.all.length;
+    run.do({kind: 'outage', on: false});
+    run.do({kind: 'wait', ms: 30 * SECOND});
+    expect(log.all.length).toBeGreaterThan(before);
+  });
+
   it('settles a checkpoint whose answer was lost by reading', () => {
     const run = settled();
     run.estate.loseAnswers = 1_000;
