--- a/src/calls/types.ts
+++ b/src/calls/types.ts
@@ -36,6 +36,11 @@
   /** A repeat freed the key before this entry saw its own claim. */
   | {readonly kind: 'released'}
   | {readonly kind: 'unavailable'; readonly retryAfterMs: Millis};
+/**
+ * Names the service that an upstream runs. Sidecars add it to what they send
+ * to the upstream, which passes it on with the calls that it makes itself.
+ */
+export const CALLER_SERVICE_HEADER = 'baobabspan-caller-service';
 
 /** A caller's request once it is parsed and its organisation is known. */
 export interface CallRequest {
@@ -52,6 +57,12 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
   readonly key?: CallKey | undefined;
+  /** The service that makes the call, if one does. */
+  readonly callerService?: ServiceName | undefined;
+  /** Hashes of the prompt's leading blocks, if it has a prompt. */
+  readonly prefix?: readonly number[] | undefined;
+  /** Tokens that it may take. */
+  readonly cost?: number | undefined;
 }
 
 /** What a caller is told of a call. */
--- a/src/daemons/sidecar/calls_task.ts
+++ b/src/daemons/sidecar/calls_task.ts
@@ -13,6 +13,8 @@
 import type {CallId, Incarnation, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import type {ErrorName} from '../../errors/index.js';
+import {PrefixMap} from '../../routing/index.js';
+import type {CacheMessage} from '../../routing/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import {Task} from '../shared/task.js';
 import type {SidecarSettings} from './types.js';
@@ -22,12 +24,17 @@
 const DEFAULT_LIMITS: QueueLimits = {concurrency: 16, queue: 64};
 const RETRY_UNREACHABLE: Millis = SECOND;
 const SWEEP_EVERY: Millis = 10 * SECOND;
+/** How often waiting calls are checked against their deadlines. */
+const EXPIRE_EVERY: Millis = 100;
 
 /** An attempt that waits or runs here. */
 interface Job {
   readonly call: CallMessage;
   readonly from: Incarnation;
   running: UpstreamRequest | undefined;
+  frames: number;
+  /** When the answer's head came, ms. */
+  headAt: Millis;
 }
 
 type Message =
@@ -41,6 +48,8 @@
   | {readonly type: 'over'; readonly job: Job}
   | {readonly type: 'limits'; readonly limits: QueueLimits}
   | {readonly type: 'sweep'}
+  | {readonly type: 'expire'}
+  | {readonly type: 'cache'; readonly message: CacheMessage}
   | {readonly type: 'close'}
   | {readonly type: 'drain'; readonly idle: () => void}
   | {readonly type: 'cut'; readonly done: () => void};
@@ -53,7 +62,8 @@
   private readonly ledger = new CallLedger();
   private readonly jobs = new Map<CallId, Job>();
   private readonly agent: Agent = upstreamAgent();
-  private readonly timer: NodeJS.Timeout;
+  private readonly timers: readonly NodeJS.Timeout[];
+  private readonly prefixes = new PrefixMap();
   /** Whether new work is refused. */
   private closed = false;
   private idle: (() => void) | undefined;
@@ -69,7 +79,10 @@
     private readonly answer: (to: Incarnation, message: AnswerMessage) => void,
   ) {
     super(context.system, 'calls', context.logger.labelled('calls'));
-    this.timer = setInterval(() => this.post({type: 'sweep'}), SWEEP_EVERY);
+    this.timers = [
+      setInterval(() => this.post({type: 'sweep'}), SWEEP_EVERY),
+      setInterval(() => this.post({type: 'expire'}), EXPIRE_EVERY),
+    ];
   }
 
   /** What `/status` shows. */
@@ -79,7 +92,7 @@
   }
 
   override stop(): void {
-    clearInterval(this.timer);
+    this.timers.forEach(timer => clearInterval(timer));
     for (const job of this.jobs.values()) job.running?.cancel();
     super.stop();
     void this.agent.destroy();
@@ -96,7 +109,14 @@
       case 'limits':
         return this.queue.configure(message.limits);
       case 'sweep':
-        return this.ledger.sweep(this.context.clock.now());
+        this.ledger.sweep(this.context.clock.now());
+        return;
+      case 'expire':
+        this.queue.sweep(this.context.clock.now());
+        return this.refuseWaiting();
+      case 'cache':
+        this.prefixes.apply(message.message);
+        return;
       case 'close':
         this.closed = true;
         return;
@@ -141,7 +161,7 @@
       this.context.metrics.droppedFrames.inc({reason: 'repeated_call'});
       return;
     }
-    const job = {call, from, running: undefined};
+    const job = {call, from, running: undefined, frames: 0, headAt: 0};
     if (call.service !== this.settings.service) {
       return this.refuse(job, 'unknown_service', 0);
     }
@@ -152,7 +172,10 @@
       weight: call.weight,
       priority: call.priority,
       deadlineAt: receivedAt + call.remainingMs,
+      cost: call.cost,
+      blocks: this.newBlocks(call),
     });
+    this.refuseWaiting();
     if (verdict.decision === 'refuse') {
       return this.refuse(job, verdict.reason, verdict.retryAfterMs);
     }
@@ -167,6 +190,24 @@
     this.say(this.ledger.refuse(this.now(), call, reason, retryAfterMs));
   }
 
+  /** Blocks of the prompt that the engine seems to have to prefill. */
+  private newBlocks({prefix = []}: CallMessage): number {
+    const matched = this.prefixes.match(prefix);
+    this.prefixes.used(prefix);
+    return prefix.length - matched;
+  }
+
+  /** Refuses calls that waited and were displaced or became too late. */
+  private refuseWaiting(): void {
+    for (const {callId, reason, retryAfterMs} of this.queue.takeRefused()) {
+      const job = this.jobs.get(callId);
+      if (job === undefined) continue;
+      this.jobs.delete(callId);
+      this.refuse(job, reason, retryAfterMs);
+    }
+    this.tellIfIdle();
+  }
+
   private run(job: Job): void {
     const {call} = job;
     const {run, replies} = this.ledger.start(this.now(), call);
@@ -193,9 +234,19 @@
     const {call} = job;
     const {ledger} = this;
     return {
-      head: head => this.say(ledger.head(call, head)),
-      data: piece => this.say(ledger.data(call, piece)),
-      end: () => this.say(ledger.end(this.now(), call)),
+      head: head => {
+        job.headAt = this.now();
+        this.queue.firstToken(job.headAt, call.callId);
+        this.say(ledger.head(call, head));
+      },
+      data: piece => {
+        job.frames += 1;
+        this.say(ledger.data(call, piece));
+      },
+      end: () => {
+        this.queue.streamed(this.now() - job.headAt, job.frames);
+        this.say(ledger.end(this.now(), call));
+      },
       isPaced: () => ledger.isPaced(call),
       unreachable: detail => {
         this.logger.warn('upstream_unreachable', {detail});
@@ -239,9 +290,11 @@
     const {callId} = job.call;
     if (this.jobs.get(callId) !== job) return;
     this.jobs.delete(callId);
-    for (const next of this.queue.end(this.now(), callId)) {
-      const started = this.jobs.get(next);
-      if (started) this.run(started);
+    const started = this.queue.end(this.now(), callId);
+    this.refuseWaiting();
+    for (const next of started) {
+      const waiting = this.jobs.get(next);
+      if (waiting) this.run(waiting);
     }
     this.tellIfIdle();
   }
--- a/src/daemons/sidecar/upstream_request.ts
+++ b/src/daemons/sidecar/upstream_request.ts
@@ -1,6 +1,7 @@
 import {Agent, request} from 'undici';
 import type {Dispatcher} from 'undici';
 
+import {CALLER_SERVICE_HEADER} from '../../calls/index.js';
 import type {AnswerHead, AnswerPiece, CallMessage} from '../../calls/index.js';
 import {describe} from '../../errors/index.js';
 import {EventSplitter} from './event_splitter.js';
@@ -140,7 +141,12 @@
     return request(`${this.url}${path}`, {
       dispatcher: this.agent,
       method: method as Dispatcher.HttpMethod,
-      headers: {...headers, ...resume, 'baobabspan-call-id': this.call.callId},
+      headers: {
+        ...headers,
+        ...resume,
+        'baobabspan-call-id': this.call.callId,
+        [CALLER_SERVICE_HEADER]: this.call.service,
+      },
       body: hasBody ? body : null,
       signal: this.abort.signal,
     });
