Plan moves of experts by the skew they cure and the bytes they cost

Cause: nothing chose a map. LoadView smooths late and gappy reports; LayerPlan improves a layer the hottest rank first; Planner takes of each layer the moves up to the point of most worth and orders layers by worth per slot.

--- a/src/expert_groups/index.ts
+++ b/src/expert_groups/index.ts
@@ -1,7 +1,11 @@
 /** Groups of ranks in lock-step and their expert maps. */
 export * from './coordinator.js';
 export * from './coordinator_types.js';
+export * from './expert_map.js';
+export * from './layer_plan.js';
+export * from './load_view.js';
 export * from './messages.js';
+export * from './planner.js';
 export * from './rank_member.js';
 export * from './term_guard.js';
 export * from './types.js';
--- /dev/null
+++ b/src/expert_groups/layer_plan.ts
@@ -0,0 +1,253 @@
+/** One change of placement within a layer. Every expert stays placed. */
+export interface Move {
+  readonly layer: number;
+  /** Slots that get another expert: one, or two that are exchanged. */
+  readonly slots: readonly {readonly slot: number; readonly expert: number}[];
+}
+
+/** A move with what it does. */
+export interface TracedMove extends Move {
+  /** Greatest load of a rank afterwards. */
+  readonly greatest: number;
+}
+
+interface Option {
+  readonly slots: Move['slots'];
+  /** Fall of the sum of squares, per slot that is loaded. */
+  readonly worth: number;
+}
+
+/** Coldest ranks that are tried as the other side of a move. */
+const COLD_RANKS = 10;
+/** Square of the share by which an expert's load may stray unseen. */
+const SURPRISE = 0.5;
+/** Moves that gain less than this share of the mean load end a trace. */
+const LEAST_GAIN = 2e-3;
+
+/**
+ * Improves one layer, the hottest rank first. Each move either gives a hot
+ * expert one more replica in place of a spare one of another expert, or
+ * exchanges two experts.
+ */
+export class LayerPlan {
+  private readonly slots: Uint16Array;
+  private readonly replicas: Uint16Array;
+  private readonly perRank: Float64Array;
+  private readonly mean: number;
+  /** For each expert the ranks of its replicas. */
+  private readonly hostsOf: number[][];
+  /** Changes of the ranks' loads while a move is weighed. */
+  private readonly delta: Float64Array;
+  private readonly touched: number[] = [];
+
+  /**
+   * @param layer - number of the layer
+   * @param slots - experts by rank and slot; left as they are
+   * @param slotsPerRank - slots of each rank
+   * @param loads - load of each expert
+   */
+  constructor(
+    private readonly layer: number,
+    slots: Uint16Array,
+    private readonly slotsPerRank: number,
+    private readonly loads: Float64Array,
+  ) {
+    this.slots = slots.slice();
+    this.replicas = new Uint16Array(loads.length);
+    this.hostsOf = Array.from(loads, () => []);
+    for (const [slot, expert] of slots.entries()) {
+      this.replicas[expert]! += 1;
+      this.hostsOf[expert]!.push(this.rankOf(slot));
+    }
+    this.perRank = new Float64Array(slots.length / slotsPerRank);
+    this.delta = new Float64Array(this.perRank.length);
+    this.sum();
+    const total = this.perRank.reduce((sum, load) => sum + load, 0);
+    this.mean = total / this.perRank.length;
+  }
+
+  /** Greatest load of a rank now. */
+  get greatest(): number {
+    return Math.max(...this.perRank);
+  }
+
+  /** Mean load of the ranks. */
+  get meanLoad(): number {
+    return this.mean;
+  }
+
+  /**
+   * Finds moves, the one with the most gain first.
+   * @param most - the most moves
+   */
+  trace(most: number): TracedMove[] {
+    const moves: TracedMove[] = [];
+    while (moves.length < most) {
+      const option = this.best();
+      if (option === undefined) break;
+      this.apply(option);
+      const {layer, greatest} = this;
+      moves.push({layer, slots: option.slots, greatest});
+    }
+    return moves;
+  }
+
+  private best(): Option | undefined {
+    const order = this.byLoad();
+    const hot = order[0]!;
+    const cold = order.slice(-COLD_RANKS).reverse();
+    const lightest = order.map(rank => this.lightestOf(rank));
+    let best: Option | undefined;
+    const consider = (option: Option | undefined) => {
+      if (option && option.worth > (best?.worth ?? 0)) best = option;
+    };
+    const {slotsPerRank} = this;
+    for (let from = hot * slotsPerRank; this.rankOf(from) === hot; from++) {
+      for (const rank of cold) {
+        if (rank === hot) continue;
+        const first = rank * slotsPerRank;
+        for (let to = first; to < first + slotsPerRank; to++) {
+          consider(this.replicate(hot, from, to));
+          consider(this.exchange(hot, from, to));
+        }
+      }
+      // The hot rank gives up a spare replica for an expert of another.
+      for (const expert of lightest) {
+        consider(this.overwrite(hot, from, expert));
+      }
+    }
+    return best;
+  }
+
+  /** Ranks, the hottest first; equal ones by number. */
+  private byLoad(): number[] {
+    const ranks = Array.from(this.perRank.keys());
+    return ranks.sort((a, b) => this.perRank[b]! - this.perRank[a]! || a - b);
+  }
+
+  private lightestOf(rank: number): number {
+    const first = rank * this.slotsPerRank;
+    let lightest = this.slots[first]!;
+    for (let slot = first; slot < first + this.slotsPerRank; slot++) {
+      const expert = this.slots[slot]!;
+      if (this.share(expert) < this.share(lightest)) lightest = expert;
+    }
+    return lightest;
+  }
+
+  /** Gives the expert in slot `from` a replica in place of the one in `to`. */
+  private replicate(hot: number, from: number, to: number): Option | undefined {
+    const expert = this.slots[from]!;
+    const more = this.replicas[expert]!;
+    const relief = this.share(expert) - this.loads[expert]! / (more + 1);
+    if (relief < LEAST_GAIN * this.mean) return undefined;
+    return this.overwrite(hot, to, expert);
+  }
+
+  private overwrite(
+    hot: number,
+    slot: number,
+    expert: number,
+  ): Option | undefined {
+    const dropped = this.slots[slot]!;
+    const rank = this.rankOf(slot);
+    if (dropped === expert || this.replicas[dropped]! < 2) return undefined;
+    if (this.hosts(rank, expert)) return undefined;
+    const [more, fewer] = [this.replicas[expert]!, this.replicas[dropped]!];
+    const gain = this.loads[expert]! / (more + 1) - this.share(expert);
+    const loss = this.loads[dropped]! / (fewer - 1) - this.share(dropped);
+    for (const other of this.hostsOf[expert]!) this.add(other, gain);
+    for (const other of this.hostsOf[dropped]!) this.add(other, loss);
+    // The rank loses its whole share of the one and takes one of the other.
+    this.add(rank, -this.share(dropped) - loss);
+    this.add(rank, this.loads[expert]! / (more + 1));
+    const fall = this.fall(hot);
+    if (fall <= 0) return undefined;
+    const steadier = this.steadier(expert, dropped);
+    return {slots: [{slot, expert}], worth: fall + SURPRISE * steadier};
+  }
+
+  /**
+   * How much less the ranks' loads would scatter when each expert's load
+   * strays by itself: replicas of popular experts divide a surprise.
+   */
+  private steadier(expert: number, dropped: number): number {
+    const [more, fewer] = [this.replicas[expert]!, this.replicas[dropped]!];
+    const gained = this.loads[expert]! ** 2 / (more * (more + 1));
+    const lost = this.loads[dropped]! ** 2 / (fewer * (fewer - 1));
+    return gained - lost;
+  }
+
+  private exchange(hot: number, from: number, to: number): Option | undefined {
+    const [mine, theirs] = [this.slots[from]!, this.slots[to]!];
+    const rank = this.rankOf(to);
+    const load = this.share(mine) - this.share(theirs);
+    if (load < LEAST_GAIN * this.mean) return undefined;
+    if (this.perRank[rank]! + load >= this.perRank[hot]!) return undefined;
+    if (this.hosts(hot, theirs) || this.hosts(rank, mine)) return undefined;
+    this.add(hot, -load);
+    this.add(rank, load);
+    const fall = this.fall(hot);
+    if (fall <= 0) return undefined;
+    const slots = [
+      {slot: from, expert: theirs},
+      {slot: to, expert: mine},
+    ];
+    return {slots, worth: fall / slots.length};
+  }
+
+  private add(rank: number, load: number): void {
+    if (this.delta[rank] === 0) this.touched.push(rank);
+    this.delta[rank]! += load;
+  }
+
+  /** Fall of the sum of squares by what was added; 0 when of no use. */
+  private fall(hot: number): number {
+    const limit = this.perRank[hot]! - LEAST_GAIN * this.mean;
+    let fall = this.delta[hot]! < 0 ? 0 : -Infinity;
+    for (const rank of this.touched) {
+      const before = this.perRank[rank]!;
+      const after = before + this.delta[rank]!;
+      if (after > limit && this.delta[rank] !== 0) fall = -Infinity;
+      fall += before ** 2 - after ** 2;
+      this.delta[rank] = 0;
+    }
+    this.touched.length = 0;
+    return Math.max(0, fall);
+  }
+
+  private apply({slots}: Option): void {
+    const changed = slots.map(({slot}) => this.slots[slot]!);
+    for (const {slot, expert} of slots) this.slots[slot] = expert;
+    for (const expert of [...changed, ...slots.map(s => s.expert)]) {
+      this.hostsOf[expert] = [];
+    }
+    const affected = new Set([...changed, ...slots.map(s => s.expert)]);
+    for (const [slot, expert] of this.slots.entries()) {
+      if (affected.has(expert)) this.hostsOf[expert]!.push(this.rankOf(slot));
+    }
+    for (const expert of affected) {
+      this.replicas[expert] = this.hostsOf[expert]!.length;
+    }
+    this.sum();
+  }
+
+  private sum(): void {
+    this.perRank.fill(0);
+    for (const [slot, expert] of this.slots.entries()) {
+      this.perRank[this.rankOf(slot)]! += this.share(expert);
+    }
+  }
+
+  private hosts(rank: number, expert: number): boolean {
+    return this.hostsOf[expert]!.includes(rank);
+  }
+
+  private share(expert: number): number {
+    return this.loads[expert]! / this.replicas[expert]!;
+  }
+
+  private rankOf(slot: number): number {
+    return Math.floor(slot / this.slotsPerRank);
+  }
+}
