--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -10,16 +10,17 @@
 import type {NamedOrganisation} from '../../admission/index.js';
 import {OrganisationLimits} from '../../admission/index.js';
 import type {CallRequest} from '../../calls/index.js';
-import {SECOND, callId} from '../../core/index.js';
+import {MAX_BODY_BYTES} from '../../configuration/index.js';
+import {SECOND, callId, hostPort} from '../../core/index.js';
 import type {CallId} from '../../core/index.js';
 import {Fault, asFault} from '../../errors/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import {Caller} from './caller.js';
+import {answerKeyRequest, isKeyRequest} from './key_issuer.js';
+import type {IssuedKey} from './key_issuer.js';
 import {identify, resolve, toCall} from './request_parser.js';
 import type {InForce} from './types.js';
 
-/** Largest body that is read before the service is known, bytes. */
-const MAX_BODY = 8 * 2 ** 20;
 const HEADERS_TIMEOUT_MS = 10 * SECOND;
 const REQUEST_TIMEOUT_MS = 60 * SECOND;
 const MAX_HEADER_BYTES = 32 * 2 ** 10;
@@ -37,6 +38,8 @@
     res: ServerResponse,
     ended: () => void,
   ): void;
+  /** Issues an idempotency key for a service. */
+  issueKey(service: string): Result<IssuedKey, Fault>;
 }
 
 /** The HTTP server that callers reach. */
@@ -71,7 +74,7 @@
   async listen(host: string, port: number): Promise<string> {
     this.server.listen(port, host);
     await once(this.server, 'listening');
-    return `${host}:${(this.server.address() as AddressInfo).port}`;
+    return hostPort(host, (this.server.address() as AddressInfo).port);
   }
 
   /** Closes the listener and what is left open. */
@@ -85,6 +88,10 @@
   private async serve(req: IncomingMessage, res: ServerResponse) {
     const id = this.newCallId();
     const caller = new Caller(res, id);
+    if (isKeyRequest(req)) {
+      await answerKeyRequest(req, res, caller, this.services);
+      return;
+    }
     const admitted = await this.admit(req, id).catch(thrown =>
       err(asFault(thrown, 'internal')),
     );
@@ -113,7 +120,7 @@
     const identified = identify(req, inForce);
     if (identified.isErr()) return err(identified.error);
     const organisation = identified.value;
-    const body = await readBody(req, MAX_BODY);
+    const body = await readBody(req, MAX_BODY_BYTES);
     if (body.isErr()) return err(body.error);
     const resolved = resolve(req, body.value, inForce);
     if (resolved.isErr()) return err(resolved.error);
@@ -121,7 +128,8 @@
       return err(new Fault('body_too_large'));
     }
     const now = this.context.clock.now();
-    const parts = {callId: id, now, organisation, body: body.value};
+    const wall = this.context.clock.wall();
+    const parts = {callId: id, now, wall, organisation, body: body.value};
     const call = toCall(req, {...parts, resolved: resolved.value});
     if (call.isErr()) return err(call.error);
     const {name, organisation: entry} = organisation;
@@ -137,7 +145,12 @@
   }
 }
 
-async function readBody(
+/**
+ * Reads the body of a request.
+ * @param req - the request
+ * @param limit - largest body that is taken, bytes
+ */
+export async function readBody(
   req: IncomingMessage,
   limit: number,
 ): Promise<Result<Buffer, Fault>> {
--- a/src/daemons/sidecar/calls_task.ts
+++ b/src/daemons/sidecar/calls_task.ts
@@ -6,19 +6,26 @@
 import type {
   AnswerMessage,
   CallMessage,
+  Reply,
   RequestMessage,
+  SettleMessage,
 } from '../../calls/index.js';
 import type {CallId, Incarnation, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import type {ErrorName} from '../../errors/index.js';
+import {PrefixMap} from '../../routing/index.js';
+import type {CacheMessage} from '../../routing/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import {Task} from '../shared/task.js';
 import type {SidecarSettings} from './types.js';
 import {UpstreamRequest, upstreamAgent} from './upstream_request.js';
+import type {UpstreamListener} from './upstream_request.js';
 
 const DEFAULT_LIMITS: QueueLimits = {concurrency: 16, queue: 64};
 const RETRY_UNREACHABLE: Millis = SECOND;
 const SWEEP_EVERY: Millis = 10 * SECOND;
+/** How often waiting calls are checked against their deadlines. */
+const EXPIRE_EVERY: Millis = 100;
 
 /** An attempt that waits or runs here. */
 interface Job {
@@ -26,7 +33,8 @@
   readonly from: Incarnation;
   running: UpstreamRequest | undefined;
   frames: number;
-  bytes: number;
+  /** When the answer's head came, ms. */
+  headAt: Millis;
 }
 
 type Message =
@@ -34,13 +42,19 @@
       readonly type: 'request';
       readonly from: Incarnation;
       readonly message: RequestMessage;
+      readonly receivedAt: Millis;
     }
   | {readonly type: 'entry_lost'; readonly entry: Incarnation}
   | {readonly type: 'over'; readonly job: Job}
   | {readonly type: 'limits'; readonly limits: QueueLimits}
   | {readonly type: 'sweep'}
+  | {readonly type: 'expire'}
+  | {readonly type: 'cache'; readonly message: CacheMessage}
   | {readonly type: 'close'}
-  | {readonly type: 'drain'; readonly idle: () => void};
+  | {readonly type: 'drain'; readonly idle: () => void}
+  | {readonly type: 'cut'; readonly done: () => void};
+
+type Received = Extract<Message, {type: 'request'}>;
 
 /** Admits, runs and answers the calls of one upstream. */
 export class CallsTask extends Task<Message> {
@@ -48,7 +62,8 @@
   private readonly ledger = new CallLedger();
   private readonly jobs = new Map<CallId, Job>();
   private readonly agent: Agent = upstreamAgent();
-  private readonly timer: NodeJS.Timeout;
+  private readonly timers: readonly NodeJS.Timeout[];
+  private readonly prefixes = new PrefixMap();
   /** Whether new work is refused. */
   private closed = false;
   private idle: (() => void) | undefined;
@@ -64,16 +79,20 @@
     private readonly answer: (to: Incarnation, message: AnswerMessage) => void,
   ) {
     super(context.system, 'calls', context.logger.labelled('calls'));
-    this.timer = setInterval(() => this.post({type: 'sweep'}), SWEEP_EVERY);
+    this.timers = [
+      setInterval(() => this.post({type: 'sweep'}), SWEEP_EVERY),
+      setInterval(() => this.post({type: 'expire'}), EXPIRE_EVERY),
+    ];
   }
 
   /** What `/status` shows. */
   status(): object {
-    return {...this.queue.report(), remembered: this.ledger.size};
+    const {size: remembered, bytes: keptBytes} = this.ledger;
+    return {...this.queue.report(), remembered, keptBytes};
   }
 
   override stop(): void {
-    clearInterval(this.timer);
+    this.timers.forEach(timer => clearInterval(timer));
     for (const job of this.jobs.values()) job.running?.cancel();
     super.stop();
     void this.agent.destroy();
@@ -82,7 +101,7 @@
   protected receive(message: Message): void {
     switch (message.type) {
       case 'request':
-        return this.request(message.from, message.message);
+        return this.request(message);
       case 'entry_lost':
         return this.entryLost(message.entry);
       case 'over':
@@ -90,31 +109,59 @@
       case 'limits':
         return this.queue.configure(message.limits);
       case 'sweep':
-        return this.ledger.sweep(this.context.clock.now());
+        this.ledger.sweep(this.context.clock.now());
+        return;
+      case 'expire':
+        this.queue.sweep(this.context.clock.now());
+        return this.refuseWaiting();
+      case 'cache':
+        this.prefixes.apply(message.message);
+        return;
       case 'close':
         this.closed = true;
         return;
       case 'drain':
         this.idle = message.idle;
         return this.tellIfIdle();
+      case 'cut':
+        this.cutAll();
+        return message.done();
+    }
+  }
+
+  private request({from, message, receivedAt}: Received): void {
+    if (message.type === 'call') return this.offer(from, message, receivedAt);
+    if (message.type === 'settle') return this.settle(from, message);
+    if (message.type === 'credit') {
+      const job = this.jobs.get(message.callId);
+      if (job?.call.attempt !== message.attempt) return;
+      return job.running?.grant(message.frames);
     }
+    const stop = this.ledger.cancel(from, message);
+    const job = stop && this.jobs.get(stop.callId);
+    if (job?.call.attempt === stop?.attempt && job) this.cancel(job);
   }
 
-  private request(from: Incarnation, message: RequestMessage): void {
-    if (message.type === 'call') return this.offer(from, message);
-    const job = this.jobs.get(message.callId);
-    if (job === undefined || job.call.attempt !== message.attempt) return;
-    if (message.type === 'credit') job.running?.grant(message.frames);
-    else this.cancel(job);
+  private settle(from: Incarnation, message: SettleMessage): void {
+    const replies = this.ledger.settle(this.now(), from, message);
+    const outcome = replies[0]?.message.type ?? 'none';
+    this.logger.info('settled', {call: message.target.callId, outcome});
+    this.say(replies);
   }
 
-  private offer(from: Incarnation, call: CallMessage): void {
-    const now = this.context.clock.now();
-    if (!this.ledger.take(call.callId, call.attempt)) {
+  private offer(
+    from: Incarnation,
+    call: CallMessage,
+    receivedAt: Millis,
+  ): void {
+    const now = this.now();
+    const {isNew, replies} = this.ledger.take(now, from, call, receivedAt);
+    this.say(replies);
+    if (!isNew) {
       this.context.metrics.droppedFrames.inc({reason: 'repeated_call'});
       return;
     }
-    const job = {call, from, running: undefined, frames: 0, bytes: 0};
+    const job = {call, from, running: undefined, frames: 0, headAt: 0};
     if (call.service !== this.settings.service) {
       return this.refuse(job, 'unknown_service', 0);
     }
@@ -124,8 +171,11 @@
       organisation: call.organisation,
       weight: call.weight,
       priority: call.priority,
-      deadlineAt: now + call.remainingMs,
+      deadlineAt: receivedAt + call.remainingMs,
+      cost: call.cost,
+      blocks: this.newBlocks(call),
     });
+    this.refuseWaiting();
     if (verdict.decision === 'refuse') {
       return this.refuse(job, verdict.reason, verdict.retryAfterMs);
     }
@@ -134,70 +184,117 @@
   }
 
   private refuse(job: Job, reason: ErrorName, retryAfterMs: Millis): void {
-    const {callId, attempt, service} = job.call;
-    const load = this.queue.report();
-    this.ledger.end(this.context.clock.now(), callId, attempt);
+    const {call} = job;
+    const {service} = call;
     this.context.metrics.refusals.inc({reason, service});
-    const refusal = {callId, attempt, reason, retryAfterMs, load};
-    this.answer(job.from, {type: 'refused', ...refusal});
+    this.say(this.ledger.refuse(this.now(), call, reason, retryAfterMs));
+  }
+
+  /** Blocks of the prompt that the engine seems to have to prefill. */
+  private newBlocks({prefix = []}: CallMessage): number {
+    const matched = this.prefixes.match(prefix);
+    this.prefixes.used(prefix);
+    return prefix.length - matched;
+  }
+
+  /** Refuses calls that waited and were displaced or became too late. */
+  private refuseWaiting(): void {
+    for (const {callId, reason, retryAfterMs} of this.queue.takeRefused()) {
+      const job = this.jobs.get(callId);
+      if (job === undefined) continue;
+      this.jobs.delete(callId);
+      this.refuse(job, reason, retryAfterMs);
+    }
+    this.tellIfIdle();
   }
 
   private run(job: Job): void {
-    const {callId, attempt} = job.call;
-    const name = {callId, attempt};
-    const say = (message: AnswerMessage) => this.answer(job.from, message);
-    const report = () => this.queue.report();
+    const {call} = job;
+    const {run, replies} = this.ledger.start(this.now(), call);
+    this.say(replies);
+    if (!run) {
+      const {service} = call;
+      this.context.metrics.refusals.inc({reason: 'deadline_passed', service});
+      this.post({type: 'over', job});
+      return;
+    }
+    const {upstreamUrl} = this.settings;
+    const listener = this.listen(job);
     const request = new UpstreamRequest(
-      this.settings.upstreamUrl,
+      upstreamUrl,
       this.agent,
-      job.call,
-      {
-        head: (status, headers) =>
-          say({type: 'head', ...name, seq: 0, status, headers, load: report()}),
-        data: body => {
-          job.frames += 1;
-          job.bytes += body.byteLength;
-          const piece = body as Uint8Array<ArrayBuffer>;
-          say({type: 'data', ...name, seq: job.frames, body: piece});
-        },
-        end: () => {
-          const {frames, bytes} = job;
-          say({type: 'end', ...name, frames, bytes, load: report()});
-        },
-        unreachable: detail => {
-          this.logger.warn('upstream_unreachable', {detail});
-          this.refuse(job, 'engine_unreachable', RETRY_UNREACHABLE);
-        },
-        failed: detail => {
-          this.logger.warn('upstream_failed', {call: callId, detail});
-          const reason = 'upstream_failed';
-          say({type: 'failed', ...name, reason, load: report()});
-        },
-      },
+      call,
+      listener,
     );
     job.running = request;
     void request.run().finally(() => this.post({type: 'over', job}));
   }
 
+  private listen(job: Job): UpstreamListener {
+    const {call} = job;
+    const {ledger} = this;
+    return {
+      head: head => {
+        job.headAt = this.now();
+        this.queue.firstToken(job.headAt, call.callId);
+        this.say(ledger.head(call, head));
+      },
+      data: piece => {
+        job.frames += 1;
+        this.say(ledger.data(call, piece));
+      },
+      end: () => {
+        this.queue.streamed(this.now() - job.headAt, job.frames);
+        this.say(ledger.end(this.now(), call));
+      },
+      isPaced: () => ledger.isPaced(call),
+      unreachable: detail => {
+        this.logger.warn('upstream_unreachable', {detail});
+        this.refuse(job, 'engine_unreachable', RETRY_UNREACHABLE);
+      },
+      failed: detail => {
+        this.logger.warn('upstream_failed', {call: call.callId, detail});
+        this.say(ledger.fail(this.now(), call, 'upstream_failed'));
+      },
+    };
+  }
+
   private cancel(job: Job): void {
-    if (job.running !== undefined) job.running.cancel();
-    else this.over(job);
+    if (job.running !== undefined) return job.running.cancel();
+    this.refuse(job, 'deadline_passed', 0);
+    this.over(job);
   }
 
   private entryLost(entry: Incarnation): void {
     for (const job of this.jobs.values()) {
-      if (job.from === entry && job.call.idempotent) this.cancel(job);
+      if (job.from !== entry) continue;
+      if (job.call.idempotent) this.cancel(job);
+      // Nobody can grant more credit, and the call must come to its end.
+      else job.running?.grant(Infinity);
+    }
+  }
+
+  /** Ends all that is left: what waits never runs, what runs may have. */
+  private cutAll(): void {
+    this.closed = true;
+    for (const job of this.jobs.values()) {
+      const {callId} = job.call;
+      const outcome = job.running === undefined ? 'not-run' : 'unknown';
+      this.logger.warn('call_cut', {call: callId, outcome});
+      if (job.running === undefined) this.refuse(job, 'draining', SECOND);
+      else this.say(this.ledger.fail(this.now(), job.call, 'draining'));
     }
   }
 
   private over(job: Job): void {
-    const {callId, attempt} = job.call;
-    const now = this.context.clock.now();
-    if (this.jobs.get(callId) === job) this.jobs.delete(callId);
-    this.ledger.end(now, callId, attempt);
-    for (const next of this.queue.end(now, callId)) {
-      const started = this.jobs.get(next);
-      if (started) this.run(started);
+    const {callId} = job.call;
+    if (this.jobs.get(callId) !== job) return;
+    this.jobs.delete(callId);
+    const started = this.queue.end(this.now(), callId);
+    this.refuseWaiting();
+    for (const next of started) {
+      const waiting = this.jobs.get(next);
+      if (waiting) this.run(waiting);
     }
     this.tellIfIdle();
   }
@@ -205,4 +302,15 @@
   private tellIfIdle(): void {
     if (this.jobs.size === 0) this.idle?.();
   }
+
+  private say(replies: readonly Reply[]): void {
+    for (const {to, message} of replies) {
+      if (message.type === 'data') this.answer(to, message);
+      else this.answer(to, {...message, load: this.queue.report()});
+    }
+  }
+
+  private now(): Millis {
+    return this.context.clock.now();
+  }
 }
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -75,6 +75,11 @@
     'The share of this service that the caller may use is taken.',
     'Come back after Retry-After.',
   ),
+  undeclared_dependency: entry(
+    403,
+    'The calling service does not declare that it depends on this one.',
+    'Add the service to dependsOn of the caller, or drop the header.',
+  ),
   deadline_passed: entry(
     504,
     'The deadline passed before the answer was there.',
@@ -115,6 +120,16 @@
     'The idempotency key is older than keys are remembered.',
     'Look up whether the first call took effect; use a new key.',
   ),
+  never_received: entry(
+    503,
+    'The sidecar never got the request and will not run it.',
+    'Send the request again.',
+  ),
+  answer_expired: entry(
+    410,
+    'The call ran, but its answer is no longer kept.',
+    'Look up what the call did; do not send it with a new key.',
+  ),
   key_in_progress: entry(
     409,
     'The first call with this idempotency key is still running.',
@@ -147,6 +162,16 @@
     'The log did not tell whether the publication was taken.',
     'Run the same command again: the same publication is not taken twice.',
   ),
+  log_gap: entry(
+    503,
+    'The log no longer keeps all records, and holds no checkpoint for them.',
+    'Wait for a checkpoint of a running process; see docs/OPERATIONS.md.',
+  ),
+  newer_schema: entry(
+    422,
+    'The log holds a text that only a newer program can judge.',
+    'Publish with the newest program.',
+  ),
   usage: entry(2, 'The command line or the settings are wrong.', 'See --help.'),
   internal: entry(
     500,
