--- a/src/daemons/entry/router_task.ts
+++ b/src/daemons/entry/router_task.ts
@@ -41,7 +41,7 @@
   | {readonly type: 'listed'; readonly vms: readonly ListedVm[]}
   | {readonly type: 'up'; readonly peer: Identity}
   | {readonly type: 'down'; readonly peer: Identity}
-  | {readonly type: 'leaving'; readonly peer: Identity}
+  | {readonly type: 'leaving'; readonly peer: Incarnation}
   | {readonly type: 'configured'; readonly cfg: Configuration}
   | {
       readonly type: 'load';
@@ -71,7 +71,6 @@
 export class RouterTask extends Task<Message> {
   private readonly members = new MemberTable();
   private readonly router: Router;
-  private readonly calls = new Map<CallId, CallTask>();
   private readonly decisions: RouteDecision[] = [];
 
   /**
@@ -104,11 +103,12 @@
         return this.listed(message.vms);
       case 'up':
         this.router.came(now, message.peer.incarnation);
-        return this.members.linkUp(message.peer);
+        return this.members.linkUp(now, message.peer);
       case 'down':
-        return this.down(message.peer);
+        return this.members.linkDown(now, message.peer.incarnation);
       case 'leaving':
-        return this.members.leave(message.peer.incarnation);
+        this.members.leave(message.peer);
+        return;
       case 'configured':
         return this.router.configure(bulkheadsOf(message.cfg));
       case 'load':
@@ -122,24 +122,16 @@
       case 'choose':
         return this.choose(message.call, message.exclude, message.retryOf);
       case 'ended':
-        this.calls.delete(message.call.request.callId);
         return this.router.ended(now, message.call.request.callId);
     }
   }
 
   private listed(vms: readonly ListedVm[]): void {
-    this.members.list(vms);
+    this.members.list(this.context.clock.now(), vms);
     const sidecars = vms.filter(({role}) => role === 'sidecar');
     this.dial(new Set(sidecars.map(({address}) => address)));
   }
 
-  private down(peer: Identity): void {
-    this.members.linkDown(peer.incarnation);
-    for (const callId of this.router.callsAt(peer.incarnation)) {
-      this.calls.get(callId)?.post({type: 'link_lost'});
-    }
-  }
-
   private cached(peer: Incarnation, message: CacheMessage): void {
     if (this.router.cached(peer, message)) return;
     this.context.metrics.droppedFrames.inc({reason: 'cache_event_gap'});
@@ -162,7 +154,6 @@
       call.post({type: 'none', reason, retryAfterMs});
       return;
     }
-    this.calls.set(request.callId, call);
     call.post({type: 'chosen', upstream: route.upstream.incarnation});
   }
 
