--- a/src/calls/entry_messages.ts
+++ b/src/calls/entry_messages.ts
@@ -39,6 +39,8 @@
     ...(prefix && {prefix: [...prefix]}),
     ...(cost !== undefined && {cost}),
     credit: WINDOW_FRAMES,
+    ...(prefix && {prefix: [...prefix]}),
+    ...(cost && {cost}),
     ...issuedKey(request),
     ...(resumeFrom === undefined ? {} : {resumeFrom}),
   };
--- a/src/calls/types.ts
+++ b/src/calls/types.ts
@@ -36,7 +36,6 @@
   /** A repeat freed the key before this entry saw its own claim. */
   | {readonly kind: 'released'}
   | {readonly kind: 'unavailable'; readonly retryAfterMs: Millis};
-
 /**
  * Names the service that an upstream runs. Sidecars add it to what they send
  * to the upstream, which passes it on with the calls that it makes itself.
--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -14,8 +14,8 @@
 import type {ErrorName} from '../../errors/index.js';
 import type {LinkMessage} from '../../links/index.js';
 import type {Identity} from '../../membership/index.js';
-import {attemptResult} from './attempt_result.js';
 import {ClaimsTask} from '../shared/claims_task.js';
+import type {AttemptResult} from '../../routing/index.js';
 import {ConfigurationTask} from '../shared/configuration_task.js';
 import type {DaemonContext} from '../shared/context.js';
 import {configurationPorts, membersPorts} from '../shared/control_ports.js';
@@ -34,6 +34,7 @@
 
 /** Time that callers have to hear what a stop cuts. */
 const CUT_WITHIN: Millis = SECOND;
+const FIRST_SERVER_ERROR = 500;
 
 /** Addresses of a running entry, each `host:port`. */
 export interface EntryAddresses {
@@ -273,11 +274,6 @@
         return this.answer(message);
       case 'leaving':
         return this.noteRefusal(peer, 'draining');
-      case 'cache': {
-        const {incarnation} = peer;
-        this.router.post({type: 'cache', peer: incarnation, message});
-        return;
-      }
       case 'departures':
         return this.members.post(message);
       case 'configuration_pull':
@@ -286,6 +282,12 @@
         this.configuration?.post({type: 'message', from, message});
         return;
       }
+      case 'cache':
+        return this.router.post({
+          type: 'cache',
+          peer: peer.incarnation,
+          message,
+        });
       default:
         return;
     }
@@ -324,3 +326,17 @@
     };
   }
 }
+
+/** What a message tells of the health of the replica that sent it. */
+function attemptResult(message: LinkMessage): AttemptResult | undefined {
+  switch (message.type) {
+    case 'head':
+      return message.status < FIRST_SERVER_ERROR ? 'answered' : 'failed';
+    case 'failed':
+      return 'failed';
+    case 'refused':
+      return message.reason === 'engine_unreachable' ? 'failed' : 'refused';
+    default:
+      return undefined;
+  }
+}
--- a/src/daemons/entry/request_parser.ts
+++ b/src/daemons/entry/request_parser.ts
@@ -6,12 +6,12 @@
 
 import type {NamedOrganisation} from '../../admission/index.js';
 import {
-  CALLER_SERVICE_HEADER,
   isCompletion,
   parseKey,
   resolveCompletion,
   resolvePlain,
 } from '../../calls/index.js';
+import {CALLER_SERVICE_HEADER} from '../../calls/index.js';
 import type {CallKey, CallRequest, Resolved} from '../../calls/index.js';
 import {PRIORITIES} from '../../configuration/index.js';
 import type {Priority} from '../../configuration/index.js';
--- a/src/daemons/entry/router_task.ts
+++ b/src/daemons/entry/router_task.ts
@@ -71,6 +71,7 @@
 export class RouterTask extends Task<Message> {
   private readonly members = new MemberTable();
   private readonly router: Router;
+  private readonly calls = new Map<CallId, CallTask>();
   private readonly decisions: RouteDecision[] = [];
 
   /**
@@ -105,7 +106,7 @@
         this.router.came(now, message.peer.incarnation);
         return this.members.linkUp(now, message.peer);
       case 'down':
-        return this.members.linkDown(now, message.peer.incarnation);
+        return this.down(message.peer);
       case 'leaving':
         this.members.leave(message.peer);
         return;
@@ -122,6 +123,7 @@
       case 'choose':
         return this.choose(message.call, message.exclude, message.retryOf);
       case 'ended':
+        this.calls.delete(message.call.request.callId);
         return this.router.ended(now, message.call.request.callId);
     }
   }
@@ -132,6 +134,10 @@
     this.dial(new Set(sidecars.map(({address}) => address)));
   }
 
+  private down(peer: Identity): void {
+    this.members.linkDown(this.context.clock.now(), peer.incarnation);
+  }
+
   private cached(peer: Incarnation, message: CacheMessage): void {
     if (this.router.cached(peer, message)) return;
     this.context.metrics.droppedFrames.inc({reason: 'cache_event_gap'});
@@ -154,6 +160,7 @@
       call.post({type: 'none', reason, retryAfterMs});
       return;
     }
+    this.calls.set(request.callId, call);
     call.post({type: 'chosen', upstream: route.upstream.incarnation});
   }
 
