Share organisation limits between entries by loans

Cause: each entry applied each organisation's whole limit, so six entries let six times the limit through.

Each entry holds an equal base share and lends idle parts to others for a fixed time, counted on each side by its own clock from an event that is earlier at the borrower. Places of the concurrency are lent for longer and used only by calls whose deadline lies before the end of the loan.

Ruled out: shares set by gossiped demand, whose sum exceeds the limit while views differ; one allocator per organisation, since two sides of a cut have two.

--- /dev/null
+++ b/bench/routing/engine_model.ts
@@ -0,0 +1,97 @@
+import type {CallId, Millis} from '../../src/core/index.js';
+import {PrefixMap} from '../../src/routing/index.js';
+import type {PromptPrefix} from '../../src/routing/index.js';
+import type {VirtualClock} from './clock.js';
+
+/** How fast an engine is. */
+export interface EngineSpeed {
+  /** Prefill of one block of a prompt, ms. */
+  readonly msPerBlock: Millis;
+  /** One token of each running answer, ms, with an idle prefill. */
+  readonly msPerToken: Millis;
+  /** Blocks that the prefix cache holds. */
+  readonly cacheBlocks: number;
+}
+
+/** A call at an engine. */
+export interface EngineCall {
+  readonly callId: CallId;
+  readonly prefix: PromptPrefix;
+  /** Tokens of the answer. */
+  readonly tokens: number;
+  firstToken(): void;
+  done(): void;
+}
+
+/** How a replica misbehaves. */
+export interface EngineFault {
+  /** Everything takes this many times as long. */
+  slowdown: number;
+  /** Nothing that starts now ends. */
+  hung: boolean;
+  /** Calls fail at once. */
+  failing: boolean;
+}
+
+/**
+ * A queueing model of one engine: prompts are prefilled one after the other,
+ * answers are generated side by side, and a cache of blocks, the least recently
+ * used out first, shortens prefill.
+ */
+export class EngineModel {
+  readonly fault: EngineFault = {slowdown: 1, hung: false, failing: false};
+  readonly cache: PrefixMap;
+  /** Blocks asked for and found in the cache. */
+  asked = 0;
+  hit = 0;
+  private prefillFreeAt: Millis = 0;
+  /** Time spent on prefill, ms. */
+  busy: Millis = 0;
+
+  /**
+   * @param clock - the run's clock
+   * @param speed - how fast it is
+   * @param changed - told of blocks that were stored or evicted
+   */
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly speed: EngineSpeed,
+    private readonly changed: (
+      stored: PromptPrefix,
+      removed: PromptPrefix,
+    ) => void,
+  ) {
+    this.cache = new PrefixMap(speed.cacheBlocks, hash => {
+      this.changed([], [hash]);
+    });
+  }
+
+  /**
+   * Runs a call.
+   * @param call - the call
+   */
+  start(call: EngineCall): void {
+    if (this.fault.hung) return;
+    const matched = this.cache.match(call.prefix);
+    this.asked += call.prefix.length;
+    this.hit += matched;
+    this.cache.used(call.prefix);
+    this.changed(call.prefix.slice(matched), []);
+    const blocks = Math.max(1, call.prefix.length - matched);
+    const work = blocks * this.speed.msPerBlock * this.fault.slowdown;
+    this.busy += work;
+    const startAt = Math.max(this.clock.now, this.prefillFreeAt);
+    this.prefillFreeAt = startAt + work;
+    this.clock.after(this.prefillFreeAt - this.clock.now, () => {
+      call.firstToken();
+      this.decode(call);
+    });
+  }
+
+  private decode(call: EngineCall): void {
+    const pace = this.speed.msPerToken * this.fault.slowdown;
+    this.clock.after(call.tokens * pace, () => {
+      call.done();
+    });
+  }
+}
--- /dev/null
+++ b/bench/routing/workload.ts
@@ -0,0 +1,129 @@
+import type {Priority} from '../../src/configuration/index.js';
+import type {Chance, Millis} from '../../src/core/index.js';
+import {organisationName} from '../../src/core/index.js';
+import type {OrganisationName} from '../../src/core/index.js';
+
+/** A request of the workload. */
+export interface Arrival {
+  readonly organisation: OrganisationName;
+  readonly weight: number;
+  readonly priority: Priority;
+  readonly prefix: readonly number[];
+  readonly tokens: number;
+  readonly deadline: Millis;
+}
+
+/** What callers of a deployment ask for. */
+export interface WorkloadShape {
+  readonly name: string;
+  readonly organisations: number;
+  /** Blocks of the instructions that an organisation's prompts start with. */
+  readonly instructionBlocks: readonly [number, number];
+  /** Different instructions of one organisation. */
+  readonly instructions: number;
+  /** Chance that a request goes on with a conversation. */
+  readonly continued: number;
+  /** Blocks that a request adds. */
+  readonly newBlocks: readonly [number, number];
+  /** Tokens of an answer. */
+  readonly tokens: readonly [number, number];
+  readonly deadline: Millis;
+}
+
+const MAX_BLOCKS = 64;
+const MAX_OPEN = 200;
+const LARGE = 3;
+const LARGE_WEIGHT = 4;
+
+/** Drivers plan in long conversations over a few instructions. */
+export const KIVULI: WorkloadShape = {
+  name: 'kivuli',
+  organisations: 10,
+  instructionBlocks: [12, 24],
+  instructions: 2,
+  continued: 0.7,
+  newBlocks: [1, 6],
+  tokens: [30, 150],
+  deadline: 10_000,
+};
+
+/** Staff draft and summarise: more templates, longer texts, fewer turns. */
+export const MAISON: WorkloadShape = {
+  name: 'maison',
+  organisations: 10,
+  instructionBlocks: [8, 20],
+  instructions: 6,
+  continued: 0.35,
+  newBlocks: [2, 14],
+  tokens: [40, 250],
+  deadline: 10_000,
+};
+
+/** Makes the requests of a deployment, the same for the same seed. */
+export class Workload {
+  private nextHash = 1;
+  private readonly starts: (readonly number[])[][];
+  private readonly open: (readonly number[])[][];
+
+  /**
+   * @param shape - what callers ask for
+   * @param chance - draws the requests
+   */
+  constructor(
+    private readonly shape: WorkloadShape,
+    private readonly chance: Chance,
+  ) {
+    const organisations = Array.from({length: shape.organisations});
+    this.starts = organisations.map(() =>
+      Array.from({length: shape.instructions}, () =>
+        this.blocks(chance.between(...shape.instructionBlocks)),
+      ),
+    );
+    this.open = organisations.map(() => []);
+  }
+
+  /** The next request. */
+  next(): Arrival {
+    const index = this.drawOrganisation();
+    const {tokens, deadline, newBlocks} = this.shape;
+    const base = this.base(index);
+    const added = this.blocks(this.chance.between(...newBlocks));
+    const prefix = [...base, ...added].slice(0, MAX_BLOCKS);
+    this.remember(index, prefix);
+    return {
+      organisation: organisationName(`organisation-${index}`),
+      weight: index < LARGE ? LARGE_WEIGHT : 1,
+      priority: 'normal',
+      prefix,
+      tokens: this.chance.between(...tokens),
+      deadline,
+    };
+  }
+
+  private drawOrganisation(): number {
+    const {organisations} = this.shape;
+    const total = LARGE * LARGE_WEIGHT + organisations - LARGE;
+    const drawn = this.chance.between(0, total - 1);
+    const large = Math.floor(drawn / LARGE_WEIGHT);
+    return large < LARGE ? large : drawn - LARGE * LARGE_WEIGHT + LARGE;
+  }
+
+  private base(index: number): readonly number[] {
+    const open = this.open[index] ?? [];
+    if (open.length > 0 && this.chance.fraction() < this.shape.continued) {
+      const [taken] = open.splice(this.chance.between(0, open.length - 1), 1);
+      if (taken !== undefined) return taken;
+    }
+    return this.chance.pick(this.starts[index] ?? [[]]);
+  }
+
+  private remember(index: number, prefix: readonly number[]): void {
+    const open = this.open[index] ?? [];
+    if (prefix.length < MAX_BLOCKS) open.push(prefix);
+    if (open.length > MAX_OPEN) open.shift();
+  }
+
+  private blocks(count: number): number[] {
+    return Array.from({length: count}, () => this.nextHash++);
+  }
+}
--- /dev/null
+++ b/src/admission/admission_queue.test.ts
@@ -0,0 +1,188 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {PRIORITIES} from '../configuration/index.js';
+import {callId, organisationName} from '../core/index.js';
+import type {Millis} from '../core/index.js';
+import {AdmissionQueue} from './admission_queue.js';
+import {FairQueue} from './fair_queue.js';
+import type {Applicant} from './types.js';
+
+let made = 0;
+
+function applicant(parts: Partial<Applicant> & {of?: string} = {}): Applicant {
+  const {of = 'kivuli', ...rest} = parts;
+  return {
+    callId: callId(`call-${made++}`),
+    organisation: organisationName(of),
+    weight: 1,
+    priority: 'normal',
+    deadlineAt: 60_000,
+    ...rest,
+  };
+}
+
+/** A queue whose one place is taken and whose calls take 100 ms. */
+function busy(queue = 4): {admission: AdmissionQueue; first: Applicant} {
+  const admission = new AdmissionQueue({concurrency: 1, queue});
+  const warm = applicant();
+  admission.offer(0, warm);
+  admission.end(100, warm.callId);
+  const first = applicant();
+  admission.offer(100, first);
+  return {admission, first};
+}
+
+describe('the queue before an upstream', () => {
+  it.each([
+    {
+      name: 'a deadline that has passed',
+      deadlineAt: 100,
+      said: 'deadline_passed',
+    },
+    {name: 'a deadline before its turn', deadlineAt: 190, said: 'overloaded'},
+  ])('refuses at once $name', ({deadlineAt, said}) => {
+    const {admission} = busy();
+    const verdict = admission.offer(100, applicant({deadlineAt}));
+    expect(verdict).toMatchObject({decision: 'refuse', reason: said});
+    expect(admission.report().queued).toBe(0);
+  });
+
+  it('never runs what waited past its deadline', () => {
+    const {admission, first} = busy();
+    const late = applicant({deadlineAt: 300});
+    const next = applicant();
+    admission.offer(100, late);
+    admission.offer(100, next);
+    expect(admission.end(300, first.callId)).toEqual([next.callId]);
+    expect(admission.takeRefused()).toMatchObject([
+      {callId: late.callId, reason: 'deadline_passed'},
+    ]);
+    expect(admission.takeRefused()).toEqual([]);
+  });
+
+  it('refuses late calls while nothing ends', () => {
+    const {admission} = busy();
+    const late = applicant({deadlineAt: 300});
+    admission.offer(100, late);
+    admission.sweep(299);
+    expect(admission.takeRefused()).toEqual([]);
+    admission.sweep(300);
+    expect(admission.takeRefused()).toMatchObject([{callId: late.callId}]);
+  });
+
+  it.each([
+    {name: 'a higher priority', parts: {priority: 'high'}, shed: true},
+    {
+      name: 'an organisation below its share',
+      parts: {of: 'maison'},
+      shed: true,
+    },
+    {name: 'the same organisation', parts: {}, shed: false},
+    {name: 'a lower priority', parts: {priority: 'low', of: 'm'}, shed: false},
+  ] as const)('sheds for $name when full: $shed', ({parts, shed}) => {
+    const {admission} = busy(2);
+    const waiting = [applicant(), applicant()];
+    for (const one of waiting) admission.offer(100, one);
+    const verdict = admission.offer(100, applicant(parts));
+    expect(verdict.decision).toBe(shed ? 'wait' : 'refuse');
+    const refused = admission.takeRefused().map(({callId: id}) => id);
+    expect(refused).toEqual(shed ? [waiting[1]?.callId] : []);
+  });
+
+  it('tells from its drain rate when to come back', () => {
+    const {admission} = busy(2);
+    admission.offer(100, applicant());
+    admission.offer(100, applicant());
+    const verdict = admission.offer(100, applicant());
+    expect(verdict).toMatchObject({retryAfterMs: 300});
+  });
+
+  it('sees that an upstream hangs before any call ends', () => {
+    const {admission} = busy();
+    const soon: Millis = 10_150;
+    const verdict = admission.offer(10_000, applicant({deadlineAt: soon}));
+    expect(verdict).toMatchObject({decision: 'refuse'});
+    expect(admission.report().drainPerSecond).toBeLessThan(0.2);
+  });
+
+  it('runs fewer at a time while blocks take longer, then more again', () => {
+    const admission = new AdmissionQueue({concurrency: 16, queue: 200});
+    let now = 0;
+    const serve = (took: Millis, rounds: number) => {
+      for (let i = 0; i < rounds; i++) {
+        const calls = Array.from({length: 16}, () =>
+          applicant({deadlineAt: Infinity}),
+        );
+        for (const one of calls) admission.offer(now, one);
+        now += took;
+        for (const one of calls) admission.firstToken(now, one.callId);
+        for (const one of calls) admission.end(now, one.callId);
+      }
+      return admission.report().concurrency;
+    };
+    expect(serve(100, 10)).toBe(16);
+    expect(serve(2_000, 10)).toBeLessThan(8);
+    expect(serve(100, 60)).toBe(16);
+  });
+});
+
+describe('fair queueing', () => {
+  const entry = fc.record({
+    of: fc.constantFrom('a', 'b', 'c'),
+    cost: fc.integer({min: 1, max: 500}),
+  });
+  const weights = {a: 1, b: 2, c: 4};
+
+  it('gives organisations that wait token cost by their weights', () => {
+    const load = fc.array(entry, {minLength: 60, maxLength: 200});
+    const property = fc.property(load, all => {
+      const queue = new FairQueue();
+      const left = {a: 0, b: 0, c: 0};
+      for (const {of, cost} of all) {
+        left[of] += 1;
+        queue.add(applicant({of, cost, weight: weights[of]}));
+      }
+      const served = {a: 0, b: 0, c: 0};
+      while (left.a > 0 && left.b > 0 && left.c > 0) {
+        const next = queue.take();
+        if (next === undefined) break;
+        const of = next.organisation as string as 'a' | 'b' | 'c';
+        left[of] -= 1;
+        served[of] += (next.cost ?? 1) / weights[of];
+        // The bound of start-time fair queueing: one call of each.
+        const [p, q] = [served.a - served.b, served.b - served.c];
+        expect(Math.abs(p)).toBeLessThanOrEqual(500 / 1 + 500 / 2);
+        expect(Math.abs(q)).toBeLessThanOrEqual(500 / 2 + 500 / 4);
+      }
+    });
+    fc.assert(property, {seed: 62, numRuns: 200});
+  });
+
+  it('takes the highest priority first and keeps every call', () => {
+    const load = fc.array(fc.constantFrom(...PRIORITIES), {maxLength: 50});
+    const property = fc.property(load, all => {
+      const queue = new FairQueue();
+      for (const priority of all) queue.add(applicant({priority}));
+      const taken = all.map(() => queue.take()?.priority);
+      const rank = (p: (typeof PRIORITIES)[number] | undefined) =>
+        PRIORITIES.indexOf(p ?? 'low');
+      expect(taken).toEqual(all.toSorted((a, b) => rank(b) - rank(a)));
+      expect(queue.take()).toBeUndefined();
+    });
+    fc.assert(property, {seed: 63, numRuns: 100});
+  });
+
+  it('does not owe an organisation for the time that it was idle', () => {
+    const queue = new FairQueue();
+    for (let i = 0; i < 50; i++) {
+      queue.add(applicant({of: 'a'}));
+      queue.take();
+    }
+    for (let i = 0; i < 4; i++) queue.add(applicant({of: 'a'}));
+    for (let i = 0; i < 4; i++) queue.add(applicant({of: 'b'}));
+    const order = Array.from({length: 8}, () => queue.take()?.organisation);
+    const early = order.slice(0, 4).filter(of => of === 'b');
+    expect(early).toHaveLength(2);
+  });
+});
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -4,6 +4,7 @@
 export * from './drain_rate.js';
 export * from './fair_queue.js';
 export * from './organisation_directory.js';
-export * from './organisation_limits.js';
+export * from './messages.js';
+export * from './shared_limits.js';
 export * from './prefill_estimate.js';
 export * from './types.js';
--- /dev/null
+++ b/src/admission/shared_limits.test.ts
@@ -0,0 +1,208 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {incarnation, organisationName} from '../core/index.js';
+import type {Incarnation, Millis} from '../core/index.js';
+import type {LoanMessage} from './messages.js';
+import {PLACE_LOAN, RATE_LOAN, SharedLimits} from './shared_limits.js';
+
+const NAME = organisationName('kariakoo');
+const LIMITS = {requestsPerSecond: 12, tokensPerSecond: 600, concurrency: 10};
+const SLACK = 1e-6;
+
+interface Post {
+  readonly at: Millis;
+  readonly from: Incarnation;
+  readonly to: Incarnation;
+  readonly message: LoanMessage;
+}
+
+/** Entries, the messages between them and the calls that they let through. */
+class World {
+  now: Millis = 0;
+  admitted = 0;
+  cost = 0;
+  readonly ids: Incarnation[];
+  private readonly entries: Map<Incarnation, SharedLimits>;
+  private posts: Post[] = [];
+  private calls: {readonly entry: Incarnation; readonly endsAt: Millis}[] = [];
+
+  constructor(count: number) {
+    this.ids = Array.from({length: count}, (_, i) => incarnation(`entry-${i}`));
+    const pairs = this.ids.map((id, place) => {
+      const limits = new SharedLimits();
+      limits.enrol(0, {entries: count, place});
+      return [id, limits] as const;
+    });
+    this.entries = new Map(pairs);
+  }
+
+  get inFlight(): number {
+    return this.calls.length;
+  }
+
+  of(id: Incarnation): SharedLimits {
+    return this.entries.get(id) as SharedLimits;
+  }
+
+  /** Lets time pass; what crosses the cut is lost. */
+  pass(span: Millis, cut: number): void {
+    this.now += span;
+    this.calls = this.calls.filter(({entry, endsAt}) => {
+      if (endsAt > this.now) return true;
+      this.of(entry).end(NAME);
+      return false;
+    });
+    const due = this.posts.filter(({at}) => at <= this.now);
+    this.posts = this.posts.filter(({at}) => at > this.now);
+    for (const post of due) {
+      const side = (id: Incarnation) => this.ids.indexOf(id) < cut;
+      if (side(post.from) === side(post.to)) this.deliver(post);
+    }
+  }
+
+  request(id: Incarnation, cost: number, span: Millis): boolean {
+    const ask = {cost, deadlineAt: this.now + span};
+    const verdict = this.of(id).admit(this.now, NAME, LIMITS, ask);
+    if (!verdict.allowed) return false;
+    this.admitted += 1;
+    this.cost += cost;
+    this.calls.push({entry: id, endsAt: this.now + span});
+    return true;
+  }
+
+  borrow(id: Incarnation, peers: readonly Incarnation[], delay: Millis): void {
+    const others = peers.filter(peer => peer !== id);
+    const outgoing = this.of(id).borrow(this.now, others);
+    this.send(id, outgoing, delay);
+  }
+
+  sum(kind: 'requests' | 'tokens'): number {
+    return this.ids.reduce((total, id) => {
+      const share = this.of(id).shareOf(this.now, NAME);
+      const base = kind === 'requests' ? 12 : 600;
+      return total + (share?.[kind] ?? base / this.ids.length);
+    }, 0);
+  }
+
+  private send(
+    from: Incarnation,
+    outgoing: readonly {readonly to: Incarnation; message: LoanMessage}[],
+    delay: Millis,
+  ): void {
+    for (const {to, message} of outgoing) {
+      this.posts.push({at: this.now + delay, from, to, message});
+    }
+  }
+
+  private deliver({from, to, message}: Post): void {
+    const entry = this.of(to);
+    if (message.type === 'lend') return entry.receive(this.now, message);
+    this.send(
+      to,
+      entry.lend(this.now, from, message, () => LIMITS),
+      5,
+    );
+  }
+}
+
+const step = fc.record({
+  entry: fc.nat(5),
+  requests: fc.nat(4),
+  cost: fc.integer({min: 1, max: 80}),
+  span: fc.constantFrom(50, 900, 4_000, 30_000),
+  pass: fc.constantFrom(1, 20, 250, 1_500),
+  delay: fc.constantFrom(1, 30, 2_000),
+  cut: fc.constantFrom(0, 0, 0, 2, 3),
+});
+
+describe('the limits shared by entries', () => {
+  it('never sum to more than the limit, however entries are cut apart', () => {
+    const steps = fc.array(step, {minLength: 40, maxLength: 120});
+    const counts = fc.integer({min: 2, max: 6});
+    const property = fc.property(steps, counts, (all, count) => {
+      const world = new World(count);
+      let dearest = 0;
+      for (const one of all) {
+        const id = world.ids[one.entry % count] as Incarnation;
+        for (let i = 0; i < one.requests; i++) {
+          world.request(id, one.cost, one.span);
+        }
+        dearest = Math.max(dearest, one.cost);
+        world.borrow(id, world.ids, one.delay);
+        world.pass(one.pass, one.cut);
+        const seconds = world.now / 1_000;
+        expect(world.sum('requests')).toBeLessThanOrEqual(12 + SLACK);
+        expect(world.sum('tokens')).toBeLessThanOrEqual(600 + SLACK);
+        expect(world.inFlight).toBeLessThanOrEqual(LIMITS.concurrency);
+        const requests = 12 * (seconds + 1) + count;
+        expect(world.admitted).toBeLessThanOrEqual(requests + SLACK);
+        const tokens = 600 * (seconds + 1) + count * dearest;
+        expect(world.cost).toBeLessThanOrEqual(tokens + SLACK);
+      }
+    });
+    fc.assert(property, {seed: 6, numRuns: 200});
+  });
+
+  it('lends idle shares to the entry that has the demand', () => {
+    const world = new World(6);
+    const [busy] = world.ids as [Incarnation];
+    const count = (rounds: number) => {
+      const before = world.admitted;
+      for (let i = 0; i < rounds; i++) {
+        world.request(busy, 1, 20);
+        const peers = world.ids.map((_, j) => world.ids[(i + j) % 6]);
+        world.borrow(busy, peers as Incarnation[], 1);
+        world.pass(50, 0);
+      }
+      return world.admitted - before;
+    };
+    count(200);
+    // Alone, an entry has 2 a second: 40 in 20 s; the organisation has 240.
+    expect(count(400)).toBeGreaterThan(120);
+  });
+
+  it('falls back to its base share when it is cut off', () => {
+    const world = new World(6);
+    const [busy] = world.ids as [Incarnation];
+    for (let i = 0; i < 400; i++) {
+      world.request(busy, 1, 20);
+      world.borrow(busy, world.ids.toReversed(), 1);
+      world.pass(50, 0);
+    }
+    const before = world.of(busy).shareOf(world.now, NAME)?.requests;
+    expect(before).toBeGreaterThan(2);
+    world.pass(RATE_LOAN, 1);
+    const after = world.of(busy).shareOf(world.now, NAME)?.requests;
+    expect(after).toBeCloseTo(2);
+  });
+
+  it.each([
+    {name: 'more at once', from: 4, to: 6, at: 0, rate: 2},
+    {name: 'fewer not before loans end', from: 6, to: 4, at: 1_000, rate: 2},
+    {name: 'fewer afterwards', from: 6, to: 4, at: PLACE_LOAN, rate: 3},
+  ])('counts entries: $name', ({from, to, at, rate}) => {
+    const limits = new SharedLimits();
+    limits.enrol(0, {entries: from, place: 0});
+    const ask = {cost: 1, deadlineAt: 1_000};
+    limits.admit(0, NAME, LIMITS, ask);
+    limits.enrol(0, {entries: to, place: 0});
+    limits.enrol(at, {entries: to, place: 0});
+    expect(limits.shareOf(at, NAME)?.requests).toBe(rate);
+  });
+
+  it('tells when to come back', () => {
+    const limits = new SharedLimits();
+    const ask = {cost: 1, deadlineAt: 1_000};
+    for (let i = 0; i < 12; i++) {
+      limits.admit(0, NAME, LIMITS, ask);
+      limits.end(NAME);
+    }
+    const verdict = limits.admit(0, NAME, LIMITS, ask);
+    expect(verdict).toEqual({
+      allowed: false,
+      limit: 'requests',
+      retryAfterMs: Math.ceil(1_000 / 12),
+    });
+  });
+});
--- a/src/calls/answer_reader.test.ts
+++ b/src/calls/answer_reader.test.ts
@@ -5,7 +5,15 @@
 import type {AnswerMessage} from './messages.js';
 
 const name = {callId: callId('c'), attempt: 1};
-const load = {queued: 0, running: 0, concurrency: 1, drainPerSecond: 0};
+const load = {
+  queued: 0,
+  running: 0,
+  concurrency: 1,
+  drainPerSecond: 0,
+  pendingBlocks: 0,
+  msPerBlock: 0,
+  msPerToken: 0,
+};
 const bytes = (text: string) => new TextEncoder().encode(text);
 const head = (firstEvent?: number, type = 'text/event-stream') => ({
   ...{type: 'head' as const, ...name, seq: 0 as const, status: 200, load},
--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -29,6 +29,7 @@
 import type {Caller} from './caller.js';
 import {HttpEdge} from './http_edge.js';
 import {issueFor} from './key_issuer.js';
+import {LimitsTask} from './limits_task.js';
 import {RouterTask} from './router_task.js';
 import type {EntrySettings, InForce} from './types.js';
 
@@ -58,6 +59,7 @@
   private readonly links: LinksTask;
   private readonly router: RouterTask;
   private readonly members: MembersTask;
+  private readonly limits: LimitsTask;
   private readonly edge: HttpEdge;
   private readonly operators: OperatorServer;
   private configuration: ConfigurationTask | undefined;
@@ -91,7 +93,13 @@
         leave: () => this.context.logger.info('listed_leaving'),
       }),
     );
-    this.edge = new HttpEdge(context, {
+    this.limits = new LimitsTask(context, {
+      inForce: () => this.inForce,
+      send: (to, message) => this.links.post({type: 'send', to, message}),
+      dial: addresses =>
+        this.links.post({type: 'want', purpose: 'limits', addresses}),
+    });
+    this.edge = new HttpEdge(context, this.limits, {
       inForce: () => this.inForce,
       accepting: () => this.accepting,
       issueKey: service => issueFor(context, this.router.status(), service),
@@ -129,6 +137,7 @@
       this.listed = new Set(vms.map(({vm}) => vm));
       this.members.post({type: 'listed', vms});
       this.router.post({type: 'listed', vms});
+      this.limits.post({type: 'listed', vms});
     });
     this.context.logger.info('ready', {callers, operators, links});
     return {callers, operators, links};
@@ -163,6 +172,7 @@
     await this.links.close();
     this.members.stop();
     this.router.stop();
+    this.limits.stop();
     await this.operators.close();
     this.context.logger.info('stopped');
   }
@@ -184,6 +194,7 @@
     this.latest.set(vm, incarnation);
     this.members.post({type: 'up', peer});
     this.router.post({type: 'up', peer});
+    this.limits.post({type: 'up', peer});
     for (const call of this.calls.values()) {
       call.post({type: 'link_up', upstream: incarnation});
     }
@@ -192,6 +203,7 @@
   private linkDown(peer: Identity): void {
     this.members.post({type: 'down', peer});
     this.router.post({type: 'down', peer});
+    this.limits.post({type: 'down', peer});
     for (const call of this.calls.values()) {
       call.post({type: 'link_lost', upstream: peer.incarnation});
     }
@@ -282,6 +294,11 @@
         this.configuration?.post({type: 'message', from, message});
         return;
       }
+      case 'borrow':
+      case 'lend': {
+        const from = peer.incarnation;
+        return this.limits.post({type: 'loan', from, message});
+      }
       case 'cache':
         return this.router.post({
           type: 'cache',
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -8,7 +8,6 @@
 import type {Result} from 'neverthrow';
 
 import type {NamedOrganisation} from '../../admission/index.js';
-import {OrganisationLimits} from '../../admission/index.js';
 import type {CallRequest} from '../../calls/index.js';
 import {MAX_BODY_BYTES} from '../../configuration/index.js';
 import {SECOND, callId, hostPort} from '../../core/index.js';
@@ -18,6 +17,7 @@
 import {Caller} from './caller.js';
 import {answerKeyRequest, isKeyRequest} from './key_issuer.js';
 import type {IssuedKey} from './key_issuer.js';
+import type {LimitsTask} from './limits_task.js';
 import {identify, resolve, toCall} from './request_parser.js';
 import type {InForce} from './types.js';
 
@@ -45,14 +45,15 @@
 /** The HTTP server that callers reach. */
 export class HttpEdge {
   private readonly server: Server;
-  private readonly limits = new OrganisationLimits();
 
   /**
    * @param context - what the daemon's tasks share
+   * @param limits - the organisations' limits
    * @param services - the rest of the entry
    */
   constructor(
     private readonly context: DaemonContext,
+    private readonly limits: LimitsTask,
     private readonly services: EdgeServices,
   ) {
     this.server = createServer(
@@ -133,10 +134,12 @@
     const call = toCall(req, {...parts, resolved: resolved.value});
     if (call.isErr()) return err(call.error);
     const {name, organisation: entry} = organisation;
-    const verdict = this.limits.admit(now, name, entry.limits);
+    const {cost = 1, deadlineAt} = call.value;
+    const ask = {cost, deadlineAt};
+    const verdict = this.limits.admit(name, entry.limits, ask);
     if (verdict.allowed) return ok({call: call.value, organisation});
-    const {retryAfterMs} = verdict;
-    return err(new Fault('organisation_over_limit', '', retryAfterMs));
+    const {limit, retryAfterMs} = verdict;
+    return err(new Fault('organisation_over_limit', limit, retryAfterMs));
   }
 
   private newCallId(): CallId {
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 
+import {admissionMessages} from '../admission/index.js';
 import {callMessages} from '../calls/index.js';
 import {configurationMessages} from '../configuration/index.js';
 import {groupMessages} from '../expert_groups/index.js';
@@ -12,6 +13,7 @@
 /** Everything that an open link carries. */
 const linkMessage = z.discriminatedUnion('type', [
   heartbeat,
+  ...admissionMessages,
   ...callMessages,
   ...configurationMessages,
   ...groupMessages,
--- /dev/null
+++ b/src/routing/affinity_policy.ts
@@ -0,0 +1,41 @@
+import type {Incarnation} from '../core/index.js';
+import {ReplicaPolicy, backlog} from './replica_policy.js';
+import type {Choice} from './replica_policy.js';
+import type {Candidate} from './types.js';
+
+/** Most backlog of a replica, as a multiple of the mean. */
+const LOAD_BOUND = 1.25;
+const FNV_PRIME = 0x01000193;
+
+/**
+ * Consistent hashing with bounded loads: each start of a prompt has its order
+ * of replicas, and the first of them that is not over the bound is taken.
+ */
+export class BoundedHashPolicy extends ReplicaPolicy {
+  readonly name = 'bounded-hash';
+
+  choose(candidates: readonly Candidate[], choice: Choice): Candidate {
+    const {chance, affinity} = choice;
+    if (affinity === undefined) return chance.pick(candidates);
+    const total = candidates.reduce((sum, c) => sum + backlog(c), 0);
+    const bound = (LOAD_BOUND * (total + 1)) / candidates.length;
+    const roomy = candidates.filter(c => backlog(c) <= bound);
+    const pool = roomy.length > 0 ? roomy : candidates;
+    return pool.reduce((best, next) =>
+      rank(affinity, next.incarnation) > rank(affinity, best.incarnation)
+        ? next
+        : best,
+    );
+  }
+}
+
+/** Rendezvous weight of a replica for a key. */
+function rank(key: number, replica: Incarnation): number {
+  let hash = key;
+  for (let i = 0; i < replica.length; i++) {
+    hash = Math.imul(hash ^ replica.charCodeAt(i), FNV_PRIME);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
--- a/src/routing/first_token_policy.ts
+++ b/src/routing/first_token_policy.ts
@@ -5,7 +5,7 @@
 import type {Candidate} from './types.js';
 
 /** Time of one block where nothing is known yet. */
-const DEFAULT_MS_PER_BLOCK: Millis = 8;
+const DEFAULT_MS_PER_BLOCK: Millis = 30;
 /** Time of a call's turn in the queue where nothing is known yet. */
 const DEFAULT_TURN: Millis = 100;
 
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,4 +1,5 @@
 /** Choice of the upstream for a call. */
+export * from './affinity_policy.js';
 export * from './bulkhead.js';
 export * from './first_token_policy.js';
 export * from './messages.js';
--- a/src/routing/prefix_map.ts
+++ b/src/routing/prefix_map.ts
@@ -2,12 +2,15 @@
 import type {PromptPrefix} from './prompt_prefix.js';
 
 /** Blocks remembered of one replica. */
-export const PREFIX_CAPACITY = 4_096;
+export const PREFIX_CAPACITY = 1_024;
+
+/** What becomes of a map when events were lost. */
+export type GapRule = 'keep' | 'forget';
 
 /**
  * Which blocks one replica seems to have cached: those of the calls that went
  * there, corrected by the engine's late events. Forgets the least recently
- * used first, as engines do. A lost event drops all that was known.
+ * used first, as engines do, so that what a lost event leaves wrong fades out.
  */
 export class PrefixMap {
   /** Kept in the order of use, the least recent first. */
@@ -15,8 +18,16 @@
   private nextSeq: number | undefined;
   private gapCount = 0;
 
-  /** @param capacity - blocks to remember */
-  constructor(private readonly capacity = PREFIX_CAPACITY) {}
+  /**
+   * @param capacity - blocks to remember
+   * @param evicted - told of each block that is forgotten for want of room
+   * @param onGap - what a lost event does to what was known before
+   */
+  constructor(
+    private readonly capacity = PREFIX_CAPACITY,
+    private readonly evicted: (hash: number) => void = () => {},
+    private readonly onGap: GapRule = 'keep',
+  ) {}
 
   /** Blocks remembered. */
   get size(): number {
@@ -60,16 +71,16 @@
   apply({seq, stored, removed}: CacheMessage): boolean {
     const whole = this.nextSeq === undefined || seq === this.nextSeq;
     if (this.nextSeq !== undefined && seq < this.nextSeq) return true;
-    if (!whole) this.distrust();
+    if (!whole) this.countGap();
     this.nextSeq = seq + 1;
     for (const hash of stored) this.add(hash);
     for (const hash of removed) this.blocks.delete(hash);
     return whole;
   }
 
-  private distrust(): void {
+  private countGap(): void {
     this.gapCount += 1;
-    this.blocks.clear();
+    if (this.onGap === 'forget') this.blocks.clear();
   }
 
   private add(hash: number): void {
@@ -78,5 +89,6 @@
     if (this.blocks.size <= this.capacity) return;
     const [oldest] = this.blocks;
     this.blocks.delete(oldest as number);
+    this.evicted(oldest as number);
   }
 }
--- a/src/routing/prompt_prefix.ts
+++ b/src/routing/prompt_prefix.ts
@@ -1,7 +1,7 @@
 /** Characters of a block of a prompt. */
-export const BLOCK_CHARACTERS = 256;
+export const BLOCK_CHARACTERS = 1_024;
 /** Blocks of a prompt that are hashed; what follows is not told apart. */
-export const MAX_PREFIX_BLOCKS = 64;
+export const MAX_PREFIX_BLOCKS = 32;
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
--- a/src/routing/replica_book.ts
+++ b/src/routing/replica_book.ts
@@ -1,6 +1,7 @@
 import type {AvailabilityZone, Incarnation, Millis} from '../core/index.js';
 import type {CacheMessage, LoadReport} from './messages.js';
-import {PrefixMap} from './prefix_map.js';
+import {PREFIX_CAPACITY, PrefixMap} from './prefix_map.js';
+import type {GapRule} from './prefix_map.js';
 import type {PromptPrefix} from './prompt_prefix.js';
 import type {Candidate} from './types.js';
 
@@ -27,6 +28,9 @@
 export class ReplicaBook {
   private readonly states = new Map<Incarnation, ReplicaState>();
 
+  /** @param onGap - what lost cache events do to a replica's map */
+  constructor(private readonly onGap: GapRule = 'keep') {}
+
   /** Upstreams known. */
   get size(): number {
     return this.states.size;
@@ -143,7 +147,7 @@
       sentBlocks: 0,
       unanswered: 0,
       heardAt: 0,
-      prefixes: new PrefixMap(),
+      prefixes: new PrefixMap(PREFIX_CAPACITY, undefined, this.onGap),
     };
     this.states.set(replica, state);
     return state;
--- a/src/routing/replica_policy.ts
+++ b/src/routing/replica_policy.ts
@@ -9,6 +9,8 @@
   readonly ownZone: AvailabilityZone;
   /** Blocks of the prompt; 0 for a call without one. */
   readonly promptBlocks: number;
+  /** Hash of the start of the prompt, the same for like prompts. */
+  readonly affinity: number | undefined;
 }
 
 /** A way to choose among the upstreams of a service. */
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -13,6 +13,7 @@
 import {FirstTokenPolicy} from './first_token_policy.js';
 import type {CacheMessage, LoadReport} from './messages.js';
 import {OutlierDetector} from './outlier_detector.js';
+import type {GapRule} from './prefix_map.js';
 import type {PromptPrefix} from './prompt_prefix.js';
 import {ReplicaBook} from './replica_book.js';
 import type {Replica} from './replica_book.js';
@@ -21,6 +22,8 @@
 import type {Candidate} from './types.js';
 
 const RETRY_AFTER: Millis = SECOND;
+/** Blocks of a prompt that name its start. */
+const AFFINITY_BLOCKS = 1;
 const STRAGGLERS_EVERY: Millis = SECOND;
 /** Replicas met this soon after the start were there before this entry. */
 const START_UP: Millis = 5 * SECOND;
@@ -83,7 +86,7 @@
 
 /** Chooses the upstream of each call of one entry. */
 export class Router {
-  private readonly book = new ReplicaBook();
+  private readonly book: ReplicaBook;
   private readonly outliers = new OutlierDetector();
   private readonly bulkhead = new Bulkhead();
   private readonly budget: RetryBudget;
@@ -96,14 +99,17 @@
    * @param chance - draws among equals
    * @param policy - how to choose
    * @param budget - bounds the retries
+   * @param onGap - what lost cache events do to a replica's map
    */
   constructor(
     private readonly ownZone: AvailabilityZone,
     private readonly chance: Chance,
     private readonly policy: ReplicaPolicy = new FirstTokenPolicy(),
     budget = new RetryBudget(),
+    onGap: GapRule = 'keep',
   ) {
     this.budget = budget;
+    this.book = new ReplicaBook(onGap);
   }
 
   /**
@@ -163,6 +169,7 @@
       chance: this.chance,
       ownZone: this.ownZone,
       promptBlocks: prefix.length,
+      affinity: prefix[Math.min(prefix.length, AFFINITY_BLOCKS) - 1],
     });
     this.assign(now, call, upstream.incarnation);
     return {chosen: true, upstream, considered: candidates.length};
