--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -2,16 +2,24 @@
 
 import {OrganisationDirectory} from '../../admission/index.js';
 import {vmOf} from '../../calls/index.js';
-import type {CallRequest, Claim, ClaimResult} from '../../calls/index.js';
+import type {
+  AnswerMessage,
+  CallRequest,
+  Claim,
+  ClaimResult,
+} from '../../calls/index.js';
 import {SECOND} from '../../core/index.js';
 import type {CallId, Incarnation, Millis, VmName} from '../../core/index.js';
 import {Fault} from '../../errors/index.js';
+import type {ErrorName} from '../../errors/index.js';
 import type {LinkMessage} from '../../links/index.js';
 import type {Identity} from '../../membership/index.js';
 import {ClaimsTask} from '../shared/claims_task.js';
 import {ConfigurationTask} from '../shared/configuration_task.js';
 import type {DaemonContext} from '../shared/context.js';
+import {configurationPorts, membersPorts} from '../shared/control_ports.js';
 import {LinksTask} from '../shared/links_task.js';
+import {MembersTask} from '../shared/members_task.js';
 import {OperatorServer} from '../shared/operator_server.js';
 import {startContext} from '../shared/start_context.js';
 import type {DaemonParts} from '../shared/start_context.js';
@@ -47,6 +55,7 @@
   private readonly claims: ClaimsTask;
   private readonly links: LinksTask;
   private readonly router: RouterTask;
+  private readonly members: MembersTask;
   private readonly edge: HttpEdge;
   private readonly operators: OperatorServer;
   private configuration: ConfigurationTask | undefined;
@@ -71,7 +80,14 @@
     });
     this.claims = new ClaimsTask(context, settings.logUrl);
     this.router = new RouterTask(context, addresses =>
-      this.links.post({type: 'want', addresses}),
+      this.links.post({type: 'want', purpose: 'calls', addresses}),
+    );
+    this.members = new MembersTask(
+      context,
+      membersPorts(this.links, () => this.configuration, {
+        departed: peer => this.router.post({type: 'leaving', peer}),
+        leave: () => this.context.logger.info('listed_leaving'),
+      }),
     );
     this.edge = new HttpEdge(context, {
       inForce: () => this.inForce,
@@ -97,16 +113,18 @@
     this.context.self.address = links;
     const operators = await this.operators.listen(host, operatorPort);
     const callers = await this.edge.listen(host, port);
+    this.context.self.operators = operators;
     this.configuration = new ConfigurationTask(
       this.context,
       this.settings.logUrl,
-      (version, cfg) => {
+      configurationPorts(this.links, (version, cfg) => {
         const organisations = new OrganisationDirectory(cfg);
         this.inForce = {version, cfg, organisations};
-      },
+      }),
     );
     this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms => {
       this.listed = new Set(vms.map(({vm}) => vm));
+      this.members.post({type: 'listed', vms});
       this.router.post({type: 'listed', vms});
     });
     this.context.logger.info('ready', {callers, operators, links});
@@ -116,6 +134,7 @@
   /** Takes no new request, finishes all that were accepted, then stops. */
   async drain(): Promise<void> {
     this.accepting = false;
+    this.links.post({type: 'broadcast', message: {type: 'leaving'}});
     this.context.logger.info('draining', {calls: this.calls.size});
     await this.untilIdle(this.settings.drainTimeout);
     await this.stop();
@@ -139,6 +158,7 @@
     this.vmList?.stop();
     await this.edge.close();
     await this.links.close();
+    this.members.stop();
     this.router.stop();
     await this.operators.close();
     this.context.logger.info('stopped');
@@ -159,6 +179,7 @@
   private linkUp(peer: Identity): void {
     const {incarnation, vm} = peer;
     this.latest.set(vm, incarnation);
+    this.members.post({type: 'up', peer});
     this.router.post({type: 'up', peer});
     for (const call of this.calls.values()) {
       call.post({type: 'link_up', upstream: incarnation});
@@ -166,6 +187,7 @@
   }
 
   private linkDown(peer: Identity): void {
+    this.members.post({type: 'down', peer});
     this.router.post({type: 'down', peer});
     for (const call of this.calls.values()) {
       call.post({type: 'link_lost', upstream: peer.incarnation});
@@ -233,23 +255,41 @@
     }
     switch (message.type) {
       case 'refused':
+        this.noteRefusal(peer, message.reason);
+        return this.answer(message);
       case 'head':
       case 'data':
       case 'end':
       case 'failed':
-      case 'pending': {
-        const task = this.calls.get(message.callId);
-        if (task) task.post({type: 'answer', message});
-        else this.context.metrics.droppedFrames.inc({reason: 'no_call'});
+      case 'pending':
+        return this.answer(message);
+      case 'leaving':
+        return this.noteRefusal(peer, 'draining');
+      case 'departures':
+        return this.members.post(message);
+      case 'configuration_pull':
+      case 'configuration_state': {
+        const from = peer.incarnation;
+        this.configuration?.post({type: 'message', from, message});
         return;
       }
-      case 'leaving':
-        return this.router.post({type: 'leaving', peer});
       default:
         return;
     }
   }
 
+  private answer(message: AnswerMessage): void {
+    const task = this.calls.get(message.callId);
+    if (task) task.post({type: 'answer', message});
+    else this.context.metrics.droppedFrames.inc({reason: 'no_call'});
+  }
+
+  private noteRefusal(peer: Identity, reason: ErrorName): void {
+    if (reason !== 'draining') return;
+    const incarnations = [peer.incarnation];
+    this.members.post({type: 'departures', incarnations});
+  }
+
   private notReady(): string | undefined {
     if (!this.accepting) return 'draining';
     return this.inForce === undefined ? 'no configuration' : undefined;
@@ -266,7 +306,7 @@
       configuration: this.configuration?.status(),
       calls: this.calls.size,
       claims: this.claims.status(),
-      members: this.router.status(),
+      members: this.members.status(),
     };
   }
 }
--- a/src/daemons/sidecar/calls_task.ts
+++ b/src/daemons/sidecar/calls_task.ts
@@ -125,7 +125,7 @@
   private settle(from: Incarnation, message: SettleMessage): void {
     const replies = this.ledger.settle(this.now(), from, message);
     const outcome = replies[0]?.message.type ?? 'none';
-    this.logger.info('settled', {call: message.target.callId, outcome});
+    this.logger.debug('settled', {call: message.target.callId, outcome});
     this.say(replies);
   }
 
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -59,7 +59,7 @@
    */
   constructor(
     private readonly socket: WebSocket,
-    private readonly side: 'dial' | 'accept',
+    readonly side: 'dial' | 'accept',
     private readonly context: LinkContext,
     private readonly listener: LinkListener,
   ) {
@@ -78,6 +78,11 @@
     return this.peer;
   }
 
+  /** When the peer was last heard. */
+  get lastHeard(): Millis {
+    return this.heardAt;
+  }
+
   /** Bytes that wait to leave. */
   get buffered(): number {
     return this.socket.bufferedAmount;
--- a/src/platform/log_client.ts
+++ b/src/platform/log_client.ts
@@ -4,24 +4,10 @@
 import {z} from 'zod';
 
 import {offset} from '../core/index.js';
-import type {Millis, Offset} from '../core/index.js';
+import type {LogPage, LogRecord, Millis, Offset} from '../core/index.js';
 import {Fault, asFault} from '../errors/index.js';
 
-/** A record as the log keeps it. */
-export interface LogRecord {
-  readonly offset: Offset;
-  /** What its writer appended; anything at all. */
-  readonly data: unknown;
-}
-
-/** A stretch of a stream. */
-export interface LogPage {
-  /** Earliest offset that the log still keeps. */
-  readonly earliest: Offset;
-  /** Offset that the next record will get. */
-  readonly next: Offset;
-  readonly records: readonly LogRecord[];
-}
+export type {LogPage, LogRecord};
 
 /** The platform's append-only log, one stream of it. */
 export abstract class LogClient {
@@ -40,6 +26,9 @@
    * @returns its offset; `log_unavailable`
    */
   abstract append(data: object): ResultAsync<Offset, Fault>;
+
+  /** Gives up what still waits for an answer. */
+  close(): void {}
 }
 
 const page = z.object({
@@ -56,6 +45,8 @@
 
 /** The log over HTTP. */
 export class HttpLogClient extends LogClient {
+  private readonly closing = new AbortController();
+
   /**
    * @param url - address of the log service
    * @param stream - name of the stream
@@ -80,6 +71,10 @@
     );
   }
 
+  override close(): void {
+    this.closing.abort();
+  }
+
   private ask<T extends z.ZodType>(
     method: Dispatcher.HttpMethod,
     query: string,
@@ -94,7 +89,10 @@
       headers: {'content-type': 'application/json'},
       headersTimeout: timeout,
       bodyTimeout: timeout,
-      signal: AbortSignal.timeout(timeout),
+      signal: AbortSignal.any([
+        AbortSignal.timeout(timeout),
+        this.closing.signal,
+      ]),
     }).then(async res => {
       const text = await res.body.text();
       if (res.statusCode !== 200) throw new Error(`HTTP ${res.statusCode}`);
--- a/test/support/call_world.ts
+++ b/test/support/call_world.ts
@@ -46,6 +46,7 @@
   'refuse',
   'fail_upstream',
   'caller_leaves',
+  'ask_again',
 ] as const;
 export type Fault = (typeof FAULTS)[number];
 
@@ -213,6 +214,8 @@
         return;
       case 'fail_upstream':
         return this.failUpstream(at);
+      case 'ask_again':
+        return this.forAll(entry, call => call.askAgain());
       case 'caller_leaves':
         return this.leave(entry);
       default:
