--- a/src/calls/entry_call.ts
+++ b/src/calls/entry_call.ts
@@ -357,7 +357,8 @@
     const isLast =
       this.tried.length > MAX_RETRIES || this.attempt >= MAX_ATTEMPTS;
     if (isLast) return this.giveUp(reason, retryAfterMs);
-    return [this.choose(reason)];
+    // A call that was sent nowhere yet is no retry.
+    return [this.choose(this.tried.length === 0 ? undefined : reason)];
   }
 
   private choose(retryOf: ErrorName | undefined): EntryEffect {
--- a/src/calls/entry_messages.ts
+++ b/src/calls/entry_messages.ts
@@ -23,6 +23,7 @@
 ): CallMessage {
   const {callId, service, organisation, weight, priority} = request;
   const {idempotent, method, path, headers, body} = request;
+  const {prefix, cost} = request;
   return {
     type: 'call',
     callId,
@@ -38,6 +39,8 @@
     headers: {...headers},
     body: body as Uint8Array<ArrayBuffer>,
     credit: WINDOW_FRAMES,
+    ...(prefix && {prefix: [...prefix]}),
+    ...(cost && {cost}),
     ...issuedKey(request),
     ...(resumeFrom === undefined ? {} : {resumeFrom}),
   };
--- a/src/daemons/shared/links_task.ts
+++ b/src/daemons/shared/links_task.ts
@@ -43,7 +43,13 @@
       readonly addresses: ReadonlySet<string>;
     }
   | {readonly type: 'dial'; readonly address: string}
-  | {readonly type: 'up'; readonly link: Link; readonly peer: Identity}
+  | {
+      readonly type: 'up';
+      readonly link: Link;
+      readonly peer: Identity;
+      /** The address that was dialled, if this side did. */
+      readonly address: string | undefined;
+    }
   | {
       readonly type: 'closed';
       readonly link: Link;
@@ -118,6 +124,9 @@
       case 'dial':
         return this.dialOne(message.address);
       case 'up':
+        if (message.address !== undefined) {
+          this.failures.delete(message.address);
+        }
         return this.up(message.link, message.peer);
       case 'closed':
         return this.closed(message.link, message.address, message.reason);
@@ -183,7 +192,6 @@
   }
 
   private up(link: Link, peer: Identity): void {
-    this.failures.delete(peer.address);
     const known = this.open.get(peer.incarnation)?.links ?? [];
     // Each side may have dialled, under more than one address: links stand
     // beside each other until they are closed or silent, and none closes another.
@@ -237,7 +245,7 @@
 
   private listener(address: string | undefined): LinkListener {
     return {
-      open: (link, peer) => this.post({type: 'up', link, peer}),
+      open: (link, peer) => this.post({type: 'up', link, peer, address}),
       closed: (link, reason) =>
         this.post({type: 'closed', link, address, reason}),
       message: (link, message) => {
