--- a/src/calls/entry_call.ts
+++ b/src/calls/entry_call.ts
@@ -4,7 +4,7 @@
 import {AnswerReader} from './answer_reader.js';
 import {CLAIM_WITHIN} from './claim_batcher.js';
 import type {Claim} from './claim_records.js';
-import {callMessage, settleMessage, vmOf} from './entry_messages.js';
+import {callMessage, claimOf, settleMessage, vmOf} from './entry_messages.js';
 import type {AttemptName} from './ledger_entry.js';
 import type {
   AnswerMessage,
@@ -12,13 +12,8 @@
   RequestMessage,
 } from './messages.js';
 import {NotRunProof} from './not_run_proof.js';
-import type {
-  CallRequest,
-  ClaimResult,
-  EntryEffect,
-  Outcome,
-  OutcomeNotDone,
-} from './types.js';
+import {notDone} from './outcome.js';
+import type {CallRequest, ClaimResult, EntryEffect} from './types.js';
 
 /** Upstreams that are tried after the first. */
 const MAX_RETRIES = 2;
@@ -219,6 +214,16 @@
     return vmOf(peer) === vmOf(this.upstream) ? this.gone(this.upstream) : [];
   }
 
+  /** Whether the sidecar is being asked what became of the call. */
+  get settling(): boolean {
+    return this.state === 'settling';
+  }
+
+  /** Asks once more: a question or its answer may have been lost. */
+  askAgain(): EntryEffect[] {
+    return this.state === 'settling' ? this.ask() : [];
+  }
+
   /**
    * A process is gone for good: nobody can tell what it did.
    * @param peer - the process
@@ -274,20 +279,10 @@
   }
 
   private wantClaim(now: Millis, sidecar: Incarnation): EntryEffect[] {
-    const {callId, service, organisation, key} = this.request;
     const {attempt} = this;
     this.state = 'claiming';
     this.claimBy = now + CLAIM_WITHIN;
-    this.claim = {
-      id: `${callId}#${attempt}`,
-      callId,
-      attempt,
-      service,
-      organisation,
-      key: key?.value ?? '',
-      digest: key?.digest ?? '',
-      sidecar,
-    };
+    this.claim = claimOf(this.request, attempt, sidecar);
     const releases = this.dead.splice(0);
     return [{type: 'claim', claim: this.claim, releases}];
   }
@@ -336,11 +331,19 @@
   }
 
   private read(read: EntryEffect[] | 'broken'): EntryEffect[] {
-    if (read === 'broken') return this.lost('upstream_failed');
+    if (read === 'broken') return this.broken();
     if (read.some(({type}) => type === 'end')) this.state = 'settled';
     return read;
   }
 
+  /** Frames are missing: a kept answer is asked for, another is given up. */
+  private broken(): EntryEffect[] {
+    if (this.request.idempotent) return this.lost('upstream_failed');
+    if (this.state === 'settling') return [];
+    this.state = 'settling';
+    return this.ask();
+  }
+
   /** The attempt ended without a whole answer and may have run. */
   private lost(reason: ErrorName): EntryEffect[] {
     this.mayHaveRun = true;
@@ -354,7 +357,8 @@
     const isLast =
       this.tried.length > MAX_RETRIES || this.attempt >= MAX_ATTEMPTS;
     if (isLast) return this.giveUp(reason, retryAfterMs);
-    return [this.choose(reason)];
+    // A call that was sent nowhere yet is no retry.
+    return [this.choose(this.tried.length === 0 ? undefined : reason)];
   }
 
   private choose(retryOf: ErrorName | undefined): EntryEffect {
@@ -365,24 +369,14 @@
   private giveUp(reason: ErrorName, retryAfterMs: Millis): EntryEffect[] {
     const releases = this.releases();
     this.state = 'settled';
-    const outcome = this.outcome(reason, retryAfterMs || DEFAULT_RETRY_AFTER);
+    const proof =
+      this.mayHaveRun || this.reader.flowing ? undefined : this.proof;
+    const wait = retryAfterMs || DEFAULT_RETRY_AFTER;
+    const outcome = notDone(this.request, proof, reason, wait);
     const type = this.reader.flowing ? 'abort' : 'finish';
     return [...releases, {type, outcome}];
   }
 
-  private outcome(reason: ErrorName, retryAfterMs: Millis): OutcomeNotDone {
-    const {proof} = this;
-    if (proof === undefined || this.mayHaveRun || this.reader.flowing) {
-      return {kind: 'unknown', reason, retryAfterMs};
-    }
-    const {key} = this.request;
-    if (key?.kind === 'issued' && proof.evidence !== 'sidecar_refused') {
-      // Only its sidecar knows whether an earlier request ran with the key.
-      return {kind: 'unknown', reason, retryAfterMs};
-    }
-    return {kind: 'not-run', reason, proof, retryAfterMs} satisfies Outcome;
-  }
-
   /** Frees the key when nothing ran under the call's claims. */
   private releases(): EntryEffect[] {
     const ids = this.dead.splice(0);
--- a/src/calls/entry_messages.ts
+++ b/src/calls/entry_messages.ts
@@ -1,4 +1,6 @@
 import type {Incarnation, Millis} from '../core/index.js';
+import type {Claim} from './claim_records.js';
+import {idOf} from './ledger_entry.js';
 import type {AttemptName} from './ledger_entry.js';
 import type {CallMessage, SettleMessage} from './messages.js';
 import type {CallRequest} from './types.js';
@@ -64,6 +66,24 @@
   return {type: 'settle', callId, attempt, target, from, ...key};
 }
 
+/**
+ * The claim of a call's key.
+ * @param request - the call
+ * @param attempt - the attempt that runs under it
+ * @param sidecar - the sidecar that may run it
+ */
+export function claimOf(
+  request: CallRequest,
+  attempt: number,
+  sidecar: Incarnation,
+): Claim {
+  const {callId, service, organisation, key} = request;
+  const id = idOf({callId, attempt});
+  const {value = '', digest = ''} = key ?? {};
+  const scope = {service, organisation, key: value};
+  return {id, callId, attempt, ...scope, digest, sidecar};
+}
+
 /**
  * The VM that a process runs or ran on.
  * @param process - the process
--- a/src/daemons/sidecar/calls_task.ts
+++ b/src/daemons/sidecar/calls_task.ts
@@ -31,6 +31,7 @@
 interface Job {
   readonly call: CallMessage;
   readonly from: Incarnation;
+  readonly receivedAt: Millis;
   running: UpstreamRequest | undefined;
   /** When the first byte of the answer came, ms. */
   headAt: Millis;
@@ -45,7 +46,12 @@
       readonly message: RequestMessage;
       readonly receivedAt: Millis;
     }
-  | {readonly type: 'entry_lost'; readonly entry: Incarnation}
+  | {
+      readonly type: 'entry_lost';
+      readonly entry: Incarnation;
+      /** Calls that came later came over another link. */
+      readonly before: Millis;
+    }
   | {readonly type: 'over'; readonly job: Job}
   | {readonly type: 'limits'; readonly limits: QueueLimits}
   | {readonly type: 'sweep'}
@@ -104,7 +110,7 @@
       case 'request':
         return this.request(message);
       case 'entry_lost':
-        return this.entryLost(message.entry);
+        return this.entryLost(message.entry, message.before);
       case 'over':
         return this.over(message.job);
       case 'limits':
@@ -146,7 +152,7 @@
   private settle(from: Incarnation, message: SettleMessage): void {
     const replies = this.ledger.settle(this.now(), from, message);
     const outcome = replies[0]?.message.type ?? 'none';
-    this.logger.info('settled', {call: message.target.callId, outcome});
+    this.logger.debug('settled', {call: message.target.callId, outcome});
     this.say(replies);
   }
 
@@ -162,7 +168,8 @@
       this.context.metrics.droppedFrames.inc({reason: 'repeated_call'});
       return;
     }
-    const job = {call, from, running: undefined, headAt: 0, pieces: 0};
+    const counts = {headAt: 0, pieces: 0};
+    const job = {call, from, receivedAt, running: undefined, ...counts};
     if (call.service !== this.settings.service) {
       return this.refuse(job, 'unknown_service', 0);
     }
@@ -268,9 +275,9 @@
     this.over(job);
   }
 
-  private entryLost(entry: Incarnation): void {
+  private entryLost(entry: Incarnation, before: Millis): void {
     for (const job of this.jobs.values()) {
-      if (job.from !== entry) continue;
+      if (job.from !== entry || job.receivedAt > before) continue;
       if (job.call.idempotent) this.cancel(job);
       // Nobody can grant more credit, and the call must come to its end.
       else job.running?.grant(Infinity);
--- a/src/daemons/sidecar/sidecar.ts
+++ b/src/daemons/sidecar/sidecar.ts
@@ -45,10 +45,10 @@
         this.members.post({type: 'up', peer});
         this.greet(peer);
       },
-      down: peer => {
-        this.members.post({type: 'down', peer});
-        this.calls.post({type: 'entry_lost', entry: peer.incarnation});
-      },
+      down: peer => this.members.post({type: 'down', peer}),
+      callsUp: () => {},
+      callsDown: (peer, before) =>
+        this.calls.post({type: 'entry_lost', entry: peer.incarnation, before}),
       message: (peer, message) => this.receive(peer, message),
     });
     this.calls = new CallsTask(context, settings, (to, message) =>
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -89,6 +89,11 @@
     return this.peer;
   }
 
+  /** When the peer was last heard. */
+  get lastHeard(): Millis {
+    return this.heardAt;
+  }
+
   /** Bytes that wait to leave. */
   get buffered(): number {
     return this.socket.bufferedAmount;
