Refuse at the HTTP edge what two readers could take differently

Cause: an early refusal destroyed the connection before its answer left; bytes after a request gave a second answer, or told a caller not-run while its call ran; 101 headers or a long target closed the link that every call shares; slow headers were looked at every 30 s only; a stalled caller of a stream was never cut off; expect-continue read the body of strangers. Ruled out: answering each parser error (the second answer above), reading the body by for await (its early end destroys the request).

--- a/src/daemons/entry/caller.ts
+++ b/src/daemons/entry/caller.ts
@@ -8,6 +8,8 @@
 import type {ErrorName} from '../../errors/index.js';
 
 const DEFAULT_RETRY_AFTER: Millis = SECOND;
+/** How long a caller has to take the last of its answer. */
+const SLOW_READER_TIMEOUT: Millis = 30 * SECOND;
 const HOP_BY_HOP = new Set([
   'connection',
   'keep-alive',
@@ -53,6 +55,8 @@
   /** The answer is whole. */
   end(): void {
     this.res.end();
+    const timer = setTimeout(() => this.res.destroy(), SLOW_READER_TIMEOUT);
+    this.res.once('close', () => clearTimeout(timer));
   }
 
   /**
@@ -62,7 +66,9 @@
    */
   abort({kind, reason}: Exclude<Outcome, {kind: 'done'}>): void {
     const type = String(this.res.getHeader('content-type') ?? '');
-    if (!type.startsWith('text/event-stream')) {
+    // A caller that does not read would never take the event.
+    const isRead = !this.res.writableNeedDrain;
+    if (!type.startsWith('text/event-stream') || !isRead) {
       this.res.destroy();
       return;
     }
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -1,8 +1,9 @@
 import {randomBytes} from 'node:crypto';
 import {once} from 'node:events';
-import {createServer} from 'node:http';
+import {STATUS_CODES, createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
 
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
@@ -13,18 +14,31 @@
 import {MAX_BODY_BYTES} from '../../configuration/index.js';
 import {SECOND, callId, hostPort} from '../../core/index.js';
 import type {CallId} from '../../core/index.js';
-import {Fault, asFault} from '../../errors/index.js';
+import {ERRORS, Fault, asFault, describe} from '../../errors/index.js';
 import type {DaemonContext} from '../shared/context.js';
+import type {ErrorName} from '../../errors/index.js';
 import {Caller} from './caller.js';
 import {answerKeyRequest, isKeyRequest} from './key_issuer.js';
 import type {IssuedKey} from './key_issuer.js';
+import {awaitContinue, readBody} from './request_body.js';
+import {guardRequest} from './request_guard.js';
 import {identify, resolve, toCall} from './request_parser.js';
 import type {InForce} from './types.js';
 
-const HEADERS_TIMEOUT_MS = 10 * SECOND;
-const REQUEST_TIMEOUT_MS = 60 * SECOND;
+/** How long a slow caller has to send its request. */
+export const EDGE_TIMEOUTS = {
+  headersTimeout: 10 * SECOND,
+  requestTimeout: 60 * SECOND,
+  connectionsCheckingInterval: SECOND,
+};
 const MAX_HEADER_BYTES = 32 * 2 ** 10;
 
+/** What the parser's errors are called; anything else is a bad request. */
+const UNREADABLE: Readonly<Record<string, ErrorName>> = {
+  HPE_HEADER_OVERFLOW: 'headers_too_large',
+  ERR_HTTP_REQUEST_TIMEOUT: 'request_timeout',
+};
+
 /** What the edge needs of the rest of the entry. */
 export interface EdgeServices {
   /** The configuration in force, if there is one. */
@@ -45,23 +59,37 @@
 /** The HTTP server that callers reach. */
 export class HttpEdge {
   private readonly server: Server;
+  /** The newest answer on each connection. */
+  private readonly responses = new WeakMap<Duplex, ServerResponse>();
   private readonly limits = new OrganisationLimits();
 
   /**
    * @param context - what the daemon's tasks share
    * @param services - the rest of the entry
+   * @param timeouts - how long slow callers have, ms
    */
   constructor(
     private readonly context: DaemonContext,
     private readonly services: EdgeServices,
+    timeouts = EDGE_TIMEOUTS,
   ) {
     this.server = createServer(
       {
-        headersTimeout: HEADERS_TIMEOUT_MS,
-        requestTimeout: REQUEST_TIMEOUT_MS,
+        ...timeouts,
         maxHeaderSize: MAX_HEADER_BYTES,
+        // The guard refuses it with a problem body.
+        requireHostHeader: false,
       },
-      (req, res) => void this.serve(req, res),
+      (req, res) => this.take(req, res),
+    );
+    // No header is dropped unseen; their size bounds them.
+    this.server.maxHeadersCount = 0;
+    this.server.on('checkContinue', (req, res) => {
+      awaitContinue(req, res);
+      this.take(req, res);
+    });
+    this.server.on('clientError', (err, socket) =>
+      this.unreadable(err, socket),
     );
   }
 
@@ -85,9 +113,63 @@
     await closed;
   }
 
-  private async serve(req: IncomingMessage, res: ServerResponse) {
+  /** Serves a request; whatever is thrown stays with that request. */
+  private take(req: IncomingMessage, res: ServerResponse): void {
     const id = this.newCallId();
     const caller = new Caller(res, id);
+    this.responses.set(req.socket, res);
+    this.serve(req, res, caller, id).catch(thrown => {
+      const reason = 'internal';
+      this.context.logger.error('edge_fault', {
+        call: id,
+        err: describe(thrown),
+      });
+      this.context.metrics.refusals.inc({reason, service: ''});
+      this.context.metrics.outcomes.inc({outcome: 'unknown', service: ''});
+      caller.finish({kind: 'unknown', reason, retryAfterMs: 0});
+    });
+  }
+
+  /** Answers what is no HTTP request, and closes. */
+  private unreadable(err: NodeJS.ErrnoException, socket: Duplex): void {
+    const last = this.responses.get(socket);
+    if (last?.writableFinished === true) {
+      socket.end();
+      return;
+    }
+    // The request before may be running: nothing may look like its answer.
+    const mayRun =
+      last !== undefined && (last.req.complete || last.headersSent);
+    if (mayRun || !socket.writable || err.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const reason = UNREADABLE[err.code ?? ''] ?? 'bad_request';
+    this.context.metrics.refusals.inc({reason, service: ''});
+    const {status, message, hint} = ERRORS[reason];
+    const type = `urn:baobabspan:error:${reason}`;
+    const problem = {type, title: message, status, reason, hint};
+    const body = `${JSON.stringify({...problem, outcome: 'not-run'})}\n`;
+    const head = [
+      `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+      'content-type: application/problem+json',
+      'baobabspan-outcome: not-run',
+      'retry-after: 1',
+      'connection: close',
+      `content-length: ${Buffer.byteLength(body)}`,
+    ];
+    socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+    setTimeout(() => socket.destroy(), SECOND).unref();
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+    caller: Caller,
+    id: CallId,
+  ): Promise<void> {
+    const guarded = guardRequest(req);
+    if (guarded.isErr()) return this.refuse(req, res, caller, guarded.error);
     if (isKeyRequest(req)) {
       await answerKeyRequest(req, res, caller, this.services);
       return;
@@ -95,17 +177,29 @@
     const admitted = await this.admit(req, id).catch(thrown =>
       err(asFault(thrown, 'internal')),
     );
-    if (admitted.isOk()) {
-      const {call, organisation} = admitted.value;
-      const ended = () => this.limits.end(organisation.name);
-      this.services.carry(call, caller, res, ended);
-      return;
-    }
-    const {reason} = admitted.error;
+    if (admitted.isErr()) return this.refuse(req, res, caller, admitted.error);
+    const {call, organisation} = admitted.value;
+    const ended = () => this.limits.end(organisation.name);
+    if (!res.closed) return this.services.carry(call, caller, res, ended);
+    ended();
+    this.refuse(req, res, caller, new Fault('caller_gone'));
+  }
+
+  private refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    caller: Caller,
+    fault: Fault,
+  ): void {
     const {metrics} = this.context;
-    metrics.refusals.inc({reason, service: ''});
+    metrics.refusals.inc({reason: fault.reason, service: ''});
     metrics.outcomes.inc({outcome: 'not-run', service: ''});
-    caller.refuse(admitted.error);
+    // A body that is too large or without a length is not waited for.
+    const declared = Number(req.headers['content-length'] ?? NaN);
+    const isShort = req.complete || declared <= MAX_BODY_BYTES;
+    const hasWaited = req.headers.expect === undefined;
+    if (!isShort || !hasWaited) res.setHeader('connection', 'close');
+    caller.refuse(fault);
   }
 
   private async admit(
@@ -144,22 +238,3 @@
     return callId(`${incarnation}/${randomBytes(8).toString('hex')}`);
   }
 }
-
-/**
- * Reads the body of a request.
- * @param req - the request
- * @param limit - largest body that is taken, bytes
- */
-export async function readBody(
-  req: IncomingMessage,
-  limit: number,
-): Promise<Result<Buffer, Fault>> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    length += chunk.length;
-    if (length > limit) return err(new Fault('body_too_large'));
-    chunks.push(chunk);
-  }
-  return ok(Buffer.concat(chunks));
-}
--- a/src/daemons/entry/request_parser.ts
+++ b/src/daemons/entry/request_parser.ts
@@ -183,7 +183,10 @@
 
 function forwarded(req: IncomingMessage): Record<string, string> {
   const kept: Record<string, string> = {};
+  const {connection = ''} = req.headers;
+  const named = connection.split(',').map(name => name.trim().toLowerCase());
   for (const [name, value] of Object.entries(req.headers)) {
+    if (named.includes(name)) continue;
     if (HOP_BY_HOP.has(name) || name.startsWith('baobabspan-')) continue;
     if (value !== undefined) kept[name] = String(value);
   }
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -50,6 +50,21 @@
     'The request is malformed.',
     'See the detail for the place.',
   ),
+  headers_too_large: entry(
+    431,
+    'The headers are larger than the system accepts.',
+    'Send fewer or shorter headers.',
+  ),
+  request_timeout: entry(
+    408,
+    'The request did not arrive in time.',
+    'Send it again, faster.',
+  ),
+  caller_gone: entry(
+    499,
+    'The caller went away before its request was whole.',
+    'Nothing was run.',
+  ),
   body_too_large: entry(
     413,
     'The body is larger than the service accepts.',
