--- a/src/daemons/entry/http_edge.test.ts
+++ b/src/daemons/entry/http_edge.test.ts
@@ -16,6 +16,7 @@
 import {startContext} from '../shared/start_context.js';
 import type {Caller} from './caller.js';
 import {EDGE_TIMEOUTS, HttpEdge} from './http_edge.js';
+import {LimitsTask} from './limits_task.js';
 import type {InForce} from './types.js';
 
 const EXAMPLE = new URL('../../../examples/kivuli.yaml', import.meta.url);
@@ -64,6 +65,7 @@
   let released: number;
   let answer: (caller: Caller, res: ServerResponse) => void;
   let edge: HttpEdge;
+  let limits: LimitsTask | undefined;
   let address: string;
   let callers: RawCaller[];
 
@@ -97,7 +99,13 @@
         answer(caller, res);
       },
     };
-    edge = new HttpEdge(context, services, timeouts);
+    limits?.stop();
+    limits = new LimitsTask(context, {
+      inForce: () => inForce,
+      send: () => undefined,
+      dial: () => undefined,
+    });
+    edge = new HttpEdge(context, limits, services, timeouts);
     address = await edge.listen('127.0.0.1', 0);
   };
 
@@ -120,6 +128,7 @@
   afterEach(async () => {
     callers.forEach(({socket}) => socket.destroy());
     await edge.close();
+    limits?.stop();
   });
 
   const caller = () => {
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -9,7 +9,6 @@
 import type {Result} from 'neverthrow';
 
 import type {NamedOrganisation} from '../../admission/index.js';
-import {OrganisationLimits} from '../../admission/index.js';
 import type {CallRequest} from '../../calls/index.js';
 import {MAX_BODY_BYTES} from '../../configuration/index.js';
 import {SECOND, callId, hostPort} from '../../core/index.js';
@@ -20,6 +19,7 @@
 import {Caller} from './caller.js';
 import {answerKeyRequest, isKeyRequest} from './key_issuer.js';
 import type {IssuedKey} from './key_issuer.js';
+import type {LimitsTask} from './limits_task.js';
 import {awaitContinue, readBody} from './request_body.js';
 import {guardRequest} from './request_guard.js';
 import {identify, resolve, toCall} from './request_parser.js';
@@ -61,15 +61,16 @@
   private readonly server: Server;
   /** The newest answer on each connection. */
   private readonly responses = new WeakMap<Duplex, ServerResponse>();
-  private readonly limits = new OrganisationLimits();
 
   /**
    * @param context - what the daemon's tasks share
+   * @param limits - the organisations' limits
    * @param services - the rest of the entry
    * @param timeouts - how long slow callers have, ms
    */
   constructor(
     private readonly context: DaemonContext,
+    private readonly limits: LimitsTask,
     private readonly services: EdgeServices,
     timeouts = EDGE_TIMEOUTS,
   ) {
@@ -227,10 +228,12 @@
     const call = toCall(req, {...parts, resolved: resolved.value});
     if (call.isErr()) return err(call.error);
     const {name, organisation: entry} = organisation;
-    const verdict = this.limits.admit(now, name, entry.limits);
+    const {cost = 1, deadlineAt} = call.value;
+    const ask = {cost, deadlineAt};
+    const verdict = this.limits.admit(name, entry.limits, ask);
     if (verdict.allowed) return ok({call: call.value, organisation});
-    const {retryAfterMs} = verdict;
-    return err(new Fault('organisation_over_limit', '', retryAfterMs));
+    const {limit, retryAfterMs} = verdict;
+    return err(new Fault('organisation_over_limit', limit, retryAfterMs));
   }
 
   private newCallId(): CallId {
