--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -58,7 +58,6 @@
   private readonly handshake: Handshake;
   private readonly timer: NodeJS.Timeout;
   private isClosed = false;
-  private tickedAt: Millis;
   /** Whether the dialling side has answered the challenge. */
   private answered = false;
 
@@ -74,7 +73,7 @@
     private readonly context: LinkContext,
     private readonly listener: LinkListener,
   ) {
-    this.heardAt = this.sentAt = this.tickedAt = context.clock.now();
+    this.heardAt = this.sentAt = context.clock.now();
     this.handshake = new Handshake(context.key, context.self);
     socket.binaryType = 'nodebuffer';
     socket.on('message', data => this.receive(data as Buffer));
@@ -209,11 +208,8 @@
 
   private tick(): void {
     const now = this.context.clock.now();
-    // After a pause of this process, what the peer sent is still unread.
-    const wasPaused = now - this.tickedAt > 2 * TICK_EVERY;
-    this.tickedAt = now;
     const limit = this.peer === undefined ? HANDSHAKE_WITHIN : SILENT_AFTER;
-    if (now - this.heardAt > limit && !wasPaused) {
+    if (now - this.heardAt > limit) {
       this.close(new Fault('link_silent'));
       return;
     }
