--- a/src/configuration/configuration_node.test.ts
+++ b/src/configuration/configuration_node.test.ts
@@ -300,6 +300,13 @@
 const everywhere = (version: number) => Array(SIZE).fill(version);
 
 describe('an estate of configuration nodes', () => {
+  it('tells everyone within 2 s while nothing fails', () => {
+    const run = settled();
+    publishNext(run);
+    run.do({kind: 'wait', ms: 2 * SECOND});
+    expect(versionsOf(run)).toEqual(everywhere(2));
+  });
+
   it('tells a zone that is cut from the platform only', () => {
     const run = settled();
     run.do({kind: 'cutPlatform', zone: 1});
--- a/src/configuration/log_follower.test.ts
+++ b/src/configuration/log_follower.test.ts
@@ -125,6 +125,15 @@
     expect(follower.history.folded).toMatchObject({version: 5, foldedTo: 9});
   });
 
+  it('reads again what it had looked at but not folded', () => {
+    const {follower} = follow(pageFrom(7, {}, {}, {}));
+    expect(follower.position).toBe(10);
+    const publicationId = recordId('');
+    const state = {version: version(4), text: A, author: '', publicationId};
+    follower.adopt({...state, foldedTo: offset(8)});
+    expect(follower.position).toBe(9);
+  });
+
   it('does not step over a record that the log left out', () => {
     const {foldedTo} = follow({
       ...pageFrom(1, publicationOf(0, A, 'p1')),
