--- a/src/daemons/sidecar/calls_task.ts
+++ b/src/daemons/sidecar/calls_task.ts
@@ -32,9 +32,10 @@
   readonly call: CallMessage;
   readonly from: Incarnation;
   running: UpstreamRequest | undefined;
-  frames: number;
-  /** When the answer's head came, ms. */
+  /** When the first byte of the answer came, ms. */
   headAt: Millis;
+  /** Pieces of the answer. */
+  pieces: number;
 }
 
 type Message =
@@ -109,11 +110,11 @@
       case 'limits':
         return this.queue.configure(message.limits);
       case 'sweep':
-        this.ledger.sweep(this.context.clock.now());
-        return;
+        return this.ledger.sweep(this.context.clock.now());
       case 'expire':
-        this.queue.sweep(this.context.clock.now());
-        return this.refuseWaiting();
+        this.queue.sweep(this.now());
+        this.refuseWaiting();
+        return this.tellIfIdle();
       case 'cache':
         this.prefixes.apply(message.message);
         return;
@@ -161,7 +162,7 @@
       this.context.metrics.droppedFrames.inc({reason: 'repeated_call'});
       return;
     }
-    const job = {call, from, running: undefined, frames: 0, headAt: 0};
+    const job = {call, from, running: undefined, headAt: 0, pieces: 0};
     if (call.service !== this.settings.service) {
       return this.refuse(job, 'unknown_service', 0);
     }
@@ -205,7 +206,6 @@
       this.jobs.delete(callId);
       this.refuse(job, reason, retryAfterMs);
     }
-    this.tellIfIdle();
   }
 
   private run(job: Job): void {
@@ -234,17 +234,13 @@
     const {call} = job;
     const {ledger} = this;
     return {
-      head: head => {
-        job.headAt = this.now();
-        this.queue.firstToken(job.headAt, call.callId);
-        this.say(ledger.head(call, head));
-      },
+      head: head => this.say(ledger.head(call, head)),
       data: piece => {
-        job.frames += 1;
+        this.measure(job);
         this.say(ledger.data(call, piece));
       },
       end: () => {
-        this.queue.streamed(this.now() - job.headAt, job.frames);
+        this.queue.streamed(this.now() - job.headAt, job.pieces);
         this.say(ledger.end(this.now(), call));
       },
       isPaced: () => ledger.isPaced(call),
@@ -259,6 +255,13 @@
     };
   }
 
+  private measure(job: Job): void {
+    job.pieces += 1;
+    if (job.pieces > 1) return;
+    job.headAt = this.now();
+    this.queue.firstToken(job.headAt, job.call.callId);
+  }
+
   private cancel(job: Job): void {
     if (job.running !== undefined) return job.running.cancel();
     this.refuse(job, 'deadline_passed', 0);
@@ -290,11 +293,11 @@
     const {callId} = job.call;
     if (this.jobs.get(callId) !== job) return;
     this.jobs.delete(callId);
-    const started = this.queue.end(this.now(), callId);
+    const startable = this.queue.end(this.now(), callId);
     this.refuseWaiting();
-    for (const next of started) {
-      const waiting = this.jobs.get(next);
-      if (waiting) this.run(waiting);
+    for (const next of startable) {
+      const started = this.jobs.get(next);
+      if (started) this.run(started);
     }
     this.tellIfIdle();
   }
