Pass on the events of an engine's prefix cache

The sidecar follows the engine's events and sends them on in bounded batches with a sequence of their own, in which what was lost shows as a gap. An engine without events is asked once. The stand-in engine keeps a cache of blocks.

--- /dev/null
+++ b/src/daemons/sidecar/cache_events_task.ts
@@ -0,0 +1,94 @@
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+
+import type {Millis} from '../../core/index.js';
+import {describe} from '../../errors/index.js';
+import {CacheEventBatcher, cacheEventPage} from '../../routing/index.js';
+import type {CacheEventPage, CacheMessage} from '../../routing/index.js';
+import type {DaemonContext} from '../shared/context.js';
+import {Task} from '../shared/task.js';
+
+const POLL_EVERY: Millis = 500;
+const PATH = '/cache/events';
+const NOT_FOUND = 404;
+
+type Message =
+  | {readonly type: 'poll'}
+  | {readonly type: 'page'; readonly page: CacheEventPage}
+  | {readonly type: 'none'}
+  | {readonly type: 'fault'; readonly detail: string};
+
+/**
+ * Follows the events of the engine's prefix cache and passes them on in
+ * batches. An engine without such events is asked once.
+ */
+export class CacheEventsTask extends Task<Message> {
+  private readonly batcher = new CacheEventBatcher();
+  private readonly agent = new Agent({connections: 1});
+  private timer: NodeJS.Timeout | undefined;
+  private broken = false;
+
+  /**
+   * @param context - what the daemon's tasks share
+   * @param url - address of the engine
+   * @param changed - told of each batch
+   */
+  constructor(
+    context: DaemonContext,
+    private readonly url: string,
+    private readonly changed: (message: CacheMessage) => void,
+  ) {
+    super(context.system, 'cache', context.logger.labelled('cache'));
+    this.post({type: 'poll'});
+  }
+
+  override stop(): void {
+    clearTimeout(this.timer);
+    super.stop();
+    void this.agent.destroy();
+  }
+
+  protected receive(message: Message): void {
+    switch (message.type) {
+      case 'poll':
+        return void this.poll();
+      case 'page':
+        this.broken = false;
+        this.batcher.take(message.page).forEach(this.changed);
+        return this.wait();
+      case 'none':
+        this.logger.info('no_cache_events');
+        return;
+      case 'fault':
+        if (!this.broken) {
+          this.logger.warn('cache_events_lost', {detail: message.detail});
+        }
+        this.broken = true;
+        return this.wait();
+    }
+  }
+
+  private wait(): void {
+    this.timer = setTimeout(() => this.post({type: 'poll'}), POLL_EVERY);
+  }
+
+  private async poll(): Promise<void> {
+    const path = `${PATH}?after=${this.batcher.lastSeq}`;
+    try {
+      const res = await request(`${this.url}${path}`, {
+        dispatcher: this.agent,
+        headersTimeout: POLL_EVERY * 4,
+        bodyTimeout: POLL_EVERY * 4,
+      });
+      if (res.statusCode === NOT_FOUND) {
+        await res.body.dump();
+        return this.post({type: 'none'});
+      }
+      const page = cacheEventPage.safeParse(await res.body.json());
+      if (page.success) return this.post({type: 'page', page: page.data});
+      this.post({type: 'fault', detail: z.prettifyError(page.error)});
+    } catch (thrown) {
+      this.post({type: 'fault', detail: describe(thrown)});
+    }
+  }
+}
--- a/src/daemons/sidecar/sidecar.ts
+++ b/src/daemons/sidecar/sidecar.ts
@@ -9,6 +9,7 @@
 import {startContext} from '../shared/start_context.js';
 import type {DaemonParts} from '../shared/start_context.js';
 import {VmListTask} from '../shared/vm_list_task.js';
+import {CacheEventsTask} from './cache_events_task.js';
 import {CallsTask} from './calls_task.js';
 import type {SidecarSettings} from './types.js';
 
@@ -27,6 +28,7 @@
   private readonly operators: OperatorServer;
   private configuration: ConfigurationTask | undefined;
   private vmList: VmListTask | undefined;
+  private cacheEvents: CacheEventsTask | undefined;
   private leaving = false;
   private stopped: Promise<void> | undefined;
 
@@ -82,6 +84,7 @@
       this.context,
       this.settings.logUrl,
       configurationPorts(this.links, (_version, cfg) => {
+        if (cfg.services[service]?.kind === 'model') this.followCache();
         const limits = cfg.services[service]?.limits;
         if (limits !== undefined) this.calls.post({type: 'limits', limits});
       }),
@@ -93,6 +96,18 @@
     return {operators, links};
   }
 
+  private followCache(): void {
+    const {upstreamUrl} = this.settings;
+    this.cacheEvents ??= new CacheEventsTask(
+      this.context,
+      upstreamUrl,
+      message => {
+        this.calls.post({type: 'cache', message});
+        this.links.post({type: 'broadcast', message});
+      },
+    );
+  }
+
   /** Refuses new work, finishes all that was accepted, then stops. */
   async drain(): Promise<void> {
     this.leave();
@@ -114,6 +129,7 @@
     await new Promise<void>(done => this.calls.post({type: 'cut', done}));
     this.configuration?.stop();
     this.vmList?.stop();
+    this.cacheEvents?.stop();
     this.members.stop();
     this.calls.stop();
     await this.links.close();
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,6 +1,7 @@
 /** Choice of the upstream for a call. */
 export * from './affinity_policy.js';
 export * from './bulkhead.js';
+export * from './cache_event_batcher.js';
 export * from './first_token_policy.js';
 export * from './messages.js';
 export * from './outlier_detector.js';
--- a/src/routing/messages.ts
+++ b/src/routing/messages.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 
-const MAX_EVENT_BLOCKS = 512;
+/** Blocks of each kind that one message about a cache tells. */
+export const MAX_EVENT_BLOCKS = 512;
 
 /** Hash of one block of a prompt with all that stands before it. */
 export const blockHash = z.int().nonnegative().max(0xffff_ffff);
--- a/src/routing/router.test.ts
+++ b/src/routing/router.test.ts
@@ -105,6 +105,27 @@
     expect(goes(one, all, {of: call({prefix})})).not.toBe(first);
   });
 
+  it('does not follow a cached start to a replica far above the mean', () => {
+    const one = router();
+    const prefix = [1, 2, 3, 4, 5, 6];
+    const {incarnation: full} = a;
+    one.cached(full, {type: 'cache', seq: 1, stored: prefix, removed: []});
+    one.loaded(0, full, {...LOAD, running: 12});
+    for (const {incarnation: id} of [b, c]) one.loaded(0, id, LOAD);
+    expect(goes(one, all, {of: call({prefix})})).not.toBe(full);
+    one.loaded(0, full, {...LOAD, running: 1});
+    expect(goes(one, all, {of: call({prefix})})).toBe(full);
+  });
+
+  it('counts the calls that fill the places since the last report', () => {
+    const one = router();
+    const almost = {...LOAD, running: 15, msPerBlock: 1, drainPerSecond: 1};
+    one.loaded(0, a.incarnation, almost);
+    one.loaded(0, b.incarnation, {...LOAD, msPerBlock: 50});
+    const to = [1, 2, 3].map(() => goes(one, [a, b]));
+    expect(to).toEqual(['home-0', 'home-1', 'home-1']);
+  });
+
   it('spills to another zone only when the own one is behind', () => {
     const one = router();
     const away = replicas(1, availabilityZone('away'));
@@ -229,6 +250,7 @@
       'fits',
       'service_full',
     ]);
+    expect(enter(0, CALLER)).toBe('fits');
     bulkhead.leave(ids[0]!);
     bulkhead.leave(ids[0]!);
     expect([enter(4), enter(5)]).toEqual(['fits', 'service_full']);
--- a/standins/engine_server.ts
+++ b/standins/engine_server.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import {StandinServer, readText, sendJson} from './http_server.js';
+import {PrefixCache} from './prefix_cache.js';
 
 /** How a stand-in engine works. */
 export interface EngineOptions {
@@ -72,6 +73,7 @@
   private readonly waiting: Sequence[] = [];
   private running: Sequence[] = [];
   private timer: NodeJS.Timeout | undefined;
+  private readonly cache = new PrefixCache();
 
   /** Requests that were started, by model. */
   started = 0;
@@ -90,6 +92,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
+    if (this.cache.answer(req, res)) return;
     if (req.method !== 'POST') return sendJson(res, {}, 404);
     if (req.url === '/control/options') {
       Object.assign(this.options, JSON.parse(await readText(req)));
@@ -97,6 +100,7 @@
     }
     const request = JSON.parse(await readText(req)) as CompletionRequest;
     this.started += 1;
+    this.cache.use(request);
     const tokens = completionTokens(request);
     const model = request.model ?? '';
     const priority = PRIORITY[request.priority ?? 'normal'] ?? 1;
