Drive a rank's engine and the weight store from the sidecar

Cause: the aggregates ran in tests only. GroupTask owns both and the timers, talks over the links (rank 0 dials the other sidecars of its service, and each says its rank), loads weights in the background from the rate-limited store, in pieces that go on where the engine has them, and plans each interval with a turn of the event loop after every layer.

Found by running it: Buffer.slice shares memory, so unpacked counts had the wrong length; the copy is made by Uint8Array.from.

--- a/bench/experts.ts
+++ b/bench/experts.ts
@@ -58,8 +58,8 @@
 const strategies: Record<string, Strategy> = {
   never: {kind: 'never'},
   repack: {kind: 'repack'},
-  kivuli: policy(10, 0.5),
-  maison: policy(4, 1),
+  kivuli: policy(10, 4),
+  maison: policy(4, 8),
 };
 for (const text of trial) {
   const [weightSkew = 0, weightCost = 0] = text.split(':').map(Number);
--- a/src/cli/sidecar/index.ts
+++ b/src/cli/sidecar/index.ts
@@ -9,7 +9,15 @@
 export const sidecarCommand = defineCommand({
   usage: 'sidecar',
   summary: 'Run the daemon beside one upstream',
-  flags: {...DAEMON, service: OWN.service, upstreamUrl: OWN.upstreamUrl},
+  flags: {
+    ...DAEMON,
+    service: OWN.service,
+    upstreamUrl: OWN.upstreamUrl,
+    group: OWN.group,
+    rank: OWN.rank,
+    weightStoreUrl: OWN.weightStoreUrl,
+    planEvery: OWN.planEvery,
+  },
   example:
     'sidecar --vm depot-1 --availability-zone dar-kariakoo --service depot ' +
     '--upstream-url http://127.0.0.1:9000 --log-url http://127.0.0.1:7000 ' +
--- a/src/daemons/shared/links_task.ts
+++ b/src/daemons/shared/links_task.ts
@@ -24,7 +24,7 @@
 }
 
 /** What links are dialled for. */
-export type LinkPurpose = 'calls' | 'control';
+export type LinkPurpose = 'calls' | 'control' | 'group';
 
 /** The links of one process, at most one that each side dialled. */
 interface PeerLinks {
--- /dev/null
+++ b/src/daemons/sidecar/group_loads.ts
@@ -0,0 +1,103 @@
+import {setImmediate as turn} from 'node:timers/promises';
+
+import {LoadView, Planner} from '../../expert_groups/index.js';
+import type {
+  ExpertMap,
+  GroupMessage,
+  GroupShape,
+  Plan,
+  PlannerPolicy,
+} from '../../expert_groups/index.js';
+import type {EngineLoads} from '../../platform/index.js';
+
+type LoadMessage = Extract<GroupMessage, {type: 'group_load'}>;
+
+/**
+ * Packs what an engine counted into a message.
+ * @param group - name of the group
+ * @param rank - number of the rank
+ * @param loads - the counts
+ */
+export function loadMessage(
+  group: string,
+  rank: number,
+  {fromStep, toStep, busyMs, tokens}: EngineLoads,
+): LoadMessage {
+  const packed = tokens.map(
+    layer => new Uint8Array(Float32Array.from(layer).buffer),
+  );
+  const counts = {fromStep, toStep, busyMs, tokens: packed};
+  return {type: 'group_load', group, rank, ...counts};
+}
+
+/** The loads of a group at its coordinator, and the plans made of them. */
+export class GroupLoads {
+  private readonly view: LoadView;
+  private planning = false;
+  /** The last plan. */
+  last: Plan | undefined;
+
+  /**
+   * @param shape - sizes of the group
+   * @param policy - how a change is weighed
+   */
+  constructor(
+    private readonly shape: GroupShape,
+    private readonly policy: PlannerPolicy,
+  ) {
+    this.view = new LoadView(shape);
+  }
+
+  /**
+   * Takes in a rank's counts.
+   * @param message - the counts
+   */
+  add({rank, fromStep, toStep, busyMs, tokens}: LoadMessage): void {
+    // Four-byte numbers need an even address, and the bytes are part of a frame.
+    const unpacked = tokens.map(bytes =>
+      Float64Array.from(new Float32Array(Uint8Array.from(bytes).buffer)),
+    );
+    this.view.add({rank, fromStep, toStep, busyMs, tokens: unpacked});
+  }
+
+  /**
+   * Ends an interval and plans; other work of the process runs in between.
+   * @param map - the map in use
+   * @returns the plan, nothing when one is still being made
+   */
+  async plan(map: ExpertMap): Promise<Plan | undefined> {
+    if (this.planning) return undefined;
+    this.planning = true;
+    try {
+      this.view.close(map);
+      const {loads, drift, confidence} = this.view;
+      const copied = loads.map(layer => layer.slice());
+      const input = {shape: this.shape, map, drift, confidence, loads: copied};
+      const run = new Planner(this.policy).plan(input);
+      for (;;) {
+        const {done, value} = run.next();
+        if (done) return (this.last = value);
+        await turn();
+      }
+    } finally {
+      this.planning = false;
+    }
+  }
+
+  /** What `/status` shows. */
+  status(): object {
+    const {last, view} = this;
+    return {
+      confidence: view.confidence,
+      ignoredReports: view.ignored,
+      slowRanks: Object.fromEntries(view.slowRanks()),
+      plan: last && {
+        reason: last.reason,
+        skewBefore: last.skewBefore,
+        skewAfter: last.skewAfter,
+        moves: last.moves.length,
+        bytes: last.bytes,
+      },
+    };
+  }
+}
--- /dev/null
+++ b/src/daemons/sidecar/group_wiring.ts
@@ -0,0 +1,75 @@
+import type {Service} from '../../configuration/index.js';
+import {MINUTE} from '../../core/index.js';
+import type {GroupMessage} from '../../expert_groups/index.js';
+import type {LinkMessage} from '../../links/index.js';
+import type {ListedVm} from '../../membership/index.js';
+import {
+  HttpRankEngineClient,
+  HttpWeightStoreClient,
+} from '../../platform/index.js';
+import type {DaemonContext} from '../shared/context.js';
+import type {LinksTask} from '../shared/links_task.js';
+import {GroupTask} from './group_task.js';
+import type {SidecarSettings} from './types.js';
+
+/**
+ * The group task of a sidecar whose upstream is a rank.
+ * @param context - what the daemon's tasks share
+ * @param settings - the daemon's settings
+ * @param links - the links of the process
+ */
+export function groupTask(
+  context: DaemonContext,
+  settings: SidecarSettings,
+  links: LinksTask,
+): GroupTask | undefined {
+  const {group, rank = 0, service, upstreamUrl, planEvery} = settings;
+  if (group === undefined || group === '') return undefined;
+  const own = {group, rank, service, planEvery: planEvery ?? MINUTE};
+  return new GroupTask(context, own, {
+    engine: new HttpRankEngineClient(upstreamUrl),
+    store: new HttpWeightStoreClient(settings.weightStoreUrl ?? upstreamUrl),
+    send: (to, message) => links.post({type: 'send', to, message}),
+  });
+}
+
+/**
+ * Gives the group its sizes and weights.
+ * @param task - the group task, if the upstream is a rank
+ * @param service - the service of the upstream
+ */
+export function configureGroup(
+  task: GroupTask | undefined,
+  service: Service | undefined,
+): void {
+  if (service?.kind !== 'model' || !service.expertGroup) return;
+  task?.post({type: 'configured', cfg: service.expertGroup});
+}
+
+/**
+ * The coordinator's sidecar dials those of the other ranks.
+ * @param links - the links of the process
+ * @param settings - the daemon's settings
+ * @param vms - the platform's list
+ */
+export function dialGroup(
+  links: LinksTask,
+  {rank, vm, service}: SidecarSettings,
+  vms: readonly ListedVm[],
+): void {
+  if (rank !== 0) return;
+  const others = vms.filter(
+    other =>
+      other.role === 'sidecar' && other.service === service && other.vm !== vm,
+  );
+  const addresses = new Set(others.map(({address}) => address));
+  links.post({type: 'want', purpose: 'group', addresses});
+}
+
+/**
+ * Whether a message is one between the sidecars of a group.
+ * @param message - the message
+ */
+export function isGroupMessage(message: LinkMessage): message is GroupMessage {
+  return message.type.startsWith('group_');
+}
--- a/src/daemons/sidecar/sidecar.ts
+++ b/src/daemons/sidecar/sidecar.ts
@@ -10,6 +10,13 @@
 import type {DaemonParts} from '../shared/start_context.js';
 import {VmListTask} from '../shared/vm_list_task.js';
 import {CallsTask} from './calls_task.js';
+import type {GroupTask} from './group_task.js';
+import {
+  configureGroup,
+  dialGroup,
+  groupTask,
+  isGroupMessage,
+} from './group_wiring.js';
 import type {SidecarSettings} from './types.js';
 
 /** Addresses of a running sidecar, each `host:port`. */
@@ -24,6 +31,7 @@
   private readonly links: LinksTask;
   private readonly calls: CallsTask;
   private readonly members: MembersTask;
+  private readonly group: GroupTask | undefined;
   private readonly operators: OperatorServer;
   private configuration: ConfigurationTask | undefined;
   private vmList: VmListTask | undefined;
@@ -43,10 +51,12 @@
     this.links = new LinksTask(context, settings.linkKey, {
       up: peer => {
         this.members.post({type: 'up', peer});
+        this.group?.post({type: 'up', peer});
         this.greet(peer);
       },
       down: peer => {
         this.members.post({type: 'down', peer});
+        this.group?.post({type: 'down', peer});
         this.calls.post({type: 'entry_lost', entry: peer.incarnation});
       },
       message: (peer, message) => this.receive(peer, message),
@@ -54,6 +64,7 @@
     this.calls = new CallsTask(context, settings, (to, message) =>
       this.links.post({type: 'send', to, message}),
     );
+    this.group = groupTask(context, settings, this.links);
     this.members = new MembersTask(
       context,
       membersPorts(this.links, () => this.configuration, {
@@ -84,11 +95,13 @@
       configurationPorts(this.links, (_version, cfg) => {
         const limits = cfg.services[service]?.limits;
         if (limits !== undefined) this.calls.post({type: 'limits', limits});
+        configureGroup(this.group, cfg.services[service]);
       }),
     );
-    this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms =>
-      this.members.post({type: 'listed', vms}),
-    );
+    this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms => {
+      this.members.post({type: 'listed', vms});
+      if (this.group) dialGroup(this.links, this.settings, vms);
+    });
     this.context.logger.info('ready', {operators, links});
     return {operators, links};
   }
@@ -115,6 +128,7 @@
     this.configuration?.stop();
     this.vmList?.stop();
     this.members.stop();
+    this.group?.stop();
     this.calls.stop();
     await this.links.close();
     await this.operators.close();
@@ -158,7 +172,8 @@
         return;
       }
       default:
-        return;
+        if (!isGroupMessage(message)) return;
+        this.group?.post({type: 'link', from: peer.incarnation, message});
     }
   }
 
@@ -180,6 +195,7 @@
       configuration: this.configuration?.status(),
       calls: this.calls.status(),
       members: this.members.status(),
+      group: this.group?.status(),
     };
   }
 }
--- a/src/daemons/sidecar/types.ts
+++ b/src/daemons/sidecar/types.ts
@@ -22,6 +22,14 @@
   readonly service: ServiceName;
   /** Address of the upstream, `http://host:port`. */
   readonly upstreamUrl: string;
+  /** Group of ranks that the upstream is a rank of. */
+  readonly group?: string | undefined;
+  /** Number of that rank. */
+  readonly rank?: number | undefined;
+  /** Address of the weight store; the upstream's without one. */
+  readonly weightStoreUrl?: string | undefined;
+  /** Time between two plans of the group's expert map, ms. */
+  readonly planEvery?: Millis | undefined;
   /** How long a shutdown waits for calls that run, ms. */
   readonly drainTimeout: Millis;
 }
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -135,6 +135,11 @@
     'The first call with this idempotency key is still running.',
     'Come back after Retry-After with the same key.',
   ),
+  weight_store_unavailable: entry(
+    503,
+    "The platform's weight store does not answer or is at its limit.",
+    'Loading goes on by itself; see the store when it lasts.',
+  ),
   // Between processes and inside them.
   link_closed: entry(502, 'The link to the peer closed.', 'See its log.'),
   link_refused: entry(
--- a/src/expert_groups/coordinator.ts
+++ b/src/expert_groups/coordinator.ts
@@ -94,6 +94,7 @@
 
   /** Ranks that have not answered the present order. */
   get missing(): Rank[] {
+    if (this.state === 'steady') return [];
     return this.all().filter(rank => !this.answered.has(rank));
   }
 
--- a/src/expert_groups/messages.ts
+++ b/src/expert_groups/messages.ts
@@ -142,9 +142,22 @@
 /** The engine runs on the decided map, or will from its hold on. */
 const settled = z.strictObject({type: z.literal('group_settled'), ...answer});
 
+/** What a rank's engine counted over some steps. */
+const load = z.strictObject({
+  type: z.literal('group_load'),
+  ...group,
+  rank,
+  fromStep: step,
+  toStep: step,
+  busyMs: z.number().nonnegative(),
+  /** Tokens of each slot, four bytes each (float), one item per layer. */
+  tokens: z.array(bytes).max(MAX_LAYERS),
+});
+
 /** Messages between the sidecars of a group of ranks. */
 export const groupMessages = [
   hello,
+  load,
   inquire,
   report,
   stale,
--- a/src/expert_groups/planner.ts
+++ b/src/expert_groups/planner.ts
@@ -10,7 +10,7 @@
 
 /** How a planner weighs a change of map. */
 export interface PlannerPolicy {
-  /** What a unit of skew costs in each interval that it lasts. */
+  /** What a unit of skew costs each rank in each interval that it lasts. */
   readonly weightSkew: number;
   /** What a moved GiB costs. */
   readonly weightCost: number;
@@ -130,9 +130,9 @@
     const plan = new LayerPlan(layer, slots, shape.slotsPerRank, loads[layer]!);
     const before = plan.greatest;
     const moves = plan.trace(MOST_MOVES);
-    const perSkew =
-      this.policy.weightSkew * this.lasting(drift[layer] ?? 0) * confidence;
-    const {weightCost, hysteresis} = this.policy;
+    const {weightSkew, weightCost, hysteresis} = this.policy;
+    const lasting = this.lasting(drift[layer] ?? 0) * confidence;
+    const perSkew = weightSkew * shape.ranks * lasting;
     const perSlot = (weightCost * hysteresis * shape.expertSize) / GIB;
     let best: Prefix | undefined;
     let used = 0;
--- /dev/null
+++ b/src/platform/http_json.ts
@@ -0,0 +1,47 @@
+import {ResultAsync} from 'neverthrow';
+import {request} from 'undici';
+import type {Dispatcher} from 'undici';
+import type {z} from 'zod';
+
+import type {Millis} from '../core/index.js';
+import {asFault} from '../errors/index.js';
+import type {ErrorName, Fault} from '../errors/index.js';
+
+/** One request to a JSON service. */
+export interface JsonRequest<T extends z.ZodType> {
+  readonly url: string;
+  readonly method?: Dispatcher.HttpMethod;
+  /** A JSON value, or bytes as they are. */
+  readonly body?: unknown;
+  readonly timeout: Millis;
+  /** What the answer must be. */
+  readonly schema: T;
+  /** What any failure is called. */
+  readonly failure: ErrorName;
+}
+
+/**
+ * Asks a JSON service.
+ * @param ask - the request
+ * @returns the checked answer, or the failure
+ */
+export function requestJson<T extends z.ZodType>(
+  ask: JsonRequest<T>,
+): ResultAsync<z.output<T>, Fault> {
+  const {url, method = 'GET', body, timeout, schema, failure} = ask;
+  const raw = body instanceof Uint8Array;
+  const text = body === undefined ? null : JSON.stringify(body);
+  const answer = request(url, {
+    method,
+    body: raw ? body : text,
+    headers: {
+      'content-type': raw ? 'application/octet-stream' : 'application/json',
+    },
+    signal: AbortSignal.timeout(timeout),
+  }).then(async res => {
+    const received = await res.body.text();
+    if (res.statusCode !== 200) throw new Error(`HTTP ${res.statusCode}`);
+    return schema.parse(JSON.parse(received));
+  });
+  return ResultAsync.fromPromise(answer, thrown => asFault(thrown, failure));
+}
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -2,3 +2,5 @@
 export * from './log_client.js';
 export * from './text_compression.js';
 export * from './vm_list_client.js';
+export * from './rank_engine_client.js';
+export * from './weight_store_client.js';
--- /dev/null
+++ b/standins/rank_engine.ts
@@ -0,0 +1,229 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import type {
+  EngineOrder,
+  EngineState,
+  GroupShape,
+} from '../src/expert_groups/index.js';
+import {StandinServer, readText, sendJson} from './http_server.js';
+
+interface OrderRequest {
+  readonly order: EngineOrder;
+  readonly engine: string;
+  readonly fence: number;
+}
+
+interface Placement {
+  readonly version: number;
+  readonly slotsPerRank: number;
+  readonly layers: number[][];
+}
+
+/** The ranks of one group, in one process: they step together or not at all. */
+export class RankGroup {
+  readonly engines: RankEngine[] = [];
+  /** For each step the map that each rank used. */
+  readonly used: (readonly (number | null)[])[] = [];
+  /** Load of each expert in a step, the same in all layers. */
+  popularity: number[];
+  private births = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param shape - sizes of the group
+   * @param checksFencing - whether its engines refuse old fencing numbers
+   */
+  constructor(
+    readonly shape: GroupShape,
+    readonly checksFencing = false,
+  ) {
+    this.popularity = Array.from({length: shape.experts}, () => 1);
+    for (let rank = 0; rank < shape.ranks; rank++) {
+      this.engines.push(new RankEngine(this, rank, `engine-${this.births++}`));
+    }
+  }
+
+  /** Names the present set of engines. */
+  get communicator(): string {
+    return this.engines.map(({id}) => id).join('+');
+  }
+
+  /**
+   * Starts to step.
+   * @param stepMs - time of a step, ms
+   */
+  start(stepMs: number): void {
+    this.timer = setInterval(() => this.step(), stepMs);
+  }
+
+  /** Stops all engines. */
+  async close(): Promise<void> {
+    clearInterval(this.timer);
+    for (const engine of this.engines) await engine.close();
+  }
+
+  /** Runs the next step if every rank may start it. */
+  private step(): void {
+    const step = this.used.length + 1;
+    for (const engine of this.engines) engine.begin(step);
+    if (!this.engines.every(engine => engine.started === step)) return;
+    this.used.push(this.engines.map(({map}) => map));
+  }
+}
+
+/**
+ * Stands in for the engine of one rank: holds at a step by name, keeps a
+ * release for later, names its communicator; it cannot merely pause.
+ */
+export class RankEngine extends StandinServer {
+  map: number | null = null;
+  /** Latest step that it started. */
+  started = 0;
+  /** Answers that are lost after an order took effect. */
+  loseAnswers = 0;
+  private hold: EngineState['hold'] = null;
+  private next: EngineState['next'] = null;
+  private fence = 0;
+  private reportedTo = 0;
+  private readonly placements = new Map<number, Placement>();
+  private readonly weights = new Map<string, number>();
+
+  constructor(
+    private readonly group: RankGroup,
+    readonly rank: number,
+    readonly id: string,
+  ) {
+    super();
+  }
+
+  /** Starts a step unless it holds, has no map, or has started it. */
+  begin(step: number): void {
+    if (this.map === null || this.started >= step) return;
+    if (this.hold !== null && this.hold.step <= step) return;
+    if (this.next !== null && this.next.step <= step) {
+      this.map = this.next.map;
+      this.next = null;
+    }
+    this.started = step;
+  }
+
+  protected async handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(req.url ?? '/', 'http://standin');
+    const [, , kind, ...rest] = url.pathname.split('/');
+    const post = req.method === 'POST';
+    switch (kind) {
+      case 'state':
+        return sendJson(res, this.state());
+      case 'orders':
+        return this.obey(JSON.parse(await readText(req)) as OrderRequest, res);
+      case 'maps': {
+        if (!post) return this.sendMap(Number(rest[0]), res);
+        const map = JSON.parse(await readText(req)) as Placement;
+        this.placements.set(map.version, map);
+        return sendJson(res, {});
+      }
+      case 'weights':
+        return this.takeWeights(rest.join('/'), url, post ? req : null, res);
+      case 'loads':
+        return sendJson(res, this.loads());
+      default:
+        return sendJson(res, {}, 404);
+    }
+  }
+
+  private state(): EngineState {
+    const {id: engine, map, started: step, hold, next} = this;
+    const {communicator} = this.group;
+    const staged = [0, ...this.placements.keys()];
+    return {engine, communicator, map, step, hold, next, staged};
+  }
+
+  private obey({order, engine, fence}: OrderRequest, res: ServerResponse) {
+    if (this.group.checksFencing && fence < this.fence) {
+      return sendJson(res, {}, 409);
+    }
+    this.fence = fence;
+    if (engine === this.id) this.apply(order);
+    if (this.loseAnswers > 0) {
+      this.loseAnswers -= 1;
+      res.destroy();
+      return;
+    }
+    sendJson(res, this.state());
+  }
+
+  private apply(order: EngineOrder): void {
+    switch (order.kind) {
+      case 'stage':
+        return;
+      case 'hold': {
+        const {token, step, replaces} = order;
+        if ((this.hold?.token ?? null) !== replaces) return;
+        if (this.next !== null || step <= this.started) return;
+        this.hold = {token, step};
+        return;
+      }
+      case 'release': {
+        const {hold} = this;
+        if (hold?.token !== order.token) return;
+        this.hold = null;
+        if (order.map === this.map) return;
+        this.next = {map: order.map, step: hold.step};
+        return;
+      }
+      case 'assign':
+        if (this.map !== null) return;
+        this.map = order.map;
+        this.next = order.next;
+    }
+  }
+
+  private sendMap(version: number, res: ServerResponse): void {
+    const map = this.placements.get(version);
+    if (map === undefined) return sendJson(res, {}, 404);
+    sendJson(res, map);
+  }
+
+  private async takeWeights(
+    name: string,
+    url: URL,
+    req: IncomingMessage | null,
+    res: ServerResponse,
+  ): Promise<void> {
+    const have = this.weights.get(name) ?? 0;
+    if (req === null) return sendJson(res, {have});
+    let size = 0;
+    for await (const chunk of req) size += (chunk as Buffer).length;
+    const offset = Number(url.searchParams.get('offset'));
+    if (offset === have) this.weights.set(name, have + size);
+    sendJson(res, {have: this.weights.get(name) ?? 0});
+  }
+
+  /** What the placement in use gives this rank of the group's load. */
+  private loads(): object {
+    const {shape, popularity} = this.group;
+    const {slotsPerRank, layers, ranks} = shape;
+    const fromStep = this.reportedTo;
+    const toStep = this.started;
+    this.reportedTo = toStep;
+    const placement = this.placements.get(this.map ?? 0);
+    const layer = (index: number) =>
+      placement?.layers[index] ??
+      Array.from({length: ranks * slotsPerRank}, (_, slot) => {
+        const rank = Math.floor(slot / slotsPerRank);
+        return ((slot % slotsPerRank) * ranks + rank) % shape.experts;
+      });
+    const tokens = Array.from({length: layers}, (_, index) => {
+      const all = layer(index);
+      const own = all.slice(this.rank * slotsPerRank).slice(0, slotsPerRank);
+      return own.map(expert => {
+        const replicas = all.filter(other => other === expert).length;
+        return (popularity[expert]! * (toStep - fromStep)) / replicas;
+      });
+    });
+    return {fromStep, toStep, busyMs: toStep - fromStep, tokens};
+  }
+}
--- /dev/null
+++ b/standins/weight_store.ts
@@ -0,0 +1,34 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import {StandinServer, sendJson} from './http_server.js';
+
+/** Stands in for the platform's rate-limited store of weights. */
+export class WeightStore extends StandinServer {
+  /** Bytes that were given. */
+  given = 0;
+  /** Nothing answers; change it at any time. */
+  down = false;
+  /** Requests that are refused for the limit, from now on. */
+  refusals = 0;
+
+  protected async handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    if (this.down) {
+      res.destroy();
+      return;
+    }
+    if (this.refusals > 0) {
+      this.refusals -= 1;
+      res.setHeader('retry-after', '0.05');
+      return sendJson(res, {}, 429);
+    }
+    const range = /^bytes=(\d+)-(\d+)$/.exec(req.headers.range ?? '');
+    if (range === null) return sendJson(res, {}, 416);
+    const length = Number(range[2]) - Number(range[1]) + 1;
+    this.given += length;
+    res.statusCode = 206;
+    res.end(Buffer.alloc(length));
+  }
+}
