--- a/bench/experts.ts
+++ b/bench/experts.ts
@@ -1,4 +1,5 @@
 import {Chance} from '../src/core/index.js';
+import {GroupWorld} from '../test/support/group_world.js';
 import {DEFAULT_POLICY} from '../src/expert_groups/index.js';
 import type {GroupShape} from '../src/expert_groups/index.js';
 import {
@@ -85,3 +86,22 @@
     );
   }
 }
+
+/** Steps that changes of map delay, and steps with two maps. */
+function delays(ranks: number, lost: number, delay: number): void {
+  const world = new GroupWorld(ranks, SEED);
+  Object.assign(world.faults, {lost, delay});
+  world.run(120_000);
+  const committed = world.ended.filter(e => e.outcome === 'committed').length;
+  console.log(
+    `protocol ${ranks} ranks lost ${lost} delay ${delay} ms: ` +
+      `steps ${world.completed} changes ${committed} of ${world.ended.length} ` +
+      `steps delayed ${world.heldTicks} ` +
+      `steps with two maps ${world.violations.length}`,
+  );
+}
+
+for (const ranks of size === 'today' ? [2, 8] : [128]) {
+  delays(ranks, 0, 5);
+  delays(ranks, 0.05, 100);
+}
--- /dev/null
+++ b/src/expert_groups/planner.test.ts
@@ -0,0 +1,157 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {Chance} from '../core/index.js';
+import {initialMap, mapFindings, movedSlots, skewOf} from './expert_map.js';
+import type {GroupShape} from './expert_map.js';
+import {LoadView} from './load_view.js';
+import type {RankLoadReport} from './load_view.js';
+import {DEFAULT_POLICY, Planner, applyMoves} from './planner.js';
+import type {Plan, PlanInput, PlannerPolicy} from './planner.js';
+
+const SHAPE: GroupShape = {
+  ranks: 4,
+  layers: 3,
+  experts: 10,
+  slotsPerRank: 4,
+  expertSize: 2 ** 20,
+};
+const POLICY: PlannerPolicy = {
+  ...DEFAULT_POLICY,
+  weightSkew: 10,
+  weightCost: 1,
+};
+
+function planOf(input: PlanInput, policy = POLICY): Plan {
+  const run = new Planner(policy).plan(input);
+  for (;;) {
+    const {done, value} = run.next();
+    if (done) return value;
+  }
+}
+
+function input(seed: number, confidence = 1): PlanInput {
+  const chance = new Chance(seed);
+  const layer = () =>
+    Float64Array.from({length: SHAPE.experts}, () => chance.fraction() ** 4);
+  const loads = Array.from({length: SHAPE.layers}, layer);
+  const drift = loads.map(() => 0.02);
+  return {shape: SHAPE, map: initialMap(SHAPE), loads, drift, confidence};
+}
+
+describe('a plan', () => {
+  it('leaves a valid map and no more skew after any prefix', () => {
+    const property = fc.property(fc.integer({min: 0}), seed => {
+      const given = input(seed);
+      const plan = planOf(given);
+      let skew = plan.skewBefore;
+      for (let count = 1; count <= plan.moves.length; count++) {
+        const map = applyMoves(given.map, plan.moves.slice(0, count));
+        expect(mapFindings(map, SHAPE)).toEqual([]);
+        const after = skewOf(map, given.loads);
+        expect(after).toBeLessThanOrEqual(skew + 1e-9);
+        skew = after;
+      }
+      expect(skew).toBeCloseTo(plan.skewAfter, 9);
+      const bytes = movedSlots(given.map, plan.map) * SHAPE.expertSize;
+      expect(plan.bytes).toBe(bytes);
+      expect(planOf(input(seed))).toEqual(plan);
+    });
+    fc.assert(property, {numRuns: 200, seed: 41});
+  });
+
+  it.each([
+    {
+      why: 'few reports',
+      given: input(3, 0.2),
+      policy: POLICY,
+      says: 'low_confidence',
+    },
+    {
+      why: 'moves that cost too much',
+      given: input(3),
+      policy: {...POLICY, weightCost: 1e9},
+      says: 'not_worth_its_cost',
+    },
+    {
+      why: 'equal loads',
+      given: {...input(3), loads: input(3).loads.map(l => l.fill(1))},
+      policy: POLICY,
+      says: 'balanced',
+    },
+    {why: 'skewed loads', given: input(3), policy: POLICY, says: 'moves'},
+  ])('says $says for $why', ({given, policy, says}) => {
+    expect(planOf(given, policy).reason).toBe(says);
+  });
+
+  it('loads no more than a change may', () => {
+    const plan = planOf(input(3), {...POLICY, mostSlots: 3});
+    expect(movedSlots(input(3).map, plan.map)).toBeLessThanOrEqual(3);
+  });
+});
+
+describe('the load view', () => {
+  const report = (rank: number, step: number, busyMs = 10): RankLoadReport => ({
+    rank,
+    fromStep: step,
+    toStep: step + 10,
+    busyMs,
+    tokens: Array.from({length: SHAPE.layers}, () =>
+      Float64Array.from([40, 20, 10, 10]),
+    ),
+  });
+  const map = initialMap(SHAPE);
+
+  it('takes a replica that is not heard of to be like the others', () => {
+    const [whole, gappy] = [new LoadView(SHAPE), new LoadView(SHAPE)];
+    for (let rank = 0; rank < SHAPE.ranks; rank++) {
+      whole.add(report(rank, 0));
+      if (rank !== 3) gappy.add(report(rank, 0));
+    }
+    whole.close(map);
+    gappy.close(map);
+    expect(gappy.confidence).toBe(0.75);
+    expect(whole.confidence).toBe(1);
+    const twice = map.layers[0]!.slice(0, 4).filter(e =>
+      map.layers[0]!.slice(4, 12).includes(e),
+    );
+    for (const expert of twice) {
+      expect(gappy.loads[0]![expert]).toBe(whole.loads[0]![expert]);
+    }
+  });
+
+  it.each([
+    {what: 'a repeat', second: report(0, 0)},
+    {what: 'an older one', second: report(0, -5)},
+    {what: 'an empty one', second: {...report(0, 10), toStep: 10}},
+    {what: 'one of an unknown rank', second: report(9, 10)},
+  ])('ignores $what', ({second}) => {
+    const view = new LoadView(SHAPE);
+    view.add(report(0, 0));
+    view.add(second);
+    expect(view.ignored).toBe(1);
+  });
+
+  it('trusts its estimates less while no report comes', () => {
+    const view = new LoadView(SHAPE);
+    view.add(report(0, 0));
+    view.close(map);
+    const before = view.confidence;
+    view.close(map);
+    expect(view.confidence).toBeLessThan(before);
+  });
+
+  it('tells a slow machine from a hot expert', () => {
+    const view = new LoadView(SHAPE);
+    for (let step = 0; step < 50; step += 10) {
+      for (let rank = 0; rank < SHAPE.ranks; rank++) {
+        const base = report(rank, step, rank === 2 ? 20 : 10);
+        // Rank 1 has twice the tokens and takes twice the time.
+        const tokens = base.tokens.map(l => l.map(t => 2 * t));
+        view.add(rank === 1 ? {...base, tokens, busyMs: 20} : base);
+      }
+      view.close(map);
+    }
+    expect([...view.slowRanks().keys()]).toEqual([2]);
+  });
+});
