Count every reason from the start and time the answers

Cause: the latency histogram was declared and never observed; a reason showed in /metrics only after its first time, so a rate missed it. Before: first_byte_seconds stayed empty (the new row fails without the timer).

--- a/src/daemons/entry/caller.ts
+++ b/src/daemons/entry/caller.ts
@@ -6,6 +6,7 @@
 import {ERRORS} from '../../errors/index.js';
 import type {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
+import type {AnswerTimer} from './answer_timer.js';
 
 const DEFAULT_RETRY_AFTER: Millis = SECOND;
 /** How long a caller has to take the last of its answer. */
@@ -19,6 +20,8 @@
 
 /** Writes the answer to one caller. */
 export class Caller {
+  private timer: AnswerTimer | undefined;
+
   /**
    * @param res - the HTTP response
    * @param callId - the call
@@ -28,6 +31,14 @@
     private readonly callId: CallId,
   ) {}
 
+  /**
+   * Times the answer from here on.
+   * @param timer - told of each piece
+   */
+  timeWith(timer: AnswerTimer): void {
+    this.timer = timer;
+  }
+
   /**
    * Starts the upstream's answer.
    * @param status - HTTP status
@@ -49,6 +60,7 @@
    * @returns whether more may be written at once
    */
   body(bytes: Uint8Array): boolean {
+    this.timer?.piece();
     return this.res.write(bytes);
   }
 
--- a/src/daemons/entry/http_edge.test.ts
+++ b/src/daemons/entry/http_edge.test.ts
@@ -367,6 +367,20 @@
     await until(() => released === carried.length);
   });
 
+  it('times the first byte and the gaps of an answer', async () => {
+    answer = made => {
+      made.head(200, {'content-length': '6'});
+      for (const piece of ['ab', 'cd', 'ef']) made.body(Buffer.from(piece));
+      made.end();
+    };
+    const one = caller();
+    one.socket.write(get('/services/depot/sheets/7'));
+    await until(() => one.text.endsWith('abcdef'));
+    const text = await metrics.registry.metrics();
+    expect(text).toContain('first_byte_seconds_count{service="depot"} 1');
+    expect(text).toContain('frame_gap_seconds_count{service="depot"} 2');
+  });
+
   it('takes a completion with a query', async () => {
     const body = JSON.stringify({model: 'rounds-assistant', messages: []});
     const one = caller();
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -16,6 +16,7 @@
 import {ERRORS, Fault, asFault, describe} from '../../errors/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import type {ErrorName} from '../../errors/index.js';
+import {AnswerTimer} from './answer_timer.js';
 import {Caller} from './caller.js';
 import {answerKeyRequest, isKeyRequest} from './key_issuer.js';
 import type {IssuedKey} from './key_issuer.js';
@@ -169,6 +170,7 @@
     caller: Caller,
     id: CallId,
   ): Promise<void> {
+    const receivedAt = this.context.clock.now();
     const guarded = guardRequest(req);
     if (guarded.isErr()) return this.refuse(req, res, caller, guarded.error);
     if (isKeyRequest(req)) {
@@ -181,7 +183,13 @@
     if (admitted.isErr()) return this.refuse(req, res, caller, admitted.error);
     const {call, organisation} = admitted.value;
     const ended = () => this.limits.end(organisation.name);
-    if (!res.closed) return this.services.carry(call, caller, res, ended);
+    if (!res.closed) {
+      const {clock, metrics} = this.context;
+      caller.timeWith(
+        new AnswerTimer(clock, metrics, call.service, receivedAt),
+      );
+      return this.services.carry(call, caller, res, ended);
+    }
     ended();
     this.refuse(req, res, caller, new Fault('caller_gone'));
   }
--- /dev/null
+++ b/src/daemons/shared/operator_server.test.ts
@@ -0,0 +1,61 @@
+import {request} from 'undici';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {ERRORS} from '../../errors/index.js';
+import {Metrics} from '../../observability/index.js';
+import {OperatorServer} from './operator_server.js';
+
+describe('the operator surface', () => {
+  let reason: string | undefined;
+  let status: () => object;
+  let server: OperatorServer;
+  let address: string;
+
+  beforeEach(async () => {
+    reason = undefined;
+    status = () => ({role: 'entry'});
+    server = new OperatorServer({
+      metrics: new Metrics(),
+      notReady: () => reason,
+      status: () => status(),
+    });
+    address = await server.listen('127.0.0.1', 0);
+  });
+
+  afterEach(() => server.close());
+
+  const get = async (path: string) => {
+    const res = await request(`http://${address}${path}`);
+    return {code: res.statusCode, text: await res.body.text()};
+  };
+
+  it.each<[string, string | undefined, number, string]>([
+    ['/healthz', 'draining', 200, 'ok\n'],
+    ['/readyz', undefined, 200, 'ready\n'],
+    ['/readyz?verbose=1', undefined, 200, 'ready\n'],
+    ['/readyz', 'draining', 503, 'draining\n'],
+    ['/status', undefined, 200, '{\n  "role": "entry"\n}\n'],
+    ['/none', undefined, 404, 'not found\n'],
+  ])('answers %s', async (path, notReady, code, text) => {
+    reason = notReady;
+    expect(await get(path)).toEqual({code, text});
+  });
+
+  it('shows each reason of the catalogue from the start, at 0', async () => {
+    const {text} = await get('/metrics');
+    for (const name of Object.keys(ERRORS)) {
+      expect(text).toContain(`refusals_total{reason="${name}",service=""} 0`);
+      expect(text).toContain(`retries_total{reason="${name}",service=""} 0`);
+      expect(text).toContain(`closed_links_total{reason="${name}"} 0`);
+      expect(text).toContain(`dropped_frames_total{reason="${name}"} 0`);
+    }
+  });
+
+  it('outlives a status that cannot be had', async () => {
+    status = () => {
+      throw new Error('no status now');
+    };
+    await expect(get('/status')).rejects.toThrow();
+    expect((await get('/healthz')).code).toBe(200);
+  });
+});
--- a/src/daemons/shared/operator_server.ts
+++ b/src/daemons/shared/operator_server.ts
@@ -24,6 +24,7 @@
 ): Promise<void> {
   switch (path) {
     case '/healthz':
+      res.setHeader('content-type', 'text/plain');
       res.end('ok\n');
       return;
     case '/readyz': {
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -1,5 +1,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
+import {ERRORS} from '../errors/index.js';
+
 const LATENCY_BUCKETS_S = [
   0.001, 0.003, 0.01, 0.03, 0.073, 0.1, 0.2, 0.4, 0.64, 1, 2, 5, 10, 30, 60,
 ];
@@ -68,6 +70,23 @@
     ['service'],
   );
 
+  /** Time between two pieces of an answer. */
+  readonly frameGapSeconds = this.histogram(
+    'baobabspan_frame_gap_seconds',
+    'Time between two pieces of an answer',
+    ['service'],
+  );
+
+  /** Every reason shows from the start, so that a rate has a beginning. */
+  constructor() {
+    for (const reason of Object.keys(ERRORS)) {
+      this.refusals.inc({reason, service: ''}, 0);
+      this.retries.inc({reason, service: ''}, 0);
+      this.droppedFrames.inc({reason}, 0);
+      this.closedLinks.inc({reason}, 0);
+    }
+  }
+
   /**
    * Makes a counter of this process.
    * @param name - its name, `baobabspan_..._total`
