--- a/bench/control/live_estate.ts
+++ b/bench/control/live_estate.ts
@@ -1,6 +1,7 @@
 import {readFile} from 'node:fs/promises';
 
 import {build} from 'hdr-histogram-js';
+import {request} from 'undici';
 
 import {
   Chance,
@@ -22,6 +23,7 @@
 const SIDECARS_PER_ZONE = 8;
 const SETTLE: Millis = 5 * SECOND;
 const CHANGE_EVERY: Millis = SECOND;
+const ASK_EVERY: Millis = 20;
 const IDLE: Millis = 10 * SECOND;
 
 /** Hears when a version comes in force at one process. */
@@ -75,21 +77,12 @@
   publish(0);
   const daemons: (Entry | Sidecar)[] = [];
   const vms: object[] = [];
+  const operators: string[] = [];
   for (const zone of ZONES) {
     const perZone = ENTRIES_PER_ZONE + SIDECARS_PER_ZONE;
     for (let i = 0; i < perZone; i++) {
       const isEntry = i < ENTRIES_PER_ZONE;
-      const settings = {
-        vm: vmName(`${isEntry ? 'entry' : 'upstream'}-${zone}-${i}`),
-        availabilityZone: availabilityZone(zone),
-        host: '127.0.0.1',
-        operatorPort: 0,
-        linkPort: 0,
-        linkKey: 'bench-link-key-0123456789',
-        logUrl: platformUrl,
-        vmListUrl: platformUrl,
-        drainTimeout: SECOND,
-      };
+      const settings = settingsOf(zone, i, isEntry, platformUrl);
       const service = serviceName('depot');
       const upstreamUrl = platformUrl;
       const seed = daemons.length + 1;
@@ -97,7 +90,8 @@
         ? new Entry({...settings, port: 0}, parts(seed))
         : new Sidecar({...settings, service, upstreamUrl}, parts(seed));
       daemons.push(daemon);
-      const {links: address} = await daemon.start();
+      const {links: address, operators: asked} = await daemon.start();
+      if (isEntry) operators.push(asked);
       const role = isEntry ? 'entry' : 'sidecar';
       const {vm, availabilityZone: az} = settings;
       const listed = {vm, availabilityZone: az, address, role, state: 'live'};
@@ -124,6 +118,7 @@
     last.recordValue(Math.round((Math.max(...times) - from) * 10));
     if (times.length === daemons.length) complete += 1;
   }
+  const departure = await measureDeparture(platform, vms, operators);
   for (const daemon of daemons) await daemon.stop();
   await platform.close();
   const share = (user + system) / 10 / (changes * CHANGE_EVERY);
@@ -135,9 +130,57 @@
     `all processes: p50 ${ms(last, 50)}, p99 ${ms(last, 99)}`,
     `CPU a daemon: ${idle.toFixed(2)}% of a core idle, ` +
       `${(share / daemons.length).toFixed(2)}% at one change a second`,
+    departure,
   ];
 }
 
+function settingsOf(
+  zone: string,
+  index: number,
+  isEntry: boolean,
+  platformUrl: string,
+) {
+  return {
+    vm: vmName(`${isEntry ? 'entry' : 'upstream'}-${zone}-${index}`),
+    availabilityZone: availabilityZone(zone),
+    host: '127.0.0.1',
+    operatorPort: 0,
+    linkPort: 0,
+    linkKey: 'bench-link-key-0123456789',
+    logUrl: platformUrl,
+    vmListUrl: platformUrl,
+    drainTimeout: SECOND,
+  };
+}
+
+/** Times how long entries take to learn that a listed upstream leaves. */
+async function measureDeparture(
+  platform: PlatformServer,
+  vms: readonly object[],
+  operators: readonly string[],
+): Promise<string> {
+  const last = vms.at(-1) as {vm: string};
+  const from = performance.now();
+  platform.setVms([...vms.slice(0, -1), {...last, state: 'leaving'}]);
+  const times = await Promise.all(
+    operators.map(async address => {
+      while (!(await showsLeaving(address, last.vm))) await pause(ASK_EVERY);
+      return performance.now() - from;
+    }),
+  );
+  times.sort((a, b) => a - b);
+  const [first, slowest] = [times[0], times.at(-1)].map(t => t?.toFixed(0));
+  return `listed as leaving: first entry ${first} ms, last ${slowest} ms`;
+}
+
+async function showsLeaving(address: string, vm: string): Promise<boolean> {
+  const res = await request(`http://${address}/status`);
+  const {members} = (await res.body.json()) as {
+    members: {vm: string; leaving: boolean}[];
+  };
+  return members.some(member => member.vm === vm && member.leaving);
+}
+
 /** Share of a core that each daemon takes, in per cent. */
 async function cpuShare(span: Millis, daemons: number): Promise<number> {
   const before = process.cpuUsage();
--- a/test/control_processes.test.ts
+++ b/test/control_processes.test.ts
@@ -106,6 +106,27 @@
     await estate.faults({logDown: false});
   });
 
+  it('tells every entry who leaves, also one without the list', async () => {
+    const leaving = estate.sidecar(SECOND, MODEL);
+    const {vm} = leaving.vm;
+    estate.views.get(THIRD)?.cut();
+    const listed = estate.daemons.map(({vm}) =>
+      vm === leaving.vm ? {...vm, state: 'leaving'} : vm,
+    );
+    const body = JSON.stringify(listed);
+    await request(`${estate.platformUrl}/vms`, {method: 'PUT', body});
+    for (const zone of ZONES) {
+      await until(async () => {
+        const status = await estate.status(estate.entry(zone));
+        const members = status['members'] as {vm: string; leaving: boolean}[];
+        return members.some(known => known.vm === vm && known.leaving);
+      });
+    }
+    estate.views.get(THIRD)?.heal();
+    await replace(leaving);
+    await estate.inForce(version);
+  });
+
   it('names who lags, and may be repeated', async () => {
     const frozen = estate.sidecar(SECOND, MODEL);
     const entry = estate.entry(FIRST);
