--- a/src/platform/log_client.ts
+++ b/src/platform/log_client.ts
@@ -26,6 +26,9 @@
    * @returns its offset; `log_unavailable`
    */
   abstract append(data: object): ResultAsync<Offset, Fault>;
+
+  /** Gives up what still waits for an answer. */
+  close(): void {}
 }
 
 const page = z.object({
@@ -42,6 +45,8 @@
 
 /** The log over HTTP. */
 export class HttpLogClient extends LogClient {
+  private readonly closing = new AbortController();
+
   /**
    * @param url - address of the log service
    * @param stream - name of the stream
@@ -66,6 +71,10 @@
     );
   }
 
+  override close(): void {
+    this.closing.abort();
+  }
+
   private ask<T extends z.ZodType>(
     method: Dispatcher.HttpMethod,
     query: string,
@@ -80,7 +89,10 @@
       headers: {'content-type': 'application/json'},
       headersTimeout: timeout,
       bodyTimeout: timeout,
-      signal: AbortSignal.timeout(timeout),
+      signal: AbortSignal.any([
+        AbortSignal.timeout(timeout),
+        this.closing.signal,
+      ]),
     }).then(async res => {
       const text = await res.body.text();
       if (res.statusCode !== 200) throw new Error(`HTTP ${res.statusCode}`);
