--- /dev/null
+++ b/bench/calls/memory.ts
@@ -0,0 +1,82 @@
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+
+import {CallLedger, ClaimBook} from '../../src/calls/index.js';
+import type {CallMessage} from '../../src/calls/index.js';
+import {
+  callId,
+  incarnation,
+  offset,
+  organisationName,
+  recordId,
+  serviceName,
+} from '../../src/core/index.js';
+
+const COUNT = 20_000;
+const ANSWER_BYTES = 500;
+
+setFlagsFromString('--expose_gc');
+const collect = runInNewContext('gc') as () => void;
+
+function used(): number {
+  collect();
+  const {heapUsed, arrayBuffers} = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
+function call(at: number): CallMessage {
+  return {
+    type: 'call',
+    callId: callId(`entry-1/mx8gi68n-d7ce1aca/${at.toString(16)}`),
+    attempt: 1,
+    service: serviceName('depot'),
+    organisation: organisationName('kariakoo-rounds'),
+    weight: 1,
+    priority: 'normal',
+    idempotent: false,
+    remainingMs: 5_000,
+    method: 'POST',
+    path: '/loadings',
+    headers: {},
+    body: new Uint8Array(),
+    credit: 64,
+  };
+}
+
+/** Bytes that a sidecar keeps for each answered call. */
+export function perKeptAnswer(): number {
+  const ledger = new CallLedger();
+  const before = used();
+  for (let at = 0; at < COUNT; at++) {
+    const message = call(at);
+    ledger.take(0, incarnation('entry-1/mx8gi68n-d7ce1aca'), message);
+    ledger.start(0, message);
+    ledger.head(message, {status: 200, headers: {'content-type': 'a/b'}});
+    ledger.data(message, {body: new Uint8Array(ANSWER_BYTES)});
+    ledger.end(0, message);
+  }
+  return (used() - before) / Math.max(ledger.size, 1);
+}
+
+/** Bytes that an entry keeps for each claimed key. */
+export function perClaimedKey(): number {
+  const book = new ClaimBook();
+  const before = used();
+  for (let at = 0; at < COUNT; at++) {
+    const id = callId(`entry-1/mx8gi68n-d7ce1aca/${at.toString(16)}`);
+    const claim = {
+      id: `${id}#1`,
+      callId: id,
+      attempt: 1,
+      service: serviceName('depot'),
+      organisation: organisationName('kariakoo-rounds'),
+      key: `018c7f2e-0000-7000-8000-${at.toString(16).padStart(12, '0')}`,
+      digest: 'x'.repeat(43).slice(0, 30) + at.toString(16),
+      sidecar: incarnation('depot-1/mx8gi58p-d2751fa3'),
+    };
+    const name = recordId(`entry-1/mx8gi68n-d7ce1aca/r${at}`);
+    const record = {kind: 'claims' as const, id: name, wall: 0, releases: []};
+    book.fold(offset(at), {...record, claims: [claim]});
+  }
+  return (used() - before) / Math.max(book.size, 1);
+}
--- a/src/calls/answer_reader.test.ts
+++ b/src/calls/answer_reader.test.ts
@@ -87,6 +87,11 @@
       frames: [head(0), data(1, 0), data(3, 2)],
       got: '0 broken',
     },
+    {
+      title: 'a gap in the events',
+      frames: [head(0), data(1, 0), data(2, 2)],
+      got: '0 broken',
+    },
     {
       title: 'a stream that goes on',
       frames: [head(0), data(1, 0), AGAIN, head(1), data(1, 1), end(1, 2)],
--- a/test/support/relay.ts
+++ b/test/support/relay.ts
@@ -56,6 +56,7 @@
     }
     const [host, port] = this.target.split(':');
     const far = connect(Number(port), host);
+    for (const socket of [near, far]) socket.setNoDelay();
     const pair = {near, far, silent: false};
     this.pairs.add(pair);
     this.pass(pair, near, far);
