--- a/src/calls/entry_messages.ts
+++ b/src/calls/entry_messages.ts
@@ -38,6 +38,8 @@
     path,
     headers: {...headers},
     body: body as Uint8Array<ArrayBuffer>,
+    ...(prefix && {prefix: [...prefix]}),
+    ...(cost !== undefined && {cost}),
     credit: WINDOW_FRAMES,
     ...(prefix && {prefix: [...prefix]}),
     ...(cost && {cost}),
--- a/src/daemons/shared/links_task.ts
+++ b/src/daemons/shared/links_task.ts
@@ -1,3 +1,4 @@
+import {callMessages} from '../../calls/index.js';
 import {SECOND} from '../../core/index.js';
 import type {Incarnation, Millis} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
@@ -21,13 +22,22 @@
 
 /** What the daemon hears of its links. */
 export interface PeerEvents {
+  /** The first link to the process opened. */
   up(peer: Identity): void;
+  /** No link to the process is left. */
   down(peer: Identity): void;
+  /** The first link that carries calls opened, or another one took over. */
+  callsUp(peer: Identity): void;
+  /**
+   * A link that carried calls is lost, and with it what was on it.
+   * @param at - when: what came later came over another link
+   */
+  callsDown(peer: Identity, at: Millis): void;
   message(peer: Identity, message: LinkMessage): void;
 }
 
 /** What links are dialled for. */
-export type LinkPurpose = 'calls' | 'control';
+export type LinkPurpose = 'calls' | 'control' | 'group' | 'limits';
 
 /** The links of one process, at most one that each side dialled. */
 interface PeerLinks {
@@ -55,6 +65,7 @@
       readonly link: Link;
       readonly address: string | undefined;
       readonly reason: Fault;
+      readonly at: Millis;
     }
   | {
       readonly type: 'send';
@@ -66,6 +77,13 @@
   | {readonly type: 'broadcast'; readonly message: LinkMessage}
   | {readonly type: 'finish'; readonly finished: () => void};
 
+type Closed = Extract<Message, {type: 'closed'}>;
+
+/** Types of the messages about calls. */
+const CALL_TYPES: ReadonlySet<string> = new Set(
+  callMessages.map(({shape}) => shape.type.value),
+);
+
 /** Owns all links of a process: accepts, dials, redials and sends. */
 export class LinksTask extends Task<Message> {
   private readonly open = new Map<Incarnation, PeerLinks>();
@@ -129,12 +147,10 @@
         }
         return this.up(message.link, message.peer);
       case 'closed':
-        return this.closed(message.link, message.address, message.reason);
-      case 'send': {
-        const link = this.pick(this.open.get(message.to)?.links ?? []);
-        if (link?.send(message.message) !== true) message.unsent?.();
+        return this.closed(message);
+      case 'send':
+        if (!this.send(message.to, message.message)) message.unsent?.();
         return;
-      }
       case 'broadcast':
         for (const {links} of this.open.values()) {
           this.pick(links)?.send(message.message);
@@ -145,6 +161,24 @@
     }
   }
 
+  private send(to: Incarnation, message: LinkMessage): boolean {
+    const links = this.open.get(to)?.links ?? [];
+    const fitting = CALL_TYPES.has(message.type)
+      ? links.filter(link => this.carriesCalls(link))
+      : links;
+    return this.pick(fitting)?.send(message) ?? false;
+  }
+
+  /**
+   * Calls travel over links that the entry dialled, and over no other, so that
+   * a link of the relay neither reorders their frames nor hides a loss.
+   */
+  private carriesCalls({side, remote}: Link): boolean {
+    const {role} = this.self;
+    if (remote === undefined || remote.role === role) return false;
+    return side === (role === 'entry' ? 'dial' : 'accept');
+  }
+
   /** The first link that is heard from: one may be dead and not closed yet. */
   private pick(links: readonly Link[]): Link | undefined {
     const now = this.context.clock.now();
@@ -171,10 +205,11 @@
     for (const address of addresses) {
       if (!this.dialled.has(address)) this.dialOne(address);
     }
-    // Calls may still run on links that are no longer wanted for calls.
-    if (purpose !== 'control') return;
+    if (purpose === 'calls') return;
     for (const address of before) {
-      if (!this.isWanted(address)) this.dialled.get(address)?.finish();
+      const link = this.dialled.get(address);
+      const isIdle = link !== undefined && !this.carriesCalls(link);
+      if (isIdle && !this.isWanted(address)) link.finish();
     }
   }
 
@@ -196,32 +231,35 @@
     // Each side may have dialled, under more than one address: links stand
     // beside each other until they are closed or silent, and none closes another.
     this.open.set(peer.incarnation, {peer, links: [...known, link]});
-    this.logger.info('link_up', {peer: peer.incarnation});
-    // A link beside another one changes nothing for whoever uses the peer.
+    this.logger.info('link_up', {peer: peer.incarnation, side: link.side});
     if (known.length === 0) this.events.up(peer);
+    const isFirst = !known.some(other => this.carriesCalls(other));
+    if (isFirst && this.carriesCalls(link)) this.events.callsUp(peer);
   }
 
-  private closed(link: Link, address: string | undefined, reason: Fault): void {
-    if (link.remote !== undefined) this.drop(link, link.remote, reason);
+  private closed({link, address, reason, at}: Closed): void {
+    if (link.remote !== undefined) this.drop(link, link.remote, reason, at);
     if (address !== undefined && this.dialled.get(address) === link) {
       this.redial(address);
     }
   }
 
-  private drop(link: Link, peer: Identity, reason: Fault): void {
+  private drop(link: Link, peer: Identity, reason: Fault, at: Millis): void {
     const known = this.open.get(peer.incarnation);
     if (!known?.links.includes(link)) return;
     const links = known.links.filter(other => other !== link);
+    const {incarnation} = peer;
     const {detail} = reason;
-    this.logger.info('link_down', {peer: peer.incarnation, reason: detail});
-    if (links.length > 0) {
-      this.open.set(peer.incarnation, {peer, links});
-      // What was on the lost link may be lost, as if the peer had come anew.
-      this.events.up(peer);
-      return;
+    const event = {peer: incarnation, side: link.side, reason: detail};
+    this.logger.info('link_down', event);
+    if (links.length > 0) this.open.set(incarnation, {peer, links});
+    else this.open.delete(incarnation);
+    if (this.carriesCalls(link)) {
+      this.events.callsDown(peer, at);
+      const left = links.some(other => this.carriesCalls(other));
+      if (left) this.events.callsUp(peer);
     }
-    this.open.delete(peer.incarnation);
-    this.events.down(peer);
+    if (links.length === 0) this.events.down(peer);
     if (this.open.size === 0) this.finished?.();
   }
 
@@ -246,8 +284,10 @@
   private listener(address: string | undefined): LinkListener {
     return {
       open: (link, peer) => this.post({type: 'up', link, peer, address}),
-      closed: (link, reason) =>
-        this.post({type: 'closed', link, address, reason}),
+      closed: (link, reason) => {
+        const at = this.context.clock.now();
+        this.post({type: 'closed', link, address, reason, at});
+      },
       message: (link, message) => {
         if (link.remote) this.events.message(link.remote, message);
       },
