Count entries by their links too, though the platform's list lags

A linked entry is now counted at once. Ruled out: a slow run, since the bound counts the time that the run took.

--- a/src/daemons/entry/limits_task.ts
+++ b/src/daemons/entry/limits_task.ts
@@ -6,7 +6,12 @@
   Outgoing,
 } from '../../admission/index.js';
 import type {Organisation} from '../../configuration/index.js';
-import type {Incarnation, Millis, OrganisationName} from '../../core/index.js';
+import type {
+  Incarnation,
+  Millis,
+  OrganisationName,
+  VmName,
+} from '../../core/index.js';
 import type {LinkMessage} from '../../links/index.js';
 import type {Identity, ListedVm} from '../../membership/index.js';
 import type {DaemonContext} from '../shared/context.js';
@@ -41,7 +46,8 @@
 /** Keeps the organisations' limits and trades idle shares with other entries. */
 export class LimitsTask extends Task<Message> {
   private readonly limits = new SharedLimits();
-  private readonly peers = new Set<Incarnation>();
+  private readonly peers = new Map<Incarnation, VmName>();
+  private listedEntries: readonly ListedVm[] = [];
   private readonly timer: NodeJS.Timeout;
 
   /**
@@ -97,8 +103,8 @@
         return this.listed(message.vms);
       case 'up':
         if (message.peer.role !== 'entry') return;
-        this.peers.add(message.peer.incarnation);
-        return;
+        this.peers.set(message.peer.incarnation, message.peer.vm);
+        return this.enrol();
       case 'down':
         this.peers.delete(message.peer.incarnation);
         return;
@@ -110,13 +116,14 @@
   }
 
   private listed(vms: readonly ListedVm[]): void {
-    const {self, clock} = this.context;
+    const {self} = this.context;
     const others = vms.filter(
       ({role, vm}) => role === 'entry' && vm !== self.vm,
     );
+    this.listedEntries = others;
+    this.enrol();
     const names = [self.vm, ...others.map(({vm}) => vm)].sort();
     const place = names.indexOf(self.vm);
-    this.limits.enrol(clock.now(), {entries: names.length, place});
     const next = new Set(
       Array.from(
         {length: Math.min(DIALLED, others.length)},
@@ -127,8 +134,17 @@
     this.ports.dial(new Set(dialled.map(({address}) => address)));
   }
 
+  /** Counts the listed entries, and those with a link though the list lags. */
+  private enrol(): void {
+    const {self, clock} = this.context;
+    const listed = this.listedEntries.map(({vm}) => vm);
+    const all = new Set([self.vm, ...listed, ...this.peers.values()]);
+    const place = [...all].sort().indexOf(self.vm);
+    this.limits.enrol(clock.now(), {entries: all.size, place});
+  }
+
   private tick(): void {
-    const peers = [...this.peers];
+    const peers = [...this.peers.keys()];
     const drawn = this.context.chance.sample(peers, peers.length);
     this.send(this.limits.borrow(this.context.clock.now(), drawn));
   }
