Weigh at most 24 of many replicas for one call

Cause: a first measure gave a decision 128 us (p50) with 80 replicas known and 4.2 ms with 1,300, against 50 us at the 99th in a hundred; it grew with every replica known. Of many, the ones that calls with the same start of a prompt always get are weighed: up to 16 of the own zone and 8 others. Test: src/routing 39 passed.

--- a/src/routing/router.test.ts
+++ b/src/routing/router.test.ts
@@ -126,6 +126,18 @@
     expect(to).toEqual(['home-0', 'home-1', 'home-1']);
   });
 
+  it('weighs the same few of many replicas for the same start', () => {
+    const one = router();
+    const many = [...replicas(60), ...replicas(60, availabilityZone('away'))];
+    const tried = new Set<string>();
+    for (let i = 0; i < 200; i++) {
+      tried.add(goes(one, many, {of: call({prefix: [77, i]})}));
+    }
+    expect(tried.size).toBeLessThanOrEqual(24);
+    const other = goes(one, many, {of: call({prefix: [7_777]})});
+    expect(tried.has(other)).toBe(false);
+  });
+
   it('spills to another zone only when the own one is behind', () => {
     const one = router();
     const away = replicas(1, availabilityZone('away'));
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -24,6 +24,9 @@
 const RETRY_AFTER: Millis = SECOND;
 /** Blocks of a prompt that name its start. */
 const AFFINITY_BLOCKS = 1;
+/** Replicas of the own zone, and of others, that one choice weighs. */
+const WEIGHED_NEAR = 16;
+const WEIGHED_FAR = 8;
 const STRAGGLERS_EVERY: Millis = SECOND;
 /** Replicas met this soon after the start were there before this entry. */
 const START_UP: Millis = 5 * SECOND;
@@ -254,7 +257,7 @@
     const {call, replicas, exclude} = request;
     this.lookForStragglers(now, call.service, replicas);
     const untried = this.outliers
-      .inService(now, replicas)
+      .inService(now, this.subset(call, replicas))
       .filter(({incarnation}) => !exclude.includes(incarnation));
     const prefix = call.prefix ?? [];
     const candidates = this.book.candidates(now, untried, prefix);
@@ -262,6 +265,28 @@
     return warm.length > 0 ? warm : candidates;
   }
 
+  /**
+   * The replicas to weigh. Of many, those that calls with the same start of a
+   * prompt always get, most of them in the own zone.
+   */
+  private subset(
+    {prefix = []}: RoutedCall,
+    replicas: readonly Replica[],
+  ): readonly Replica[] {
+    if (replicas.length <= WEIGHED_NEAR + WEIGHED_FAR) return replicas;
+    const start = prefix[0] ?? this.chance.between(0, replicas.length - 1);
+    const near: Replica[] = [];
+    const far: Replica[] = [];
+    for (const replica of replicas) {
+      const isNear = replica.availabilityZone === this.ownZone;
+      (isNear ? near : far).push(replica);
+    }
+    return [
+      ...turnFrom(near, start, WEIGHED_NEAR),
+      ...turnFrom(far, start, WEIGHED_FAR),
+    ];
+  }
+
   private hasRoom(now: Millis, {incarnation, inFlight, load}: Candidate) {
     const warmth = this.outliers.warmth(now, incarnation);
     if (warmth === 1) return true;
@@ -303,3 +328,12 @@
   const reason = retryOf ?? 'no_upstream';
   return {chosen: false, reason, retryAfterMs: RETRY_AFTER, why};
 }
+
+/** Up to `count` items from a place on, going round. */
+function turnFrom<T>(items: readonly T[], start: number, count: number): T[] {
+  const taken = Math.min(count, items.length);
+  return Array.from(
+    {length: taken},
+    (_, i) => items[(start + i) % items.length] as T,
+  );
+}
