Keep an organisation's hung calls out of its other services' places

Cause: an organisation's places were one pool for all services, so calls that hung at one took every place until their deadlines and its calls to all other services were refused: a fault that spread through the entry. Calls without a first byte for 3 s count as hanging; a service at which half of the organisation's places hang gets no more of them. Calls that answer slowly but have begun are not counted. Ruled out: a fixed share for each service, which refuses an organisation that uses one service long before its limit.

--- a/src/admission/shared_limits.ts
+++ b/src/admission/shared_limits.ts
@@ -1,6 +1,12 @@
 import type {Organisation} from '../configuration/index.js';
 import type {Incarnation, Millis, OrganisationName} from '../core/index.js';
 import {SECOND} from '../core/index.js';
+import type {
+  EntryRoll,
+  LimitRequest,
+  LimitVerdict,
+  Outgoing,
+} from './limit_types.js';
 import type {LoanMessage, LoanRequest, Quantities} from './messages.js';
 
 /** How long rates are lent, from when the request was sent. */
@@ -24,10 +30,12 @@
 const MAX_RETRY: Millis = 30 * SECOND;
 /** Requests a second below which an organisation is idle at an entry. */
 const IDLE_DEMAND = 0.01;
-const KINDS = ['requests', 'tokens', 'concurrency'] as const;
+/** Share of its places that may hang at one service. */
+const STUCK_SHARE = 0.5;
+const KINDS: readonly Kind[] = ['requests', 'tokens', 'concurrency'];
 
 type Limits = Organisation['limits'];
-type Kind = (typeof KINDS)[number];
+type Kind = keyof Quantities;
 
 interface Loan {
   readonly amounts: Quantities;
@@ -52,37 +60,6 @@
   borrowed: Loan[];
 }
 
-/** Whether an organisation may make one more request. */
-export type LimitVerdict =
-  | {readonly allowed: true}
-  | {
-      readonly allowed: false;
-      readonly limit: Kind;
-      readonly retryAfterMs: Millis;
-    };
-
-/** What a request needs of its organisation's limits. */
-export interface LimitRequest {
-  /** Tokens that it may take. */
-  readonly cost: number;
-  /** When it is over at the latest. */
-  readonly deadlineAt: Millis;
-}
-
-/** A message to another entry. */
-export interface Outgoing {
-  readonly to: Incarnation;
-  readonly message: LoanMessage;
-}
-
-/** How the entries stand to each other: who has which base share. */
-export interface EntryRoll {
-  /** Entries that the platform lists, this one included. */
-  readonly entries: number;
-  /** Place of this one among them, from 0. */
-  readonly place: number;
-}
-
 /**
  * The limits of the organisations at one entry. Each entry has an equal base
  * share of each limit and may lend what it leaves idle to another entry for a
@@ -126,14 +103,16 @@
     now: Millis,
     name: OrganisationName,
     limits: Limits,
-    {cost, deadlineAt}: LimitRequest,
+    {cost, deadlineAt, stuck = 0}: LimitRequest,
   ): LimitVerdict {
     const account = this.accountOf(now, name, limits);
     this.refill(now, account);
     account.asked.requests += 1;
     account.asked.tokens += cost;
     const share = this.share(now, account);
-    if (account.inFlight >= this.places(now, account, deadlineAt)) {
+    const places = this.places(now, account, deadlineAt);
+    const hangs = stuck > 0 && stuck >= STUCK_SHARE * places;
+    if (account.inFlight >= places || hangs) {
       return {allowed: false, limit: 'concurrency', retryAfterMs: SECOND};
     }
     if (account.requests < 1) {
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -7,7 +7,6 @@
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 
-import type {NamedOrganisation} from '../../admission/index.js';
 import type {CallRequest} from '../../calls/index.js';
 import {MAX_BODY_BYTES} from '../../configuration/index.js';
 import {SECOND, callId, hostPort} from '../../core/index.js';
@@ -93,12 +92,12 @@
       await answerKeyRequest(req, res, caller, this.services);
       return;
     }
-    const admitted = await this.admit(req, id).catch(thrown =>
+    const admitted = await this.admit(req, res, id).catch(thrown =>
       err(asFault(thrown, 'internal')),
     );
     if (admitted.isOk()) {
-      const {call, organisation} = admitted.value;
-      const ended = () => this.limits.end(organisation.name);
+      const call = admitted.value;
+      const ended = () => this.limits.end(call);
       this.services.carry(call, caller, res, ended);
       return;
     }
@@ -111,10 +110,9 @@
 
   private async admit(
     req: IncomingMessage,
+    res: ServerResponse,
     id: CallId,
-  ): Promise<
-    Result<{call: CallRequest; organisation: NamedOrganisation}, Fault>
-  > {
+  ): Promise<Result<CallRequest, Fault>> {
     const inForce = this.services.inForce();
     if (!this.services.accepting()) return err(new Fault('draining'));
     if (inForce === undefined) return err(new Fault('no_configuration'));
@@ -133,11 +131,10 @@
     const parts = {callId: id, now, wall, organisation, body: body.value};
     const call = toCall(req, {...parts, resolved: resolved.value});
     if (call.isErr()) return err(call.error);
-    const {name, organisation: entry} = organisation;
-    const {cost = 1, deadlineAt} = call.value;
-    const ask = {cost, deadlineAt};
-    const verdict = this.limits.admit(name, entry.limits, ask);
-    if (verdict.allowed) return ok({call: call.value, organisation});
+    const {limits} = organisation.organisation;
+    const isAnswered = () => res.headersSent;
+    const verdict = this.limits.admit(limits, call.value, isAnswered);
+    if (verdict.allowed) return ok(call.value);
     const {limit, retryAfterMs} = verdict;
     return err(new Fault('organisation_over_limit', limit, retryAfterMs));
   }
--- a/src/daemons/entry/limits_task.ts
+++ b/src/daemons/entry/limits_task.ts
@@ -1,10 +1,10 @@
-import {SharedLimits} from '../../admission/index.js';
+import {OpenCalls, SharedLimits} from '../../admission/index.js';
 import type {
-  LimitRequest,
   LimitVerdict,
   LoanMessage,
   Outgoing,
 } from '../../admission/index.js';
+import type {CallRequest} from '../../calls/index.js';
 import type {Organisation} from '../../configuration/index.js';
 import type {
   Incarnation,
@@ -46,6 +46,7 @@
 /** Keeps the organisations' limits and trades idle shares with other entries. */
 export class LimitsTask extends Task<Message> {
   private readonly limits = new SharedLimits();
+  private readonly open = new OpenCalls();
   private readonly peers = new Map<Incarnation, VmName>();
   private listedEntries: readonly ListedVm[] = [];
   private readonly timer: NodeJS.Timeout;
@@ -65,31 +66,40 @@
   /**
    * An organisation makes a request. Decided at once, so that a request over
    * its limit never waits behind other messages.
-   * @param name - the organisation
-   * @param limits - its limits
-   * @param request - what it needs
+   * @param limits - the limits of its organisation
+   * @param call - the call
+   * @param isAnswered - whether its answer has begun
    */
   admit(
-    name: OrganisationName,
     limits: Organisation['limits'],
-    request: LimitRequest,
+    call: CallRequest,
+    isAnswered: () => boolean,
   ): LimitVerdict {
     const now = this.context.clock.now();
-    const verdict = this.limits.admit(now, name, limits, request);
-    if (!verdict.allowed) {
+    const {organisation: name, service, cost = 1, deadlineAt, callId} = call;
+    const stuck = this.open.stuck(now, name, service);
+    const ask = {cost, deadlineAt, stuck};
+    const verdict = this.limits.admit(now, name, limits, ask);
+    if (verdict.allowed) {
+      const startedAt = now;
+      const open = {organisation: name, service, startedAt, isAnswered};
+      this.open.add(callId, open);
+    } else {
       const {limit, retryAfterMs} = verdict;
       const organisation = name;
-      this.logger.info('over_limit', {organisation, limit, retryAfterMs});
+      const fields = {organisation, service, limit, stuck, retryAfterMs};
+      this.logger.info('over_limit', fields);
     }
     return verdict;
   }
 
   /**
    * An admitted request ended.
-   * @param name - its organisation
+   * @param call - the call
    */
-  end(name: OrganisationName): void {
-    this.limits.end(name);
+  end({organisation, callId}: CallRequest): void {
+    this.open.remove(callId);
+    this.limits.end(organisation);
   }
 
   override stop(): void {
