--- a/test/whole_estate.test.ts
+++ b/test/whole_estate.test.ts
@@ -4,7 +4,15 @@
 import {join} from 'node:path';
 
 import {request} from 'undici';
-import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {
+  afterAll,
+  beforeAll,
+  beforeEach,
+  describe,
+  expect,
+  it,
+  onTestFailed,
+} from 'vitest';
 
 import {completionTokens, streamEvent} from '../standins/engine_server.js';
 import {CallerLog, runsAt} from './support/caller_log.js';
@@ -93,6 +101,15 @@
     upstreams.push(...sidecars.map(({upstreamUrl}) => upstreamUrl));
   });
 
+  beforeEach(() => {
+    onTestFailed(async () => {
+      const statuses = await Promise.all(
+        estate.daemons.map(one => estate.status(one).catch(String)),
+      );
+      console.log(JSON.stringify({told: callers.told.slice(-4), statuses}));
+    });
+  });
+
   afterAll(() => estate.close());
 
   it('puts the text in force everywhere and books', async () => {
