--- a/src/daemons/entry/call_task.ts
+++ b/src/daemons/entry/call_task.ts
@@ -8,12 +8,16 @@
   Outcome,
   RequestMessage,
 } from '../../calls/index.js';
+import {SECOND} from '../../core/index.js';
 import type {Incarnation, Millis} from '../../core/index.js';
 import type {ErrorName} from '../../errors/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import {Task} from '../shared/task.js';
 import type {Caller} from './caller.js';
 
+/** How often a sidecar is asked what became of a call. */
+const ASK_EVERY: Millis = SECOND;
+
 /** What a call needs of the rest of the entry. */
 export interface CallServices {
   /**
@@ -58,6 +62,7 @@
   | {readonly type: 'claimed'; readonly result: ClaimResult}
   | {readonly type: 'link_lost'; readonly upstream: Incarnation}
   | {readonly type: 'link_up'; readonly upstream: Incarnation}
+  | {readonly type: 'ask_again'}
   | {readonly type: 'cut'}
   | {readonly type: 'deadline'}
   | {readonly type: 'caller_gone'}
@@ -68,6 +73,7 @@
   private readonly call: EntryCall;
   private readonly timer: NodeJS.Timeout;
   private readonly startedAt: Millis;
+  private asking: NodeJS.Timeout | undefined;
   /** Frames that wait for a slow caller before they are credited. */
   private uncredited = 0;
   private blocked = false;
@@ -101,6 +107,7 @@
   protected receive(event: CallEvent): void {
     for (const effect of this.decide(event)) this.carryOut(effect);
     if (this.call.settled) this.finish();
+    else if (this.call.settling) this.keepAsking();
   }
 
   private decide(event: CallEvent): EntryEffect[] {
@@ -124,6 +131,8 @@
         return this.call.linkLost(event.upstream);
       case 'link_up':
         return this.call.linkUp(event.upstream);
+      case 'ask_again':
+        return this.call.askAgain();
       case 'cut':
         return this.call.cut();
       case 'deadline':
@@ -225,10 +234,18 @@
     });
   }
 
+  private keepAsking(): void {
+    this.asking ??= setInterval(
+      () => this.post({type: 'ask_again'}),
+      ASK_EVERY,
+    );
+  }
+
   private finish(): void {
     if (this.over) return;
     this.over = true;
     clearTimeout(this.timer);
+    clearInterval(this.asking);
     this.services.ended(this);
     this.stop();
   }
--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -78,8 +78,16 @@
     this.context = startContext('entry', settings, parts);
     const {context} = this;
     this.links = new LinksTask(context, settings.linkKey, {
-      up: peer => this.linkUp(peer),
-      down: peer => this.linkDown(peer),
+      up: peer => {
+        this.members.post({type: 'up', peer});
+        this.limits.post({type: 'up', peer});
+      },
+      down: peer => {
+        this.members.post({type: 'down', peer});
+        this.limits.post({type: 'down', peer});
+      },
+      callsUp: peer => this.callsUp(peer),
+      callsDown: peer => this.callsDown(peer),
       message: (peer, message) => this.receive(peer, message),
     });
     this.claims = new ClaimsTask(context, settings.logUrl);
@@ -189,21 +197,17 @@
     return this.calls.size === 0 && this.unfinished.size === 0;
   }
 
-  private linkUp(peer: Identity): void {
+  private callsUp(peer: Identity): void {
     const {incarnation, vm} = peer;
     this.latest.set(vm, incarnation);
-    this.members.post({type: 'up', peer});
     this.router.post({type: 'up', peer});
-    this.limits.post({type: 'up', peer});
     for (const call of this.calls.values()) {
       call.post({type: 'link_up', upstream: incarnation});
     }
   }
 
-  private linkDown(peer: Identity): void {
-    this.members.post({type: 'down', peer});
+  private callsDown(peer: Identity): void {
     this.router.post({type: 'down', peer});
-    this.limits.post({type: 'down', peer});
     for (const call of this.calls.values()) {
       call.post({type: 'link_lost', upstream: peer.incarnation});
     }
--- a/src/daemons/shared/claims_task.ts
+++ b/src/daemons/shared/claims_task.ts
@@ -94,6 +94,7 @@
 
   override stop(): void {
     clearInterval(this.timer);
+    this.log.close();
     super.stop();
   }
 
--- a/src/daemons/shared/links_task.ts
+++ b/src/daemons/shared/links_task.ts
@@ -1,3 +1,4 @@
+import {callMessages} from '../../calls/index.js';
 import {SECOND} from '../../core/index.js';
 import type {Incarnation, Millis} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
@@ -14,12 +15,24 @@
 import {Task} from './task.js';
 
 const REDIAL_BASE: Millis = 100;
+/** A link that works is heard from more often than this. */
+const FRESH_WITHIN: Millis = 1_500;
+const FINISH_WITHIN: Millis = 2 * SECOND;
 const REDIAL_CAP: Millis = 2 * SECOND;
 
 /** What the daemon hears of its links. */
 export interface PeerEvents {
+  /** The first link to the process opened. */
   up(peer: Identity): void;
+  /** No link to the process is left. */
   down(peer: Identity): void;
+  /** The first link that carries calls opened, or another one took over. */
+  callsUp(peer: Identity): void;
+  /**
+   * A link that carried calls is lost, and with it what was on it.
+   * @param at - when: what came later came over another link
+   */
+  callsDown(peer: Identity, at: Millis): void;
   message(peer: Identity, message: LinkMessage): void;
 }
 
@@ -52,6 +65,7 @@
       readonly link: Link;
       readonly address: string | undefined;
       readonly reason: Fault;
+      readonly at: Millis;
     }
   | {
       readonly type: 'send';
@@ -63,6 +77,13 @@
   | {readonly type: 'broadcast'; readonly message: LinkMessage}
   | {readonly type: 'finish'; readonly finished: () => void};
 
+type Closed = Extract<Message, {type: 'closed'}>;
+
+/** Types of the messages about calls. */
+const CALL_TYPES: ReadonlySet<string> = new Set(
+  callMessages.map(({shape}) => shape.type.value),
+);
+
 /** Owns all links of a process: accepts, dials, redials and sends. */
 export class LinksTask extends Task<Message> {
   private readonly open = new Map<Incarnation, PeerLinks>();
@@ -71,6 +92,7 @@
   private readonly timers = new Set<NodeJS.Timeout>();
   private readonly wants = new Map<LinkPurpose, ReadonlySet<string>>();
   private listening: Listening | undefined;
+  private finished: (() => void) | undefined;
 
   /**
    * @param context - what the daemon's tasks share
@@ -125,32 +147,56 @@
         }
         return this.up(message.link, message.peer);
       case 'closed':
-        return this.closed(message.link, message.address, message.reason);
-      case 'send': {
-        const links = this.open.get(message.to)?.links ?? [];
-        // The first may be closing while the second stands.
-        const isSent = links.some(link => link.send(message.message));
-        if (!isSent) message.unsent?.();
+        return this.closed(message);
+      case 'send':
+        if (!this.send(message.to, message.message)) message.unsent?.();
         return;
-      }
       case 'broadcast':
         for (const {links} of this.open.values()) {
-          links[0]?.send(message.message);
+          this.pick(links)?.send(message.message);
         }
         return;
       case 'finish':
-        this.finish();
-        return message.finished();
+        return this.finish(message.finished);
     }
   }
 
-  private finish(): void {
+  private send(to: Incarnation, message: LinkMessage): boolean {
+    const links = this.open.get(to)?.links ?? [];
+    const fitting = CALL_TYPES.has(message.type)
+      ? links.filter(link => this.carriesCalls(link))
+      : links;
+    return this.pick(fitting)?.send(message) ?? false;
+  }
+
+  /**
+   * Calls travel over links that the entry dialled, and over no other, so that
+   * a link of the relay neither reorders their frames nor hides a loss.
+   */
+  private carriesCalls({side, remote}: Link): boolean {
+    const {role} = this.self;
+    if (remote === undefined || remote.role === role) return false;
+    return side === (role === 'entry' ? 'dial' : 'accept');
+  }
+
+  /** The first link that is heard from: one may be dead and not closed yet. */
+  private pick(links: readonly Link[]): Link | undefined {
+    const now = this.context.clock.now();
+    const isFresh = (link: Link) => now - link.lastHeard < FRESH_WITHIN;
+    return links.find(isFresh) ?? links[0];
+  }
+
+  /** Peers have some time to take what was sent, whoever dialled. */
+  private finish(finished: () => void): void {
+    this.finished = finished;
+    setTimeout(finished, FINISH_WITHIN).unref();
     this.wants.clear();
     for (const timer of this.timers) clearTimeout(timer);
     for (const {links} of this.open.values()) {
       for (const link of links) link.finish();
     }
     for (const link of this.dialled.values()) link?.finish();
+    if (this.open.size === 0) finished();
   }
 
   private want(purpose: LinkPurpose, addresses: ReadonlySet<string>): void {
@@ -159,11 +205,10 @@
     for (const address of addresses) {
       if (!this.dialled.has(address)) this.dialOne(address);
     }
-    if (purpose !== 'control') return;
+    if (purpose === 'calls') return;
     for (const address of before) {
       const link = this.dialled.get(address);
-      // Calls run between an entry and a sidecar, whoever dialled.
-      const isIdle = link?.remote?.role === this.self.role;
+      const isIdle = link !== undefined && !this.carriesCalls(link);
       if (isIdle && !this.isWanted(address)) link.finish();
     }
   }
@@ -183,40 +228,39 @@
 
   private up(link: Link, peer: Identity): void {
     const known = this.open.get(peer.incarnation)?.links ?? [];
-    // A peer dials again only once it gave its older link up. A link that the
-    // other side dialled stands beside it, so that neither closes the other's.
-    const replaced = known.filter(({side}) => side === link.side);
-    const others = known.filter(({side}) => side !== link.side);
-    const links = [...others, link];
-    this.open.set(peer.incarnation, {peer, links});
-    for (const older of replaced) if (older !== link) older.finish();
-    const event = {peer: peer.incarnation, side: link.side};
-    if (known.length === 0) this.logger.info('link_up', event);
-    else this.logger.debug('link_added', event);
-    this.events.up(peer);
-  }
-
-  private closed(link: Link, address: string | undefined, reason: Fault): void {
-    if (link.remote !== undefined) this.drop(link, link.remote, reason);
+    // Each side may have dialled, under more than one address: links stand
+    // beside each other until they are closed or silent, and none closes another.
+    this.open.set(peer.incarnation, {peer, links: [...known, link]});
+    this.logger.info('link_up', {peer: peer.incarnation, side: link.side});
+    if (known.length === 0) this.events.up(peer);
+    const isFirst = !known.some(other => this.carriesCalls(other));
+    if (isFirst && this.carriesCalls(link)) this.events.callsUp(peer);
+  }
+
+  private closed({link, address, reason, at}: Closed): void {
+    if (link.remote !== undefined) this.drop(link, link.remote, reason, at);
     if (address !== undefined && this.dialled.get(address) === link) {
       this.redial(address);
     }
   }
 
-  private drop(link: Link, peer: Identity, reason: Fault): void {
+  private drop(link: Link, peer: Identity, reason: Fault, at: Millis): void {
     const known = this.open.get(peer.incarnation);
     if (!known?.links.includes(link)) return;
     const links = known.links.filter(other => other !== link);
+    const {incarnation} = peer;
     const {detail} = reason;
-    const event = {peer: peer.incarnation, side: link.side, reason: detail};
-    if (links.length > 0) {
-      this.logger.debug('link_dropped', event);
-      this.open.set(peer.incarnation, {peer, links});
-      return;
-    }
+    const event = {peer: incarnation, side: link.side, reason: detail};
     this.logger.info('link_down', event);
-    this.open.delete(peer.incarnation);
-    this.events.down(peer);
+    if (links.length > 0) this.open.set(incarnation, {peer, links});
+    else this.open.delete(incarnation);
+    if (this.carriesCalls(link)) {
+      this.events.callsDown(peer, at);
+      const left = links.some(other => this.carriesCalls(other));
+      if (left) this.events.callsUp(peer);
+    }
+    if (links.length === 0) this.events.down(peer);
+    if (this.open.size === 0) this.finished?.();
   }
 
   private redial(address: string): void {
@@ -240,8 +284,10 @@
   private listener(address: string | undefined): LinkListener {
     return {
       open: (link, peer) => this.post({type: 'up', link, peer, address}),
-      closed: (link, reason) =>
-        this.post({type: 'closed', link, address, reason}),
+      closed: (link, reason) => {
+        const at = this.context.clock.now();
+        this.post({type: 'closed', link, address, reason, at});
+      },
       message: (link, message) => {
         if (link.remote) this.events.message(link.remote, message);
       },
