--- a/bench/path.ts
+++ b/bench/path.ts
@@ -56,14 +56,17 @@
 async function benchPlain(via: Load, direct: Load): Promise<void> {
   await saturate(via, CONCURRENCY, WARM_UP_MS);
   const rates: number[] = [];
+  const refused: number[] = [];
   const directRates: number[] = [];
   for (let round = 0; round < ROUNDS; round++) {
     const through = await saturate(via, CONCURRENCY, ROUND_MS);
     const alone = await saturate(direct, CONCURRENCY, ROUND_MS);
     rates.push(through.done / through.seconds);
+    refused.push(through.failed / through.seconds);
     directRates.push(alone.done / alone.seconds);
   }
   print('plain 1 kB, saturated, through', median(rates), 'requests/s');
+  print('plain 1 kB, saturated, refused', median(refused), 'requests/s');
   print('plain 1 kB, saturated, direct', median(directRates), 'requests/s');
   const half = median(rates) / 2;
   const paced: Outcome[] = [];
