--- a/src/daemons/shared/configuration_task.ts
+++ b/src/daemons/shared/configuration_task.ts
@@ -88,6 +88,7 @@
 
   override stop(): void {
     clearInterval(this.timer);
+    this.log.close();
     super.stop();
   }
 
--- a/src/daemons/sidecar/sidecar.ts
+++ b/src/daemons/sidecar/sidecar.ts
@@ -9,7 +9,15 @@
 import {startContext} from '../shared/start_context.js';
 import type {DaemonParts} from '../shared/start_context.js';
 import {VmListTask} from '../shared/vm_list_task.js';
+import {CacheEventsTask} from './cache_events_task.js';
 import {CallsTask} from './calls_task.js';
+import type {GroupTask} from './group_task.js';
+import {
+  configureGroup,
+  dialGroup,
+  groupTask,
+  isGroupMessage,
+} from './group_wiring.js';
 import type {SidecarSettings} from './types.js';
 
 /** Addresses of a running sidecar, each `host:port`. */
@@ -24,9 +32,11 @@
   private readonly links: LinksTask;
   private readonly calls: CallsTask;
   private readonly members: MembersTask;
+  private readonly group: GroupTask | undefined;
   private readonly operators: OperatorServer;
   private configuration: ConfigurationTask | undefined;
   private vmList: VmListTask | undefined;
+  private cacheEvents: CacheEventsTask | undefined;
   private leaving = false;
   private stopped: Promise<void> | undefined;
 
@@ -43,17 +53,22 @@
     this.links = new LinksTask(context, settings.linkKey, {
       up: peer => {
         this.members.post({type: 'up', peer});
+        this.group?.post({type: 'up', peer});
         this.greet(peer);
       },
       down: peer => {
         this.members.post({type: 'down', peer});
-        this.calls.post({type: 'entry_lost', entry: peer.incarnation});
+        this.group?.post({type: 'down', peer});
       },
+      callsUp: () => {},
+      callsDown: (peer, before) =>
+        this.calls.post({type: 'entry_lost', entry: peer.incarnation, before}),
       message: (peer, message) => this.receive(peer, message),
     });
     this.calls = new CallsTask(context, settings, (to, message) =>
       this.links.post({type: 'send', to, message}),
     );
+    this.group = groupTask(context, settings, this.links);
     this.members = new MembersTask(
       context,
       membersPorts(this.links, () => this.configuration, {
@@ -82,17 +97,32 @@
       this.context,
       this.settings.logUrl,
       configurationPorts(this.links, (_version, cfg) => {
+        if (cfg.services[service]?.kind === 'model') this.followCache();
         const limits = cfg.services[service]?.limits;
         if (limits !== undefined) this.calls.post({type: 'limits', limits});
+        configureGroup(this.group, cfg.services[service]);
       }),
     );
-    this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms =>
-      this.members.post({type: 'listed', vms}),
-    );
+    this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms => {
+      this.members.post({type: 'listed', vms});
+      if (this.group) dialGroup(this.links, this.settings, vms);
+    });
     this.context.logger.info('ready', {operators, links});
     return {operators, links};
   }
 
+  private followCache(): void {
+    const {upstreamUrl} = this.settings;
+    this.cacheEvents ??= new CacheEventsTask(
+      this.context,
+      upstreamUrl,
+      message => {
+        this.calls.post({type: 'cache', message});
+        this.links.post({type: 'broadcast', message});
+      },
+    );
+  }
+
   /** Refuses new work, finishes all that was accepted, then stops. */
   async drain(): Promise<void> {
     this.leave();
@@ -114,7 +144,9 @@
     await new Promise<void>(done => this.calls.post({type: 'cut', done}));
     this.configuration?.stop();
     this.vmList?.stop();
+    this.cacheEvents?.stop();
     this.members.stop();
+    this.group?.stop();
     this.calls.stop();
     await this.links.close();
     await this.operators.close();
@@ -158,7 +190,8 @@
         return;
       }
       default:
-        return;
+        if (!isGroupMessage(message)) return;
+        this.group?.post({type: 'link', from: peer.incarnation, message});
     }
   }
 
@@ -180,6 +213,7 @@
       configuration: this.configuration?.status(),
       calls: this.calls.status(),
       members: this.members.status(),
+      group: this.group?.status(),
     };
   }
 }
