--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -50,6 +50,21 @@
     'The request is malformed.',
     'See the detail for the place.',
   ),
+  headers_too_large: entry(
+    431,
+    'The headers are larger than the system accepts.',
+    'Send fewer or shorter headers.',
+  ),
+  request_timeout: entry(
+    408,
+    'The request did not arrive in time.',
+    'Send it again, faster.',
+  ),
+  caller_gone: entry(
+    499,
+    'The caller went away before its request was whole.',
+    'Nothing was run.',
+  ),
   body_too_large: entry(
     413,
     'The body is larger than the service accepts.',
@@ -135,6 +150,11 @@
     'The first call with this idempotency key is still running.',
     'Come back after Retry-After with the same key.',
   ),
+  weight_store_unavailable: entry(
+    503,
+    "The platform's weight store does not answer or is at its limit.",
+    'Loading goes on by itself; see the store when it lasts.',
+  ),
   // Between processes and inside them.
   link_closed: entry(502, 'The link to the peer closed.', 'See its log.'),
   link_silent: entry(
