--- a/bench/routing/engine_model.ts
+++ b/bench/routing/engine_model.ts
@@ -62,9 +62,8 @@
       removed: PromptPrefix,
     ) => void,
   ) {
-    this.cache = new PrefixMap(speed.cacheBlocks, hash => {
-      this.changed([], [hash]);
-    });
+    const evicted = (hash: number) => this.changed([], [hash]);
+    this.cache = new PrefixMap(speed.cacheBlocks, evicted, 'keep', 0);
   }
 
   /**
--- a/src/routing/prefix_map.ts
+++ b/src/routing/prefix_map.ts
@@ -4,6 +4,9 @@
 /** Blocks remembered of one replica. */
 export const PREFIX_CAPACITY = 1_024;
 
+/** Share of the blocks that are forgotten at once when there is no room. */
+const ROOM_MADE = 1 / 16;
+
 /** What becomes of a map when events were lost. */
 export type GapRule = 'keep' | 'forget';
 
@@ -22,11 +25,13 @@
    * @param capacity - blocks to remember
    * @param evicted - told of each block that is forgotten for want of room
    * @param onGap - what a lost event does to what was known before
+   * @param roomMade - share of the blocks that are forgotten at once
    */
   constructor(
     private readonly capacity = PREFIX_CAPACITY,
     private readonly evicted: (hash: number) => void = () => {},
     private readonly onGap: GapRule = 'keep',
+    private readonly roomMade = ROOM_MADE,
   ) {}
 
   /** Blocks remembered. */
@@ -86,9 +91,17 @@
   private add(hash: number): void {
     this.blocks.delete(hash);
     this.blocks.add(hash);
-    if (this.blocks.size <= this.capacity) return;
-    const [oldest] = this.blocks;
-    this.blocks.delete(oldest as number);
-    this.evicted(oldest as number);
+    if (this.blocks.size > this.capacity) this.makeRoom();
+  }
+
+  /** Forgets some at once: to find the oldest of a set costs a walk. */
+  private makeRoom(): void {
+    const spare = Math.floor(this.capacity * this.roomMade);
+    let excess = this.blocks.size - this.capacity + spare;
+    for (const oldest of this.blocks) {
+      if (excess-- <= 0) return;
+      this.blocks.delete(oldest);
+      this.evicted(oldest);
+    }
   }
 }
