--- a/src/daemons/entry/call_task.ts
+++ b/src/daemons/entry/call_task.ts
@@ -68,6 +68,9 @@
   | {readonly type: 'caller_gone'}
   | {readonly type: 'drained'};
 
+/** Frames that are credited together, well below a sidecar's window. */
+const CREDIT_BATCH = 16;
+
 /** Carries one call: turns the aggregate's effects into I/O. */
 export class CallTask extends Task<CallEvent> {
   private readonly call: EntryCall;
@@ -184,7 +187,7 @@
   private body(bytes: Uint8Array): void {
     this.uncredited += 1;
     this.blocked = !this.caller.body(bytes);
-    if (!this.blocked) this.grant();
+    if (!this.blocked && this.uncredited >= CREDIT_BATCH) this.grant();
   }
 
   private grant(): void {
--- a/src/daemons/entry/types.ts
+++ b/src/daemons/entry/types.ts
@@ -1,5 +1,4 @@
 import type {Configuration} from '../../configuration/index.js';
-import type {CallRequest} from '../../calls/index.js';
 import type {AvailabilityZone, Version, VmName} from '../../core/index.js';
 import type {OrganisationDirectory} from '../../admission/index.js';
 
@@ -28,10 +27,3 @@
   readonly cfg: Configuration;
   readonly organisations: OrganisationDirectory;
 }
-
-/** A request that passed the edge. */
-export interface AcceptedRequest {
-  readonly call: CallRequest;
-  /** Whether the caller counts as one of its organisation's in-flight. */
-  readonly receivedAt: number;
-}
