Dial a bounded set of sidecars, and the one that a claim names

Cause: every entry dialled every sidecar, a full mesh: at 380 entries and 1,300 sidecars 494,000 links, and a heartbeat on each every second. And what an engine's cache tells went to every peer, sidecars too. Now an entry dials all sidecars of its own availability zone, and of each service 8 elsewhere by rendezvous hash; another one only when a claim names it. At today's sizes that is all of them, as before. Cache events go to entries. Ruled out: links through another entry (a second hop for every token).

--- a/src/configuration/relay_topology.ts
+++ b/src/configuration/relay_topology.ts
@@ -1,5 +1,5 @@
+import {rendezvous} from '../core/index.js';
 import type {AvailabilityZone, VmName} from '../core/index.js';
-import {rendezvous} from './rendezvous.js';
 
 /** Processes of an availability zone that follow the log. */
 export const READERS_PER_ZONE = 2;
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -3,4 +3,5 @@
 export * from './chance.js';
 export * from './ids.js';
 export * from './log.js';
+export * from './rendezvous.js';
 export * from './time.js';
--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -9,7 +9,7 @@
   ClaimResult,
 } from '../../calls/index.js';
 import {SECOND} from '../../core/index.js';
-import type {CallId, Incarnation, Millis, VmName} from '../../core/index.js';
+import type {CallId, Incarnation, Millis} from '../../core/index.js';
 import {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
 import type {LinkMessage} from '../../links/index.js';
@@ -37,6 +37,9 @@
 const CUT_WITHIN: Millis = SECOND;
 const FIRST_SERVER_ERROR = 500;
 
+/** Sidecars that an entry dials beyond its own for calls with a claim. */
+const MAX_CLAIMED = 64;
+
 /** Addresses of a running entry, each `host:port`. */
 export interface EntryAddresses {
   readonly callers: string;
@@ -53,7 +56,10 @@
   private readonly unfinished = new Set<ServerResponse>();
   /** The process that last opened a link from each VM. */
   private readonly latest = new Map<string, Incarnation>();
-  private listed: ReadonlySet<VmName> = new Set();
+  /** Link addresses of the listed VMs. */
+  private listed: ReadonlyMap<string, string> = new Map();
+  /** Addresses dialled for calls that follow a claim, the latest last. */
+  private readonly claimed = new Set<string>();
   private stopped: Promise<void> | undefined;
   private readonly claims: ClaimsTask;
   private readonly links: LinksTask;
@@ -142,7 +148,7 @@
       }),
     );
     this.vmList = new VmListTask(this.context, this.settings.vmListUrl, vms => {
-      this.listed = new Set(vms.map(({vm}) => vm));
+      this.listed = new Map(vms.map(({vm, address}) => [vm, address]));
       this.members.post({type: 'listed', vms});
       this.router.post({type: 'listed', vms});
       this.limits.post({type: 'listed', vms});
@@ -215,12 +221,25 @@
 
   /** Whether another process has taken a process's place, or nobody has. */
   private isGone(upstream: Incarnation): boolean {
-    const vm = vmOf(upstream) as VmName;
+    const vm = vmOf(upstream);
     const latest = this.latest.get(vm);
     if (latest !== undefined && latest !== upstream) return true;
     return this.listed.size > 0 && !this.listed.has(vm);
   }
 
+  /** Dials a sidecar that this entry has no link to but a claim names. */
+  private reach(upstream: Incarnation): void {
+    const address = this.listed.get(vmOf(upstream));
+    if (address === undefined || this.claimed.has(address)) return;
+    this.claimed.add(address);
+    const [oldest] = this.claimed;
+    if (this.claimed.size > MAX_CLAIMED && oldest !== undefined) {
+      this.claimed.delete(oldest);
+    }
+    const addresses = new Set(this.claimed);
+    this.links.post({type: 'want', purpose: 'claims', addresses});
+  }
+
   private carry(
     request: CallRequest,
     caller: Caller,
@@ -235,7 +254,10 @@
       choose: (call, exclude, retryOf) =>
         this.router.post({type: 'choose', call, exclude, retryOf}),
       send: (call, to, message) => {
-        const unsent = () => call.post({type: 'unsent', message});
+        const unsent = () => {
+          call.post({type: 'unsent', message});
+          this.reach(to);
+        };
         this.links.post({type: 'send', to, message, unsent});
       },
       lookUp: (call, scope) => {
--- a/src/daemons/entry/router_task.ts
+++ b/src/daemons/entry/router_task.ts
@@ -1,7 +1,7 @@
 import type {Configuration} from '../../configuration/index.js';
 import type {CallId, Incarnation, ServiceName} from '../../core/index.js';
 import type {ErrorName} from '../../errors/index.js';
-import {MemberTable} from '../../membership/index.js';
+import {MemberTable, sidecarsToDial} from '../../membership/index.js';
 import type {Identity, ListedVm, Member} from '../../membership/index.js';
 import {Router} from '../../routing/index.js';
 import type {
@@ -130,7 +130,7 @@
 
   private listed(vms: readonly ListedVm[]): void {
     this.members.list(this.context.clock.now(), vms);
-    const sidecars = vms.filter(({role}) => role === 'sidecar');
+    const sidecars = sidecarsToDial(this.context.self, vms);
     this.dial(new Set(sidecars.map(({address}) => address)));
   }
 
--- a/src/daemons/shared/links_task.ts
+++ b/src/daemons/shared/links_task.ts
@@ -10,7 +10,7 @@
   LinkMessage,
   Listening,
 } from '../../links/index.js';
-import type {Identity} from '../../membership/index.js';
+import type {Identity, Role} from '../../membership/index.js';
 import type {DaemonContext} from './context.js';
 import {Task} from './task.js';
 
@@ -37,7 +37,7 @@
 }
 
 /** What links are dialled for. */
-export type LinkPurpose = 'calls' | 'control' | 'group' | 'limits';
+export type LinkPurpose = 'calls' | 'claims' | 'control' | 'group' | 'limits';
 
 /** The links of one process, at most one that each side dialled. */
 interface PeerLinks {
@@ -74,7 +74,12 @@
       /** Called when no link took the message. */
       readonly unsent?: () => void;
     }
-  | {readonly type: 'broadcast'; readonly message: LinkMessage}
+  | {
+      readonly type: 'broadcast';
+      readonly message: LinkMessage;
+      /** Who gets it; everyone when left out. */
+      readonly role?: Role;
+    }
   | {readonly type: 'finish'; readonly finished: () => void};
 
 type Closed = Extract<Message, {type: 'closed'}>;
@@ -152,8 +157,10 @@
         if (!this.send(message.to, message.message)) message.unsent?.();
         return;
       case 'broadcast':
-        for (const {links} of this.open.values()) {
-          this.pick(links)?.send(message.message);
+        for (const {peer, links} of this.open.values()) {
+          const isMeant =
+            message.role === undefined || peer.role === message.role;
+          if (isMeant) this.pick(links)?.send(message.message);
         }
         return;
       case 'finish':
--- a/src/daemons/sidecar/sidecar.ts
+++ b/src/daemons/sidecar/sidecar.ts
@@ -118,7 +118,7 @@
       upstreamUrl,
       message => {
         this.calls.post({type: 'cache', message});
-        this.links.post({type: 'broadcast', message});
+        this.links.post({type: 'broadcast', message, role: 'entry'});
       },
     );
   }
--- /dev/null
+++ b/src/membership/dial_set.ts
@@ -0,0 +1,50 @@
+import {rendezvous} from '../core/index.js';
+import type {AvailabilityZone, VmName} from '../core/index.js';
+import type {ListedVm} from './types.js';
+
+/** Upstreams of each service in other zones that an entry keeps a link to. */
+export const REMOTE_PER_SERVICE = 8;
+
+/** Whose links are worked out. */
+export interface Dialler {
+  readonly vm: VmName;
+  readonly availabilityZone: AvailabilityZone;
+}
+
+/**
+ * The sidecars that an entry keeps links to: all of its own availability zone,
+ * and of each service a few elsewhere to spill to. Each entry draws others, so
+ * that spilled calls spread over all zones and no entry has a link to every
+ * sidecar.
+ * @param self - the entry
+ * @param vms - the platform's list
+ * @returns the VMs to dial, in no order
+ */
+export function sidecarsToDial(
+  self: Dialler,
+  vms: readonly ListedVm[],
+): ListedVm[] {
+  const near: ListedVm[] = [];
+  const far = new Map<string, ListedVm[]>();
+  for (const vm of vms) {
+    if (vm.role !== 'sidecar') continue;
+    if (vm.availabilityZone === self.availabilityZone) {
+      near.push(vm);
+      continue;
+    }
+    const service = vm.service ?? '';
+    const known = far.get(service);
+    if (known === undefined) far.set(service, [vm]);
+    else known.push(vm);
+  }
+  return [...near, ...[...far.values()].flatMap(few => drawn(self, few))];
+}
+
+function drawn({vm: self}: Dialler, vms: readonly ListedVm[]): ListedVm[] {
+  if (vms.length <= REMOTE_PER_SERVICE) return [...vms];
+  const byName = new Map(vms.map(vm => [vm.vm, vm]));
+  return rendezvous(self, [...byName.keys()])
+    .slice(0, REMOTE_PER_SERVICE)
+    .map(name => byName.get(name))
+    .filter(vm => vm !== undefined);
+}
