--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -132,7 +132,7 @@
   weightSkew: z
     .number()
     .nonnegative()
-    .describe('What a unit of step-time skew costs in weighing a new map.'),
+    .describe('What a unit of step-time skew of each rank costs in a new map.'),
   weightCost: z
     .number()
     .nonnegative()
