--- a/src/configuration/json_schema.test.ts
+++ b/src/configuration/json_schema.test.ts
@@ -4,7 +4,7 @@
 import {configurationJsonSchema, namesAt} from './json_schema.js';
 
 describe('configurationJsonSchema', () => {
-  // `vitest run -u src/configuration/json_schema` writes the file anew.
+  // `vitest run src/configuration/json_schema -u` writes the file anew.
   it('is the one that stands in schema/', async () => {
     const json = JSON.stringify(configurationJsonSchema());
     const text = await format(json, {parser: 'json', bracketSpacing: false});
--- a/test/command_line.test.ts
+++ b/test/command_line.test.ts
@@ -91,7 +91,7 @@
     expect(result.code).toBe(2);
   });
 
-  // `vitest run -u test/command_line` writes the page anew.
+  // `vitest run test/command_line -u` writes the page anew.
   it('has its flags on docs/FLAGS.md', async () => {
     const page = await format(flagsPage(), {parser: 'markdown'});
     await expect(page).toMatchFileSnapshot('../docs/FLAGS.md');
