--- a/test/whole_estate.test.ts
+++ b/test/whole_estate.test.ts
@@ -179,6 +179,17 @@
     await expectNoLies();
   });
 
+  it('two operators race: one wins, everywhere', async () => {
+    const before = version;
+    const codes = await Promise.all([publish('one'), publish('other')]);
+    expect(codes.toSorted()).toEqual([0, 1]);
+    expect(version).toBe(before + 1);
+    await estate.inForce(version);
+    for (const daemon of estate.daemons) {
+      expect(await estate.version(daemon)).toBe(version);
+    }
+  });
+
   it('zone cut: each side serves what it can', async () => {
     estate.cutZone(third);
     await bookUntilDone(estate.entry(third));
