Cut a method that nothing calls, and mend a comment

Cause: the entry tells calls of a lost link itself since the parts were joined, so the router's list of calls at a replica was left without a caller; links to one process are no longer at most two. Result: type check and lint are clean; no behaviour changes.

--- a/src/daemons/shared/links_task.ts
+++ b/src/daemons/shared/links_task.ts
@@ -39,10 +39,10 @@
 /** What links are dialled for. */
 export type LinkPurpose = 'calls' | 'claims' | 'control' | 'group' | 'limits';
 
-/** The links of one process, at most one that each side dialled. */
+/** The open links to one process, whichever side dialled. */
 interface PeerLinks {
   readonly peer: Identity;
-  /** The link in use first. */
+  /** The oldest first. */
   readonly links: Link[];
 }
 
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -230,16 +230,6 @@
     return this.book.cached(replica, message);
   }
 
-  /**
-   * Calls that are at a replica now.
-   * @param replica - the replica
-   */
-  callsAt(replica: Incarnation): CallId[] {
-    return [...this.assigned]
-      .filter(([, {upstream}]) => upstream === replica)
-      .map(([callId]) => callId);
-  }
-
   private refusalOf(request: RouteRequest): RefusalCause | undefined {
     const {call, retryOf} = request;
     if (retryOf === undefined) {
