Rename src/platform to src/clients

The word platform is about to stand for the adapter to the users' platform. The folder holds clients of the services outside the product; it is renamed so that the word names one thing. No behaviour changes.

--- a/bench/control/encodings.ts
+++ b/bench/control/encodings.ts
@@ -5,7 +5,7 @@
   makeDelta,
 } from '../../src/configuration/index.js';
 import {offset, recordId, version} from '../../src/core/index.js';
-import {DeflateCodec, compressRecord} from '../../src/platform/index.js';
+import {DeflateCodec, compressRecord} from '../../src/clients/index.js';
 import {largeText} from './large_text.js';
 
 const CHANGES_A_DAY = 2_100;
--- a/bench/control/slopes.ts
+++ b/bench/control/slopes.ts
@@ -3,7 +3,7 @@
 import {CurrentTextParser, TextParser} from '../../src/configuration/index.js';
 import {SECOND, recordId, version} from '../../src/core/index.js';
 import type {Millis} from '../../src/core/index.js';
-import {DeflateCodec, compressRecord} from '../../src/platform/index.js';
+import {DeflateCodec, compressRecord} from '../../src/clients/index.js';
 import {ControlEstate} from './control_estate.js';
 import {largeText} from './large_text.js';
 
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,6 +33,7 @@
   'nact',
   'consola',
   'prom-client',
+  '**/clients/**',
   '**/platform/**',
   '**/links/**',
   '**/daemons/**',
--- a/src/cli/publish/index.ts
+++ b/src/cli/publish/index.ts
@@ -10,7 +10,7 @@
 import type {Publication, Verdict} from '../../configuration/index.js';
 import {SECOND, recordId, version} from '../../core/index.js';
 import {Fault, describe} from '../../errors/index.js';
-import {HttpLogClient} from '../../platform/index.js';
+import {HttpLogClient} from '../../clients/index.js';
 import {EXIT, complain, defineCommand, print} from '../shared/command.js';
 import {OWN, SHARED} from '../shared/flags.js';
 import type {Flag} from '../shared/flags.js';
--- a/src/cli/publish/publisher.test.ts
+++ b/src/cli/publish/publisher.test.ts
@@ -3,7 +3,7 @@
 import {PlatformServer} from '../../../standins/platform_server.js';
 import {publicationOf, tinyText} from '../../../test/support/texts.js';
 import {CONFIGURATION_STREAM} from '../../configuration/index.js';
-import {HttpLogClient} from '../../platform/index.js';
+import {HttpLogClient} from '../../clients/index.js';
 import {lineDiff} from './line_diff.js';
 import {Publisher} from './publisher.js';
 
--- a/src/cli/publish/publisher.ts
+++ b/src/cli/publish/publisher.ts
@@ -11,8 +11,8 @@
 import {offset, version} from '../../core/index.js';
 import type {Millis, RecordId} from '../../core/index.js';
 import {Fault} from '../../errors/index.js';
-import {compressRecord, expandRecord} from '../../platform/index.js';
-import type {LogClient} from '../../platform/index.js';
+import {compressRecord, expandRecord} from '../../clients/index.js';
+import type {LogClient} from '../../clients/index.js';
 
 const READ_WAIT: Millis = 1_000;
 const RETRY_AFTER: Millis = 500;
--- a/src/configuration/configuration_node.test.ts
+++ b/src/configuration/configuration_node.test.ts
@@ -19,7 +19,7 @@
   version,
   vmName,
 } from '../core/index.js';
-import {DeflateCodec} from '../platform/index.js';
+import {DeflateCodec} from '../clients/index.js';
 import {ConfigurationNode} from './configuration_node.js';
 import {LogFollower} from './log_follower.js';
 import type {ConfigurationEffect} from './node_types.js';
--- a/src/configuration/state_codec.test.ts
+++ b/src/configuration/state_codec.test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, it} from 'vitest';
 
 import {offset, recordId, version} from '../core/index.js';
-import {DeflateCodec, compressRecord, expandRecord} from '../platform/index.js';
+import {DeflateCodec, compressRecord, expandRecord} from '../clients/index.js';
 import {applyDelta, makeDelta} from './delta.js';
 import {StateCodec} from './state_codec.js';
 
--- a/src/daemons/shared/claims_task.ts
+++ b/src/daemons/shared/claims_task.ts
@@ -12,8 +12,8 @@
 import {SECOND, offset, recordId} from '../../core/index.js';
 import type {Millis, Offset} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
-import type {LogClient, LogPage} from '../../platform/index.js';
-import {HttpLogClient} from '../../platform/index.js';
+import type {LogClient, LogPage} from '../../clients/index.js';
+import {HttpLogClient} from '../../clients/index.js';
 import type {DaemonContext} from './context.js';
 import {Task} from './task.js';
 
--- a/src/daemons/shared/configuration_task.ts
+++ b/src/daemons/shared/configuration_task.ts
@@ -17,8 +17,8 @@
   HttpLogClient,
   compressRecord,
   expandRecord,
-} from '../../platform/index.js';
-import type {LogClient, LogPage} from '../../platform/index.js';
+} from '../../clients/index.js';
+import type {LogClient, LogPage} from '../../clients/index.js';
 import type {DaemonContext} from './context.js';
 import {Task} from './task.js';
 
--- a/src/daemons/shared/vm_list_task.ts
+++ b/src/daemons/shared/vm_list_task.ts
@@ -2,8 +2,8 @@
 import type {Millis} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
 import type {ListedVm} from '../../membership/index.js';
-import {HttpVmListClient} from '../../platform/index.js';
-import type {VmListClient} from '../../platform/index.js';
+import {HttpVmListClient} from '../../clients/index.js';
+import type {VmListClient} from '../../clients/index.js';
 import type {DaemonContext} from './context.js';
 import {Task} from './task.js';
 
--- a/src/daemons/sidecar/group_loads.ts
+++ b/src/daemons/sidecar/group_loads.ts
@@ -8,7 +8,7 @@
   Plan,
   PlannerPolicy,
 } from '../../expert_groups/index.js';
-import type {EngineLoads} from '../../platform/index.js';
+import type {EngineLoads} from '../../clients/index.js';
 
 type LoadMessage = Extract<GroupMessage, {type: 'group_load'}>;
 
--- a/src/daemons/sidecar/group_stager.ts
+++ b/src/daemons/sidecar/group_stager.ts
@@ -5,10 +5,7 @@
 import type {Fault} from '../../errors/index.js';
 import type {ExpertMap, Load} from '../../expert_groups/index.js';
 import {loadsOfRank} from '../../expert_groups/index.js';
-import type {
-  RankEngineClient,
-  WeightStoreClient,
-} from '../../platform/index.js';
+import type {RankEngineClient, WeightStoreClient} from '../../clients/index.js';
 
 /** Bytes that one request to the weight store asks for. */
 const PIECE = 8 * 2 ** 20;
--- a/src/daemons/sidecar/group_task.ts
+++ b/src/daemons/sidecar/group_task.ts
@@ -23,7 +23,7 @@
   EngineLoads,
   RankEngineClient,
   WeightStoreClient,
-} from '../../platform/index.js';
+} from '../../clients/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import {Task} from '../shared/task.js';
 import {GroupLoads, loadMessage} from './group_loads.js';
--- a/src/daemons/sidecar/group_wiring.ts
+++ b/src/daemons/sidecar/group_wiring.ts
@@ -6,7 +6,7 @@
 import {
   HttpRankEngineClient,
   HttpWeightStoreClient,
-} from '../../platform/index.js';
+} from '../../clients/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import type {LinksTask} from '../shared/links_task.js';
 import {GroupTask} from './group_task.js';
--- a/src/index.ts
+++ b/src/index.ts
@@ -12,6 +12,6 @@
 export * from './expert_groups/index.js';
 export * from './membership/index.js';
 export * from './observability/index.js';
-export * from './platform/index.js';
+export * from './clients/index.js';
 export * from './routing/index.js';
 export {PROGRAM_VERSION} from './version.js';
