--- a/eslint.config.js
+++ b/eslint.config.js
@@ -42,7 +42,7 @@
 ];
 
 export default [
-  {ignores: ['dist/', 'coverage/']},
+  {ignores: ['dist/', 'coverage/', 'target/', 'journal/']},
   ...gts,
   {
     files: ['eslint.config.js', 'scripts/*.js'],
--- a/src/clients/index.ts
+++ b/src/clients/index.ts
@@ -4,3 +4,4 @@
 export * from './vm_list_client.js';
 export * from './rank_engine_client.js';
 export * from './weight_store_client.js';
+export * from './keyed_store.js';
--- /dev/null
+++ b/src/daemons/direct/attempt.ts
@@ -0,0 +1,184 @@
+import {request} from 'node:http';
+import type {
+  ClientRequest,
+  IncomingMessage,
+  OutgoingHttpHeaders,
+} from 'node:http';
+
+import type {Millis} from '../../core/index.js';
+import type {
+  AnswerFacts,
+  AttemptFailure,
+  HeaderDialect,
+  HeaderLines,
+  Upstream,
+} from '../../direct/index.js';
+import {describe} from '../../errors/index.js';
+import type {UpstreamConnections} from './upstream_connections.js';
+
+/** A connection takes two one-way trips; more than this is no connection. */
+export const CONNECT_WITHIN: Millis = 400;
+
+/** What is sent to an upstream. */
+export interface AttemptRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: HeaderLines;
+  readonly body: Buffer;
+  /** Id that the answer has to repeat. */
+  readonly id: string | undefined;
+}
+
+/** What is heard of an attempt; nothing after `ended` or `failed`. */
+export interface AttemptListener {
+  /** The answer begins. */
+  head(status: number, headers: HeaderLines, facts: AnswerFacts): void;
+  /** Bytes of the answer; the attempt pauses until `resume`. */
+  data(chunk: Buffer): void;
+  /** The answer is whole. */
+  ended(): void;
+  /** No whole answer will come. */
+  failed(failure: AttemptFailure): void;
+}
+
+/** One request at one upstream. */
+export class Attempt {
+  private readonly req: ClientRequest;
+  private res: IncomingMessage | undefined;
+  private isConnected = false;
+  private isOver = false;
+  private readonly connectTimer: NodeJS.Timeout;
+
+  /**
+   * Sends the request.
+   * @param upstream - where to
+   * @param ask - the request
+   * @param connections - connections to take one from
+   * @param dialect - reads the answer
+   * @param listener - what to tell of it
+   */
+  constructor(
+    upstream: Upstream,
+    private readonly ask: AttemptRequest,
+    connections: UpstreamConnections,
+    private readonly dialect: HeaderDialect,
+    private readonly listener: AttemptListener,
+  ) {
+    const {host, port} = splitAddress(upstream.entry.address);
+    connections.prune(host, port);
+    this.req = request({
+      host,
+      port,
+      method: ask.method,
+      path: ask.path,
+      // Flat name and value lists keep order and repeats; the type lacks them.
+      headers: ask.headers.flat() as unknown as OutgoingHttpHeaders,
+      setHost: false,
+      agent: connections,
+    });
+    this.connectTimer = setTimeout(() => {
+      if (!this.isConnected) this.fail('connect timeout');
+    }, CONNECT_WITHIN);
+    this.req.once('socket', socket => {
+      socket.setNoDelay(true);
+      if (!socket.connecting) this.connected();
+      else socket.once('connect', () => this.connected());
+    });
+    this.req.on('response', res => this.respond(res));
+    this.req.on('error', err => this.fail(describe(err)));
+    this.req.on('close', () => {
+      // An answer that has begun tells its own end.
+      if (this.res === undefined) this.fail('connection closed');
+    });
+    this.req.end(ask.body);
+  }
+
+  /** Whether bytes of the request may have left. */
+  get mayHaveLeft(): boolean {
+    return this.isConnected;
+  }
+
+  /** Gives the attempt up; nothing more is heard of it. */
+  cancel(): void {
+    this.isOver = true;
+    clearTimeout(this.connectTimer);
+    this.req.destroy();
+  }
+
+  /** Lets the answer flow again. */
+  resume(): void {
+    this.res?.resume();
+  }
+
+  /** Stops the answer until `resume`. */
+  pause(): void {
+    this.res?.pause();
+  }
+
+  private connected(): void {
+    this.isConnected = true;
+    clearTimeout(this.connectTimer);
+  }
+
+  private respond(res: IncomingMessage): void {
+    if (this.isOver) return;
+    const status = res.statusCode ?? 0;
+    const headers = pairs(res.rawHeaders);
+    const facts = this.dialect.readAnswer(status, headers);
+    if (this.ask.id !== undefined && facts.id !== this.ask.id) {
+      // A late answer to somebody else; ours may still be running.
+      if (facts.id !== undefined) {
+        this.fail('answer to another request');
+        return;
+      }
+    }
+    this.res = res;
+    this.listener.head(status, headers, facts);
+    if (this.isOver) return;
+    res.on('data', (chunk: Buffer) => {
+      if (!this.isOver) this.listener.data(chunk);
+    });
+    res.on('end', () => {
+      if (this.isOver) return;
+      if (!res.complete) {
+        this.fail('answer cut off');
+        return;
+      }
+      this.isOver = true;
+      this.listener.ended();
+    });
+    res.on('error', err => this.fail(describe(err)));
+    res.on('close', () => this.fail('answer cut off'));
+  }
+
+  private fail(detail: string): void {
+    if (this.isOver) return;
+    this.cancel();
+    const failure: AttemptFailure = this.isConnected
+      ? {kind: 'may_have_run', reason: detail}
+      : {kind: 'not_run', reason: 'unreachable'};
+    this.listener.failed(failure);
+  }
+}
+
+/**
+ * Splits an address.
+ * @param address - `host:port`
+ */
+export function splitAddress(address: string): {host: string; port: number} {
+  const at = address.lastIndexOf(':');
+  const host = address.slice(0, at).replace(/^\[|\]$/g, '');
+  return {host, port: Number(address.slice(at + 1))};
+}
+
+/**
+ * Header lines as pairs.
+ * @param raw - names and values by turns
+ */
+export function pairs(raw: readonly string[]): [string, string][] {
+  const lines: [string, string][] = [];
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    lines.push([raw[i] as string, raw[i + 1] as string]);
+  }
+  return lines;
+}
--- /dev/null
+++ b/src/daemons/direct/estate.ts
@@ -0,0 +1,68 @@
+import type {KeyedStore} from '../../clients/index.js';
+import type {
+  AvailabilityZone,
+  Millis,
+  ServiceName,
+  VmName,
+} from '../../core/index.js';
+import type {
+  DirectConfiguration,
+  HeaderDialect,
+  KeyedChange,
+  RetryBound,
+  UpstreamEntry,
+} from '../../direct/index.js';
+import type {Fault} from '../../errors/index.js';
+
+import type {Result} from 'neverthrow';
+
+/** What a process of this form of deployment is told at its start. */
+export interface DirectSettings {
+  readonly vm: VmName;
+  readonly availabilityZone: AvailabilityZone;
+  /** IP address of the VM. */
+  readonly ip: string;
+  /** Where callers connect, `host:port`; only of entries. */
+  readonly callers: string | undefined;
+  /** Where the balancer asks whether this entry is ready; only of entries. */
+  readonly readiness: string | undefined;
+  /** Ports for the system's own processes, first and last. */
+  readonly internalPorts: readonly [number, number];
+  /** The upstream on this VM and its service; only of sidecars. */
+  readonly upstream:
+    {readonly address: string; readonly service: ServiceName} | undefined;
+  readonly retryBound: RetryBound;
+  /** By when a terminated process has ended. */
+  readonly grace: Millis;
+}
+
+/** How the services around an estate speak; one subclass for each form. */
+export abstract class Estate {
+  abstract readonly store: KeyedStore;
+  abstract readonly dialect: HeaderDialect;
+  /** Path at which the balancer asks whether an entry is ready. */
+  abstract readonly readinessPath: string;
+  /** Topics: the operators' configuration, registrations, own entries. */
+  abstract readonly topics: {
+    readonly configuration: string;
+    readonly upstreams: string;
+    readonly entries: string;
+    readonly ranks: string;
+  };
+
+  /**
+   * Reads the configuration of a record.
+   * @param change - the record
+   * @returns nothing when the record holds no configuration
+   */
+  abstract configurationOf(
+    change: KeyedChange,
+  ): Result<DirectConfiguration, Fault> | undefined;
+
+  /**
+   * Reads a registration.
+   * @param change - a record that has a value
+   * @returns a `bad_registration` fault when it names no upstream
+   */
+  abstract upstreamOf(change: KeyedChange): Result<UpstreamEntry, Fault>;
+}
--- /dev/null
+++ b/src/daemons/direct/exchange.ts
@@ -0,0 +1,356 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import type {Millis, OrganisationName, ServiceName} from '../../core/index.js';
+import {EventFramer, StreamProgress, stepAfter} from '../../direct/index.js';
+import type {
+  AnswerFacts,
+  AttemptFailure,
+  HeaderLines,
+  RequestFacts,
+  Route,
+  Upstream,
+  UpstreamVerdict,
+} from '../../direct/index.js';
+import {Fault} from '../../errors/index.js';
+import type {ErrorName} from '../../errors/index.js';
+import {Attempt, pairs} from './attempt.js';
+import type {DirectContext} from './context.js';
+import {Reply} from './reply.js';
+
+/** Answers are sent this long before the caller stops waiting. */
+const ANSWER_MARGIN: Millis = 25;
+/** A body that is not a stream is held until whole up to this size. */
+const MAX_HELD_BYTES = 2 ** 20;
+
+/** A request that was let in. */
+export interface AdmittedRequest {
+  readonly facts: RequestFacts;
+  readonly route: Route;
+  readonly service: ServiceName;
+  readonly organisation: OrganisationName | undefined;
+  readonly priority: number;
+  readonly headers: HeaderLines;
+  readonly body: Buffer;
+  readonly arrivedAt: Millis;
+  readonly version: number;
+}
+
+interface AnswerHead {
+  readonly status: number;
+  readonly headers: HeaderLines;
+}
+
+/** One request of a caller, from its admission to its final answer. */
+export class Exchange {
+  private readonly reply: Reply;
+  private readonly deadlineAt: Millis;
+  private readonly progress: StreamProgress;
+  private readonly tried = new Set<string>();
+  private attempt: Attempt | undefined;
+  private upstream: Upstream | undefined;
+  private lastUpstream: Upstream | undefined;
+  private sentAt: Millis = 0;
+  private firstByteAt: Millis | undefined;
+  /** Upstreams that got the request. */
+  private sends = 0;
+  private mayHaveRun = false;
+  private head: AnswerHead | undefined;
+  private held: Buffer[] = [];
+  private heldBytes = 0;
+  private framer = new EventFramer();
+  private failure: (AnswerHead & {readonly body: Buffer}) | undefined;
+  private isOver = false;
+  private readonly timer: NodeJS.Timeout;
+
+  /**
+   * @param context - what the entry's requests share
+   * @param ask - the request
+   * @param req - the caller's HTTP request
+   * @param res - the HTTP response
+   * @param ended - called once when it is over
+   */
+  constructor(
+    private readonly context: DirectContext,
+    private readonly ask: AdmittedRequest,
+    private readonly req: IncomingMessage,
+    res: ServerResponse,
+    private readonly ended: () => void,
+  ) {
+    const {facts, route, arrivedAt} = ask;
+    this.reply = new Reply(res, context.dialect, () => context.isClosing());
+    const patience = (facts.patience ?? Infinity) - ANSWER_MARGIN;
+    this.deadlineAt = arrivedAt + Math.min(patience, route.timeout);
+    this.progress = new StreamProgress(facts.resumedAfter);
+    res.on('close', () => this.callerClosed());
+    const left = this.deadlineAt - context.clock.now();
+    this.timer = setTimeout(() => this.expire(), Math.max(0, left));
+    context.retries.requested(arrivedAt, ask.service);
+    this.place();
+  }
+
+  private get isStream(): boolean {
+    return this.ask.route.repeat === 'stream';
+  }
+
+  /** Sends the request to the best upstream that it has not been to. */
+  private place(): void {
+    const now = this.context.clock.now();
+    const upstream = this.context.choose(now, this.ask, this.tried);
+    if (upstream === undefined) {
+      if (this.reply.isStarted) this.giveUp('upstream_lost');
+      else if (this.failure !== undefined) this.passFailure();
+      else if (this.mayHaveRun) this.giveUp('upstream_lost');
+      else this.giveUp(this.sends === 0 ? 'no_upstream' : 'overloaded');
+      return;
+    }
+    this.send(now, upstream);
+  }
+
+  private send(now: Millis, upstream: Upstream): void {
+    const {ask, context} = this;
+    const {promptTokens} = ask.facts;
+    this.upstream = upstream;
+    this.sentAt = now;
+    this.tried.add(upstream.incarnation);
+    this.head = undefined;
+    this.held = [];
+    this.heldBytes = 0;
+    this.framer = new EventFramer();
+    context.loads.begin(upstream.incarnation, promptTokens);
+    const resumeAfter =
+      this.progress.delivered > 0 ? this.progress.lastId : undefined;
+    const lines = context.dialect.toUpstream(ask.headers, {
+      timeLeft: this.deadlineAt - now,
+      expected: upstream.entry.id,
+      organisation: ask.organisation,
+      resumeAfter,
+    });
+    const {method = 'GET', url: path = '/'} = this.req;
+    const hasBody =
+      ask.body.length > 0 || this.req.headers['content-length'] !== undefined;
+    const length: HeaderLines = hasBody
+      ? [['Content-Length', `${ask.body.length}`]]
+      : [];
+    const headers = [...lines, ...length];
+    this.attempt = new Attempt(
+      upstream,
+      {method, path, headers, body: ask.body, id: ask.facts.id},
+      context.connectionsFor(ask.route),
+      context.dialect,
+      {
+        head: (status, answer, facts) => this.begin(status, answer, facts),
+        data: chunk => this.take(chunk),
+        ended: () => this.whole(),
+        failed: failure => this.failed(failure),
+      },
+    );
+  }
+
+  private begin(
+    status: number,
+    headers: HeaderLines,
+    facts: AnswerFacts,
+  ): void {
+    const {upstream} = this;
+    if (upstream === undefined) return;
+    if (facts.isWrongUpstream) {
+      this.context.upstreamGone(upstream);
+      this.abandon({kind: 'not_run', reason: 'wrong_upstream'});
+      return;
+    }
+    if (facts.isNotRun) {
+      const {culprit} = facts;
+      const isGroup = culprit !== undefined && culprit !== upstream.entry.id;
+      if (isGroup) this.context.groupFell(upstream, culprit);
+      this.abandon({
+        kind: 'not_run',
+        reason: isGroup ? 'group_down' : 'busy',
+      });
+      return;
+    }
+    const isSuccess = status >= 200 && status < 300;
+    if (isSuccess && !facts.isSealed) {
+      this.abandon({kind: 'may_have_run', reason: 'answer without its seal'});
+      return;
+    }
+    this.head = {status, headers};
+    if (!isSuccess || !this.isStream || this.reply.isStarted) return;
+    this.reply.begin(status, headers);
+  }
+
+  private take(chunk: Buffer): void {
+    const isSuccess = this.head !== undefined && this.head.status < 300;
+    if (this.isStream && isSuccess) {
+      this.forward(this.framer.push(chunk));
+      return;
+    }
+    this.held.push(chunk);
+    this.heldBytes += chunk.length;
+    if (this.heldBytes <= MAX_HELD_BYTES || this.head === undefined) return;
+    if (!this.reply.isStarted) {
+      this.reply.begin(this.head.status, this.head.headers);
+    }
+    const bytes = Buffer.concat(this.held);
+    this.held = [];
+    this.write(bytes);
+  }
+
+  private forward(frames: ReturnType<EventFramer['push']>): void {
+    const fresh = frames.filter(frame => this.progress.accepts(frame));
+    if (fresh.length === 0) return;
+    this.firstByteAt ??= this.context.clock.now();
+    this.write(Buffer.concat(fresh.map(({bytes}) => bytes)));
+  }
+
+  private write(bytes: Buffer): void {
+    if (this.reply.write(bytes)) return;
+    const {attempt} = this;
+    attempt?.pause();
+    this.reply.onDrain(() => attempt?.resume());
+  }
+
+  /** The upstream's answer is whole. */
+  private whole(): void {
+    const {head} = this;
+    if (head === undefined) return;
+    const {status, headers} = head;
+    const body = Buffer.concat(this.held);
+    if (status >= 500) {
+      this.failure = {status, headers, body};
+      this.failed({kind: 'failed_answer', status});
+      return;
+    }
+    this.settle('good');
+    if (this.isStream && status < 300) {
+      const rest = this.framer.rest();
+      if (rest.length > 0) this.reply.write(rest);
+      this.reply.end();
+    } else if (this.reply.isStarted) {
+      if (body.length > 0) this.reply.write(body);
+      this.reply.end();
+    } else this.reply.whole(status, headers, body);
+    this.close('answered', status);
+  }
+
+  private abandon(failure: AttemptFailure): void {
+    this.attempt?.cancel();
+    this.failed(failure);
+  }
+
+  private failed(failure: AttemptFailure): void {
+    const {ask, context} = this;
+    const now = context.clock.now();
+    const isUnsent =
+      failure.kind === 'not_run' && failure.reason === 'unreachable';
+    this.settle(verdictOf(failure));
+    context.attemptFailed(ask, this.upstream, failure, now - this.sentAt);
+    if (!isUnsent) this.sends += 1;
+    const step = stepAfter(
+      {
+        route: ask.route,
+        attempts: this.sends,
+        mayHaveRunBefore: this.mayHaveRun,
+        started: this.reply.isStarted,
+      },
+      failure,
+    );
+    if (failure.kind !== 'not_run') this.mayHaveRun = true;
+    const mayGoOn = this.progress.delivered === 0 || ask.route.resumable;
+    if (step === 'try_another' && mayGoOn) {
+      if (this.sends === 0 || context.retries.spend(now, ask.service)) {
+        this.place();
+        return;
+      }
+    }
+    if (this.reply.isStarted) this.giveUp('upstream_lost');
+    else if (this.failure !== undefined) this.passFailure();
+    else if (this.mayHaveRun) this.giveUp('upstream_failed');
+    else this.giveUp('overloaded');
+  }
+
+  private passFailure(): void {
+    const {failure} = this;
+    if (failure === undefined) return;
+    this.reply.whole(failure.status, failure.headers, failure.body);
+    this.close('upstream_error', failure.status);
+  }
+
+  private giveUp(reason: ErrorName): void {
+    const fault = new Fault(reason);
+    const retryAfter = this.context.retryAfter(this.ask, reason);
+    this.reply.refuse(fault, retryAfter);
+    this.close(reason, fault.status, retryAfter);
+  }
+
+  /** The time that the caller or the operators allow is over. */
+  private expire(): void {
+    if (this.isOver) return;
+    const wasSent = this.attempt?.mayHaveLeft === true || this.mayHaveRun;
+    this.stopAttempt();
+    this.giveUp(wasSent ? 'deadline_passed' : 'overloaded');
+  }
+
+  private callerClosed(): void {
+    if (this.isOver) return;
+    this.stopAttempt();
+    this.close('caller_gone', 0);
+  }
+
+  private stopAttempt(): void {
+    if (this.upstream === undefined) return;
+    this.attempt?.cancel();
+    this.settle('neutral');
+  }
+
+  /** Ends the books of the attempt that runs. */
+  private settle(verdict: UpstreamVerdict): void {
+    const {upstream, context, ask} = this;
+    if (upstream === undefined) return;
+    const now = context.clock.now();
+    const took = (this.firstByteAt ?? now) - this.sentAt;
+    const latency = verdict === 'good' && !this.isStream ? took : undefined;
+    const {promptTokens} = ask.facts;
+    context.loads.end(
+      now,
+      upstream.incarnation,
+      promptTokens,
+      verdict,
+      latency,
+    );
+    this.upstream = undefined;
+    this.lastUpstream = upstream;
+  }
+
+  private close(outcome: string, status: number, retryAfter?: Millis): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    clearTimeout(this.timer);
+    this.context.finished(this.ask, {
+      outcome,
+      status,
+      retryAfter,
+      upstream: this.lastUpstream?.entry.id,
+      sends: this.sends + (outcome === 'answered' ? 1 : 0),
+      firstByteAt: this.firstByteAt,
+      delivered: this.progress.delivered,
+    });
+    this.ended();
+  }
+}
+
+function verdictOf(failure: AttemptFailure): UpstreamVerdict {
+  switch (failure.kind) {
+    case 'not_run':
+      return failure.reason === 'unreachable' ? 'unreachable' : 'neutral';
+    case 'may_have_run':
+    case 'failed_answer':
+      return 'bad';
+  }
+}
+
+/**
+ * Header lines of a caller's request.
+ * @param req - the request
+ */
+export const headerLines = (req: IncomingMessage): HeaderLines =>
+  pairs(req.rawHeaders);
--- /dev/null
+++ b/src/daemons/direct/index.ts
@@ -0,0 +1,5 @@
+/** The form of deployment in which entries send straight to upstreams. */
+export {DirectEntry} from './direct_entry.js';
+export type {DirectParts} from './direct_entry.js';
+export {Estate} from './estate.js';
+export type {DirectSettings} from './estate.js';
--- /dev/null
+++ b/src/daemons/direct/keyed_follower.ts
@@ -0,0 +1,134 @@
+import type {KeyedStore} from '../../clients/index.js';
+import type {Clock, Millis, Offset} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+import {KeyedView} from '../../direct/index.js';
+import type {KeyedChange} from '../../direct/index.js';
+import type {Fault} from '../../errors/index.js';
+import type {Logger} from '../../observability/index.js';
+
+/** First pause after a failed read, doubling. */
+const RETRY_BASE: Millis = 100;
+const RETRY_CAP: Millis = SECOND / 2;
+
+/** What the owner of a follower hears. */
+export interface FollowerEvents {
+  /** Records came; `isWhole` once the topic was read to its end. */
+  changed(changes: readonly KeyedChange[], isWhole: boolean): void;
+  /** The store does not answer any more. */
+  lost(reason: Fault): void;
+  /** The store answers again, after this long; the changes follow. */
+  regained(after: Millis): void;
+}
+
+/** How a topic is followed. */
+export interface FollowerSettings {
+  readonly topic: string;
+  /** How long the store may wait for a record in one read. */
+  readonly wait: Millis;
+  /** Least time from the start of one read to the next. */
+  readonly spacing: Millis;
+}
+
+/** Follows a keyed topic: lists it once, then reads what comes. */
+export class KeyedFollower {
+  private readonly view = new KeyedView();
+  private next: Offset | undefined;
+  private lostAt: Millis | undefined;
+  private failures = 0;
+  private contactAt: Millis | undefined;
+  private isStopped = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param store - where the topic lies
+   * @param settings - how to follow it
+   * @param clock - tells the time
+   * @param events - told of what comes
+   * @param logger - for lost and regained contact
+   */
+  constructor(
+    private readonly store: KeyedStore,
+    private readonly settings: FollowerSettings,
+    private readonly clock: Clock,
+    private readonly events: FollowerEvents,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Starts to follow. */
+  start(): void {
+    void this.round();
+  }
+
+  /** Stops for good. */
+  stop(): void {
+    this.isStopped = true;
+    clearTimeout(this.timer);
+  }
+
+  /** When the store last answered; nothing before the first answer. */
+  get lastContact(): Millis | undefined {
+    return this.contactAt;
+  }
+
+  private async round(): Promise<void> {
+    const startedAt = this.clock.now();
+    const fault = await this.readOnce();
+    if (this.isStopped) return;
+    if (fault === undefined) this.succeeded();
+    else this.failed(fault);
+    const pause =
+      fault === undefined
+        ? startedAt + this.settings.spacing - this.clock.now()
+        : Math.min(RETRY_CAP, RETRY_BASE * 2 ** Math.min(this.failures, 8));
+    this.timer = setTimeout(() => void this.round(), Math.max(0, pause));
+  }
+
+  private async readOnce(): Promise<Fault | undefined> {
+    const {topic, wait} = this.settings;
+    if (this.next === undefined) {
+      const listing = await this.store.list(topic);
+      if (listing.isErr()) return listing.error;
+      const {records, startedAt} = listing.value;
+      this.next = startedAt;
+      this.regain();
+      this.events.changed(this.view.applyListing(records, startedAt), true);
+      return undefined;
+    }
+    const page = await this.store.read(topic, this.next, wait);
+    if (page.isErr()) return page.error;
+    if (page.value.kind === 'expired') {
+      this.logger.warn('topic_history_expired', {topic, from: this.next});
+      this.next = undefined;
+      return undefined;
+    }
+    const {records, next} = page.value;
+    this.next = next;
+    this.regain();
+    const changes = this.view.apply(records);
+    if (changes.length > 0) this.events.changed(changes, true);
+    return undefined;
+  }
+
+  private succeeded(): void {
+    this.failures = 0;
+    this.contactAt = this.clock.now();
+  }
+
+  private regain(): void {
+    if (this.lostAt === undefined) return;
+    const after = this.clock.now() - this.lostAt;
+    this.lostAt = undefined;
+    const {topic} = this.settings;
+    this.logger.info('store_regained', {topic, after_ms: Math.round(after)});
+    this.events.regained(after);
+  }
+
+  private failed(fault: Fault): void {
+    this.failures += 1;
+    if (this.lostAt !== undefined) return;
+    this.lostAt = this.clock.now();
+    const {topic} = this.settings;
+    this.logger.warn('store_lost', {topic, reason: fault.message});
+    this.events.lost(fault);
+  }
+}
--- /dev/null
+++ b/src/daemons/direct/reply.ts
@@ -0,0 +1,117 @@
+import type {ServerResponse} from 'node:http';
+
+import type {Millis} from '../../core/index.js';
+import type {HeaderDialect, HeaderLines} from '../../direct/index.js';
+import {ERRORS} from '../../errors/index.js';
+import type {Fault} from '../../errors/index.js';
+
+/** Statuses that say that the request has not run and will not. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Writes the answer to one caller. */
+export class Reply {
+  /**
+   * @param res - the HTTP response
+   * @param dialect - how headers are written
+   * @param isLast - whether the connection closes after the answer
+   */
+  constructor(
+    private readonly res: ServerResponse,
+    private readonly dialect: HeaderDialect,
+    private readonly isLast: () => boolean,
+  ) {}
+
+  /** Whether a part of an answer has left. */
+  get isStarted(): boolean {
+    return this.res.headersSent;
+  }
+
+  /**
+   * Answers with all of an upstream's answer.
+   * @param status - its status
+   * @param headers - its header lines
+   * @param body - its whole body
+   */
+  whole(status: number, headers: HeaderLines, body: Buffer): void {
+    const lines = this.dialect.toCaller(headers);
+    this.writeHead(status, [...lines, ['Content-Length', `${body.length}`]]);
+    this.res.end(body);
+  }
+
+  /**
+   * Begins an answer that comes piece by piece.
+   * @param status - its status
+   * @param headers - the upstream's header lines
+   */
+  begin(status: number, headers: HeaderLines): void {
+    this.writeHead(status, this.dialect.toCaller(headers));
+    this.res.flushHeaders();
+  }
+
+  /**
+   * Writes a piece.
+   * @param bytes - the piece
+   * @returns whether more may be written at once
+   */
+  write(bytes: Buffer): boolean {
+    return this.res.write(bytes);
+  }
+
+  /**
+   * Waits until the caller has taken what was written.
+   * @param then - called once
+   */
+  onDrain(then: () => void): void {
+    this.res.once('drain', then);
+  }
+
+  /** Ends an answer that is whole. */
+  end(): void {
+    this.res.end();
+  }
+
+  /** Breaks off an answer that will not be whole. */
+  breakOff(): void {
+    this.res.destroy();
+  }
+
+  /**
+   * Answers with an error of this process.
+   * @param fault - the error
+   * @param retryAfter - when to come back, if it makes sense
+   */
+  refuse(fault: Fault, retryAfter?: Millis): void {
+    if (this.isStarted) {
+      this.breakOff();
+      return;
+    }
+    const {status, reason, hint} = fault;
+    const body = Buffer.from(
+      JSON.stringify({
+        type: 'about:blank',
+        title: ERRORS[reason].message,
+        status,
+        detail: fault.message,
+        reason,
+        hint,
+      }),
+    );
+    const isNotRun = NOT_RUN_STATUSES.has(status);
+    const comeBack =
+      retryAfter !== undefined && isNotRun
+        ? this.dialect.comeBackAfter(retryAfter)
+        : [];
+    this.writeHead(status, [
+      ['Content-Type', 'application/problem+json'],
+      ['Content-Length', `${body.length}`],
+      ...comeBack,
+    ]);
+    this.res.end(body);
+  }
+
+  private writeHead(status: number, lines: HeaderLines): void {
+    if (this.isLast()) this.res.shouldKeepAlive = false;
+    // Flat name and value lists keep order and repeats.
+    this.res.writeHead(status, lines.flat() as never);
+  }
+}
--- /dev/null
+++ b/src/daemons/direct/upstream_connections.ts
@@ -0,0 +1,75 @@
+import {Agent} from 'node:http';
+import type {AgentOptions, ClientRequest} from 'node:http';
+import type {Duplex} from 'node:stream';
+
+import type {Clock, Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+
+/**
+ * An idle connection is not used again after this time. Upstreams close idle
+ * ones after some seconds, and a request that crosses the close is lost.
+ */
+const REUSE_WITHIN: Millis = 1.5 * SECOND;
+/** Idle connections that are kept to one upstream. */
+const MAX_IDLE = 4;
+/** Interval of keep-alive probes on a connection that is in use. */
+const KEEP_ALIVE_PROBE: Millis = SECOND;
+
+/**
+ * Connections to upstreams. The one that was idle longest is used first, so
+ * that a late second answer mostly arrives while its connection is idle; an
+ * idle connection that receives anything is dropped.
+ */
+export class UpstreamConnections extends Agent {
+  private readonly idleSince = new WeakMap<Duplex, Millis>();
+  private readonly onStray = (stray: Duplex) => stray.destroy();
+
+  /**
+   * @param clock - tells how long a connection was idle
+   * @param options - further options of the agent
+   */
+  constructor(
+    private readonly clock: Clock,
+    options: AgentOptions = {},
+  ) {
+    super({
+      keepAlive: true,
+      keepAliveMsecs: KEEP_ALIVE_PROBE,
+      scheduling: 'fifo',
+      maxFreeSockets: MAX_IDLE,
+      ...options,
+    });
+  }
+
+  /**
+   * Drops the idle connections to an upstream that are too old.
+   * @param host - its host
+   * @param port - its port
+   */
+  prune(host: string, port: number): void {
+    const idle = this.freeSockets[this.getName({host, port})];
+    for (const socket of [...(idle ?? [])]) {
+      const since = this.idleSince.get(socket) ?? 0;
+      if (this.clock.now() - since > REUSE_WITHIN) socket.destroy();
+    }
+  }
+
+  override keepSocketAlive(socket: Duplex): boolean {
+    // The method returns whether the connection may be kept; its type is void.
+    const isKept = super.keepSocketAlive(socket) as unknown as boolean;
+    if (!isKept) return false;
+    this.idleSince.set(socket, this.clock.now());
+    const drop = () => this.onStray(socket);
+    this.strays.set(socket, drop);
+    socket.on('data', drop);
+    return true;
+  }
+
+  override reuseSocket(socket: Duplex, req: ClientRequest): void {
+    const drop = this.strays.get(socket);
+    if (drop !== undefined) socket.off('data', drop);
+    super.reuseSocket(socket, req);
+  }
+
+  private readonly strays = new WeakMap<Duplex, () => void>();
+}
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -20,7 +20,7 @@
 import {answerKeyRequest, isKeyRequest} from './key_issuer.js';
 import type {IssuedKey} from './key_issuer.js';
 import type {LimitsTask} from './limits_task.js';
-import {awaitContinue, readBody} from './request_body.js';
+import {awaitContinue, readBody} from '../shared/request_body.js';
 import {guardRequest} from './request_guard.js';
 import {identify, resolve, toCall} from './request_parser.js';
 import type {InForce} from './types.js';
--- a/src/daemons/entry/key_issuer.ts
+++ b/src/daemons/entry/key_issuer.ts
@@ -10,7 +10,7 @@
 import type {Member} from '../../membership/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import type {Caller} from './caller.js';
-import {readBody} from './request_body.js';
+import {readBody} from '../shared/request_body.js';
 import {identify} from './request_parser.js';
 import type {InForce} from './types.js';
 
--- a/src/daemons/shared/operator_server.ts
+++ b/src/daemons/shared/operator_server.ts
@@ -13,6 +13,8 @@
   notReady(): string | undefined;
   /** What `/status` shows, as JSON. */
   status(): object;
+  /** Path at which the balancer asks, where it isn't `/readyz`. */
+  readonly readinessPath?: string;
 }
 
 const OPERATOR_REQUEST_TIMEOUT_MS = 10_000;
@@ -22,7 +24,7 @@
   path: string,
   res: ServerResponse,
 ): Promise<void> {
-  switch (path) {
+  switch (path === view.readinessPath ? '/readyz' : path) {
     case '/healthz':
       res.setHeader('content-type', 'text/plain');
       res.end('ok\n');
--- /dev/null
+++ b/src/direct/placement.ts
@@ -0,0 +1,135 @@
+import type {AvailabilityZone, Chance, Millis} from '../core/index.js';
+import type {LoadBook} from './load_book.js';
+import type {Upstream} from './upstream_table.js';
+
+/** A request that is to be placed. */
+export interface PlacedRequest {
+  /** Tokens of its prompt; 0 for plain services. */
+  readonly promptTokens: number;
+}
+
+/** Chooses the upstream of a request among those that may take it. */
+export abstract class PlacementPolicy {
+  /**
+   * Chooses one of the candidates.
+   * @param now - present time
+   * @param req - the request
+   * @param candidates - upstreams that may take it
+   * @param chance - breaks ties
+   * @returns nothing only when there is no candidate
+   */
+  abstract choose(
+    now: Millis,
+    req: PlacedRequest,
+    candidates: readonly Upstream[],
+    chance: Chance,
+  ): Upstream | undefined;
+}
+
+/** Latency that an upstream without answers is taken to have. */
+const UNKNOWN_LATENCY: Millis = 30;
+/** A failing upstream looks this many times busier than a good one at most. */
+const WORST_PENALTY = 50;
+/** What a request in another zone costs besides, in requests in flight. */
+const OTHER_ZONE = 0.5;
+
+/**
+ * For upstreams that are independent of each other: the least expected wait,
+ * by requests in flight, usual latency and share of good answers. Load that
+ * it answers: one upstream of few that is slow or fails part of its requests.
+ */
+export class ExpectedWaitPlacement extends PlacementPolicy {
+  /**
+   * @param loads - work and health of the upstreams
+   * @param zone - zone of this entry
+   */
+  constructor(
+    private readonly loads: LoadBook,
+    private readonly zone: AvailabilityZone,
+  ) {
+    super();
+  }
+
+  choose(
+    now: Millis,
+    _req: PlacedRequest,
+    candidates: readonly Upstream[],
+    chance: Chance,
+  ): Upstream | undefined {
+    return least(candidates, chance, upstream => this.cost(now, upstream));
+  }
+
+  private cost(now: Millis, {entry, incarnation, warmAt}: Upstream): number {
+    const load = this.loads.of(incarnation);
+    const latency = load.latency ?? UNKNOWN_LATENCY;
+    const away = entry.availabilityZone === this.zone ? 0 : OTHER_ZONE;
+    const penalty = Math.min(WORST_PENALTY, 1 / load.successRate ** 3);
+    const isCold = now < warmAt;
+    const rounds = 1 + (load.inFlight + away) / Math.max(1, entry.slots);
+    return latency * rounds * penalty * (isCold ? 2 : 1);
+  }
+}
+
+/** What a prompt token weighs against a running request. */
+const PROMPT_TOKEN_WEIGHT = 1 / 4_000;
+
+/**
+ * For ranks that step together: a step lasts as long as the slowest rank's
+ * own part, so the work is spread evenly over all ranks; the zone only breaks
+ * ties. Load that it answers: many streams at once, long prompts among them.
+ */
+export class EvenRanksPlacement extends PlacementPolicy {
+  /**
+   * @param loads - work and health of the upstreams
+   * @param zone - zone of this entry
+   * @param reported - requests that a rank said it has, if known
+   */
+  constructor(
+    private readonly loads: LoadBook,
+    private readonly zone: AvailabilityZone,
+    private readonly reported: (
+      upstream: Upstream,
+      now: Millis,
+    ) => number | undefined,
+  ) {
+    super();
+  }
+
+  choose(
+    now: Millis,
+    req: PlacedRequest,
+    candidates: readonly Upstream[],
+    chance: Chance,
+  ): Upstream | undefined {
+    return least(candidates, chance, upstream => {
+      const {entry, incarnation} = upstream;
+      const load = this.loads.of(incarnation);
+      const there = this.reported(upstream, now) ?? load.inFlight;
+      const away = entry.availabilityZone === this.zone ? 0 : TIE_BREAK;
+      const penalty = 1 / Math.max(LEAST_RATE, load.successRate);
+      const tokens = (load.tokens + req.promptTokens) * PROMPT_TOKEN_WEIGHT;
+      return (there + tokens + 1) * penalty + away;
+    });
+  }
+}
+
+/** Small against one request, large against rounding. */
+const TIE_BREAK = 0.05;
+const LEAST_RATE = 0.2;
+
+function least(
+  candidates: readonly Upstream[],
+  chance: Chance,
+  cost: (upstream: Upstream) => number,
+): Upstream | undefined {
+  let best: Upstream[] = [];
+  let lowest = Infinity;
+  for (const candidate of candidates) {
+    const value = cost(candidate);
+    if (value < lowest) {
+      lowest = value;
+      best = [candidate];
+    } else if (value === lowest) best.push(candidate);
+  }
+  return best.length === 0 ? undefined : chance.pick(best);
+}
--- /dev/null
+++ b/src/direct/retry_allowance.ts
@@ -0,0 +1,92 @@
+import type {Millis, ServiceName} from '../core/index.js';
+
+/** Entries that are assumed until the real number is known. */
+const UNKNOWN_ENTRIES = 64;
+/** Part of the bound that is used: clocks of windows never agree exactly. */
+const USED_PART = 0.9;
+
+/** The bound that all entries together keep, in any window. */
+export interface RetryBound {
+  /** Repeats allowed for each request. */
+  readonly ratio: number;
+  /** Repeats allowed besides. */
+  readonly slack: number;
+  readonly window: Millis;
+}
+
+interface Counted {
+  readonly requests: Millis[];
+  readonly repeats: Millis[];
+}
+
+/**
+ * This entry's part of the bound on repeated sends. Each entry keeps the ratio
+ * on its own requests and an equal part of the slack, so that the sum keeps
+ * the bound without a word between them. The slack grows from nothing over
+ * the first window: an earlier life of this process may have spent its part.
+ */
+export class RetryAllowance {
+  private readonly counted = new Map<ServiceName, Counted>();
+  private entries = UNKNOWN_ENTRIES;
+
+  /**
+   * @param bound - the bound of all entries
+   * @param startedAt - start of this process
+   */
+  constructor(
+    private readonly bound: RetryBound,
+    private readonly startedAt: Millis,
+  ) {}
+
+  /**
+   * How many entries share the bound.
+   * @param count - at least all that may be running
+   */
+  shareAmong(count: number): void {
+    this.entries = Math.max(1, count);
+  }
+
+  /**
+   * A caller's request for a service came.
+   * @param now - present time
+   * @param service - the service
+   */
+  requested(now: Millis, service: ServiceName): void {
+    this.of(now, service).requests.push(now);
+  }
+
+  /**
+   * Asks to send a request once more, and counts it.
+   * @param now - present time
+   * @param service - the service
+   * @returns whether it may be sent
+   */
+  spend(now: Millis, service: ServiceName): boolean {
+    const {requests, repeats} = this.of(now, service);
+    const {ratio, slack, window} = this.bound;
+    const grown = Math.min(1, (now - this.startedAt) / window);
+    const own = ratio * requests.length + (slack / this.entries) * grown;
+    if (repeats.length + 1 > own * USED_PART) return false;
+    repeats.push(now);
+    return true;
+  }
+
+  private of(now: Millis, service: ServiceName): Counted {
+    let counted = this.counted.get(service);
+    if (counted === undefined) {
+      counted = {requests: [], repeats: []};
+      this.counted.set(service, counted);
+    }
+    const from = now - this.bound.window;
+    drop(counted.requests, from);
+    drop(counted.repeats, from);
+    return counted;
+  }
+}
+
+/** Drops times before `from`; times are in order. */
+function drop(times: Millis[], from: Millis): void {
+  let old = 0;
+  while (old < times.length && (times[old] as Millis) < from) old += 1;
+  if (old > 0) times.splice(0, old);
+}
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -150,6 +150,21 @@
     'The first call with this idempotency key is still running.',
     'Come back after Retry-After with the same key.',
   ),
+  store_unavailable: entry(
+    503,
+    "The platform's store does not answer.",
+    'The process goes on with what it knows; see the store when it lasts.',
+  ),
+  bad_registration: entry(
+    422,
+    'A registration names no upstream.',
+    'See the detail for the field; another writer may have made it.',
+  ),
+  bad_declaration: entry(
+    422,
+    'A version of the configuration cannot be read.',
+    'See the detail for the field; the version before stays in force.',
+  ),
   weight_store_unavailable: entry(
     503,
     "The platform's weight store does not answer or is at its limit.",
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -1,4 +1,5 @@
 /** Logs, metrics and the machine's clocks. */
+export * from './bounded_writer.js';
 export * from './clock.js';
 export * from './logger.js';
 export * from './metrics.js';
--- a/src/observability/logger.ts
+++ b/src/observability/logger.ts
@@ -99,7 +99,8 @@
  */
 export function createLogger(
   level: LogLevel = 'info',
-  write = (line: string) => void process.stderr.write(`${line}\n`),
+  write: (line: string) => void = line =>
+    void process.stderr.write(`${line}\n`),
 ): Logger {
   const consola = createConsola({
     level: CONSOLA_LEVEL[level],
