--- a/src/clients/index.ts
+++ b/src/clients/index.ts
@@ -5,3 +5,4 @@
 export * from './rank_engine_client.js';
 export * from './weight_store_client.js';
 export * from './keyed_store.js';
+export * from './rank_client.js';
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -1,18 +1,14 @@
 import type {Chance, Clock, Millis, ServiceName} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import {
-  ConfigurationHolder,
   EvenRanksPlacement,
   ExpectedWaitPlacement,
   LoadBook,
   RetryAllowance,
-  UpstreamTable,
   drawService,
-  upstreamId,
 } from '../../direct/index.js';
 import type {
   AttemptFailure,
-  KeyedChange,
   PlacementPolicy,
   Route,
   Upstream,
@@ -23,22 +19,15 @@
 import {OperatorServer} from '../shared/operator_server.js';
 import type {DirectContext, ExchangeEnd} from './context.js';
 import type {DirectSettings, Estate} from './estate.js';
+import {EstateView} from './estate_view.js';
 import {Exchange, headerLines} from './exchange.js';
 import type {AdmittedRequest} from './exchange.js';
 import {FrontServer} from './front_server.js';
 import type {ReadRequest} from './front_server.js';
-import {KeyedFollower} from './keyed_follower.js';
 import {Reply} from './reply.js';
 import {UpstreamConnections} from './upstream_connections.js';
 import {splitAddress} from './attempt.js';
 
-/** Reads of the configuration wait this long; a silent read is given up. */
-const CONFIGURATION_WAIT: Millis = SECOND;
-/** Registrations are read this often; a leaving one has to be seen in 2 s. */
-const UPSTREAMS_SPACING: Millis = SECOND / 2;
-/** Reads of the entries' own topic, which changes when one starts. */
-const ENTRIES_SPACING: Millis = 5 * SECOND;
-const EXPIRE_EVERY: Millis = SECOND / 4;
 /** When a caller comes back if nothing better is known. */
 const RETRY_SOON: Millis = SECOND / 2;
 
@@ -57,20 +46,16 @@
   readonly dialect;
   readonly loads = new LoadBook();
   readonly retries: RetryAllowance;
-  private readonly holder = new ConfigurationHolder();
-  private readonly upstreams = new UpstreamTable();
+  private readonly view: EstateView;
   private readonly front: FrontServer;
-  private readonly followers: KeyedFollower[];
   private readonly kept: UpstreamConnections;
   private readonly single: UpstreamConnections;
   private readonly operators: OperatorServer;
+  private readonly readiness: OperatorServer;
   private readonly plain: PlacementPolicy;
   private readonly ranks: PlacementPolicy;
   private readonly logger: Logger;
-  private readonly entryNames = new Set<string>();
-  private knowsUpstreams = false;
   private isDraining = false;
-  private timer: NodeJS.Timeout | undefined;
 
   /**
    * @param settings - the settings of this process
@@ -99,26 +84,33 @@
     this.front = new FrontServer(clock, this.dialect, logger, request =>
       this.serve(request),
     );
-    this.operators = new OperatorServer({
+    const operatorView = {
       metrics,
       notReady: () => this.notReady(),
       status: () => this.status(),
       readinessPath: estate.readinessPath,
+    };
+    this.operators = new OperatorServer(operatorView);
+    this.readiness = new OperatorServer(operatorView);
+    this.view = new EstateView(settings.vm, estate, clock, logger, {
+      configured: ({version, limits}) => {
+        this.front.setLimits(limits);
+        metrics.versionInForce.set(version);
+      },
+      entriesCounted: count => this.retries.shareAmong(count),
     });
-    this.followers = this.makeFollowers();
   }
 
   /** Starts to listen and to learn. */
   async start(): Promise<void> {
-    const {callers, readiness} = this.settings;
-    for (const follower of this.followers) follower.start();
+    const {callers, readiness, ip, operatorPort} = this.settings;
+    this.view.start();
     if (readiness !== undefined) {
       const {host, port} = splitAddress(readiness);
-      await this.operators.listen(host, port);
+      await this.readiness.listen(host, port);
     }
+    await this.operators.listen(ip, operatorPort);
     if (callers !== undefined) await this.front.listen(callers);
-    this.timer = setInterval(() => this.expire(), EXPIRE_EVERY);
-    void this.announce();
   }
 
   /** Finishes what was accepted; ends before the grace is over. */
@@ -141,8 +133,7 @@
 
   /** Stops at once. */
   async stop(): Promise<void> {
-    clearInterval(this.timer);
-    for (const follower of this.followers) follower.stop();
+    this.view.stop();
     this.logger.info('stopped', {open: this.front.openRequests});
     await Promise.resolve();
   }
@@ -156,7 +147,7 @@
     ask: AdmittedRequest,
     tried: ReadonlySet<string>,
   ): Upstream | undefined {
-    const all = this.upstreams
+    const all = this.view.upstreams
       .of(ask.service)
       .filter(({incarnation}) => !tried.has(incarnation));
     const reachable = all.filter(
@@ -175,7 +166,7 @@
   }
 
   upstreamGone(upstream: Upstream): void {
-    this.upstreams.saidGone(this.clock.now(), upstream);
+    this.view.upstreams.saidGone(this.clock.now(), upstream);
     const {id, address} = upstream.entry;
     this.logger.info('upstream_replaced', {upstream: id, address});
   }
@@ -233,7 +224,7 @@
     const reply = new Reply(res, this.dialect, () => this.isDraining);
     const headers = headerLines(req);
     const facts = this.dialect.readRequest(headers);
-    const table = this.holder.current;
+    const table = this.view.holder.current;
     if (table === undefined) {
       reply.refuse(new Fault('no_configuration'), SECOND);
       this.refused(facts.id, 'no_configuration', arrivedAt);
@@ -269,156 +260,29 @@
     arrivedAt: Millis,
   ): void {
     this.parts.metrics.refusals.inc({reason, service: ''});
-    const version = this.holder.current?.configuration.version;
+    const version = this.view.holder.current?.configuration.version;
     const ms = Math.round(this.clock.now() - arrivedAt);
     this.logger.info('refused', {id, reason, version, ms});
   }
 
   private hasEngines(service: ServiceName): boolean {
-    const services = this.holder.current?.configuration.services ?? [];
+    const services = this.view.holder.current?.configuration.services ?? [];
     const profile = services.find(({name}) => name === service);
     return profile?.engine !== undefined;
   }
 
-  private makeFollowers(): KeyedFollower[] {
-    const {topics, store} = this.parts.estate;
-    const follow = (
-      topic: string,
-      wait: Millis,
-      spacing: Millis,
-      changed: (changes: readonly KeyedChange[]) => void,
-      regained: () => void = () => undefined,
-    ) =>
-      new KeyedFollower(
-        store,
-        {topic, wait, spacing},
-        this.clock,
-        {changed, lost: () => undefined, regained},
-        this.logger,
-      );
-    return [
-      follow(topics.configuration, CONFIGURATION_WAIT, 0, changes =>
-        changes.forEach(change => this.configure(change)),
-      ),
-      follow(
-        topics.upstreams,
-        CONFIGURATION_WAIT,
-        UPSTREAMS_SPACING,
-        changes => this.register(changes),
-        () => this.upstreams.registryRegained(this.clock.now()),
-      ),
-      follow(topics.entries, CONFIGURATION_WAIT, ENTRIES_SPACING, changes =>
-        this.countEntries(changes),
-      ),
-    ];
-  }
-
-  private configure(change: KeyedChange): void {
-    const read = this.parts.estate.configurationOf(change);
-    if (read === undefined) return;
-    if (read.isErr()) {
-      this.logger.error('configuration_unreadable', {
-        reason: read.error.message,
-      });
-      return;
-    }
-    const {version, routes, services, organisations, limits} = read.value;
-    const before = this.holder.current?.configuration.version;
-    const isInForce = this.holder.offer(read.value);
-    if (isInForce) {
-      this.front.setLimits(limits);
-      this.parts.metrics.versionInForce.set(version);
-    }
-    this.logger.info('configuration', {
-      version,
-      before,
-      in_force: isInForce,
-      routes: routes.length,
-      services: services.length,
-      organisations: organisations.length,
-    });
-  }
-
-  private register(changes: readonly KeyedChange[]): void {
-    this.knowsUpstreams = true;
-    const now = this.clock.now();
-    for (const change of changes) {
-      if (change.value === undefined) {
-        const id = upstreamId(change.key);
-        const what = this.upstreams.unregister(now, id);
-        if (what !== 'ignored') {
-          this.logger.info('upstream', {upstream: id, change: what});
-        }
-        continue;
-      }
-      const read = this.parts.estate.upstreamOf(change);
-      if (read.isErr()) {
-        const {message: reason} = read.error;
-        this.logger.warn('registration_ignored', {key: change.key, reason});
-        continue;
-      }
-      const {id, address, service} = read.value;
-      const what = this.upstreams.register(now, read.value);
-      if (what === 'ignored' || what === 'changed') continue;
-      this.logger.info('upstream', {
-        upstream: id,
-        change: what,
-        address,
-        service,
-      });
-    }
-  }
-
-  private countEntries(changes: readonly KeyedChange[]): void {
-    for (const {key, value} of changes) {
-      if (value === undefined) this.entryNames.delete(key);
-      else this.entryNames.add(key);
-    }
-    this.entryNames.add(this.settings.vm);
-    this.retries.shareAmong(this.entryNames.size);
-    this.logger.info('entries', {count: this.entryNames.size});
-  }
-
-  /** Tells the other entries of this one, once the store takes it. */
-  private async announce(): Promise<void> {
-    const {store, topics} = this.parts.estate;
-    const value = Buffer.from(
-      JSON.stringify({availabilityZone: this.settings.availabilityZone}),
-    );
-    while (!this.isDraining) {
-      const put = await store.put(topics.entries, this.settings.vm, value);
-      if (put.isOk()) return;
-      this.logger.warn('announce_failed', {reason: put.error.message});
-      await new Promise(resolve => setTimeout(resolve, SECOND));
-    }
-  }
-
-  private expire(): void {
-    for (const {entry} of this.upstreams.expire(this.clock.now())) {
-      this.logger.info('upstream', {upstream: entry.id, change: 'gone'});
-    }
-  }
-
   private notReady(): string | undefined {
-    if (this.isDraining) return 'draining';
-    if (this.holder.current === undefined) return 'no_configuration';
-    if (!this.knowsUpstreams) return 'no_upstreams';
-    return undefined;
+    return this.isDraining ? 'draining' : this.view.lacking;
   }
 
   private status(): object {
     const now = this.clock.now();
-    const [configuration, upstreams] = this.followers.map(
-      ({lastContact}) => lastContact && Math.round(now - lastContact),
-    );
     return {
       vm: this.settings.vm,
       notReady: this.notReady(),
-      version: this.holder.current?.configuration.version,
-      contactAgeMs: {configuration, upstreams},
-      entries: this.entryNames.size,
+      ...this.view.status(now),
       openRequests: this.front.openRequests,
-      upstreams: this.upstreams.all().map(({entry, incarnation}) => ({
+      upstreams: this.view.upstreams.all().map(({entry, incarnation}) => ({
         id: entry.id,
         service: entry.service,
         address: entry.address,
--- a/src/daemons/direct/estate.ts
+++ b/src/daemons/direct/estate.ts
@@ -1,4 +1,6 @@
-import type {KeyedStore} from '../../clients/index.js';
+import type {Result} from 'neverthrow';
+
+import type {KeyedStore, RankClient} from '../../clients/index.js';
 import type {
   AvailabilityZone,
   Millis,
@@ -14,8 +16,6 @@
 } from '../../direct/index.js';
 import type {Fault} from '../../errors/index.js';
 
-import type {Result} from 'neverthrow';
-
 /** What a process of this form of deployment is told at its start. */
 export interface DirectSettings {
   readonly vm: VmName;
@@ -28,6 +28,10 @@
   readonly readiness: string | undefined;
   /** Ports for the system's own processes, first and last. */
   readonly internalPorts: readonly [number, number];
+  /** Where operators and the collector of metrics ask. */
+  readonly operatorPort: number;
+  /** Shared by all processes of the estate. */
+  readonly linkKey: string;
   /** The upstream on this VM and its service; only of sidecars. */
   readonly upstream:
     {readonly address: string; readonly service: ServiceName} | undefined;
@@ -65,4 +69,10 @@
    * @returns a `bad_registration` fault when it names no upstream
    */
   abstract upstreamOf(change: KeyedChange): Result<UpstreamEntry, Fault>;
+
+  /**
+   * A client of a rank's engine.
+   * @param address - `host:port` of the engine
+   */
+  abstract rankAt(address: string): RankClient;
 }
--- /dev/null
+++ b/src/daemons/direct/estate_view.ts
@@ -0,0 +1,209 @@
+import type {Clock, Millis, VmName} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+import {
+  ConfigurationHolder,
+  UpstreamTable,
+  upstreamId,
+} from '../../direct/index.js';
+import type {DirectConfiguration, KeyedChange} from '../../direct/index.js';
+import type {Logger} from '../../observability/index.js';
+import type {Estate} from './estate.js';
+import {KeyedFollower} from './keyed_follower.js';
+
+/**
+ * Reads of the configuration wait this long at the store. A connection that
+ * went silent shows only when the answer is overdue.
+ */
+const CONFIGURATION_WAIT: Millis = 1.5 * SECOND;
+/** Registrations are read this often; a leaving one has to be seen in 2 s. */
+const UPSTREAMS_SPACING: Millis = 0.8 * SECOND;
+/** Reads of the entries' own topic, which changes when one starts. */
+const ENTRIES_SPACING: Millis = 5 * SECOND;
+const EXPIRE_EVERY: Millis = SECOND / 4;
+
+/** What the owner of a view hears. */
+export interface ViewEvents {
+  /** Another version is in force. */
+  configured(configuration: DirectConfiguration): void;
+  /** The number of entries that may be running has changed. */
+  entriesCounted(count: number): void;
+}
+
+/** What an entry knows of its estate, kept up to date from the store. */
+export class EstateView {
+  readonly holder = new ConfigurationHolder();
+  readonly upstreams = new UpstreamTable();
+  private readonly followers: {
+    readonly configuration: KeyedFollower;
+    readonly upstreams: KeyedFollower;
+    readonly entries: KeyedFollower;
+  };
+  private readonly entryNames = new Set<string>();
+  private knowsUpstreams = false;
+  private isStopped = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param vm - the VM of this entry
+   * @param estate - the services around
+   * @param clock - tells the time
+   * @param logger - for what changes
+   * @param events - told of what changes
+   */
+  constructor(
+    private readonly vm: VmName,
+    private readonly estate: Estate,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly events: ViewEvents,
+  ) {
+    const {topics} = estate;
+    this.followers = {
+      configuration: this.follow(topics.configuration, 0, changes =>
+        changes.forEach(change => this.configure(change)),
+      ),
+      upstreams: this.follow(topics.upstreams, UPSTREAMS_SPACING, changes =>
+        this.register(changes),
+      ),
+      entries: this.follow(topics.entries, ENTRIES_SPACING, changes =>
+        this.countEntries(changes),
+      ),
+    };
+  }
+
+  /** Starts to learn, and tells the other entries of this one. */
+  start(): void {
+    for (const follower of Object.values(this.followers)) follower.start();
+    this.timer = setInterval(() => this.expire(), EXPIRE_EVERY);
+    void this.announce();
+  }
+
+  /** Stops for good. */
+  stop(): void {
+    this.isStopped = true;
+    clearInterval(this.timer);
+    for (const follower of Object.values(this.followers)) follower.stop();
+  }
+
+  /** What is still to be learnt before requests can be served, if anything. */
+  get lacking(): string | undefined {
+    if (this.holder.current === undefined) return 'no_configuration';
+    return this.knowsUpstreams ? undefined : 'no_upstreams';
+  }
+
+  /**
+   * What `/status` shows.
+   * @param now - present time
+   */
+  status(now: Millis): object {
+    const age = ({lastContact}: KeyedFollower) =>
+      lastContact === undefined ? undefined : Math.round(now - lastContact);
+    return {
+      version: this.holder.current?.configuration.version,
+      configurationAgeMs: age(this.followers.configuration),
+      upstreamsAgeMs: age(this.followers.upstreams),
+      entries: this.entryNames.size,
+    };
+  }
+
+  private follow(
+    topic: string,
+    spacing: Millis,
+    changed: (changes: readonly KeyedChange[]) => void,
+  ): KeyedFollower {
+    return new KeyedFollower(
+      this.estate.store,
+      {topic, wait: CONFIGURATION_WAIT, spacing},
+      this.clock,
+      {
+        changed,
+        regained: () => {
+          if (topic !== this.estate.topics.upstreams) return;
+          this.upstreams.registryRegained(this.clock.now());
+        },
+      },
+      this.logger,
+    );
+  }
+
+  private configure(change: KeyedChange): void {
+    const read = this.estate.configurationOf(change);
+    if (read === undefined) return;
+    if (read.isErr()) {
+      this.logger.error('configuration_unreadable', {
+        reason: read.error.message,
+      });
+      return;
+    }
+    const {version, routes, services, organisations} = read.value;
+    const before = this.holder.current?.configuration.version;
+    const isInForce = this.holder.offer(read.value);
+    if (isInForce) this.events.configured(read.value);
+    this.logger.info('configuration', {
+      version,
+      before,
+      in_force: isInForce,
+      routes: routes.length,
+      services: services.length,
+      organisations: organisations.length,
+    });
+  }
+
+  private register(changes: readonly KeyedChange[]): void {
+    this.knowsUpstreams = true;
+    const now = this.clock.now();
+    for (const change of changes) {
+      if (change.value === undefined) {
+        const id = upstreamId(change.key);
+        const what = this.upstreams.unregister(now, id);
+        if (what !== 'ignored') {
+          this.logger.info('upstream', {upstream: id, change: what});
+        }
+        continue;
+      }
+      const read = this.estate.upstreamOf(change);
+      if (read.isErr()) {
+        const {message: reason} = read.error;
+        this.logger.warn('registration_ignored', {key: change.key, reason});
+        continue;
+      }
+      const {id, address, service} = read.value;
+      const what = this.upstreams.register(now, read.value);
+      if (what === 'ignored' || what === 'changed') continue;
+      this.logger.info('upstream', {
+        upstream: id,
+        change: what,
+        address,
+        service,
+      });
+    }
+  }
+
+  private countEntries(changes: readonly KeyedChange[]): void {
+    for (const {key, value} of changes) {
+      if (value === undefined) this.entryNames.delete(key);
+      else this.entryNames.add(key);
+    }
+    this.entryNames.add(this.vm);
+    this.events.entriesCounted(this.entryNames.size);
+    this.logger.info('entries', {count: this.entryNames.size});
+  }
+
+  /** Tells the other entries of this one, once the store takes it. */
+  private async announce(): Promise<void> {
+    const {store, topics} = this.estate;
+    const value = Buffer.from(JSON.stringify({startedAt: this.clock.wall()}));
+    while (!this.isStopped) {
+      const put = await store.put(topics.entries, this.vm, value);
+      if (put.isOk()) return;
+      this.logger.warn('announce_failed', {reason: put.error.message});
+      await new Promise(resolve => setTimeout(resolve, SECOND));
+    }
+  }
+
+  private expire(): void {
+    for (const {entry} of this.upstreams.expire(this.clock.now())) {
+      this.logger.info('upstream', {upstream: entry.id, change: 'gone'});
+    }
+  }
+}
--- a/src/daemons/direct/index.ts
+++ b/src/daemons/direct/index.ts
@@ -3,3 +3,5 @@
 export type {DirectParts} from './direct_entry.js';
 export {Estate} from './estate.js';
 export type {DirectSettings} from './estate.js';
+export {MapSidecar} from './map_sidecar.js';
+export type {MapSidecarParts} from './map_sidecar.js';
--- a/src/daemons/direct/keyed_follower.ts
+++ b/src/daemons/direct/keyed_follower.ts
@@ -12,10 +12,8 @@
 
 /** What the owner of a follower hears. */
 export interface FollowerEvents {
-  /** Records came; `isWhole` once the topic was read to its end. */
-  changed(changes: readonly KeyedChange[], isWhole: boolean): void;
-  /** The store does not answer any more. */
-  lost(reason: Fault): void;
+  /** Records came, or the first listing did, be it empty. */
+  changed(changes: readonly KeyedChange[]): void;
   /** The store answers again, after this long; the changes follow. */
   regained(after: Millis): void;
 }
@@ -91,7 +89,7 @@
       const {records, startedAt} = listing.value;
       this.next = startedAt;
       this.regain();
-      this.events.changed(this.view.applyListing(records, startedAt), true);
+      this.events.changed(this.view.applyListing(records, startedAt));
       return undefined;
     }
     const page = await this.store.read(topic, this.next, wait);
@@ -105,7 +103,7 @@
     this.next = next;
     this.regain();
     const changes = this.view.apply(records);
-    if (changes.length > 0) this.events.changed(changes, true);
+    if (changes.length > 0) this.events.changed(changes);
     return undefined;
   }
 
@@ -129,6 +127,5 @@
     this.lostAt = this.clock.now();
     const {topic} = this.settings;
     this.logger.warn('store_lost', {topic, reason: fault.message});
-    this.events.lost(fault);
   }
 }
--- /dev/null
+++ b/src/daemons/direct/map_planner.ts
@@ -0,0 +1,127 @@
+import type {Millis} from '../../core/index.js';
+import {
+  DEFAULT_POLICY,
+  Planner,
+  Popularity,
+  mapFromLists,
+  startingMap,
+} from '../../expert_groups/index.js';
+import type {
+  ExpertMap,
+  GroupShape,
+  Plan,
+  RankPlacement,
+} from '../../expert_groups/index.js';
+import type {ExpertProfile} from '../../direct/index.js';
+
+const MEGABYTE = 2 ** 20;
+/** Choices that a plan has to rest on: some passes of a busy group. */
+const LEAST_CHOICES = 20_000;
+/** A change has to take off this much skew, or it is not worth its pauses. */
+const LEAST_GAIN = 0.06;
+
+/** Plans the maps of one group from what its ranks count. */
+export class MapPlanner {
+  private readonly popularity: Popularity;
+  private readonly placed = new Map<number, RankPlacement>();
+  private readonly planner: Planner;
+  private readonly shape: GroupShape;
+
+  /**
+   * @param profile - experts of the service
+   * @param ranks - ranks of the group
+   */
+  constructor(profile: ExpertProfile, ranks: number) {
+    const {layerSets, expertsPerSet, slotsPerRank} = profile;
+    this.shape = {
+      ranks,
+      layers: layerSets,
+      experts: expertsPerSet,
+      slotsPerRank,
+      expertSize: profile.expertMegabytes * MEGABYTE,
+    };
+    this.popularity = new Popularity(layerSets, expertsPerSet);
+    this.planner = new Planner({
+      ...DEFAULT_POLICY,
+      weightSkew: 1,
+      weightCost: 1,
+      newPerRank: Math.min(profile.newPerChange, NEW_PER_RANK),
+    });
+  }
+
+  /**
+   * Takes choices of experts.
+   * @param now - present time
+   * @param chosen - by set and expert
+   */
+  add(now: Millis, chosen: readonly number[]): void {
+    if (chosen.length > 0) this.popularity.add(now, chosen);
+  }
+
+  /**
+   * Takes what a rank holds.
+   * @param rank - the rank
+   * @param placement - its experts on a map
+   */
+  place(rank: number, placement: RankPlacement): void {
+    this.placed.set(rank, placement);
+  }
+
+  /** A group that formed anew is on the starting map. */
+  forget(): void {
+    this.placed.clear();
+  }
+
+  /**
+   * Whether the placement of a rank on a map is not known yet.
+   * @param rank - the rank
+   * @param map - the map that it is on
+   */
+  lacks(rank: number, map: number): boolean {
+    return map !== 0 && this.placed.get(rank)?.map !== map;
+  }
+
+  /**
+   * Plans a change.
+   * @param map - number of the map that all ranks are on
+   * @returns nothing when too little is known
+   */
+  plan(map: number): Plan | undefined {
+    const current = this.current(map);
+    if (current === undefined) return undefined;
+    if (this.popularity.weight < LEAST_CHOICES) return undefined;
+    const steps = this.planner.plan({
+      shape: this.shape,
+      map: current,
+      loads: this.popularity.loads(),
+      drift: [],
+      confidence: 1,
+    });
+    for (;;) {
+      const {done, value} = steps.next();
+      if (done === true) return value;
+    }
+  }
+
+  /**
+   * Whether a plan is worth a change of map.
+   * @param plan - the plan
+   */
+  isWorthIt({skewBefore, skewAfter, moves}: Plan): boolean {
+    return moves.length > 0 && skewBefore - skewAfter >= LEAST_GAIN;
+  }
+
+  private current(map: number): ExpertMap | undefined {
+    if (map === 0) return startingMap(this.shape);
+    const lists: (readonly (readonly number[])[])[] = [];
+    for (let rank = 0; rank < this.shape.ranks; rank++) {
+      const placement = this.placed.get(rank);
+      if (placement?.map !== map) return undefined;
+      lists.push(placement.experts);
+    }
+    return mapFromLists(map, this.shape, lists);
+  }
+}
+
+/** Experts of a set that a change brings to a rank: few load fast. */
+const NEW_PER_RANK = 2;
--- /dev/null
+++ b/src/daemons/direct/rank_links.ts
@@ -0,0 +1,135 @@
+import type {Incarnation, Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+import {cutoverMessages} from '../../expert_groups/index.js';
+import type {CutoverMessage} from '../../expert_groups/index.js';
+import {acceptLinks, dial} from '../../links/index.js';
+import type {
+  Link,
+  LinkContext,
+  LinkMessage,
+  Listening,
+} from '../../links/index.js';
+
+/** A link that did not open, or broke, is dialled again after this time. */
+const REDIAL_AFTER: Millis = SECOND / 2;
+
+const TYPES: ReadonlySet<string> = new Set(
+  cutoverMessages.map(({shape}) => shape.type.value),
+);
+
+function isCutover(message: LinkMessage): message is CutoverMessage {
+  return TYPES.has(message.type);
+}
+
+interface Dialled {
+  readonly link: Link;
+  readonly at: Millis;
+}
+
+/** Links between the sidecars of a group: its coordinator dials the others. */
+export class RankLinks {
+  private readonly dialled = new Map<string, Dialled>();
+  private readonly byPeer = new Map<Incarnation, Link>();
+  private listening: Listening | undefined;
+
+  /**
+   * @param context - what every link needs
+   * @param received - takes each message
+   */
+  constructor(
+    private readonly context: LinkContext,
+    private readonly received: (
+      from: Incarnation,
+      message: CutoverMessage,
+    ) => void,
+  ) {}
+
+  /**
+   * Accepts links.
+   * @param host - IP address
+   * @param port - port
+   */
+  async listen(host: string, port: number): Promise<void> {
+    this.listening = await acceptLinks(
+      host,
+      port,
+      () => this.context,
+      this.listener(),
+    );
+  }
+
+  /**
+   * Opens a link unless there is one, or one failed just now.
+   * @param address - `host:port` of the other sidecar
+   */
+  dial(address: string): void {
+    const now = this.context.clock.now();
+    const known = this.dialled.get(address);
+    if (known !== undefined && now - known.at < REDIAL_AFTER) return;
+    if (known !== undefined && known.link.remote !== undefined) return;
+    const link = dial(address, this.context, this.listener(address));
+    this.dialled.set(address, {link, at: now});
+  }
+
+  /**
+   * Sends to a process that dialled this one, or was dialled.
+   * @param to - the process
+   * @param message - the message
+   */
+  send(to: Incarnation, message: CutoverMessage): boolean {
+    return this.byPeer.get(to)?.send(message) ?? false;
+  }
+
+  /**
+   * Sends over the link that was dialled.
+   * @param address - `host:port` of the other sidecar
+   * @param message - the message
+   * @returns whether it was handed to a connection
+   */
+  sendTo(address: string, message: CutoverMessage): boolean {
+    return this.dialled.get(address)?.link.send(message) ?? false;
+  }
+
+  /**
+   * Sends over all links that were dialled.
+   * @param message - the message
+   */
+  broadcast(message: CutoverMessage): void {
+    for (const {link} of this.dialled.values()) link.send(message);
+  }
+
+  /** Closes the links that were dialled. */
+  hangUp(): void {
+    for (const {link} of this.dialled.values()) link.finish();
+    this.dialled.clear();
+  }
+
+  /** Closes everything. */
+  async close(): Promise<void> {
+    this.hangUp();
+    await this.listening?.close();
+  }
+
+  private listener(address?: string) {
+    return {
+      open: (link: Link, peer: {readonly incarnation: Incarnation}) => {
+        this.byPeer.set(peer.incarnation, link);
+      },
+      message: (link: Link, message: LinkMessage) => {
+        const from = link.remote?.incarnation;
+        if (from !== undefined && isCutover(message)) {
+          this.received(from, message);
+        }
+      },
+      closed: (link: Link) => {
+        const from = link.remote?.incarnation;
+        if (from !== undefined && this.byPeer.get(from) === link) {
+          this.byPeer.delete(from);
+        }
+        if (address === undefined) return;
+        const known = this.dialled.get(address);
+        if (known?.link === link) this.dialled.delete(address);
+      },
+    };
+  }
+}
--- /dev/null
+++ b/src/daemons/direct/rank_watch.ts
@@ -0,0 +1,49 @@
+import type {RankClient} from '../../clients/index.js';
+import type {RankPlacement, RankReport} from '../../expert_groups/index.js';
+
+/** What a sidecar has learnt of its own rank since the last look. */
+export interface RankLook {
+  readonly report: RankReport;
+  /** Choices of experts since the look before; empty when not known. */
+  readonly chosen: readonly number[];
+}
+
+/** Reads the rank beside the sidecar; both are on one VM, so that is free. */
+export class RankWatch {
+  private counts: readonly number[] | undefined;
+  private epoch = -1;
+  private bornAt = -1;
+
+  /** @param client - the rank's engine */
+  constructor(private readonly client: RankClient) {}
+
+  /** Looks at the rank; nothing when it does not answer or is in no group. */
+  async look(): Promise<RankLook | undefined> {
+    const report = await this.report();
+    if (report === undefined) return undefined;
+    const chosen = await this.client.chosen();
+    if (chosen.isErr()) return {report, chosen: []};
+    const {epoch, counts} = chosen.value;
+    const before = this.counts;
+    const isSameLife = this.epoch === epoch && this.bornAt === report.bornAt;
+    this.counts = counts;
+    this.epoch = epoch;
+    this.bornAt = report.bornAt;
+    if (before === undefined || !isSameLife) return {report, chosen: []};
+    // An engine that started again counts from nothing.
+    const grown = counts.map((n, i) => Math.max(0, n - (before[i] ?? 0)));
+    return {report, chosen: grown};
+  }
+
+  /** The rank's report alone. */
+  async report(): Promise<RankReport | undefined> {
+    const report = await this.client.report();
+    return report.isOk() ? report.value : undefined;
+  }
+
+  /** Experts that the rank holds. */
+  async placement(): Promise<RankPlacement | null> {
+    const placement = await this.client.placement();
+    return placement.isOk() ? placement.value : null;
+  }
+}
--- /dev/null
+++ b/src/expert_groups/cutover/coordinator.ts
@@ -0,0 +1,467 @@
+import type {Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+import type {ExpertMap, MapVersion, Rank, Step} from '../types.js';
+import {expertLists} from './expert_lists.js';
+import type {
+  CutoverOrder,
+  OrderOutcome,
+  RankReport,
+  RankedOrder,
+} from './types.js';
+
+/** An order that was not answered is given again after this time. */
+const REPEAT_EVERY: Millis = 80;
+/** Passes between the latest one and the one that is held. */
+const HOLD_MARGIN = 2;
+/** A report older than this says nothing of now. */
+const FRESH_WITHIN: Millis = SECOND;
+/** Weights have to be there within this time, or the change is given up. */
+const PREPARE_WITHIN: Millis = 6 * SECOND;
+/** All ranks must be armed within this time of the hold. */
+const ARM_WITHIN: Millis = SECOND;
+/** A hold or an arming that nobody knows of is cleared after this time. */
+const ORPHANED_AFTER: Millis = SECOND / 2;
+/** A coordinator that cannot reach all ranks steps down after this time. */
+const RECOVER_WITHIN: Millis = 4 * SECOND;
+/** Changes and clearings that one claim can number. */
+export const TOKENS_PER_CLAIM = 2 ** 16;
+
+export type CutoverPhase =
+  /** Learns what an earlier coordinator left, and clears it. */
+  | 'recovering'
+  | 'idle'
+  | 'preparing'
+  | 'holding'
+  | 'arming'
+  | 'releasing'
+  | 'switching'
+  /** Another coordinator has taken over, or ranks cannot be reached. */
+  | 'resigned';
+
+/** What happened, for logs and counters. */
+export interface CutoverEvent {
+  readonly event:
+    'prepared' | 'held' | 'armed' | 'released' | 'switched' | 'cancelled';
+  readonly map: MapVersion;
+  readonly detail?: string;
+}
+
+interface Known {
+  report: RankReport;
+  at: Millis;
+}
+
+interface Change {
+  readonly map: ExpertMap;
+  readonly startedAt: Millis;
+  phaseAt: Millis;
+  step: Step;
+}
+
+/**
+ * Takes a lock-step group from one expert map to the next, by orders that
+ * ranks may carry out late or twice, and never compares its own memory with
+ * what a rank reports: the report stands.
+ *
+ * The group is held at one pass on one rank while all ranks are armed for it;
+ * it is released only when all are armed alike, or none is. Each change has a
+ * fencing token of its own, so that a late order of an earlier one is refused
+ * by every rank that has seen an order of this one.
+ */
+export class CutoverCoordinator {
+  private state: CutoverPhase = 'recovering';
+  private readonly known = new Map<Rank, Known>();
+  private readonly sentAt = new Map<Rank, Millis>();
+  /** Ranks that have answered an order of the present token. */
+  private readonly planted = new Set<Rank>();
+  /** Ranks whose present order was answered. */
+  private readonly acked = new Set<Rank>();
+  private token: number;
+  private numbered = 0;
+  private change: Change | undefined;
+  private orphanSince: Millis | undefined;
+  private phaseAt: Millis;
+  private readonly events: CutoverEvent[] = [];
+
+  /**
+   * @param self - rank whose engine holds the group
+   * @param size - ranks of the group
+   * @param claim - number of this coordinator's claim, above all earlier ones
+   * @param now - present time
+   */
+  constructor(
+    private readonly self: Rank,
+    private readonly size: number,
+    claim: number,
+    now: Millis,
+  ) {
+    this.token = claim * TOKENS_PER_CLAIM;
+    this.phaseAt = now;
+  }
+
+  get phase(): CutoverPhase {
+    return this.state;
+  }
+
+  /** Token of the present change or clearing. */
+  get fencingToken(): number {
+    return this.token;
+  }
+
+  /** Number for a next map: above all that any rank has had. */
+  get nextVersion(): MapVersion {
+    return this.token + 1;
+  }
+
+  /** Newest report of each rank. */
+  reportOf(rank: Rank): RankReport | undefined {
+    return this.known.get(rank)?.report;
+  }
+
+  /** Takes what has happened since the last call. */
+  takeEvents(): CutoverEvent[] {
+    return this.events.splice(0);
+  }
+
+  /**
+   * Takes a report of a rank.
+   * @param now - present time
+   * @param report - the report
+   */
+  reported(now: Millis, report: RankReport): void {
+    const before = this.known.get(report.rank)?.report;
+    this.known.set(report.rank, {report, at: now});
+    if (before === undefined) return;
+    const isReborn = before.bornAt !== report.bornAt;
+    if (!isReborn && before.epoch === report.epoch) return;
+    // A group that forms anew has dropped maps, armings and holds.
+    this.planted.delete(report.rank);
+    if (this.state === 'idle' || this.state === 'resigned') return;
+    this.cancel(now, 'group formed anew');
+  }
+
+  /**
+   * Takes the outcome of an order.
+   * @param now - present time
+   * @param given - the order
+   * @param outcome - what became of it
+   */
+  answered(now: Millis, given: RankedOrder, outcome: OrderOutcome): void {
+    if (this.state === 'resigned' || given.token !== this.token) return;
+    if (outcome === 'fenced') {
+      this.enter(now, 'resigned');
+      return;
+    }
+    this.sentAt.delete(given.rank);
+    if (outcome === 'unanswered' || outcome === 'replaced') return;
+    this.planted.add(given.rank);
+    this.acked.add(given.rank);
+    if (outcome === 'accepted') return;
+    const {kind} = given.order;
+    if (kind === 'hold' && this.state === 'holding') this.holdLater();
+    if (kind === 'prepare' && this.state === 'preparing') {
+      this.cancel(now, `rank ${given.rank} refused to prepare`);
+    }
+    if (kind === 'arm' && this.state === 'arming') {
+      this.cancel(now, `rank ${given.rank} refused to arm`);
+    }
+  }
+
+  /**
+   * Whether a change may start: every rank was heard lately, on one map.
+   * @param now - present time
+   */
+  isReady(now: Millis): boolean {
+    if (this.state !== 'idle' || !this.isFresh(now)) return false;
+    const [first, ...others] = this.all();
+    return (
+      first !== undefined &&
+      this.isClean() &&
+      first.isOpen &&
+      others.every(
+        r => r.epoch === first.epoch && r.map === first.map && r.isOpen,
+      )
+    );
+  }
+
+  /**
+   * Starts a change; only when ready.
+   * @param now - present time
+   * @param map - the map to come; it gets the next version
+   */
+  propose(now: Millis, map: ExpertMap): void {
+    if (!this.isReady(now)) return;
+    const version = this.nextVersion;
+    this.nextToken();
+    const numbered = {...map, version};
+    this.change = {map: numbered, startedAt: now, phaseAt: now, step: 0};
+    this.enter(now, 'preparing');
+  }
+
+  /** A link to a rank is gone: its reports are no longer news. */
+  lost(rank: Rank): void {
+    this.sentAt.delete(rank);
+  }
+
+  /**
+   * Goes on as far as the reports allow.
+   * @param now - present time
+   * @returns orders to give
+   */
+  tick(now: Millis): RankedOrder[] {
+    switch (this.state) {
+      case 'resigned':
+        return [];
+      case 'recovering':
+        return this.recover(now);
+      case 'idle':
+        return this.watch(now);
+      case 'preparing':
+        return this.prepare(now);
+      case 'holding':
+        return this.hold(now);
+      case 'arming':
+        return this.arm(now);
+      case 'releasing':
+        return this.release(now);
+      case 'switching':
+        return this.settle(now);
+    }
+  }
+
+  /** Clears what an earlier coordinator, or a cancelled change, has left. */
+  private recover(now: Millis): RankedOrder[] {
+    if (now - this.phaseAt > RECOVER_WITHIN) {
+      this.enter(now, 'resigned');
+      return [];
+    }
+    const unplanted = this.ranks().filter(rank => !this.planted.has(rank));
+    if (unplanted.length > 0) {
+      // Harmless in itself; from here on older orders are refused there.
+      const plant: CutoverOrder = {kind: 'disarm', map: this.nextVersion};
+      return this.give(now, unplanted, () => plant);
+    }
+    if (!this.isFresh(now) || !this.isOneEpoch()) return [];
+    const target = this.uniformTarget();
+    if (target === undefined) {
+      const armed = this.all().filter(r => r.armed !== null);
+      return this.give(now, rankNumbers(armed), rank => ({
+        kind: 'disarm',
+        map: this.reportOf(rank)?.armed ?? 0,
+      }));
+    }
+    const held = this.all().filter(r => r.heldAt !== null);
+    if (held.length > 0) return this.releaseHeld(now, held);
+    this.enter(now, 'idle');
+    return [];
+  }
+
+  /** Looks for holds and armings that no coordinator works on. */
+  private watch(now: Millis): RankedOrder[] {
+    if (this.isClean()) {
+      this.orphanSince = undefined;
+      return [];
+    }
+    this.orphanSince ??= now;
+    if (now - this.orphanSince < ORPHANED_AFTER) return [];
+    this.orphanSince = undefined;
+    this.cancel(now, 'orphaned hold or arming');
+    return [];
+  }
+
+  private prepare(now: Millis): RankedOrder[] {
+    const change = this.change!;
+    if (now - change.startedAt > PREPARE_WITHIN) {
+      this.cancel(now, 'not prepared in time');
+      return [];
+    }
+    const {map} = change;
+    const waiting = this.ranks().filter(
+      rank => this.reportOf(rank)?.prepared !== map.version,
+    );
+    if (waiting.length === 0) {
+      this.note('prepared');
+      this.holdLater();
+      this.enter(now, 'holding');
+      return this.hold(now);
+    }
+    const unasked = waiting.filter(rank => !this.acked.has(rank));
+    const experts = expertLists(map);
+    return this.give(now, unasked, () => ({
+      kind: 'prepare',
+      map: map.version,
+      experts,
+    }));
+  }
+
+  private hold(now: Millis): RankedOrder[] {
+    const change = this.change!;
+    const own = this.reportOf(this.self);
+    if (own?.heldAt === change.step) {
+      this.note('held');
+      this.enter(now, 'arming');
+      return this.arm(now);
+    }
+    if (now - this.phaseAt > ARM_WITHIN) {
+      this.cancel(now, 'not held in time');
+      return [];
+    }
+    if (this.lastStep() >= change.step) this.holdLater();
+    if (this.acked.has(this.self)) return [];
+    return this.give(now, [this.self], () => ({
+      kind: 'hold',
+      step: change.step,
+    }));
+  }
+
+  private arm(now: Millis): RankedOrder[] {
+    const {map, step} = this.change!;
+    const waiting = this.ranks().filter(
+      rank => this.reportOf(rank)?.armed !== map.version,
+    );
+    if (waiting.length === 0) {
+      this.note('armed');
+      this.enter(now, 'releasing');
+      return this.release(now);
+    }
+    if (now - this.phaseAt > ARM_WITHIN) {
+      this.cancel(now, `not armed in time: ranks ${waiting.join(' ')}`);
+      return [];
+    }
+    return this.give(now, waiting, () => ({
+      kind: 'arm',
+      map: map.version,
+      step,
+    }));
+  }
+
+  private release(now: Millis): RankedOrder[] {
+    const held = this.all().filter(r => r.heldAt !== null);
+    if (held.length === 0 && this.acked.has(this.self)) {
+      this.note('released');
+      this.enter(now, 'switching');
+      return [];
+    }
+    const {step} = this.change!;
+    const rest = held.filter(r => r.rank !== this.self);
+    return [
+      ...this.give(now, [this.self], () => ({kind: 'release', step})),
+      ...this.releaseHeld(now, rest),
+    ];
+  }
+
+  private settle(now: Millis): RankedOrder[] {
+    const {version} = this.change!.map;
+    const reports = this.all();
+    if (reports.every(r => r.map === version)) {
+      this.note('switched');
+      this.change = undefined;
+      this.enter(now, 'idle');
+    }
+    return [];
+  }
+
+  private releaseHeld(now: Millis, held: readonly RankReport[]): RankedOrder[] {
+    return this.give(now, rankNumbers(held), rank => ({
+      kind: 'release',
+      step: this.reportOf(rank)?.heldAt ?? 0,
+    }));
+  }
+
+  /**
+   * The map that every rank is on or armed for; nothing when some ranks are
+   * armed and others neither armed nor switched.
+   */
+  private uniformTarget(): MapVersion | undefined {
+    const reports = this.all();
+    const armed = new Set(reports.flatMap(r => r.armed ?? []));
+    if (armed.size === 0) return reports[0]?.map ?? 0;
+    const [target] = armed;
+    const isUniform =
+      armed.size === 1 &&
+      reports.every(r => r.armed === target || r.map === target);
+    return isUniform ? target : undefined;
+  }
+
+  private cancel(now: Millis, detail: string): void {
+    this.events.push({
+      event: 'cancelled',
+      map: this.change?.map.version ?? 0,
+      detail: `${this.state}: ${detail}`,
+    });
+    this.change = undefined;
+    this.nextToken();
+    this.enter(now, 'recovering');
+  }
+
+  private nextToken(): void {
+    this.numbered += 1;
+    this.token += 1;
+    this.planted.clear();
+  }
+
+  private holdLater(): void {
+    const {change} = this;
+    if (change === undefined) return;
+    change.step = Math.max(change.step, this.lastStep()) + HOLD_MARGIN;
+    this.acked.delete(this.self);
+    this.sentAt.delete(this.self);
+  }
+
+  private enter(now: Millis, phase: CutoverPhase): void {
+    this.state = phase;
+    this.phaseAt = now;
+    this.sentAt.clear();
+    this.acked.clear();
+  }
+
+  private give(
+    now: Millis,
+    ranks: readonly Rank[],
+    order: (rank: Rank) => CutoverOrder,
+  ): RankedOrder[] {
+    const due = ranks.filter(rank => {
+      const sent = this.sentAt.get(rank);
+      return sent === undefined || now - sent >= REPEAT_EVERY;
+    });
+    return due.map(rank => {
+      this.sentAt.set(rank, now);
+      const epoch = this.reportOf(rank)?.epoch ?? 0;
+      return {rank, order: order(rank), token: this.token, epoch};
+    });
+  }
+
+  private note(event: CutoverEvent['event']): void {
+    this.events.push({event, map: this.change?.map.version ?? 0});
+  }
+
+  private isClean(): boolean {
+    return this.all().every(r => r.armed === null && r.heldAt === null);
+  }
+
+  private isOneEpoch(): boolean {
+    return new Set(this.all().map(r => r.epoch)).size === 1;
+  }
+
+  private isFresh(now: Millis): boolean {
+    return this.ranks().every(rank => {
+      const known = this.known.get(rank);
+      return known !== undefined && now - known.at <= FRESH_WITHIN;
+    });
+  }
+
+  private lastStep(): Step {
+    return Math.max(0, ...this.all().map(r => r.step));
+  }
+
+  private all(): RankReport[] {
+    return [...this.known.values()].map(({report}) => report);
+  }
+
+  private ranks(): Rank[] {
+    return Array.from({length: this.size}, (_, rank) => rank);
+  }
+}
+
+const rankNumbers = (reports: readonly RankReport[]) =>
+  reports.map(({rank}) => rank);
--- /dev/null
+++ b/src/expert_groups/cutover/index.ts
@@ -0,0 +1,7 @@
+/** Changes of expert maps by orders to engines that may carry them out late. */
+export * from './coordinator.js';
+export * from './expert_lists.js';
+export * from './messages.js';
+export * from './popularity.js';
+export * from './succession.js';
+export * from './types.js';
--- /dev/null
+++ b/src/expert_groups/cutover/messages.ts
@@ -0,0 +1,64 @@
+import {z} from 'zod';
+
+import {groupName, mapVersion, rank} from '../types.js';
+import {cutoverOrder, orderOutcome, rankReport} from './types.js';
+
+const group = {group: groupName};
+const token = z.int().nonnegative();
+
+/** A coordinator is there and wants the reports of a rank. */
+const watch = z.strictObject({
+  type: z.literal('cutover_watch'),
+  ...group,
+  token,
+});
+
+/** A rank's report, with the choices of experts since its last one. */
+const report = z.strictObject({
+  type: z.literal('cutover_report'),
+  ...group,
+  report: rankReport,
+  chosen: z.array(z.number().nonnegative()).max(65_536),
+  /** The rank's experts by set on a map, when the coordinator lacks them. */
+  placed: z
+    .strictObject({
+      map: mapVersion,
+      experts: z.array(z.array(z.int().nonnegative())),
+    })
+    .nullable(),
+});
+export type RankPlacement = NonNullable<z.output<typeof report>['placed']>;
+
+/** An order for the rank beside the sidecar. */
+const order = z.strictObject({
+  type: z.literal('cutover_order'),
+  ...group,
+  rank,
+  token,
+  epoch: z.int().nonnegative(),
+  order: cutoverOrder,
+});
+
+/** What became of an order, and the state of the rank after it. */
+const ack = z.strictObject({
+  type: z.literal('cutover_ack'),
+  ...group,
+  rank,
+  token,
+  epoch: z.int().nonnegative(),
+  order: cutoverOrder,
+  outcome: orderOutcome,
+  report: rankReport.nullable(),
+});
+
+/** The rank knows a coordinator with a higher token. */
+const outdated = z.strictObject({
+  type: z.literal('cutover_outdated'),
+  ...group,
+  /** The highest token known. */
+  token,
+});
+
+/** Messages about changes of maps by orders to the ranks' engines. */
+export const cutoverMessages = [watch, report, order, ack, outdated] as const;
+export type CutoverMessage = z.output<(typeof cutoverMessages)[number]>;
--- /dev/null
+++ b/src/expert_groups/cutover/popularity.ts
@@ -0,0 +1,75 @@
+import type {Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+
+/** Weight of counts falls to 1/e after this time. */
+const RECENT: Millis = SECOND;
+/** The long-term average counts this much beside the recent one. */
+const BACKGROUND_SHARE = 0.1;
+/** Weight of counts in the long-term average falls to 1/e after this time. */
+const BACKGROUND: Millis = 20 * SECOND;
+
+/** How often the experts of a group are chosen, lately and usually. */
+export class Popularity {
+  private readonly recent: Float64Array;
+  private readonly background: Float64Array;
+  private agedAt: Millis | undefined;
+
+  /**
+   * @param layers - sets of layers with experts of their own
+   * @param experts - experts of a set
+   */
+  constructor(
+    private readonly layers: number,
+    private readonly experts: number,
+  ) {
+    this.recent = new Float64Array(layers * experts);
+    this.background = new Float64Array(layers * experts);
+  }
+
+  /**
+   * Adds choices that were counted since the last time.
+   * @param now - present time
+   * @param chosen - by set and expert, set by set
+   */
+  add(now: Millis, chosen: readonly number[]): void {
+    this.age(now);
+    const length = Math.min(chosen.length, this.recent.length);
+    for (let i = 0; i < length; i++) {
+      this.recent[i]! += chosen[i]!;
+      this.background[i]! += chosen[i]!;
+    }
+  }
+
+  /** Choices that the recent average rests on. */
+  get weight(): number {
+    return this.recent.reduce((sum, n) => sum + n, 0);
+  }
+
+  /** For each set the expected load of each expert. */
+  loads(): Float64Array[] {
+    return Array.from({length: this.layers}, (_, layer) => {
+      const [from, to] = [layer * this.experts, (layer + 1) * this.experts];
+      const recent = this.recent.subarray(from, to);
+      const background = this.background.subarray(from, to);
+      const scale = sum(recent) / Math.max(1, sum(background));
+      return Float64Array.from(
+        recent,
+        (n, i) => n + BACKGROUND_SHARE * scale * background[i]!,
+      );
+    });
+  }
+
+  private age(now: Millis): void {
+    const passed = this.agedAt === undefined ? 0 : now - this.agedAt;
+    this.agedAt = now;
+    if (passed <= 0) return;
+    scaleBy(this.recent, Math.exp(-passed / RECENT));
+    scaleBy(this.background, Math.exp(-passed / BACKGROUND));
+  }
+}
+
+const sum = (values: Float64Array) => values.reduce((a, b) => a + b, 0);
+
+function scaleBy(values: Float64Array, factor: number): void {
+  for (let i = 0; i < values.length; i++) values[i]! *= factor;
+}
--- a/src/expert_groups/expert_map.ts
+++ b/src/expert_groups/expert_map.ts
@@ -1,3 +1,4 @@
+import {EMPTY_SLOT} from './types.js';
 import type {ExpertMap, MapVersion} from './types.js';
 
 /** Sizes of a group, from the configuration. */
@@ -48,6 +49,7 @@
       findings.push(`layer ${index} has ${layer.length} slots`);
     }
     const placed = new Set(layer);
+    placed.delete(EMPTY_SLOT);
     for (let expert = 0; expert < experts; expert++) {
       if (!placed.has(expert)) {
         findings.push(`layer ${index} lacks expert ${expert}`);
@@ -83,7 +85,7 @@
     const held = new Set(from?.layers[index]?.subarray(start, end));
     const wanted = new Set(layer.subarray(start, end));
     return [...wanted]
-      .filter(expert => !held.has(expert))
+      .filter(expert => expert !== EMPTY_SLOT && !held.has(expert))
       .map(expert => ({layer: index, expert}));
   });
 }
@@ -114,9 +116,12 @@
   loads: Float64Array,
 ): Float64Array {
   const replicas = new Uint16Array(loads.length);
-  for (const expert of layer) replicas[expert]! += 1;
+  for (const expert of layer) {
+    if (expert !== EMPTY_SLOT) replicas[expert]! += 1;
+  }
   const result = new Float64Array(layer.length / slotsPerRank);
   for (const [slot, expert] of layer.entries()) {
+    if (expert === EMPTY_SLOT) continue;
     const rank = Math.floor(slot / slotsPerRank);
     result[rank]! += loads[expert]! / replicas[expert]!;
   }
--- a/src/expert_groups/index.ts
+++ b/src/expert_groups/index.ts
@@ -1,6 +1,7 @@
 /** Groups of ranks in lock-step and their expert maps. */
 export * from './coordinator.js';
 export * from './coordinator_types.js';
+export * from './cutover/index.js';
 export * from './expert_map.js';
 export * from './layer_plan.js';
 export * from './load_view.js';
--- a/src/expert_groups/layer_plan.ts
+++ b/src/expert_groups/layer_plan.ts
@@ -1,3 +1,5 @@
+import {EMPTY_SLOT} from './types.js';
+
 /** One change of placement within a layer. Every expert stays placed. */
 export interface Move {
   readonly layer: number;
@@ -11,6 +13,14 @@
   readonly greatest: number;
 }
 
+/** What a change may bring to a rank. */
+export interface ChangeLimit {
+  /** Experts by rank and slot before the change. */
+  readonly base: Uint16Array;
+  /** Experts that a rank may get that it did not have in `base`. */
+  readonly newPerRank: number;
+}
+
 interface Option {
   readonly slots: Move['slots'];
   /** Fall of the sum of squares, per slot that is loaded. */
@@ -45,17 +55,20 @@
    * @param slots - experts by rank and slot; left as they are
    * @param slotsPerRank - slots of each rank
    * @param loads - load of each expert
+   * @param limit - bounds what a rank has to load, if anything does
    */
   constructor(
     private readonly layer: number,
     slots: Uint16Array,
     private readonly slotsPerRank: number,
     private readonly loads: Float64Array,
+    private readonly limit?: ChangeLimit,
   ) {
     this.slots = slots.slice();
     this.replicas = new Uint16Array(loads.length);
     this.hostsOf = Array.from(loads, () => []);
     for (const [slot, expert] of slots.entries()) {
+      if (expert === EMPTY_SLOT) continue;
       this.replicas[expert]! += 1;
       this.hostsOf[expert]!.push(this.rankOf(slot));
     }
@@ -103,6 +116,7 @@
     };
     const {slotsPerRank} = this;
     for (let from = hot * slotsPerRank; this.rankOf(from) === hot; from++) {
+      if (this.slots[from] === EMPTY_SLOT) continue;
       for (const rank of cold) {
         if (rank === hot) continue;
         const first = rank * slotsPerRank;
@@ -130,7 +144,11 @@
     let lightest = this.slots[first]!;
     for (let slot = first; slot < first + this.slotsPerRank; slot++) {
       const expert = this.slots[slot]!;
-      if (this.share(expert) < this.share(lightest)) lightest = expert;
+      if (expert === EMPTY_SLOT) continue;
+      const isFirst = lightest === EMPTY_SLOT;
+      if (isFirst || this.share(expert) < this.share(lightest)) {
+        lightest = expert;
+      }
     }
     return lightest;
   }
@@ -151,13 +169,22 @@
   ): Option | undefined {
     const dropped = this.slots[slot]!;
     const rank = this.rankOf(slot);
-    if (dropped === expert || this.replicas[dropped]! < 2) return undefined;
-    if (this.hosts(rank, expert)) return undefined;
-    const [more, fewer] = [this.replicas[expert]!, this.replicas[dropped]!];
+    const isFree = dropped === EMPTY_SLOT;
+    if (expert === EMPTY_SLOT || dropped === expert) return undefined;
+    if (!isFree && this.replicas[dropped]! < 2) return undefined;
+    if (this.hosts(rank, expert) || !this.mayLoad(rank, slot, expert)) {
+      return undefined;
+    }
+    const more = this.replicas[expert]!;
     const gain = this.loads[expert]! / (more + 1) - this.share(expert);
-    const loss = this.loads[dropped]! / (fewer - 1) - this.share(dropped);
+    const loss = isFree
+      ? 0
+      : this.loads[dropped]! / (this.replicas[dropped]! - 1) -
+        this.share(dropped);
     for (const other of this.hostsOf[expert]!) this.add(other, gain);
-    for (const other of this.hostsOf[dropped]!) this.add(other, loss);
+    if (!isFree) {
+      for (const other of this.hostsOf[dropped]!) this.add(other, loss);
+    }
     // The rank loses its whole share of the one and takes one of the other.
     this.add(rank, -this.share(dropped) - loss);
     this.add(rank, this.loads[expert]! / (more + 1));
@@ -174,6 +201,7 @@
   private steadier(expert: number, dropped: number): number {
     const [more, fewer] = [this.replicas[expert]!, this.replicas[dropped]!];
     const gained = this.loads[expert]! ** 2 / (more * (more + 1));
+    if (dropped === EMPTY_SLOT) return gained;
     const lost = this.loads[dropped]! ** 2 / (fewer * (fewer - 1));
     return gained - lost;
   }
@@ -185,6 +213,9 @@
     if (load < LEAST_GAIN * this.mean) return undefined;
     if (this.perRank[rank]! + load >= this.perRank[hot]!) return undefined;
     if (this.hosts(hot, theirs) || this.hosts(rank, mine)) return undefined;
+    const mayExchange =
+      this.mayLoad(hot, from, theirs) && this.mayLoad(rank, to, mine);
+    if (!mayExchange) return undefined;
     this.add(hot, -load);
     this.add(rank, load);
     const fall = this.fall(hot);
@@ -193,7 +224,25 @@
       {slot: from, expert: theirs},
       {slot: to, expert: mine},
     ];
-    return {slots, worth: fall / slots.length};
+    const loaded = theirs === EMPTY_SLOT ? 1 : slots.length;
+    return {slots, worth: fall / loaded};
+  }
+
+  /** Whether a rank may get an expert in a slot within the limit. */
+  private mayLoad(rank: number, slot: number, expert: number): boolean {
+    if (this.limit === undefined || expert === EMPTY_SLOT) return true;
+    const {base, newPerRank} = this.limit;
+    const first = rank * this.slotsPerRank;
+    const last = first + this.slotsPerRank;
+    const had = base.subarray(first, last);
+    if (had.includes(expert)) return true;
+    let fresh = 1;
+    for (let other = first; other < last; other++) {
+      const held = this.slots[other]!;
+      if (other === slot || held === EMPTY_SLOT) continue;
+      if (!had.includes(held)) fresh += 1;
+    }
+    return fresh <= newPerRank;
   }
 
   private add(rank: number, load: number): void {
@@ -219,10 +268,9 @@
   private apply({slots}: Option): void {
     const changed = slots.map(({slot}) => this.slots[slot]!);
     for (const {slot, expert} of slots) this.slots[slot] = expert;
-    for (const expert of [...changed, ...slots.map(s => s.expert)]) {
-      this.hostsOf[expert] = [];
-    }
     const affected = new Set([...changed, ...slots.map(s => s.expert)]);
+    affected.delete(EMPTY_SLOT);
+    for (const expert of affected) this.hostsOf[expert] = [];
     for (const [slot, expert] of this.slots.entries()) {
       if (affected.has(expert)) this.hostsOf[expert]!.push(this.rankOf(slot));
     }
@@ -235,15 +283,17 @@
   private sum(): void {
     this.perRank.fill(0);
     for (const [slot, expert] of this.slots.entries()) {
+      if (expert === EMPTY_SLOT) continue;
       this.perRank[this.rankOf(slot)]! += this.share(expert);
     }
   }
 
   private hosts(rank: number, expert: number): boolean {
-    return this.hostsOf[expert]!.includes(rank);
+    return expert !== EMPTY_SLOT && this.hostsOf[expert]!.includes(rank);
   }
 
   private share(expert: number): number {
+    if (expert === EMPTY_SLOT) return 0;
     return this.loads[expert]! / this.replicas[expert]!;
   }
 
--- a/src/expert_groups/planner.ts
+++ b/src/expert_groups/planner.ts
@@ -22,6 +22,8 @@
   readonly mostSlots: number;
   /** Below this share of fresh load reports nothing moves. */
   readonly leastConfidence: number;
+  /** Experts of a layer that one change may bring to a rank, if bounded. */
+  readonly newPerRank?: number;
 }
 
 /** Policy values that the configuration text does not set. */
@@ -127,7 +129,14 @@
     meanOfAll: number,
   ): {found: number; prefix: Prefix | undefined} {
     const slots = map.layers[layer]!;
-    const plan = new LayerPlan(layer, slots, shape.slotsPerRank, loads[layer]!);
+    const {newPerRank} = this.policy;
+    const plan = new LayerPlan(
+      layer,
+      slots,
+      shape.slotsPerRank,
+      loads[layer]!,
+      newPerRank === undefined ? undefined : {base: slots, newPerRank},
+    );
     const before = plan.greatest;
     const moves = plan.trace(MOST_MOVES);
     const {weightSkew, weightCost, hysteresis} = this.policy;
--- a/src/expert_groups/types.ts
+++ b/src/expert_groups/types.ts
@@ -29,6 +29,9 @@
   .transform(incarnation);
 export type RankIncarnation = z.output<typeof rankIncarnation>;
 
+/** Stands in a slot that holds no expert. */
+export const EMPTY_SLOT = 0xffff;
+
 /**
  * Where the experts are: for each layer and rank the expert of each slot.
  * `layers[l][rank * slotsPerRank + slot]` is a number of an expert.
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -3,7 +3,7 @@
 import {admissionMessages} from '../admission/index.js';
 import {callMessages} from '../calls/index.js';
 import {configurationMessages} from '../configuration/index.js';
-import {groupMessages} from '../expert_groups/index.js';
+import {cutoverMessages, groupMessages} from '../expert_groups/index.js';
 import {identity, membershipMessages} from '../membership/index.js';
 import {routingMessages} from '../routing/index.js';
 
@@ -16,6 +16,7 @@
   ...admissionMessages,
   ...callMessages,
   ...configurationMessages,
+  ...cutoverMessages,
   ...groupMessages,
   ...membershipMessages,
   ...routingMessages,
