--- a/src/daemons/direct/map_task.ts
+++ b/src/daemons/direct/map_task.ts
@@ -1,5 +1,5 @@
 import type {RankClient} from '../../clients/index.js';
-import type {Incarnation, Millis} from '../../core/index.js';
+import type {Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import type {ExpertProfile} from '../../direct/index.js';
 import {CutoverCoordinator, Succession} from '../../expert_groups/index.js';
@@ -8,6 +8,7 @@
   RankReport,
   RankedOrder,
 } from '../../expert_groups/index.js';
+import type {Link} from '../../links/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import {Task} from '../shared/task.js';
 import {MapPlanner} from './map_planner.js';
@@ -15,10 +16,14 @@
 import type {RankRecord, RankRegistry} from './rank_registry.js';
 import type {RankLook, RankWatch} from './rank_watch.js';
 
-/** How often the coordinator goes on with a change. */
-const TICK_EVERY: Millis = 20;
-/** How often a sidecar looks at its rank. */
-const LOOK_EVERY: Millis = 120;
+/** How often the task looks at the time. */
+const TICK_EVERY: Millis = 60;
+/** How often a sidecar reads the choices of its rank. */
+const LOOK_EVERY: Millis = 0.3 * SECOND;
+/** How often it reads its report besides. */
+const REPORT_EVERY: Millis = 0.6 * SECOND;
+/** The end of a load is looked for this long at most. */
+const LOADING_WITHIN: Millis = 6 * SECOND;
 const PLAN_EVERY: Millis = SECOND / 4;
 /** The coordinator tells the ranks that it is there. */
 const WATCH_EVERY: Millis = SECOND / 2;
@@ -34,7 +39,7 @@
   | {readonly type: 'looked'; readonly look: RankLook | undefined}
   | {
       readonly type: 'link';
-      readonly from: Incarnation;
+      readonly from: Link;
       readonly message: CutoverMessage;
     }
   | {readonly type: 'configured'; readonly profile: ExpertProfile}
@@ -78,14 +83,19 @@
   private readonly directAt = new Map<number, Millis>();
   private readonly engines = new Map<string, RankClient>();
   /** Link of the coordinator that watches this rank. */
-  private watcher: Incarnation | undefined;
+  private watcher: Link | undefined;
   private registeredAs: string | undefined;
   private isBusy = {looking: false, claiming: false, listing: false};
   private lookedAt: Millis = -Infinity;
+  private reportedAt: Millis = -Infinity;
   private plannedAt: Millis = -Infinity;
   private watchedAt: Millis = -Infinity;
   private listedAt: Millis = -Infinity;
   private placedMap: number | undefined;
+  /** A map whose weights this rank loads; its end is looked for. */
+  private loading:
+    | {readonly map: number; readonly epoch: number; readonly until: Millis}
+    | undefined;
   private readonly timer: NodeJS.Timeout;
 
   /**
@@ -147,12 +157,19 @@
     }
   }
 
+  private get isLoading(): boolean {
+    return this.loading !== undefined;
+  }
+
   private tick(now: Millis): void {
-    if (now - this.lookedAt >= LOOK_EVERY && !this.isBusy.looking) {
+    const isDue = now - this.lookedAt >= LOOK_EVERY || this.isLoading;
+    if (isDue && !this.isBusy.looking) {
       this.lookedAt = now;
       this.isBusy.looking = true;
+      const isFull = this.isLoading || now - this.reportedAt >= REPORT_EVERY;
+      if (isFull) this.reportedAt = now;
       void this.ports.watch
-        .look()
+        .look(isFull)
         .then(look => this.post({type: 'looked', look}));
     }
     const {own, coordinator} = this;
@@ -167,48 +184,69 @@
   private looked(now: Millis, look: RankLook | undefined): void {
     this.isBusy.looking = false;
     if (look === undefined) return;
-    this.own = look.report;
-    this.register(look.report);
+    const {report = null, chosen} = look;
+    if (report !== null) this.ownReported(now, report);
+    const {own} = this;
+    if (own === undefined) return;
+    const {group, rank, map} = own;
     const message: RankMessage = {
       type: 'cutover_report',
-      group: look.report.group,
-      report: look.report,
-      chosen: [...look.chosen],
+      group,
+      rank,
+      report,
+      chosen: [...chosen],
       placed: null,
     };
-    const {map} = look.report;
-    if (map !== this.placedMap) {
-      void this.ports.watch.placement().then(placed => {
-        if (placed !== null) this.placedMap = placed.map;
-        this.deliver(now, {...message, placed});
-      });
+    if (map === this.placedMap) {
+      this.deliver(now, message);
       return;
     }
-    this.deliver(now, message);
+    void this.ports.watch.placement().then(placed => {
+      const isTaken = this.deliver(now, {...message, placed});
+      if (isTaken && placed !== null) this.placedMap = placed.map;
+    });
+  }
+
+  private ownReported(now: Millis, report: RankReport): void {
+    this.own = report;
+    this.register(report);
+    if (this.loading === undefined) return;
+    const {prepared, map, epoch} = report;
+    const isOver =
+      prepared === this.loading.map ||
+      map === this.loading.map ||
+      epoch !== this.loading.epoch ||
+      now >= this.loading.until;
+    if (isOver) this.loading = undefined;
   }
 
   /** Hands a report to the coordinator, here or beside another rank. */
-  private deliver(now: Millis, message: RankMessage): void {
-    if (this.coordinator !== undefined) this.takeReport(now, message);
-    else if (this.watcher !== undefined) {
-      this.ports.links.send(this.watcher, message);
+  private deliver(now: Millis, message: RankMessage): boolean {
+    if (this.coordinator !== undefined) {
+      this.takeReport(now, message);
+      return true;
     }
+    const {watcher} = this;
+    return watcher?.send(message) ?? false;
   }
 
-  private takeReport(now: Millis, {report, chosen, placed}: RankMessage): void {
+  private takeReport(
+    now: Millis,
+    {rank, report, chosen, placed}: RankMessage,
+  ): void {
     const {coordinator, planner} = this;
     if (coordinator === undefined) return;
-    this.heardAt.set(report.rank, now);
-    coordinator.reported(now, report);
+    this.heardAt.set(rank, now);
+    if (report !== null) coordinator.reported(now, report);
     planner?.add(now, chosen);
-    if (placed !== null) planner?.place(report.rank, placed);
+    if (placed !== null) planner?.place(rank, placed);
   }
 
-  private heard(now: Millis, from: Incarnation, message: CutoverMessage): void {
+  private heard(now: Millis, from: Link, message: CutoverMessage): void {
     if (this.own !== undefined && message.group !== this.own.group) return;
     switch (message.type) {
       case 'cutover_watch':
-        return this.watched(now, from, message.token);
+        return this.watched(now, from, message);
       case 'cutover_order':
         void this.carryOut(now, from, message);
         return;
@@ -225,26 +263,32 @@
     }
   }
 
-  private watched(now: Millis, from: Incarnation, token: number): void {
+  private watched(
+    now: Millis,
+    from: Link,
+    {token, unplaced}: Extract<CutoverMessage, {type: 'cutover_watch'}>,
+  ): void {
     if (!this.succession.heard(now, token)) {
       this.tellOutdated(from);
       return;
     }
     if (this.coordinator !== undefined) this.resign(now, 'a newer claim');
-    if (this.watcher !== from) this.placedMap = undefined;
+    const {rank} = this.own ?? {};
+    const isUnplaced = rank !== undefined && unplaced.includes(rank);
+    if (this.watcher !== from || isUnplaced) this.placedMap = undefined;
     this.watcher = from;
   }
 
-  private tellOutdated(from: Incarnation): void {
+  private tellOutdated(from: Link): void {
     const {group = ''} = this.own ?? {};
     const token = this.succession.highestToken;
-    this.ports.links.send(from, {type: 'cutover_outdated', group, token});
+    from.send({type: 'cutover_outdated', group, token});
   }
 
   /** Carries out an order of the coordinator at the rank beside. */
   private async carryOut(
     now: Millis,
-    from: Incarnation,
+    from: Link,
     message: Extract<CutoverMessage, {type: 'cutover_order'}>,
   ): Promise<void> {
     const {order, token, epoch, group, rank} = message;
@@ -252,6 +296,7 @@
       this.tellOutdated(from);
       return;
     }
+    this.expectLoading(now, message);
     const outcome = await this.ports.engine.give(order, token, epoch);
     const report = (await this.ports.watch.report()) ?? null;
     const ack: Ack = {
@@ -264,12 +309,21 @@
       outcome,
       report,
     };
-    this.ports.links.send(from, ack);
+    from.send(ack);
+  }
+
+  private expectLoading(
+    now: Millis,
+    {order, epoch}: Pick<RankedOrder, 'order' | 'epoch'>,
+  ): void {
+    if (order.kind !== 'prepare') return;
+    this.loading = {map: order.map, epoch, until: now + LOADING_WITHIN};
   }
 
   private acked(now: Millis, ack: Ack): void {
     const {rank, token, epoch, order} = ack;
     const given: RankedOrder = {rank, token, epoch, order};
+    this.heardAt.set(rank, now);
     this.answered(now, given, ack.outcome, ack.report ?? undefined);
   }
 
@@ -289,11 +343,7 @@
         token: given.token,
       });
     }
-    if (report !== undefined) {
-      this.heardAt.set(report.rank, now);
-      coordinator.reported(now, report);
-    }
-    coordinator.answered(now, given, outcome);
+    coordinator.answered(now, given, outcome, report);
     this.advance(now, coordinator);
   }
 
@@ -312,6 +362,7 @@
         type: 'cutover_watch',
         group: own.group,
         token: coordinator.fencingToken,
+        unplaced: this.unplaced(own),
       });
     }
     this.reach(now, own);
@@ -322,6 +373,14 @@
     this.advance(now, coordinator);
   }
 
+  /** Ranks whose experts on the present map are not known here. */
+  private unplaced({size, map}: RankReport): number[] {
+    const {planner} = this;
+    if (planner === undefined) return [];
+    const ranks = Array.from({length: size}, (_, rank) => rank);
+    return ranks.filter(rank => planner.lacks(rank, map));
+  }
+
   private advance(now: Millis, coordinator: CutoverCoordinator): void {
     for (const given of coordinator.tick(now)) this.give(given);
     for (const {event, map, detail} of coordinator.takeEvents()) {
@@ -377,13 +436,17 @@
     if (record === undefined) return;
     if (now - (this.directAt.get(rank) ?? -Infinity) < DIRECT_EVERY) return;
     this.directAt.set(rank, now);
-    void this.engineOf(record)
-      .report()
-      .map(report => {
-        if (report === undefined || report.rank !== rank) return;
-        const at = this.context.clock.now();
-        this.coordinator?.reported(at, report);
-      });
+    void this.readRank(rank, this.engineOf(record));
+  }
+
+  private async readRank(rank: number, engine: RankClient): Promise<void> {
+    const read = await engine.report();
+    const report = read.isOk() ? read.value : undefined;
+    if (report === undefined || report.rank !== rank) return;
+    this.coordinator?.reported(this.context.clock.now(), report);
+    if (this.planner?.lacks(rank, report.map) !== true) return;
+    const placement = await engine.placement();
+    if (placement.isOk()) this.planner?.place(rank, placement.value);
   }
 
   private dial(): void {
@@ -399,6 +462,7 @@
     if (own === undefined) return;
     const {rank, order, token, epoch} = given;
     if (rank === own.rank) {
+      this.expectLoading(this.context.clock.now(), given);
       void this.giveDirectly(given, this.ports.engine);
       return;
     }
--- a/src/daemons/direct/rank_links.ts
+++ b/src/daemons/direct/rank_links.ts
@@ -1,4 +1,4 @@
-import type {Incarnation, Millis} from '../../core/index.js';
+import type {Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import {cutoverMessages} from '../../expert_groups/index.js';
 import type {CutoverMessage} from '../../expert_groups/index.js';
@@ -29,19 +29,16 @@
 /** Links between the sidecars of a group: its coordinator dials the others. */
 export class RankLinks {
   private readonly dialled = new Map<string, Dialled>();
-  private readonly byPeer = new Map<Incarnation, Link>();
   private listening: Listening | undefined;
 
   /**
    * @param context - what every link needs
-   * @param received - takes each message
+   * @param received - takes each message; what it answers goes over the same
+   * link, since two processes may have dialled each other
    */
   constructor(
     private readonly context: LinkContext,
-    private readonly received: (
-      from: Incarnation,
-      message: CutoverMessage,
-    ) => void,
+    private readonly received: (from: Link, message: CutoverMessage) => void,
   ) {}
 
   /**
@@ -71,15 +68,6 @@
     this.dialled.set(address, {link, at: now});
   }
 
-  /**
-   * Sends to a process that dialled this one, or was dialled.
-   * @param to - the process
-   * @param message - the message
-   */
-  send(to: Incarnation, message: CutoverMessage): boolean {
-    return this.byPeer.get(to)?.send(message) ?? false;
-  }
-
   /**
    * Sends over the link that was dialled.
    * @param address - `host:port` of the other sidecar
@@ -112,20 +100,11 @@
 
   private listener(address?: string) {
     return {
-      open: (link: Link, peer: {readonly incarnation: Incarnation}) => {
-        this.byPeer.set(peer.incarnation, link);
-      },
+      open: () => undefined,
       message: (link: Link, message: LinkMessage) => {
-        const from = link.remote?.incarnation;
-        if (from !== undefined && isCutover(message)) {
-          this.received(from, message);
-        }
+        if (isCutover(message)) this.received(link, message);
       },
       closed: (link: Link) => {
-        const from = link.remote?.incarnation;
-        if (from !== undefined && this.byPeer.get(from) === link) {
-          this.byPeer.delete(from);
-        }
         if (address === undefined) return;
         const known = this.dialled.get(address);
         if (known?.link === link) this.dialled.delete(address);
--- a/src/daemons/direct/rank_watch.ts
+++ b/src/daemons/direct/rank_watch.ts
@@ -3,7 +3,8 @@
 
 /** What a sidecar has learnt of its own rank since the last look. */
 export interface RankLook {
-  readonly report: RankReport;
+  /** Nothing when only choices were read. */
+  readonly report: RankReport | undefined;
   /** Choices of experts since the look before; empty when not known. */
   readonly chosen: readonly number[];
 }
@@ -12,23 +13,25 @@
 export class RankWatch {
   private counts: readonly number[] | undefined;
   private epoch = -1;
-  private bornAt = -1;
 
   /** @param client - the rank's engine */
   constructor(private readonly client: RankClient) {}
 
-  /** Looks at the rank; nothing when it does not answer or is in no group. */
-  async look(): Promise<RankLook | undefined> {
-    const report = await this.report();
-    if (report === undefined) return undefined;
+  /**
+   * Looks at the rank.
+   * @param isFull - whether to read its report too, not its choices alone
+   * @returns nothing when it does not answer or is in no group
+   */
+  async look(isFull: boolean): Promise<RankLook | undefined> {
+    const report = isFull ? await this.report() : undefined;
+    if (isFull && report === undefined) return undefined;
     const chosen = await this.client.chosen();
     if (chosen.isErr()) return {report, chosen: []};
     const {epoch, counts} = chosen.value;
     const before = this.counts;
-    const isSameLife = this.epoch === epoch && this.bornAt === report.bornAt;
+    const isSameLife = this.epoch === epoch;
     this.counts = counts;
     this.epoch = epoch;
-    this.bornAt = report.bornAt;
     if (before === undefined || !isSameLife) return {report, chosen: []};
     // An engine that started again counts from nothing.
     const grown = counts.map((n, i) => Math.max(0, n - (before[i] ?? 0)));
--- a/src/expert_groups/cutover/coordinator.ts
+++ b/src/expert_groups/cutover/coordinator.ts
@@ -10,11 +10,11 @@
 } from './types.js';
 
 /** An order that was not answered is given again after this time. */
-const REPEAT_EVERY: Millis = 80;
+const REPEAT_EVERY: Millis = 120;
 /** Passes between the latest one and the one that is held. */
 const HOLD_MARGIN = 2;
 /** A report older than this says nothing of now. */
-const FRESH_WITHIN: Millis = SECOND;
+const FRESH_WITHIN: Millis = 1.2 * SECOND;
 /** Weights have to be there within this time, or the change is given up. */
 const PREPARE_WITHIN: Millis = 6 * SECOND;
 /** All ranks must be armed within this time of the hold. */
@@ -72,8 +72,12 @@
   private state: CutoverPhase = 'recovering';
   private readonly known = new Map<Rank, Known>();
   private readonly sentAt = new Map<Rank, Millis>();
-  /** Ranks that have answered an order of the present token. */
-  private readonly planted = new Set<Rank>();
+  /**
+   * Reports that were read after the rank had answered an order of the
+   * present token. Older orders are refused there from then on, so these can
+   * only change by orders of this token; other reports may be older.
+   */
+  private readonly planted = new Map<Rank, RankReport>();
   /** Ranks whose present order was answered. */
   private readonly acked = new Set<Rank>();
   private token: number;
@@ -130,6 +134,7 @@
    */
   reported(now: Millis, report: RankReport): void {
     const before = this.known.get(report.rank)?.report;
+    if (before !== undefined && isOlder(report, before)) return;
     this.known.set(report.rank, {report, at: now});
     if (before === undefined) return;
     const isReborn = before.bornAt !== report.bornAt;
@@ -145,16 +150,23 @@
    * @param now - present time
    * @param given - the order
    * @param outcome - what became of it
+   * @param report - what the rank reported after it
    */
-  answered(now: Millis, given: RankedOrder, outcome: OrderOutcome): void {
+  answered(
+    now: Millis,
+    given: RankedOrder,
+    outcome: OrderOutcome,
+    report: RankReport | undefined,
+  ): void {
+    if (report !== undefined) this.reported(now, report);
     if (this.state === 'resigned' || given.token !== this.token) return;
     if (outcome === 'fenced') {
       this.enter(now, 'resigned');
       return;
     }
-    this.sentAt.delete(given.rank);
     if (outcome === 'unanswered' || outcome === 'replaced') return;
-    this.planted.add(given.rank);
+    this.sentAt.delete(given.rank);
+    if (report !== undefined) this.planted.set(given.rank, report);
     this.acked.add(given.rank);
     if (outcome === 'accepted') return;
     const {kind} = given.order;
@@ -241,16 +253,19 @@
       const plant: CutoverOrder = {kind: 'disarm', map: this.nextVersion};
       return this.give(now, unplanted, () => plant);
     }
-    if (!this.isFresh(now) || !this.isOneEpoch()) return [];
-    const target = this.uniformTarget();
-    if (target === undefined) {
-      const armed = this.all().filter(r => r.armed !== null);
+    const reports = [...this.planted.values()];
+    if (new Set(reports.map(r => r.epoch)).size > 1) {
+      this.planted.clear();
+      return [];
+    }
+    if (!isUniform(reports)) {
+      const armed = reports.filter(r => r.armed !== null);
       return this.give(now, rankNumbers(armed), rank => ({
         kind: 'disarm',
-        map: this.reportOf(rank)?.armed ?? 0,
+        map: this.planted.get(rank)?.armed ?? 0,
       }));
     }
-    const held = this.all().filter(r => r.heldAt !== null);
+    const held = reports.filter(r => r.heldAt !== null);
     if (held.length > 0) return this.releaseHeld(now, held);
     this.enter(now, 'idle');
     return [];
@@ -368,21 +383,6 @@
     }));
   }
 
-  /**
-   * The map that every rank is on or armed for; nothing when some ranks are
-   * armed and others neither armed nor switched.
-   */
-  private uniformTarget(): MapVersion | undefined {
-    const reports = this.all();
-    const armed = new Set(reports.flatMap(r => r.armed ?? []));
-    if (armed.size === 0) return reports[0]?.map ?? 0;
-    const [target] = armed;
-    const isUniform =
-      armed.size === 1 &&
-      reports.every(r => r.armed === target || r.map === target);
-    return isUniform ? target : undefined;
-  }
-
   private cancel(now: Millis, detail: string): void {
     this.events.push({
       event: 'cancelled',
@@ -439,10 +439,6 @@
     return this.all().every(r => r.armed === null && r.heldAt === null);
   }
 
-  private isOneEpoch(): boolean {
-    return new Set(this.all().map(r => r.epoch)).size === 1;
-  }
-
   private isFresh(now: Millis): boolean {
     return this.ranks().every(rank => {
       const known = this.known.get(rank);
@@ -463,5 +459,26 @@
   }
 }
 
+/** Whether a report was read before another one of the same rank. */
+function isOlder(report: RankReport, than: RankReport): boolean {
+  if (report.bornAt !== than.bornAt) return report.bornAt < than.bornAt;
+  if (report.epoch !== than.epoch) return report.epoch < than.epoch;
+  return report.step < than.step;
+}
+
+/**
+ * Whether every rank is on, or armed for, the same map, so that the group may
+ * begin its next pass.
+ */
+function isUniform(reports: readonly RankReport[]): boolean {
+  const armed = new Set(reports.flatMap(r => r.armed ?? []));
+  if (armed.size === 0) return true;
+  const [target] = armed;
+  return (
+    armed.size === 1 &&
+    reports.every(r => r.armed === target || r.map === target)
+  );
+}
+
 const rankNumbers = (reports: readonly RankReport[]) =>
   reports.map(({rank}) => rank);
--- a/src/expert_groups/cutover/messages.ts
+++ b/src/expert_groups/cutover/messages.ts
@@ -11,13 +11,17 @@
   type: z.literal('cutover_watch'),
   ...group,
   token,
+  /** Ranks whose experts on the present map it does not know. */
+  unplaced: z.array(rank).max(1_024),
 });
 
-/** A rank's report, with the choices of experts since its last one. */
+/** What a rank says of itself, and the choices of experts since last time. */
 const report = z.strictObject({
   type: z.literal('cutover_report'),
   ...group,
-  report: rankReport,
+  rank,
+  /** Nothing between two full looks, when only choices were read. */
+  report: rankReport.nullable(),
   chosen: z.array(z.number().nonnegative()).max(65_536),
   /** The rank's experts by set on a map, when the coordinator lacks them. */
   placed: z
