Plant fences by proof, refuse at once while a group is down, mark no end that was not given

Now only an accepted order with the known epoch counts, and a release of no hold plants (a disarm of an unknown map is refused by the platform). (2) every request was sent to a fallen group and refused there; now one probe each 0.4 s and entry, the others are refused at once, told the latest time that callers honour. Ruled out: node taking a reset for an end (tried on sockets: it reports one).

--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -29,10 +29,18 @@
   readonly id: string | undefined;
 }
 
+/** The head of an upstream's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: HeaderLines;
+  /** Whether its end is marked; if not, it ends with its connection. */
+  readonly isFramed: boolean;
+}
+
 /** What is heard of an attempt; nothing after `ended` or `failed`. */
 export interface AttemptListener {
   /** The answer begins. */
-  head(status: number, headers: HeaderLines, facts: AnswerFacts): void;
+  head(answer: AnswerHead, facts: AnswerFacts): void;
   /** Bytes of the answer; the attempt pauses until `resume`. */
   data(chunk: Buffer): void;
   /** The answer is whole. */
@@ -133,7 +141,10 @@
       }
     }
     this.res = res;
-    this.listener.head(status, headers, facts);
+    const isFramed =
+      res.headers['content-length'] !== undefined ||
+      res.headers['transfer-encoding'] !== undefined;
+    this.listener.head({status, headers, isFramed}, facts);
     if (this.isOver) return;
     res.on('data', (chunk: Buffer) => {
       if (!this.isOver) this.listener.data(chunk);
--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -3,11 +3,11 @@
   AttemptFailure,
   HeaderDialect,
   LoadBook,
+  RefusalCause,
   RetryAllowance,
   Route,
   Upstream,
 } from '../../direct/index.js';
-import type {ErrorName} from '../../errors/index.js';
 import type {AdmittedRequest} from './exchange.js';
 import type {UpstreamConnections} from './upstream_connections.js';
 
@@ -35,12 +35,15 @@
   /** Whether connections of callers close after their answer. */
   isClosing(): boolean;
 
-  /** Chooses an upstream that is not among those tried. */
+  /**
+   * Chooses an upstream that is not among those tried, or says why there is
+   * none.
+   */
   choose(
     now: Millis,
     ask: AdmittedRequest,
     tried: ReadonlySet<string>,
-  ): Upstream | undefined;
+  ): Upstream | 'group_down' | 'none';
 
   /** Connections for requests of a route. */
   connectionsFor(route: Route): UpstreamConnections;
@@ -51,6 +54,9 @@
   /** An upstream refused because another rank of its group failed. */
   groupFell(upstream: Upstream, culprit: string): void;
 
+  /** An upstream began to answer a request that was sent at that time. */
+  groupAnswered(upstream: Upstream, sentAt: Millis): void;
+
   /** An attempt has failed. */
   attemptFailed(
     ask: AdmittedRequest,
@@ -60,7 +66,7 @@
   ): void;
 
   /** When a caller is to come back. */
-  retryAfter(ask: AdmittedRequest, reason: ErrorName): Millis | undefined;
+  retryAfter(cause: RefusalCause, timeLeft: Millis): Millis;
 
   /** A request is over. */
   finished(ask: AdmittedRequest, end: ExchangeEnd): void;
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -3,13 +3,16 @@
 import {
   EvenRanksPlacement,
   ExpectedWaitPlacement,
+  GroupHealth,
   LoadBook,
   RetryAllowance,
+  comeBackAfter,
   drawService,
 } from '../../direct/index.js';
 import type {
   AttemptFailure,
   PlacementPolicy,
+  RefusalCause,
   Route,
   Upstream,
 } from '../../direct/index.js';
@@ -28,9 +31,6 @@
 import {UpstreamConnections} from './upstream_connections.js';
 import {splitAddress} from './attempt.js';
 
-/** When a caller comes back if nothing better is known. */
-const RETRY_SOON: Millis = SECOND / 2;
-
 /** What an entry is made of. */
 export interface DirectParts {
   readonly clock: Clock;
@@ -45,6 +45,7 @@
   readonly clock: Clock;
   readonly dialect;
   readonly loads = new LoadBook();
+  private readonly groups = new GroupHealth();
   readonly retries: RetryAllowance;
   private readonly view: EstateView;
   private readonly front: FrontServer;
@@ -146,17 +147,26 @@
     now: Millis,
     ask: AdmittedRequest,
     tried: ReadonlySet<string>,
-  ): Upstream | undefined {
-    const all = this.view.upstreams
+  ): Upstream | 'group_down' | 'none' {
+    const {promptTokens} = ask.facts;
+    const untried = this.view.upstreams
       .of(ask.service)
       .filter(({incarnation}) => !tried.has(incarnation));
-    const reachable = all.filter(
+    if (untried.length === 0) return 'none';
+    const open = untried.filter(upstream =>
+      this.groups.mayTry(now, this.view.groupOf(upstream)),
+    );
+    if (open.length === 0) return 'group_down';
+    const reachable = open.filter(
       ({incarnation}) => !this.loads.isSuspended(now, incarnation),
     );
-    const candidates = reachable.length > 0 ? reachable : all;
-    const {promptTokens} = ask.facts;
+    const candidates = reachable.length > 0 ? reachable : open;
     const policy = this.hasEngines(ask.service) ? this.ranks : this.plain;
-    return policy.choose(now, {promptTokens}, candidates, this.parts.chance);
+    const {chance} = this.parts;
+    const chosen = policy.choose(now, {promptTokens}, candidates, chance);
+    if (chosen === undefined) return 'none';
+    this.groups.tried(now, this.view.groupOf(chosen));
+    return chosen;
   }
 
   connectionsFor({repeat}: Route): UpstreamConnections {
@@ -173,7 +183,17 @@
 
   groupFell(upstream: Upstream, culprit: string): void {
     const {id} = upstream.entry;
-    this.logger.info('group_fell', {upstream: id, culprit});
+    const group = this.view.groupOf(upstream);
+    if (!this.groups.fell(this.clock.now(), group)) return;
+    this.logger.warn('group_fell', {group, upstream: id, culprit});
+  }
+
+  groupAnswered(upstream: Upstream, sentAt: Millis): void {
+    const group = this.view.groupOf(upstream);
+    const now = this.clock.now();
+    const downMs = Math.round(this.groups.downFor(now, group));
+    if (!this.groups.answered(group, sentAt)) return;
+    this.logger.info('group_formed', {group, down_ms: downMs});
   }
 
   attemptFailed(
@@ -193,8 +213,8 @@
     });
   }
 
-  retryAfter(_ask: AdmittedRequest, _reason: ErrorName): Millis | undefined {
-    return RETRY_SOON;
+  retryAfter(cause: RefusalCause, timeLeft: Millis): Millis {
+    return comeBackAfter(cause, timeLeft, this.parts.chance);
   }
 
   finished(ask: AdmittedRequest, end: ExchangeEnd): void {
--- a/src/daemons/direct/estate_view.ts
+++ b/src/daemons/direct/estate_view.ts
@@ -5,10 +5,16 @@
   UpstreamTable,
   upstreamId,
 } from '../../direct/index.js';
-import type {DirectConfiguration, KeyedChange} from '../../direct/index.js';
+import type {
+  DirectConfiguration,
+  GroupKey,
+  KeyedChange,
+  Upstream,
+} from '../../direct/index.js';
 import type {Logger} from '../../observability/index.js';
 import type {Estate} from './estate.js';
 import {KeyedFollower} from './keyed_follower.js';
+import {rankPlace} from './rank_registry.js';
 
 /**
  * Reads of the configuration wait this long at the store. A connection that
@@ -37,7 +43,10 @@
     readonly configuration: KeyedFollower;
     readonly upstreams: KeyedFollower;
     readonly entries: KeyedFollower;
+    readonly ranks: KeyedFollower;
   };
+  /** Groups by the addresses of their ranks' engines. */
+  private readonly groups = new Map<string, string>();
   private readonly entryNames = new Set<string>();
   private knowsUpstreams = false;
   private isStopped = false;
@@ -68,6 +77,9 @@
       entries: this.follow(topics.entries, ENTRIES_SPACING, changes =>
         this.countEntries(changes),
       ),
+      ranks: this.follow(topics.ranks, ENTRIES_SPACING, changes =>
+        this.placeRanks(changes),
+      ),
     };
   }
 
@@ -91,6 +103,14 @@
     return this.knowsUpstreams ? undefined : 'no_upstreams';
   }
 
+  /**
+   * The group of an upstream; its service stands for groups not known.
+   * @param upstream - the upstream
+   */
+  groupOf({entry}: Upstream): GroupKey {
+    return this.groups.get(entry.address) ?? entry.service;
+  }
+
   /**
    * What `/status` shows.
    * @param now - present time
@@ -201,6 +221,13 @@
     }
   }
 
+  private placeRanks(changes: readonly KeyedChange[]): void {
+    for (const {key, value} of changes) {
+      const place = rankPlace(key, value);
+      if (place !== undefined) this.groups.set(place.engine, place.group);
+    }
+  }
+
   private expire(): void {
     for (const {entry} of this.upstreams.expire(this.clock.now())) {
       this.logger.info('upstream', {upstream: entry.id, change: 'gone'});
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -6,6 +6,7 @@
   AnswerFacts,
   AttemptFailure,
   HeaderLines,
+  RefusalCause,
   RequestFacts,
   Route,
   Upstream,
@@ -14,6 +15,7 @@
 import {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
 import {Attempt, pairs} from './attempt.js';
+import type {AnswerHead} from './attempt.js';
 import type {DirectContext} from './context.js';
 import {Reply} from './reply.js';
 
@@ -35,11 +37,6 @@
   readonly version: number;
 }
 
-interface AnswerHead {
-  readonly status: number;
-  readonly headers: HeaderLines;
-}
-
 /** One request of a caller, from its admission to its final answer. */
 export class Exchange {
   private readonly reply: Reply;
@@ -60,6 +57,7 @@
   private framer = new EventFramer();
   private failure: (AnswerHead & {readonly body: Buffer}) | undefined;
   private isOver = false;
+  private cause: RefusalCause = 'busy';
   private readonly timer: NodeJS.Timeout;
 
   /**
@@ -96,14 +94,12 @@
   private place(): void {
     const now = this.context.clock.now();
     const upstream = this.context.choose(now, this.ask, this.tried);
-    if (upstream === undefined) {
-      if (this.reply.isStarted) this.giveUp('upstream_lost');
-      else if (this.failure !== undefined) this.passFailure();
-      else if (this.mayHaveRun) this.giveUp('upstream_lost');
-      else this.giveUp(this.sends === 0 ? 'no_upstream' : 'overloaded');
+    if (typeof upstream === 'object') {
+      this.send(now, upstream);
       return;
     }
-    this.send(now, upstream);
+    if (upstream === 'group_down') this.cause = 'group_down';
+    this.conclude(upstream === 'group_down' ? 'group_down' : 'no_upstream');
   }
 
   private send(now: Millis, upstream: Upstream): void {
@@ -138,7 +134,7 @@
       context.connectionsFor(ask.route),
       context.dialect,
       {
-        head: (status, answer, facts) => this.begin(status, answer, facts),
+        head: (head, facts) => this.begin(head, facts),
         data: chunk => this.take(chunk),
         ended: () => this.whole(),
         failed: failure => this.failed(failure),
@@ -146,12 +142,9 @@
     );
   }
 
-  private begin(
-    status: number,
-    headers: HeaderLines,
-    facts: AnswerFacts,
-  ): void {
+  private begin(head: AnswerHead, facts: AnswerFacts): void {
     const {upstream} = this;
+    const {status} = head;
     if (upstream === undefined) return;
     if (facts.isWrongUpstream) {
       this.context.upstreamGone(upstream);
@@ -173,9 +166,10 @@
       this.abandon({kind: 'may_have_run', reason: 'answer without its seal'});
       return;
     }
-    this.head = {status, headers};
+    this.head = head;
+    if (isSuccess) this.context.groupAnswered(upstream, this.sentAt);
     if (!isSuccess || !this.isStream || this.reply.isStarted) return;
-    this.reply.begin(status, headers);
+    this.reply.begin(head);
   }
 
   private take(chunk: Buffer): void {
@@ -188,7 +182,7 @@
     this.heldBytes += chunk.length;
     if (this.heldBytes <= MAX_HELD_BYTES || this.head === undefined) return;
     if (!this.reply.isStarted) {
-      this.reply.begin(this.head.status, this.head.headers);
+      this.reply.begin(this.head);
     }
     const bytes = Buffer.concat(this.held);
     this.held = [];
@@ -213,10 +207,10 @@
   private whole(): void {
     const {head} = this;
     if (head === undefined) return;
-    const {status, headers} = head;
+    const {status} = head;
     const body = Buffer.concat(this.held);
     if (status >= 500) {
-      this.failure = {status, headers, body};
+      this.failure = {...head, body};
       this.failed({kind: 'failed_answer', status});
       return;
     }
@@ -228,7 +222,7 @@
     } else if (this.reply.isStarted) {
       if (body.length > 0) this.reply.write(body);
       this.reply.end();
-    } else this.reply.whole(status, headers, body);
+    } else this.reply.whole(head, body);
     this.close('answered', status);
   }
 
@@ -262,22 +256,36 @@
         return;
       }
     }
+    const isGroup =
+      failure.kind === 'not_run' && failure.reason === 'group_down';
+    if (isGroup) this.cause = 'group_down';
+    this.conclude(isGroup ? 'group_down' : 'overloaded');
+  }
+
+  /**
+   * Gives the final answer when nothing more is tried.
+   * @param refusal - what to say if the request has not run
+   */
+  private conclude(refusal: ErrorName): void {
     if (this.reply.isStarted) this.giveUp('upstream_lost');
     else if (this.failure !== undefined) this.passFailure();
     else if (this.mayHaveRun) this.giveUp('upstream_failed');
-    else this.giveUp('overloaded');
+    else this.giveUp(refusal);
   }
 
   private passFailure(): void {
     const {failure} = this;
     if (failure === undefined) return;
-    this.reply.whole(failure.status, failure.headers, failure.body);
+    this.reply.whole(failure, failure.body);
     this.close('upstream_error', failure.status);
   }
 
   private giveUp(reason: ErrorName): void {
     const fault = new Fault(reason);
-    const retryAfter = this.context.retryAfter(this.ask, reason);
+    const {clock} = this.context;
+    const patience = this.ask.facts.patience ?? this.ask.route.timeout;
+    const timeLeft = this.ask.arrivedAt + patience - clock.now();
+    const retryAfter = this.context.retryAfter(this.cause, timeLeft);
     this.reply.refuse(fault, retryAfter);
     this.close(reason, fault.status, retryAfter);
   }
--- a/src/daemons/direct/rank_registry.ts
+++ b/src/daemons/direct/rank_registry.ts
@@ -71,20 +71,34 @@
     if (listing.isErr()) return err(listing.error);
     const found = new Map<number, RankRecord>();
     for (const {key, value} of listing.value.records) {
-      const [name, part] = splitKey(key);
-      if (name !== group || value === undefined || !/^\d+$/.test(part)) {
-        continue;
-      }
-      const record = readRecord(value);
-      if (record !== undefined) found.set(Number(part), record);
+      const place = rankPlace(key, value);
+      if (place?.group === group) found.set(place.rank, place);
     }
     return ok(found);
   }
 }
 
-function splitKey(key: string): [group: string, part: string] {
+/** A rank of a group and where it is. */
+export interface RankPlace extends RankRecord {
+  readonly group: string;
+  readonly rank: number;
+}
+
+/**
+ * Reads the record of a rank.
+ * @param key - key of the record
+ * @param value - its value
+ * @returns nothing for other records
+ */
+export function rankPlace(
+  key: string,
+  value: Uint8Array | undefined,
+): RankPlace | undefined {
   const at = key.lastIndexOf('/');
-  return [key.slice(0, at), key.slice(at + 1)];
+  const rank = key.slice(at + 1);
+  if (value === undefined || !/^\d+$/.test(rank)) return undefined;
+  const record = readRecord(value);
+  return record && {...record, group: key.slice(0, at), rank: Number(rank)};
 }
 
 function readRecord(value: Uint8Array): RankRecord | undefined {
--- a/src/daemons/direct/reply.ts
+++ b/src/daemons/direct/reply.ts
@@ -4,6 +4,7 @@
 import type {HeaderDialect, HeaderLines} from '../../direct/index.js';
 import {ERRORS} from '../../errors/index.js';
 import type {Fault} from '../../errors/index.js';
+import type {AnswerHead} from './attempt.js';
 
 /** Statuses that say that the request has not run and will not. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -28,23 +29,23 @@
 
   /**
    * Answers with all of an upstream's answer.
-   * @param status - its status
-   * @param headers - its header lines
+   * @param head - its head
    * @param body - its whole body
    */
-  whole(status: number, headers: HeaderLines, body: Buffer): void {
-    const lines = this.dialect.toCaller(headers);
-    this.writeHead(status, [...lines, ['Content-Length', `${body.length}`]]);
+  whole(head: AnswerHead, body: Buffer): void {
+    const length: HeaderLines = head.isFramed
+      ? [['Content-Length', `${body.length}`]]
+      : [];
+    this.writeAnswer(head, length);
     this.res.end(body);
   }
 
   /**
    * Begins an answer that comes piece by piece.
-   * @param status - its status
-   * @param headers - the upstream's header lines
+   * @param head - its head
    */
-  begin(status: number, headers: HeaderLines): void {
-    this.writeHead(status, this.dialect.toCaller(headers));
+  begin(head: AnswerHead): void {
+    this.writeAnswer(head, []);
     this.res.flushHeaders();
   }
 
@@ -109,6 +110,16 @@
     this.res.end(body);
   }
 
+  private writeAnswer(head: AnswerHead, length: HeaderLines): void {
+    const {status, headers, isFramed} = head;
+    if (!isFramed) {
+      // Its end was not marked, so it may be cut short; no end is made up.
+      this.res.shouldKeepAlive = false;
+      this.res.removeHeader('transfer-encoding');
+    }
+    this.writeHead(status, [...this.dialect.toCaller(headers), ...length]);
+  }
+
   private writeHead(status: number, lines: HeaderLines): void {
     if (this.isLast()) this.res.shouldKeepAlive = false;
     // Flat name and value lists keep order and repeats.
--- /dev/null
+++ b/src/direct/group_health.ts
@@ -0,0 +1,119 @@
+import type {Chance, Millis} from '../core/index.js';
+import {SECOND} from '../core/index.js';
+
+/**
+ * A request is let through to a fallen group this often, to find out whether
+ * it has formed again. All entries do so, so the group hears it more often.
+ */
+const PROBE_EVERY: Millis = 0.4 * SECOND;
+
+/** Ranks that step together, or a service whose groups are not known. */
+export type GroupKey = string;
+
+interface Fall {
+  readonly at: Millis;
+  probedAt: Millis;
+}
+
+/**
+ * Which groups have fallen. All ranks of a group fall and form together, so
+ * one refusal that blames another rank speaks for all of them. Load that it
+ * answers: a rank is cut off and every request would be sent to a rank that
+ * can only refuse it.
+ */
+export class GroupHealth {
+  private readonly falls = new Map<GroupKey, Fall>();
+
+  /**
+   * A rank refused because another one is missing, or stalled.
+   * @param now - present time
+   * @param group - its group
+   * @returns whether that was news
+   */
+  fell(now: Millis, group: GroupKey): boolean {
+    const known = this.falls.get(group);
+    if (known !== undefined) return false;
+    this.falls.set(group, {at: now, probedAt: now});
+    return true;
+  }
+
+  /**
+   * A rank began to answer a request that was sent after the fall.
+   * @param group - its group
+   * @param sentAt - when that request was sent
+   * @returns whether that was news
+   */
+  answered(group: GroupKey, sentAt: Millis): boolean {
+    const known = this.falls.get(group);
+    if (known === undefined || sentAt < known.at) return false;
+    return this.falls.delete(group);
+  }
+
+  /**
+   * Whether a request may be sent to a group: always while it runs, and as a
+   * probe now and then while it does not.
+   * @param now - present time
+   * @param group - the group
+   */
+  mayTry(now: Millis, group: GroupKey): boolean {
+    const fall = this.falls.get(group);
+    return fall === undefined || now - fall.probedAt >= PROBE_EVERY;
+  }
+
+  /**
+   * A request is sent to a group.
+   * @param now - present time
+   * @param group - the group
+   */
+  tried(now: Millis, group: GroupKey): void {
+    const fall = this.falls.get(group);
+    if (fall !== undefined) fall.probedAt = now;
+  }
+
+  /**
+   * Whether a group is down.
+   * @param group - the group
+   */
+  isDown(group: GroupKey): boolean {
+    return this.falls.has(group);
+  }
+
+  /**
+   * How long a group has been down.
+   * @param now - present time
+   * @param group - the group
+   */
+  downFor(now: Millis, group: GroupKey): Millis {
+    const fall = this.falls.get(group);
+    return fall === undefined ? 0 : now - fall.at;
+  }
+}
+
+/** Callers honour a time to come back up to this part of what they have. */
+const HONOURED_PART = 1 / 3;
+/** An upstream that is full has room again after about this time. */
+const BUSY_FOR: Millis = 0.4 * SECOND;
+/** Callers come back spread over this part of the time that they are told. */
+const SPREAD = 0.4;
+
+/** Why a request was refused, as far as coming back goes. */
+export type RefusalCause = 'busy' | 'group_down' | 'not_ready';
+
+/**
+ * When a refused caller is to come back: when there is likely room, spread so
+ * that refused callers do not come back together, and within what callers
+ * honour. A fallen group needs seconds to form, so its callers are told the
+ * latest time that they honour.
+ * @param cause - why it was refused
+ * @param timeLeft - how long the caller still waits
+ * @param chance - spreads callers
+ */
+export function comeBackAfter(
+  cause: RefusalCause,
+  timeLeft: Millis,
+  chance: Chance,
+): Millis {
+  const latest = Math.max(0, timeLeft) * HONOURED_PART;
+  const usual = cause === 'busy' ? Math.min(BUSY_FOR, latest) : latest;
+  return usual * (1 - SPREAD * chance.fraction());
+}
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -2,6 +2,7 @@
 export * from './attempt_policy.js';
 export * from './dialect.js';
 export * from './event_frames.js';
+export * from './group_health.js';
 export * from './keyed_view.js';
 export * from './load_book.js';
 export * from './placement.js';
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -85,6 +85,11 @@
     'No upstream of the service is reachable.',
     'Come back after Retry-After; operators see /status for the members.',
   ),
+  group_down: entry(
+    503,
+    'The group of ranks that serves the request is not whole.',
+    'Come back after Retry-After; operators see the log for the rank.',
+  ),
   dependency_over_limit: entry(
     503,
     'The share of this service that the caller may use is taken.',
--- a/src/expert_groups/cutover/coordinator.ts
+++ b/src/expert_groups/cutover/coordinator.ts
@@ -23,6 +23,8 @@
 const ORPHANED_AFTER: Millis = SECOND / 2;
 /** A coordinator that cannot reach all ranks steps down after this time. */
 const RECOVER_WITHIN: Millis = 4 * SECOND;
+/** A pass that no coordinator ever holds. */
+const NO_STEP: Step = 0;
 /** Changes and clearings that one claim can number. */
 export const TOKENS_PER_CLAIM = 2 ** 16;
 
@@ -165,10 +167,14 @@
       return;
     }
     if (outcome === 'unanswered' || outcome === 'replaced') return;
-    this.sentAt.delete(given.rank);
-    if (report !== undefined) this.planted.set(given.rank, report);
+    // An engine may refuse for the epoch before it looks at the token.
+    const isPlanted = report?.epoch === given.epoch && outcome === 'accepted';
+    if (isPlanted) this.planted.set(given.rank, report);
     this.acked.add(given.rank);
-    if (outcome === 'accepted') return;
+    if (outcome === 'accepted') {
+      this.sentAt.delete(given.rank);
+      return;
+    }
     const {kind} = given.order;
     if (kind === 'hold' && this.state === 'holding') this.holdLater();
     if (kind === 'prepare' && this.state === 'preparing') {
@@ -243,15 +249,22 @@
 
   /** Clears what an earlier coordinator, or a cancelled change, has left. */
   private recover(now: Millis): RankedOrder[] {
+    if (this.all().some(r => !r.isOpen)) {
+      // A group that is not whole begins no pass, and forms with nothing held.
+      this.phaseAt = now;
+      return [];
+    }
     if (now - this.phaseAt > RECOVER_WITHIN) {
       this.enter(now, 'resigned');
       return [];
     }
     const unplanted = this.ranks().filter(rank => !this.planted.has(rank));
     if (unplanted.length > 0) {
+      // Without a report the epoch is not known, and orders need it.
+      const reported = unplanted.filter(rank => this.known.has(rank));
       // Harmless in itself; from here on older orders are refused there.
-      const plant: CutoverOrder = {kind: 'disarm', map: this.nextVersion};
-      return this.give(now, unplanted, () => plant);
+      const plant: CutoverOrder = {kind: 'release', step: NO_STEP};
+      return this.give(now, reported, () => plant);
     }
     const reports = [...this.planted.values()];
     if (new Set(reports.map(r => r.epoch)).size > 1) {
--- /dev/null
+++ b/src/expert_groups/cutover/cutover.test.ts
@@ -0,0 +1,249 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {LockstepWorld} from '../../../test/support/lockstep_world.js';
+import type {Trouble} from '../../../test/support/lockstep_world.js';
+import {
+  CutoverCoordinator,
+  Popularity,
+  Succession,
+  TOKENS_PER_CLAIM,
+  expertLists,
+  mapFromLists,
+  startingMap,
+} from './index.js';
+import type {RankReport} from './index.js';
+
+const CALM: Trouble = {
+  late: 0,
+  unanswered: 0,
+  lateReports: 0,
+  freezes: [],
+  claims: [],
+  rebirths: [],
+};
+const PLAYED = 30_000;
+
+describe('CutoverCoordinator in a group', () => {
+  it('changes maps in calm times without holding the group up', () => {
+    const world = new LockstepWorld(1, CALM);
+    world.run(PLAYED);
+    expect(world.mixed).toBe(0);
+    expect(world.changes).toBeGreaterThan(20);
+    // A hold that is released before its pass costs no time at all.
+    expect(world.longestStall).toBeLessThan(120);
+  });
+
+  const singles: [string, Partial<Trouble>][] = [
+    ['late orders', {late: 0.3}],
+    ['lost answers', {unanswered: 0.35}],
+    ['late reports', {lateReports: 0.6}],
+    ['a coordinator that stands still', {freezes: [[6_000, 5_000]]}],
+    ['a second coordinator', {claims: [7_000]}],
+    ['coordinators that take turns', {claims: [4_000, 4_100, 9_000]}],
+    ['a group that forms anew', {rebirths: [5_000, 5_200, 12_000]}],
+    [
+      'a successor while the first stands still, and wakes',
+      {freezes: [[6_000, 1_500]], claims: [7_000]},
+    ],
+  ];
+  const seeds = Array.from({length: 12}, (_, seed) => seed + 1);
+
+  it.each(singles)('never begins a pass with two maps: %s', (_name, one) => {
+    for (const seed of seeds) {
+      const world = new LockstepWorld(seed, {...CALM, ...one});
+      world.run(PLAYED);
+      expect({seed, mixed: world.mixed}).toEqual({seed, mixed: 0});
+      expect(world.changes).toBeGreaterThan(3);
+    }
+  });
+
+  const pairs = singles.flatMap(([first, one], i) =>
+    singles
+      .slice(i + 1)
+      .map(([second, other]): [string, Partial<Trouble>] => [
+        `${first} + ${second}`,
+        {...one, ...other},
+      ]),
+  );
+
+  it.each(pairs)('never begins a pass with two maps: %s', (_name, both) => {
+    for (const seed of seeds.slice(0, 6)) {
+      const world = new LockstepWorld(seed, {...CALM, ...both});
+      world.run(PLAYED);
+      expect({seed, mixed: world.mixed}).toEqual({seed, mixed: 0});
+    }
+  });
+
+  it('never begins a pass with two maps: all of it, any timing', () => {
+    const times = fc.array(fc.integer({min: 1_000, max: 20_000}), {
+      maxLength: 3,
+    });
+    const sorted = times.map(t => t.sort((a, b) => a - b));
+    fc.assert(
+      fc.property(
+        fc.nat(10_000),
+        sorted,
+        sorted,
+        sorted,
+        (seed, claims, rebirths, freezes) => {
+          const world = new LockstepWorld(seed, {
+            late: 0.2,
+            unanswered: 0.2,
+            lateReports: 0.4,
+            claims,
+            rebirths,
+            freezes: freezes.map(at => [at, 2_500] as const),
+          });
+          world.run(24_000);
+          expect(world.mixed).toBe(0);
+        },
+      ),
+      {numRuns: 60, seed: 11},
+    );
+  });
+
+  it('leaves no hold behind when a coordinator dies with one standing', () => {
+    for (const seed of seeds) {
+      const world = new LockstepWorld(seed, {
+        ...CALM,
+        late: 0.1,
+        freezes: [[6_000 + seed * 7, 60_000]],
+        claims: [7_500],
+      });
+      world.run(PLAYED);
+      expect(world.mixed).toBe(0);
+      expect(world.step).toBeGreaterThan(250);
+    }
+  });
+});
+
+describe('CutoverCoordinator', () => {
+  const report = (rank: number, change: Partial<RankReport> = {}) => ({
+    group: 'g',
+    rank,
+    size: 2,
+    epoch: 1,
+    isOpen: true,
+    step: 10,
+    map: 0,
+    prepared: null,
+    armed: null,
+    heldAt: null,
+    running: 0,
+    queued: 0,
+    bornAt: 0,
+    ...change,
+  });
+
+  it('does not trust a report that may be older than its fence', () => {
+    const coordinator = new CutoverCoordinator(0, 2, 1, 0);
+    // Rank 0 holds; an arming that is still under way hits rank 1 later.
+    coordinator.reported(0, report(0, {heldAt: 12}));
+    coordinator.reported(0, report(1));
+    const [first, second] = coordinator.tick(0);
+    expect(first?.order.kind).toBe('release');
+    coordinator.answered(5, first!, 'accepted', report(0, {heldAt: 12}));
+    // Only the look of before says that rank 1 is not armed.
+    coordinator.reported(5, report(1));
+    expect(coordinator.tick(10)).toEqual([]);
+    coordinator.answered(20, second!, 'accepted', report(1, {armed: 7}));
+    const next = coordinator.tick(140);
+    expect(next.map(({rank, order}) => [rank, order.kind])).toEqual([
+      [1, 'disarm'],
+    ]);
+  });
+
+  it('does not take a refusal for a fence', () => {
+    // An engine that checks the epoch first may not have seen the token.
+    const coordinator = new CutoverCoordinator(0, 2, 1, 0);
+    expect(coordinator.tick(0)).toEqual([]);
+    coordinator.reported(0, report(0));
+    coordinator.reported(0, report(1));
+    const given = coordinator.tick(0);
+    for (const one of given) {
+      coordinator.answered(5, one, 'refused', report(one.rank));
+    }
+    coordinator.tick(10);
+    expect(coordinator.phase).toBe('recovering');
+    for (const one of coordinator.tick(150)) {
+      coordinator.answered(155, one, 'accepted', report(one.rank));
+    }
+    coordinator.tick(160);
+    expect(coordinator.phase).toBe('idle');
+  });
+
+  it('stops for good when another one has a higher token', () => {
+    const coordinator = new CutoverCoordinator(0, 2, 1, 0);
+    coordinator.reported(0, report(0));
+    const [first] = coordinator.tick(0);
+    coordinator.answered(5, first!, 'fenced', report(0));
+    expect(coordinator.phase).toBe('resigned');
+    expect(coordinator.tick(5_000)).toEqual([]);
+  });
+
+  it('ignores reports that are older than the one it has', () => {
+    const coordinator = new CutoverCoordinator(0, 2, 1, 0);
+    coordinator.reported(0, report(0, {epoch: 2}));
+    coordinator.reported(1, report(0, {epoch: 1, step: 99}));
+    coordinator.reported(2, report(0, {epoch: 2, step: 9}));
+    expect(coordinator.reportOf(0)).toMatchObject({epoch: 2, step: 10});
+  });
+});
+
+describe('Succession', () => {
+  it('lets one rank claim at a time after a silence', () => {
+    const succession = new Succession(0);
+    expect(succession.isDue(1_400, 0)).toBe(false);
+    expect(succession.isDue(1_500, 0)).toBe(true);
+    expect(succession.isDue(1_500, 1)).toBe(false);
+    expect(succession.isDue(2_000, 1)).toBe(true);
+  });
+
+  it('refuses an older claim, and waits after stepping down', () => {
+    const succession = new Succession(0);
+    expect(succession.heard(0, 5 * TOKENS_PER_CLAIM + 3)).toBe(true);
+    expect(succession.heard(10, 4 * TOKENS_PER_CLAIM + 90)).toBe(false);
+    expect(succession.heard(20, 5 * TOKENS_PER_CLAIM)).toBe(true);
+    succession.resigned(100);
+    expect(succession.isDue(3_900, 0)).toBe(false);
+    expect(succession.isDue(4_200, 0)).toBe(true);
+  });
+});
+
+describe('expert lists', () => {
+  const shape = {
+    ranks: 3,
+    layers: 2,
+    experts: 6,
+    slotsPerRank: 3,
+    expertSize: 1,
+  };
+
+  it('start in turn, with empty slots, and come back from lists', () => {
+    const map = startingMap(shape);
+    const lists = expertLists(map);
+    expect(lists[0]).toEqual([
+      [0, 3],
+      [1, 4],
+      [2, 5],
+    ]);
+    const byRank = [0, 1, 2].map(rank => lists.map(set => set[rank]!));
+    expect(mapFromLists(0, shape, byRank)).toEqual(map);
+  });
+});
+
+describe('Popularity', () => {
+  it('follows a shift within a second and keeps some of what was', () => {
+    const popularity = new Popularity(1, 4);
+    for (let now = 0; now <= 8_000; now += 300) {
+      popularity.add(now, [900, 100, 100, 100]);
+    }
+    for (let now = 8_300; now <= 10_300; now += 300) {
+      popularity.add(now, [100, 100, 900, 100]);
+    }
+    const [loads] = popularity.loads();
+    expect(loads![2]!).toBeGreaterThan(2 * loads![0]!);
+    expect(loads![0]!).toBeGreaterThan(loads![1]!);
+  });
+});
--- /dev/null
+++ b/test/support/direct_samples.ts
@@ -0,0 +1,76 @@
+import {availabilityZone, serviceName, version} from '../../src/core/index.js';
+import {upstreamId} from '../../src/direct/index.js';
+import type {
+  DirectConfiguration,
+  Route,
+  UpstreamEntry,
+} from '../../src/direct/index.js';
+
+/**
+ * A route for tests.
+ * @param change - what differs from a stream that may be resumed
+ */
+export function testRoute(change: Partial<Route> = {}): Route {
+  return {
+    name: 'plan',
+    host: 'vans.example',
+    pathPrefix: '/plan/',
+    repeat: 'stream',
+    timeout: 8_000,
+    latencyTarget: 400,
+    gapTarget: 120,
+    priority: 1,
+    targets: [{service: serviceName('assistant'), weight: 1}],
+    maxAttempts: 2,
+    needsKey: true,
+    resumable: true,
+    ...change,
+  };
+}
+
+/**
+ * A registration for tests.
+ * @param id - id of the upstream
+ * @param change - what differs from a ready one of the service `assistant`
+ */
+export function testEntry(
+  id: string,
+  change: Partial<UpstreamEntry> = {},
+): UpstreamEntry {
+  return {
+    id: upstreamId(id),
+    service: serviceName('assistant'),
+    address: '10.0.0.1:80',
+    availabilityZone: availabilityZone('a'),
+    slots: 8,
+    leaving: false,
+    warmUpLeft: 0,
+    bornAt: 1_000,
+    sequence: 1,
+    ...change,
+  };
+}
+
+/**
+ * A configuration for tests.
+ * @param number - its version
+ * @param change - what differs
+ */
+export function testConfiguration(
+  number: number,
+  change: Partial<DirectConfiguration> = {},
+): DirectConfiguration {
+  return {
+    version: version(number),
+    routes: [testRoute()],
+    services: [],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_048_576,
+      headerTimeout: 3_000,
+      idleTimeout: 15_000,
+    },
+    organisations: [],
+    ...change,
+  };
+}
--- /dev/null
+++ b/test/support/lockstep_world.ts
@@ -0,0 +1,273 @@
+import {Chance} from '../../src/core/index.js';
+import {
+  CutoverCoordinator,
+  startingMap,
+} from '../../src/expert_groups/index.js';
+import type {
+  CutoverOrder,
+  OrderOutcome,
+  RankReport,
+  RankedOrder,
+} from '../../src/expert_groups/index.js';
+
+const RANKS = 4;
+const PASS_MS = 60;
+const COPY_MS = 300;
+const SHAPE = {
+  ranks: RANKS,
+  layers: 1,
+  experts: 8,
+  slotsPerRank: 3,
+  expertSize: 1,
+};
+
+/** What goes wrong while maps are changed. */
+export interface Trouble {
+  /** Part of the orders that are carried out 2 to 12 s late, unanswered. */
+  readonly late: number;
+  /** Part of the orders that are carried out and not answered. */
+  readonly unanswered: number;
+  /** Part of the reports that arrive up to 400 ms late. */
+  readonly lateReports: number;
+  /** When the coordinator stands still, and for how long, ms. */
+  readonly freezes: readonly (readonly [at: number, forMs: number])[];
+  /** When a successor claims, the former one still being there, ms. */
+  readonly claims: readonly number[];
+  /** When a rank is reborn and the group forms anew, ms. */
+  readonly rebirths: readonly number[];
+}
+
+/** One rank's engine: obeys orders as it gets them, however late. */
+class Engine {
+  map = 0;
+  highest = 0;
+  prepared: number | null = null;
+  preparedAt = 0;
+  armed: {readonly map: number; readonly step: number} | null = null;
+  heldAt: number | null = null;
+  private token = 0;
+
+  obey(now: number, step: number, order: CutoverOrder, token: number) {
+    if (token < this.token) return 'fenced';
+    this.token = token;
+    switch (order.kind) {
+      case 'prepare':
+        if (this.prepared === order.map) return 'accepted';
+        if (order.map <= this.highest || this.armed) return 'refused';
+        this.highest = this.prepared = order.map;
+        this.preparedAt = now + COPY_MS;
+        return 'accepted';
+      case 'arm':
+        if (this.armed?.map === order.map) return 'accepted';
+        if (this.prepared !== order.map || now < this.preparedAt) {
+          return 'refused';
+        }
+        if (step >= order.step) return 'refused';
+        this.armed = {map: order.map, step: order.step};
+        return 'accepted';
+      case 'disarm':
+        if (this.map === order.map) return 'refused';
+        if (this.armed?.map === order.map) this.armed = null;
+        return 'accepted';
+      case 'hold':
+        if (step >= order.step) return 'refused';
+        this.heldAt = order.step;
+        return 'accepted';
+      case 'release':
+        if (this.heldAt === order.step) this.heldAt = null;
+        return 'accepted';
+    }
+  }
+
+  begin(step: number): void {
+    if (this.armed?.step !== step) return;
+    this.map = this.armed.map;
+    this.armed = this.prepared = null;
+  }
+
+  reform(): void {
+    this.map = 0;
+    this.prepared = this.armed = this.heldAt = null;
+  }
+}
+
+interface Event {
+  readonly at: number;
+  readonly run: () => void;
+}
+
+/** A lock-step group, its coordinators and what goes wrong between them. */
+export class LockstepWorld {
+  now = 0;
+  step = 0;
+  epoch = 1;
+  /** Passes that were begun with two maps. */
+  mixed = 0;
+  /** Changes of map that all ranks made. */
+  changes = 0;
+  longestStall = 0;
+  private readonly engines = Array.from({length: RANKS}, () => new Engine());
+  private readonly chance: Chance;
+  private readonly events: Event[] = [];
+  private readonly coordinators: CutoverCoordinator[] = [];
+  private passAt = PASS_MS;
+  private proposeAt = 500;
+  private lastPass = 0;
+
+  /**
+   * @param seed - decides chance
+   * @param trouble - what goes wrong
+   */
+  constructor(
+    seed: number,
+    private readonly trouble: Trouble,
+  ) {
+    this.chance = new Chance(seed);
+    this.claim(0);
+  }
+
+  /**
+   * Plays the group.
+   * @param until - end, ms
+   */
+  run(until: number): void {
+    const pending = [...this.trouble.claims];
+    const reborn = [...this.trouble.rebirths];
+    for (; this.now < until; this.now += 5) {
+      if (this.now >= (pending[0] ?? Infinity)) {
+        pending.shift();
+        this.claim(this.coordinators.length % RANKS);
+      }
+      if (this.now >= (reborn[0] ?? Infinity)) {
+        reborn.shift();
+        this.epoch += 1;
+        for (const engine of this.engines) engine.reform();
+      }
+      this.deliver();
+      if (this.now >= this.passAt) this.pass();
+      if (this.now % 20 === 0) this.coordinate();
+    }
+  }
+
+  /** Whether nothing is left armed or held. */
+  get isClean(): boolean {
+    return this.engines.every(e => e.armed === null && e.heldAt === null);
+  }
+
+  private claim(rank: number): void {
+    const claim = this.coordinators.length + 1;
+    this.coordinators.push(
+      new CutoverCoordinator(rank, RANKS, claim, this.now),
+    );
+  }
+
+  private deliver(): void {
+    const due = this.events.filter(({at}) => at <= this.now);
+    for (const event of due) {
+      this.events.splice(this.events.indexOf(event), 1);
+      event.run();
+    }
+  }
+
+  private pass(): void {
+    const next = this.step + 1;
+    const isHeld = this.engines.some(e => e.heldAt === next);
+    if (isHeld) {
+      const stall = this.now - this.lastPass;
+      this.longestStall = Math.max(this.longestStall, stall);
+      return;
+    }
+    this.step = next;
+    const before = this.engines[0]!.map;
+    for (const engine of this.engines) engine.begin(next);
+    const maps = new Set(this.engines.map(({map}) => map));
+    if (maps.size > 1) this.mixed += 1;
+    else if (!maps.has(before)) this.changes += 1;
+    this.lastPass = this.now;
+    this.passAt = this.now + PASS_MS;
+  }
+
+  private isFrozen(index: number): boolean {
+    // The newest coordinator is the one that stands still.
+    return (
+      index === this.coordinators.length - 1 &&
+      this.trouble.freezes.some(
+        ([at, span]) => this.now >= at && this.now < at + span,
+      )
+    );
+  }
+
+  private coordinate(): void {
+    for (const [index, coordinator] of this.coordinators.entries()) {
+      if (this.isFrozen(index)) continue;
+      if (this.now % 100 === 0) this.reportTo(coordinator);
+      if (coordinator.isReady(this.now) && this.now >= this.proposeAt) {
+        this.proposeAt = this.now + 400;
+        coordinator.propose(this.now, startingMap(SHAPE));
+      }
+      for (const given of coordinator.tick(this.now)) {
+        this.carry(coordinator, given);
+      }
+    }
+  }
+
+  private reportTo(coordinator: CutoverCoordinator): void {
+    for (let rank = 0; rank < RANKS; rank++) {
+      const report = this.report(rank);
+      const isLate = this.chance.fraction() < this.trouble.lateReports;
+      this.after(isLate ? this.chance.between(10, 400) : 2, () =>
+        coordinator.reported(this.now, report),
+      );
+    }
+  }
+
+  private carry(coordinator: CutoverCoordinator, given: RankedOrder): void {
+    const {late, unanswered} = this.trouble;
+    const draw = this.chance.fraction();
+    if (draw < late) {
+      this.after(this.chance.between(2_000, 12_000), () => this.obey(given));
+      this.after(100, () => {
+        const report = this.report(given.rank);
+        coordinator.answered(this.now, given, 'unanswered', report);
+      });
+      return;
+    }
+    this.after(this.chance.between(1, 15), () => {
+      const outcome = this.obey(given);
+      const report = this.report(given.rank);
+      const told = draw < late + unanswered ? 'unanswered' : outcome;
+      this.after(this.chance.between(1, 15), () =>
+        coordinator.answered(this.now, given, told, report),
+      );
+    });
+  }
+
+  private obey({rank, order, token, epoch}: RankedOrder): OrderOutcome {
+    if (epoch !== this.epoch) return 'refused';
+    return this.engines[rank]!.obey(this.now, this.step, order, token);
+  }
+
+  private report(rank: number): RankReport {
+    const engine = this.engines[rank]!;
+    const isPrepared = this.now >= engine.preparedAt;
+    return {
+      group: 'g',
+      rank,
+      size: RANKS,
+      epoch: this.epoch,
+      isOpen: true,
+      step: this.step,
+      map: engine.map,
+      prepared: isPrepared ? engine.prepared : null,
+      armed: engine.armed?.map ?? null,
+      heldAt: engine.heldAt,
+      running: 1,
+      queued: 0,
+      bornAt: 0,
+    };
+  }
+
+  private after(delay: number, run: () => void): void {
+    this.events.push({at: this.now + delay, run});
+  }
+}
