Read a remote rank only after the lag of its reports; split the coordinator and its task

Change: a direct order is followed by a read after 0.6 s; no order is repeated meanwhile; no change of map is started while a sidecar is silent.

--- a/src/daemons/direct/map_task.ts
+++ b/src/daemons/direct/map_task.ts
@@ -1,10 +1,10 @@
-import type {RankClient} from '../../clients/index.js';
 import type {Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import type {ExpertProfile} from '../../direct/index.js';
 import {CutoverCoordinator, Succession} from '../../expert_groups/index.js';
 import type {
   CutoverMessage,
+  RankPlacement,
   RankReport,
   RankedOrder,
 } from '../../expert_groups/index.js';
@@ -12,31 +12,21 @@
 import type {DaemonContext} from '../shared/context.js';
 import {Task} from '../shared/task.js';
 import {MapPlanner} from './map_planner.js';
-import type {RankLinks} from './rank_links.js';
-import type {RankRecord, RankRegistry} from './rank_registry.js';
-import type {RankLook, RankWatch} from './rank_watch.js';
+import {OwnRank} from './own_rank.js';
+import type {RankMessage} from './own_rank.js';
+import {RankReach} from './rank_reach.js';
+import type {ReachPorts} from './rank_reach.js';
+import type {RankWatch} from './rank_watch.js';
 
 /** How often the task looks at the time. */
 const TICK_EVERY: Millis = 60;
-/** How often a sidecar reads the choices of its rank. */
-const LOOK_EVERY: Millis = 0.3 * SECOND;
-/** How often it reads its report besides. */
-const REPORT_EVERY: Millis = 0.6 * SECOND;
-/** The end of a load is looked for this long at most. */
-const LOADING_WITHIN: Millis = 6 * SECOND;
 const PLAN_EVERY: Millis = SECOND / 4;
 /** The coordinator tells the ranks that it is there. */
 const WATCH_EVERY: Millis = SECOND / 2;
-/** Missing ranks are looked up again after this time. */
-const LIST_EVERY: Millis = SECOND;
-/** A rank whose sidecar is silent this long is spoken to directly. */
-const DIRECT_AFTER: Millis = SECOND / 2;
-/** How often a rank is read directly. */
-const DIRECT_EVERY: Millis = SECOND / 4;
 
 type Message =
   | {readonly type: 'tick'}
-  | {readonly type: 'looked'; readonly look: RankLook | undefined}
+  | {readonly type: 'looked'; readonly message: RankMessage}
   | {
       readonly type: 'link';
       readonly from: Link;
@@ -44,58 +34,39 @@
     }
   | {readonly type: 'configured'; readonly profile: ExpertProfile}
   | {readonly type: 'claimed'; readonly claim: number | undefined}
-  | {
-      readonly type: 'listed';
-      readonly ranks: ReadonlyMap<number, RankRecord> | undefined;
-    }
   | {
       readonly type: 'answered';
       readonly given: RankedOrder;
       readonly outcome: Parameters<CutoverCoordinator['answered']>[2];
       readonly report: RankReport | undefined;
     }
-  | {readonly type: 'registered'; readonly isDone: boolean};
+  | {readonly type: 'read'; readonly report: RankReport}
+  | {
+      readonly type: 'placed';
+      readonly rank: number;
+      readonly placed: RankPlacement;
+    };
 
 type Ack = Extract<CutoverMessage, {type: 'cutover_ack'}>;
-type RankMessage = Extract<CutoverMessage, {type: 'cutover_report'}>;
 
 /** What a map task talks to. */
-export interface MapPorts {
+export interface MapPorts extends ReachPorts {
   readonly watch: RankWatch;
-  readonly engine: RankClient;
-  readonly registry: RankRegistry;
-  readonly links: RankLinks;
-  /** Where this sidecar and its rank are reached. */
-  readonly self: RankRecord;
-  /** Client of another rank's engine, for when its sidecar is silent. */
-  engineAt(address: string): RankClient;
 }
 
 /** Keeps one rank on the map of its group; may coordinate the group too. */
 export class MapTask extends Task<Message> {
-  private own: RankReport | undefined;
+  private readonly ownRank: OwnRank;
   private profile: ExpertProfile | undefined;
   private planner: MapPlanner | undefined;
   private coordinator: CutoverCoordinator | undefined;
   private readonly succession: Succession;
-  private records: ReadonlyMap<number, RankRecord> = new Map();
-  private readonly heardAt = new Map<number, Millis>();
-  private readonly directAt = new Map<number, Millis>();
-  private readonly engines = new Map<string, RankClient>();
+  private readonly reach: RankReach;
   /** Link of the coordinator that watches this rank. */
   private watcher: Link | undefined;
-  private registeredAs: string | undefined;
-  private isBusy = {looking: false, claiming: false, listing: false};
-  private lookedAt: Millis = -Infinity;
-  private reportedAt: Millis = -Infinity;
+  private isClaiming = false;
   private plannedAt: Millis = -Infinity;
   private watchedAt: Millis = -Infinity;
-  private listedAt: Millis = -Infinity;
-  private placedMap: number | undefined;
-  /** A map whose weights this rank loads; its end is looked for. */
-  private loading:
-    | {readonly map: number; readonly epoch: number; readonly until: Millis}
-    | undefined;
   private readonly timer: NodeJS.Timeout;
 
   /**
@@ -108,6 +79,15 @@
   ) {
     super(context.system, 'maps', context.logger.labelled('maps'));
     this.succession = new Succession(context.clock.now());
+    this.ownRank = new OwnRank(ports, context.clock, {
+      looked: message => this.post({type: 'looked', message}),
+    });
+    this.reach = new RankReach(ports, {
+      report: report => this.post({type: 'read', report}),
+      placement: (rank, placed) => this.post({type: 'placed', rank, placed}),
+      answered: (given, outcome, report) =>
+        this.post({type: 'answered', given, outcome, report}),
+    });
     this.timer = setInterval(() => this.post({type: 'tick'}), TICK_EVERY);
   }
 
@@ -119,7 +99,7 @@
   /** What `/status` shows. */
   get status(): object {
     return {
-      rank: this.own,
+      rank: this.ownRank.own,
       phase: this.coordinator?.phase ?? 'follower',
       token: this.succession.highestToken,
     };
@@ -131,7 +111,7 @@
       case 'tick':
         return this.tick(now);
       case 'looked':
-        return this.looked(now, message.look);
+        return this.looked(now, message.message);
       case 'link':
         return this.heard(now, message.from, message.message);
       case 'configured':
@@ -140,10 +120,6 @@
         return;
       case 'claimed':
         return this.claimed(now, message.claim);
-      case 'listed':
-        this.isBusy.listing = false;
-        if (message.ranks !== undefined) this.records = message.ranks;
-        return this.dial();
       case 'answered':
         return this.answered(
           now,
@@ -151,28 +127,19 @@
           message.outcome,
           message.report,
         );
-      case 'registered':
-        if (!message.isDone) this.registeredAs = undefined;
+      case 'read':
+        this.coordinator?.reported(now, message.report);
+        return;
+      case 'placed':
+        this.planner?.place(message.rank, message.placed);
         return;
     }
   }
 
-  private get isLoading(): boolean {
-    return this.loading !== undefined;
-  }
-
   private tick(now: Millis): void {
-    const isDue = now - this.lookedAt >= LOOK_EVERY || this.isLoading;
-    if (isDue && !this.isBusy.looking) {
-      this.lookedAt = now;
-      this.isBusy.looking = true;
-      const isFull = this.isLoading || now - this.reportedAt >= REPORT_EVERY;
-      if (isFull) this.reportedAt = now;
-      void this.ports.watch
-        .look(isFull)
-        .then(look => this.post({type: 'looked', look}));
-    }
-    const {own, coordinator} = this;
+    this.ownRank.tick(now);
+    const {coordinator} = this;
+    const {own} = this.ownRank;
     if (own === undefined) return;
     if (coordinator === undefined) {
       if (this.succession.isDue(now, own.rank)) this.claim(own);
@@ -181,43 +148,11 @@
     this.coordinate(now, coordinator, own);
   }
 
-  private looked(now: Millis, look: RankLook | undefined): void {
-    this.isBusy.looking = false;
-    if (look === undefined) return;
-    const {report = null, chosen} = look;
-    if (report !== null) this.ownReported(now, report);
-    const {own} = this;
-    if (own === undefined) return;
-    const {group, rank, map} = own;
-    const message: RankMessage = {
-      type: 'cutover_report',
-      group,
-      rank,
-      report,
-      chosen: [...chosen],
-      placed: null,
-    };
-    if (map === this.placedMap) {
-      this.deliver(now, message);
-      return;
+  private looked(now: Millis, message: RankMessage): void {
+    const isTaken = this.deliver(now, message);
+    if (isTaken && message.placed !== null) {
+      this.ownRank.placementTaken(message.placed.map);
     }
-    void this.ports.watch.placement().then(placed => {
-      const isTaken = this.deliver(now, {...message, placed});
-      if (isTaken && placed !== null) this.placedMap = placed.map;
-    });
-  }
-
-  private ownReported(now: Millis, report: RankReport): void {
-    this.own = report;
-    this.register(report);
-    if (this.loading === undefined) return;
-    const {prepared, map, epoch} = report;
-    const isOver =
-      prepared === this.loading.map ||
-      map === this.loading.map ||
-      epoch !== this.loading.epoch ||
-      now >= this.loading.until;
-    if (isOver) this.loading = undefined;
   }
 
   /** Hands a report to the coordinator, here or beside another rank. */
@@ -236,14 +171,18 @@
   ): void {
     const {coordinator, planner} = this;
     if (coordinator === undefined) return;
-    this.heardAt.set(rank, now);
+    this.reach.heard(now, rank);
     if (report !== null) coordinator.reported(now, report);
     planner?.add(now, chosen);
     if (placed !== null) planner?.place(rank, placed);
   }
 
   private heard(now: Millis, from: Link, message: CutoverMessage): void {
-    if (this.own !== undefined && message.group !== this.own.group) return;
+    if (
+      this.ownRank.own !== undefined &&
+      message.group !== this.ownRank.own.group
+    )
+      return;
     switch (message.type) {
       case 'cutover_watch':
         return this.watched(now, from, message);
@@ -273,14 +212,14 @@
       return;
     }
     if (this.coordinator !== undefined) this.resign(now, 'a newer claim');
-    const {rank} = this.own ?? {};
+    const {rank} = this.ownRank.own ?? {};
     const isUnplaced = rank !== undefined && unplaced.includes(rank);
-    if (this.watcher !== from || isUnplaced) this.placedMap = undefined;
+    if (this.watcher !== from || isUnplaced) this.ownRank.placeAgain();
     this.watcher = from;
   }
 
   private tellOutdated(from: Link): void {
-    const {group = ''} = this.own ?? {};
+    const {group = ''} = this.ownRank.own ?? {};
     const token = this.succession.highestToken;
     from.send({type: 'cutover_outdated', group, token});
   }
@@ -296,7 +235,7 @@
       this.tellOutdated(from);
       return;
     }
-    this.expectLoading(now, message);
+    this.ownRank.expectLoading(now, message);
     const outcome = await this.ports.engine.give(order, token, epoch);
     const report = (await this.ports.watch.report()) ?? null;
     const ack: Ack = {
@@ -312,18 +251,10 @@
     from.send(ack);
   }
 
-  private expectLoading(
-    now: Millis,
-    {order, epoch}: Pick<RankedOrder, 'order' | 'epoch'>,
-  ): void {
-    if (order.kind !== 'prepare') return;
-    this.loading = {map: order.map, epoch, until: now + LOADING_WITHIN};
-  }
-
   private acked(now: Millis, ack: Ack): void {
     const {rank, token, epoch, order} = ack;
     const given: RankedOrder = {rank, token, epoch, order};
-    this.heardAt.set(rank, now);
+    this.reach.heard(now, rank);
     this.answered(now, given, ack.outcome, ack.report ?? undefined);
   }
 
@@ -365,8 +296,12 @@
         unplaced: this.unplaced(own),
       });
     }
-    this.reach(now, own);
-    if (coordinator.isReady(now) && now - this.plannedAt >= PLAN_EVERY) {
+    this.reach.refresh(now, own, rank => this.unplaced(own).includes(rank));
+    // Reports of a rank without its sidecar lag, and the group would be held
+    // all the while: such a group keeps its map.
+    const isWhole = this.reach.silent.length === 0;
+    const isDue = now - this.plannedAt >= PLAN_EVERY;
+    if (isWhole && isDue && coordinator.isReady(now)) {
       this.plannedAt = now;
       this.plan(now, coordinator, own);
     }
@@ -382,7 +317,7 @@
   }
 
   private advance(now: Millis, coordinator: CutoverCoordinator): void {
-    for (const given of coordinator.tick(now)) this.give(given);
+    for (const given of coordinator.tick(now)) this.give(now, given);
     for (const {event, map, detail} of coordinator.takeEvents()) {
       this.logger.info('map_change', {step: event, map, detail});
     }
@@ -409,103 +344,16 @@
     coordinator.propose(now, plan.map);
   }
 
-  /** Looks up, dials and, where a sidecar is silent, reads ranks directly. */
-  private reach(now: Millis, own: RankReport): void {
-    const missing: number[] = [];
-    for (let rank = 0; rank < own.size; rank++) {
-      if (rank === own.rank) continue;
-      const heard = this.heardAt.get(rank) ?? -Infinity;
-      if (now - heard > DIRECT_AFTER) missing.push(rank);
-    }
-    if (missing.length === 0) return;
-    if (now - this.listedAt >= LIST_EVERY && !this.isBusy.listing) {
-      this.listedAt = now;
-      this.isBusy.listing = true;
-      void this.ports.registry.ranks(own.group).then(ranks =>
-        this.post({
-          type: 'listed',
-          ranks: ranks.isOk() ? ranks.value : undefined,
-        }),
-      );
-    }
-    for (const rank of missing) this.readDirectly(now, rank);
-  }
-
-  private readDirectly(now: Millis, rank: number): void {
-    const record = this.records.get(rank);
-    if (record === undefined) return;
-    if (now - (this.directAt.get(rank) ?? -Infinity) < DIRECT_EVERY) return;
-    this.directAt.set(rank, now);
-    void this.readRank(rank, this.engineOf(record));
-  }
-
-  private async readRank(rank: number, engine: RankClient): Promise<void> {
-    const read = await engine.report();
-    const report = read.isOk() ? read.value : undefined;
-    if (report === undefined || report.rank !== rank) return;
-    this.coordinator?.reported(this.context.clock.now(), report);
-    if (this.planner?.lacks(rank, report.map) !== true) return;
-    const placement = await engine.placement();
-    if (placement.isOk()) this.planner?.place(rank, placement.value);
-  }
-
-  private dial(): void {
-    const {own} = this;
+  private give(now: Millis, given: RankedOrder): void {
+    const {own} = this.ownRank;
     if (own === undefined) return;
-    for (const [rank, {sidecar}] of this.records) {
-      if (rank !== own.rank) this.ports.links.dial(sidecar);
-    }
-  }
-
-  private give(given: RankedOrder): void {
-    const {own} = this;
-    if (own === undefined) return;
-    const {rank, order, token, epoch} = given;
-    if (rank === own.rank) {
-      this.expectLoading(this.context.clock.now(), given);
-      void this.giveDirectly(given, this.ports.engine);
-      return;
-    }
-    const record = this.records.get(rank);
-    if (record === undefined) return;
-    const now = this.context.clock.now();
-    const isHeard = now - (this.heardAt.get(rank) ?? -Infinity) <= DIRECT_AFTER;
-    const isSent =
-      isHeard &&
-      this.ports.links.sendTo(record.sidecar, {
-        type: 'cutover_order',
-        group: own.group,
-        rank,
-        token,
-        epoch,
-        order,
-      });
-    if (!isSent) void this.giveDirectly(given, this.engineOf(record));
-  }
-
-  private async giveDirectly(
-    given: RankedOrder,
-    engine: RankClient,
-  ): Promise<void> {
-    const {order, token, epoch} = given;
-    const outcome = await engine.give(order, token, epoch);
-    const read = await engine.report();
-    const report = read.isOk() ? read.value : undefined;
-    this.post({type: 'answered', given, outcome, report});
-  }
-
-  private engineOf({engine}: RankRecord): RankClient {
-    let client = this.engines.get(engine);
-    if (client === undefined) {
-      client = this.ports.engineAt(engine);
-      this.engines.set(engine, client);
-    }
-    return client;
+    if (given.rank === own.rank) this.ownRank.expectLoading(now, given);
+    this.reach.give(now, own, given);
   }
 
   private claim({group, rank}: RankReport): void {
-    if (this.isBusy.claiming) return;
-    this.isBusy.claiming = true;
+    if (this.isClaiming) return;
+    this.isClaiming = true;
     this.logger.info('coordinator_claim', {group, rank});
     void this.ports.registry.claim(group, this.ports.self).then(claim =>
       this.post({
@@ -516,8 +364,8 @@
   }
 
   private claimed(now: Millis, claim: number | undefined): void {
-    this.isBusy.claiming = false;
-    const {own} = this;
+    this.isClaiming = false;
+    const {own} = this.ownRank;
     if (claim === undefined || own === undefined) {
       this.succession.resigned(now);
       return;
@@ -529,26 +377,15 @@
     this.planner = undefined;
     if (this.profile) this.planner = new MapPlanner(this.profile, size);
     this.watcher = undefined;
-    this.placedMap = undefined;
-    this.watchedAt = this.listedAt = -Infinity;
+    this.ownRank.placeAgain();
+    this.watchedAt = -Infinity;
     this.logger.info('coordinator', {group, rank, claim});
   }
 
   private resign(now: Millis, reason: string): void {
     this.logger.info('coordinator_resigned', {reason});
     this.coordinator = undefined;
-    this.heardAt.clear();
-    this.ports.links.hangUp();
+    this.reach.hangUp();
     this.succession.resigned(now);
   }
-
-  /** Writes where this rank is, whenever that is news. */
-  private register({group, rank}: RankReport): void {
-    const name = `${group}/${rank}`;
-    if (this.registeredAs === name) return;
-    this.registeredAs = name;
-    void this.ports.registry
-      .register(group, rank, this.ports.self)
-      .then(done => this.post({type: 'registered', isDone: done.isOk()}));
-  }
 }
--- /dev/null
+++ b/src/daemons/direct/own_rank.ts
@@ -0,0 +1,157 @@
+import type {Clock, Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+import type {
+  CutoverMessage,
+  RankReport,
+  RankedOrder,
+} from '../../expert_groups/index.js';
+import type {RankRecord, RankRegistry} from './rank_registry.js';
+import type {RankLook, RankWatch} from './rank_watch.js';
+
+/** How often a sidecar reads the choices of its rank. */
+const LOOK_EVERY: Millis = 0.3 * SECOND;
+/** How often it reads its report besides. */
+const REPORT_EVERY: Millis = 0.6 * SECOND;
+/** The end of a load is looked for this long at most. */
+const LOADING_WITHIN: Millis = 6 * SECOND;
+
+/** What a rank says of itself to the coordinator. */
+export type RankMessage = Extract<CutoverMessage, {type: 'cutover_report'}>;
+
+/** What the rank beside a sidecar is read through. */
+export interface OwnRankPorts {
+  readonly watch: RankWatch;
+  readonly registry: RankRegistry;
+  /** Where this sidecar and its rank are reached. */
+  readonly self: RankRecord;
+}
+
+/** What the owner hears. */
+export interface OwnRankEvents {
+  /** There is something to tell the coordinator. */
+  looked(message: RankMessage): void;
+}
+
+interface Loading {
+  readonly map: number;
+  readonly epoch: number;
+  readonly until: Millis;
+}
+
+/** Looks at the rank beside a sidecar, and writes down where it is. */
+export class OwnRank {
+  private report: RankReport | undefined;
+  /** A map whose weights the rank loads; its end is looked for. */
+  private loading: Loading | undefined;
+  private lookedAt: Millis = -Infinity;
+  private reportedAt: Millis = -Infinity;
+  private isLooking = false;
+  /** The map whose experts the coordinator was told of. */
+  private placedMap: number | undefined;
+  private registeredAs: string | undefined;
+
+  /**
+   * @param ports - what the rank is read through
+   * @param clock - tells the time
+   * @param events - told of what is read
+   */
+  constructor(
+    private readonly ports: OwnRankPorts,
+    private readonly clock: Clock,
+    private readonly events: OwnRankEvents,
+  ) {}
+
+  /** The newest report; nothing before the first. */
+  get own(): RankReport | undefined {
+    return this.report;
+  }
+
+  /**
+   * Looks at the rank when it is time to.
+   * @param now - present time
+   */
+  tick(now: Millis): void {
+    const isLoading = this.loading !== undefined;
+    if (this.isLooking) return;
+    if (!isLoading && now - this.lookedAt < LOOK_EVERY) return;
+    const isFull = isLoading || now - this.reportedAt >= REPORT_EVERY;
+    this.lookedAt = now;
+    if (isFull) this.reportedAt = now;
+    void this.look(isFull);
+  }
+
+  /**
+   * The rank was ordered to load weights.
+   * @param now - present time
+   * @param given - the order
+   */
+  expectLoading(
+    now: Millis,
+    {order, epoch}: Pick<RankedOrder, 'order' | 'epoch'>,
+  ): void {
+    if (order.kind !== 'prepare') return;
+    this.loading = {map: order.map, epoch, until: now + LOADING_WITHIN};
+  }
+
+  /**
+   * The coordinator has got the experts of the rank.
+   * @param map - on which map
+   */
+  placementTaken(map: number): void {
+    this.placedMap = map;
+  }
+
+  /** The coordinator lacks the experts of the rank. */
+  placeAgain(): void {
+    this.placedMap = undefined;
+  }
+
+  private async look(isFull: boolean): Promise<void> {
+    this.isLooking = true;
+    const look = await this.ports.watch.look(isFull);
+    this.isLooking = false;
+    if (look !== undefined) await this.tell(look);
+  }
+
+  private async tell({report, chosen}: RankLook): Promise<void> {
+    if (report !== undefined) this.reported(this.clock.now(), report);
+    const {report: own} = this;
+    if (own === undefined) return;
+    const {group, rank, map} = own;
+    const placed =
+      map === this.placedMap ? null : await this.ports.watch.placement();
+    this.events.looked({
+      type: 'cutover_report',
+      group,
+      rank,
+      report: report ?? null,
+      chosen: [...chosen],
+      placed,
+    });
+  }
+
+  private reported(now: Millis, report: RankReport): void {
+    this.report = report;
+    this.register(report);
+    if (this.loading === undefined) return;
+    const {prepared, map, epoch} = report;
+    const isOver =
+      prepared === this.loading.map ||
+      map === this.loading.map ||
+      epoch !== this.loading.epoch ||
+      now >= this.loading.until;
+    if (isOver) this.loading = undefined;
+  }
+
+  /** Writes where this rank is, whenever that is news. */
+  private register({group, rank}: RankReport): void {
+    const name = `${group}/${rank}`;
+    if (this.registeredAs === name) return;
+    this.registeredAs = name;
+    void this.ports.registry
+      .register(group, rank, this.ports.self)
+      .then(done => {
+        if (done.isErr()) this.registeredAs = undefined;
+      });
+  }
+}
--- /dev/null
+++ b/src/daemons/direct/rank_reach.test.ts
@@ -0,0 +1,110 @@
+import {errAsync, okAsync} from 'neverthrow';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+
+import {RankClient} from '../../clients/index.js';
+import {Fault} from '../../errors/index.js';
+import type {RankReport, RankedOrder} from '../../expert_groups/index.js';
+import {REMOTE_REPORT_LAG, RankReach} from './rank_reach.js';
+import type {ReachPorts} from './rank_reach.js';
+
+const report = (rank: number, armed: number | null): RankReport => ({
+  group: 'g',
+  rank,
+  size: 2,
+  epoch: 1,
+  isOpen: true,
+  step: 5,
+  map: 0,
+  prepared: null,
+  armed,
+  heldAt: null,
+  running: 0,
+  queued: 0,
+  bornAt: 0,
+});
+
+/** An engine that tells other VMs what it was 200 ms ago. */
+class LaggingEngine extends RankClient {
+  readonly orders: string[] = [];
+  private armedAt = Infinity;
+
+  constructor(private readonly lag: number) {
+    super();
+  }
+
+  arm(): void {
+    this.armedAt = performance.now();
+  }
+
+  report() {
+    const seen = performance.now() - this.lag;
+    return okAsync(report(1, seen >= this.armedAt ? 7 : null));
+  }
+
+  chosen() {
+    return errAsync(new Fault('engine_unreachable'));
+  }
+
+  placement() {
+    return errAsync(new Fault('engine_unreachable'));
+  }
+
+  async give(order: RankedOrder['order']) {
+    this.orders.push(order.kind);
+    return 'accepted' as const;
+  }
+}
+
+describe('RankReach', () => {
+  beforeEach(() => void vi.useFakeTimers());
+  afterEach(() => void vi.useRealTimers());
+
+  const given: RankedOrder = {
+    rank: 1,
+    order: {kind: 'disarm', map: 9},
+    token: 3,
+    epoch: 1,
+  };
+
+  async function reach(engine: RankClient) {
+    const answers: (RankReport | undefined)[] = [];
+    const ports = {
+      engine,
+      registry: {
+        ranks: async () =>
+          okAsync(new Map([[1, {sidecar: 'b:1', engine: 'b:2'}]])),
+      },
+      links: {dial: () => undefined, sendTo: () => false},
+      self: {sidecar: 'a:1', engine: 'a:2'},
+      engineAt: () => engine,
+    } as unknown as ReachPorts;
+    const way = new RankReach(ports, {
+      report: () => undefined,
+      placement: () => undefined,
+      answered: (_given, _outcome, read) => answers.push(read),
+    });
+    way.refresh(0, report(0, null), () => false);
+    await vi.advanceTimersByTimeAsync(1);
+    return {way, answers};
+  }
+
+  it('reads what an order did only after the lag of remote reports', async () => {
+    const engine = new LaggingEngine(200);
+    const {way, answers} = await reach(engine);
+    // An arming of a woken coordinator arrives just before the order.
+    engine.arm();
+    way.give(10, report(0, null), given);
+    await vi.advanceTimersByTimeAsync(REMOTE_REPORT_LAG + 50);
+    expect(answers.map(read => read?.armed)).toEqual([7]);
+  });
+
+  it('does not repeat an order whose report is still awaited', async () => {
+    const engine = new LaggingEngine(200);
+    const {way} = await reach(engine);
+    for (let now = 0; now < 500; now += 120) {
+      way.give(now, report(0, null), given);
+      await vi.advanceTimersByTimeAsync(120);
+    }
+    expect(engine.orders).toEqual(['disarm']);
+  });
+});
--- /dev/null
+++ b/src/daemons/direct/rank_reach.ts
@@ -0,0 +1,210 @@
+import type {RankClient} from '../../clients/index.js';
+import type {Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+import type {
+  OrderOutcome,
+  RankPlacement,
+  RankReport,
+  RankedOrder,
+} from '../../expert_groups/index.js';
+import type {RankLinks} from './rank_links.js';
+import type {RankRecord, RankRegistry} from './rank_registry.js';
+
+/** Missing ranks are looked up again after this time. */
+const LIST_EVERY: Millis = SECOND;
+/** A rank whose sidecar is silent this long is spoken to directly. */
+const DIRECT_AFTER: Millis = SECOND / 2;
+/** How often a rank is read directly. */
+const DIRECT_EVERY: Millis = SECOND / 4;
+
+/**
+ * An engine tells other VMs its state as it was some hundred ms ago. A report
+ * that is to show what an order did is read this long after it.
+ */
+export const REMOTE_REPORT_LAG: Millis = 0.6 * SECOND;
+
+/** What the way to the ranks is made of. */
+export interface ReachPorts {
+  /** Engine of the rank beside this sidecar. */
+  readonly engine: RankClient;
+  readonly registry: RankRegistry;
+  readonly links: RankLinks;
+  /** Where this sidecar and its rank are reached. */
+  readonly self: RankRecord;
+  /** Client of another rank's engine, for when its sidecar is silent. */
+  engineAt(address: string): RankClient;
+}
+
+/** What is heard of ranks that were spoken to directly. */
+export interface ReachEvents {
+  report(report: RankReport): void;
+  placement(rank: number, placed: RankPlacement): void;
+  answered(
+    given: RankedOrder,
+    outcome: OrderOutcome,
+    report: RankReport | undefined,
+  ): void;
+}
+
+/**
+ * The coordinator's way to the ranks: over the links to their sidecars, whose
+ * orders and reads cost nothing, and directly where a sidecar is silent, so
+ * that the loss of one does not stop the maps of its group.
+ */
+export class RankReach {
+  private records: ReadonlyMap<number, RankRecord> = new Map();
+  private readonly heardAt = new Map<number, Millis>();
+  private readonly readAt = new Map<number, Millis>();
+  private readonly engines = new Map<string, RankClient>();
+  /** Ranks that were given an order directly and have not answered. */
+  private readonly asked = new Set<number>();
+  private listedAt: Millis = -Infinity;
+  private isListing = false;
+  private missing: readonly number[] = [];
+
+  /**
+   * @param ports - what it speaks through
+   * @param events - told of answers to what was asked directly
+   */
+  constructor(
+    private readonly ports: ReachPorts,
+    private readonly events: ReachEvents,
+  ) {}
+
+  /**
+   * The sidecar of a rank spoke.
+   * @param now - present time
+   * @param rank - the rank
+   */
+  heard(now: Millis, rank: number): void {
+    this.heardAt.set(rank, now);
+  }
+
+  /** Ranks whose sidecars are silent. */
+  get silent(): readonly number[] {
+    return this.missing;
+  }
+
+  /** Leaves the ranks to another coordinator. */
+  hangUp(): void {
+    this.heardAt.clear();
+    this.listedAt = -Infinity;
+    this.ports.links.hangUp();
+  }
+
+  /**
+   * Looks up, dials and reads the ranks that are silent.
+   * @param now - present time
+   * @param own - report of the rank beside
+   * @param isUnplaced - whether the experts of a rank are wanted too
+   */
+  refresh(
+    now: Millis,
+    own: RankReport,
+    isUnplaced: (rank: number) => boolean,
+  ): void {
+    const missing: number[] = [];
+    this.missing = missing;
+    for (let rank = 0; rank < own.size; rank++) {
+      if (rank !== own.rank && !this.isHeard(now, rank)) missing.push(rank);
+    }
+    if (missing.length === 0) return;
+    if (now - this.listedAt >= LIST_EVERY && !this.isListing) {
+      this.listedAt = now;
+      void this.list(own);
+    }
+    for (const rank of missing) this.read(now, rank, isUnplaced(rank));
+  }
+
+  /**
+   * Gives an order.
+   * @param now - present time
+   * @param own - report of the rank beside
+   * @param given - the order
+   */
+  give(now: Millis, own: RankReport, given: RankedOrder): void {
+    const {rank, order, token, epoch} = given;
+    if (rank === own.rank) {
+      void this.giveDirectly(given, this.ports.engine, 0);
+      return;
+    }
+    const record = this.records.get(rank);
+    if (record === undefined) return;
+    const {group} = own;
+    const isSent =
+      this.isHeard(now, rank) &&
+      this.ports.links.sendTo(record.sidecar, {
+        type: 'cutover_order',
+        group,
+        rank,
+        token,
+        epoch,
+        order,
+      });
+    if (isSent || this.asked.has(rank)) return;
+    this.asked.add(rank);
+    void this.giveDirectly(
+      given,
+      this.engineOf(record),
+      REMOTE_REPORT_LAG,
+    ).finally(() => this.asked.delete(rank));
+  }
+
+  private isHeard(now: Millis, rank: number): boolean {
+    return now - (this.heardAt.get(rank) ?? -Infinity) <= DIRECT_AFTER;
+  }
+
+  private async list(own: RankReport): Promise<void> {
+    this.isListing = true;
+    const ranks = await this.ports.registry.ranks(own.group);
+    this.isListing = false;
+    if (ranks.isErr()) return;
+    this.records = ranks.value;
+    for (const [rank, {sidecar}] of this.records) {
+      if (rank !== own.rank) this.ports.links.dial(sidecar);
+    }
+  }
+
+  private read(now: Millis, rank: number, isUnplaced: boolean): void {
+    const record = this.records.get(rank);
+    if (record === undefined) return;
+    if (now - (this.readAt.get(rank) ?? -Infinity) < DIRECT_EVERY) return;
+    this.readAt.set(rank, now);
+    void this.readRank(rank, this.engineOf(record), isUnplaced);
+  }
+
+  private async readRank(
+    rank: number,
+    engine: RankClient,
+    isUnplaced: boolean,
+  ): Promise<void> {
+    const read = await engine.report();
+    const report = read.isOk() ? read.value : undefined;
+    if (report === undefined || report.rank !== rank) return;
+    this.events.report(report);
+    if (!isUnplaced) return;
+    const placed = await engine.placement();
+    if (placed.isOk()) this.events.placement(rank, placed.value);
+  }
+
+  private async giveDirectly(
+    given: RankedOrder,
+    engine: RankClient,
+    lag: Millis,
+  ): Promise<void> {
+    const {order, token, epoch} = given;
+    const outcome = await engine.give(order, token, epoch);
+    if (lag > 0) await new Promise(resolve => setTimeout(resolve, lag));
+    const read = await engine.report();
+    this.events.answered(given, outcome, read.isOk() ? read.value : undefined);
+  }
+
+  private engineOf({engine}: RankRecord): RankClient {
+    let client = this.engines.get(engine);
+    if (client === undefined) {
+      client = this.ports.engineAt(engine);
+      this.engines.set(engine, client);
+    }
+    return client;
+  }
+}
--- a/src/expert_groups/cutover/coordinator.ts
+++ b/src/expert_groups/cutover/coordinator.ts
@@ -1,58 +1,27 @@
 import type {Millis} from '../../core/index.js';
-import {SECOND} from '../../core/index.js';
 import type {ExpertMap, MapVersion, Rank, Step} from '../types.js';
 import {expertLists} from './expert_lists.js';
+import {OrderBook} from './order_book.js';
+import type {OrderFor} from './order_book.js';
+import {RankReports, isUniform} from './rank_reports.js';
+import {
+  ARM_WITHIN,
+  FRESH_WITHIN,
+  HOLD_MARGIN,
+  ORPHANED_AFTER,
+  PREPARE_WITHIN,
+  RECOVER_WITHIN,
+} from './timing.js';
+import {TOKENS_PER_CLAIM} from './types.js';
 import type {
+  CutoverEvent,
   CutoverOrder,
+  CutoverPhase,
   OrderOutcome,
   RankReport,
   RankedOrder,
 } from './types.js';
 
-/** An order that was not answered is given again after this time. */
-const REPEAT_EVERY: Millis = 120;
-/** Passes between the latest one and the one that is held. */
-const HOLD_MARGIN = 2;
-/** A report older than this says nothing of now. */
-const FRESH_WITHIN: Millis = 1.2 * SECOND;
-/** Weights have to be there within this time, or the change is given up. */
-const PREPARE_WITHIN: Millis = 6 * SECOND;
-/** All ranks must be armed within this time of the hold. */
-const ARM_WITHIN: Millis = SECOND;
-/** A hold or an arming that nobody knows of is cleared after this time. */
-const ORPHANED_AFTER: Millis = SECOND / 2;
-/** A coordinator that cannot reach all ranks steps down after this time. */
-const RECOVER_WITHIN: Millis = 4 * SECOND;
-/** A pass that no coordinator ever holds. */
-const NO_STEP: Step = 0;
-/** Changes and clearings that one claim can number. */
-export const TOKENS_PER_CLAIM = 2 ** 16;
-
-export type CutoverPhase =
-  /** Learns what an earlier coordinator left, and clears it. */
-  | 'recovering'
-  | 'idle'
-  | 'preparing'
-  | 'holding'
-  | 'arming'
-  | 'releasing'
-  | 'switching'
-  /** Another coordinator has taken over, or ranks cannot be reached. */
-  | 'resigned';
-
-/** What happened, for logs and counters. */
-export interface CutoverEvent {
-  readonly event:
-    'prepared' | 'held' | 'armed' | 'released' | 'switched' | 'cancelled';
-  readonly map: MapVersion;
-  readonly detail?: string;
-}
-
-interface Known {
-  report: RankReport;
-  at: Millis;
-}
-
 interface Change {
   readonly map: ExpertMap;
   readonly startedAt: Millis;
@@ -72,18 +41,15 @@
  */
 export class CutoverCoordinator {
   private state: CutoverPhase = 'recovering';
-  private readonly known = new Map<Rank, Known>();
-  private readonly sentAt = new Map<Rank, Millis>();
+  private readonly reports: RankReports;
+  private readonly orders = new OrderBook();
   /**
    * Reports that were read after the rank had answered an order of the
    * present token. Older orders are refused there from then on, so these can
    * only change by orders of this token; other reports may be older.
    */
   private readonly planted = new Map<Rank, RankReport>();
-  /** Ranks whose present order was answered. */
-  private readonly acked = new Set<Rank>();
   private token: number;
-  private numbered = 0;
   private change: Change | undefined;
   private orphanSince: Millis | undefined;
   private phaseAt: Millis;
@@ -97,10 +63,11 @@
    */
   constructor(
     private readonly self: Rank,
-    private readonly size: number,
+    size: number,
     claim: number,
     now: Millis,
   ) {
+    this.reports = new RankReports(size);
     this.token = claim * TOKENS_PER_CLAIM;
     this.phaseAt = now;
   }
@@ -121,7 +88,7 @@
 
   /** Newest report of each rank. */
   reportOf(rank: Rank): RankReport | undefined {
-    return this.known.get(rank)?.report;
+    return this.reports.of(rank);
   }
 
   /** Takes what has happened since the last call. */
@@ -135,12 +102,7 @@
    * @param report - the report
    */
   reported(now: Millis, report: RankReport): void {
-    const before = this.known.get(report.rank)?.report;
-    if (before !== undefined && isOlder(report, before)) return;
-    this.known.set(report.rank, {report, at: now});
-    if (before === undefined) return;
-    const isReborn = before.bornAt !== report.bornAt;
-    if (!isReborn && before.epoch === report.epoch) return;
+    if (!this.reports.take(now, report)) return;
     // A group that forms anew has dropped maps, armings and holds.
     this.planted.delete(report.rank);
     if (this.state === 'idle' || this.state === 'resigned') return;
@@ -167,14 +129,16 @@
       return;
     }
     if (outcome === 'unanswered' || outcome === 'replaced') return;
-    // An engine may refuse for the epoch before it looks at the token.
-    const isPlanted = report?.epoch === given.epoch && outcome === 'accepted';
+    // An engine may refuse for the epoch before it looks at the token, and
+    // a release that finds no hold may not look at it at all.
+    const isPlanted =
+      report?.epoch === given.epoch && given.order.kind !== 'release';
     if (isPlanted) this.planted.set(given.rank, report);
-    this.acked.add(given.rank);
-    if (outcome === 'accepted') {
-      this.sentAt.delete(given.rank);
-      return;
+    else if (report !== undefined && this.planted.has(given.rank)) {
+      this.planted.set(given.rank, report);
     }
+    this.orders.answered(given.rank, outcome === 'accepted');
+    if (outcome === 'accepted') return;
     const {kind} = given.order;
     if (kind === 'hold' && this.state === 'holding') this.holdLater();
     if (kind === 'prepare' && this.state === 'preparing') {
@@ -190,15 +154,10 @@
    * @param now - present time
    */
   isReady(now: Millis): boolean {
-    if (this.state !== 'idle' || !this.isFresh(now)) return false;
-    const [first, ...others] = this.all();
     return (
-      first !== undefined &&
-      this.isClean() &&
-      first.isOpen &&
-      others.every(
-        r => r.epoch === first.epoch && r.map === first.map && r.isOpen,
-      )
+      this.state === 'idle' &&
+      this.reports.isClean() &&
+      this.reports.isSettled(now, FRESH_WITHIN)
     );
   }
 
@@ -216,11 +175,6 @@
     this.enter(now, 'preparing');
   }
 
-  /** A link to a rank is gone: its reports are no longer news. */
-  lost(rank: Rank): void {
-    this.sentAt.delete(rank);
-  }
-
   /**
    * Goes on as far as the reports allow.
    * @param now - present time
@@ -249,7 +203,7 @@
 
   /** Clears what an earlier coordinator, or a cancelled change, has left. */
   private recover(now: Millis): RankedOrder[] {
-    if (this.all().some(r => !r.isOpen)) {
+    if (this.reports.all().some(r => !r.isOpen)) {
       // A group that is not whole begins no pass, and forms with nothing held.
       this.phaseAt = now;
       return [];
@@ -258,12 +212,16 @@
       this.enter(now, 'resigned');
       return [];
     }
-    const unplanted = this.ranks().filter(rank => !this.planted.has(rank));
+    const unplanted = this.reports
+      .ranks()
+      .filter(rank => !this.planted.has(rank));
     if (unplanted.length > 0) {
       // Without a report the epoch is not known, and orders need it.
-      const reported = unplanted.filter(rank => this.known.has(rank));
+      const reported = unplanted.filter(
+        rank => this.reports.of(rank) !== undefined,
+      );
       // Harmless in itself; from here on older orders are refused there.
-      const plant: CutoverOrder = {kind: 'release', step: NO_STEP};
+      const plant: CutoverOrder = {kind: 'disarm', map: this.nextVersion};
       return this.give(now, reported, () => plant);
     }
     const reports = [...this.planted.values()];
@@ -273,10 +231,14 @@
     }
     if (!isUniform(reports)) {
       const armed = reports.filter(r => r.armed !== null);
-      return this.give(now, rankNumbers(armed), rank => ({
-        kind: 'disarm',
-        map: this.planted.get(rank)?.armed ?? 0,
-      }));
+      return this.give(
+        now,
+        armed.map(r => r.rank),
+        rank => ({
+          kind: 'disarm',
+          map: this.planted.get(rank)?.armed ?? 0,
+        }),
+      );
     }
     const held = reports.filter(r => r.heldAt !== null);
     if (held.length > 0) return this.releaseHeld(now, held);
@@ -286,7 +248,7 @@
 
   /** Looks for holds and armings that no coordinator works on. */
   private watch(now: Millis): RankedOrder[] {
-    if (this.isClean()) {
+    if (this.reports.isClean()) {
       this.orphanSince = undefined;
       return [];
     }
@@ -304,16 +266,16 @@
       return [];
     }
     const {map} = change;
-    const waiting = this.ranks().filter(
-      rank => this.reportOf(rank)?.prepared !== map.version,
-    );
+    const waiting = this.reports
+      .ranks()
+      .filter(rank => this.reports.of(rank)?.prepared !== map.version);
     if (waiting.length === 0) {
       this.note('prepared');
       this.holdLater();
       this.enter(now, 'holding');
       return this.hold(now);
     }
-    const unasked = waiting.filter(rank => !this.acked.has(rank));
+    const unasked = waiting.filter(rank => !this.orders.isAnswered(rank));
     const experts = expertLists(map);
     return this.give(now, unasked, () => ({
       kind: 'prepare',
@@ -324,7 +286,7 @@
 
   private hold(now: Millis): RankedOrder[] {
     const change = this.change!;
-    const own = this.reportOf(this.self);
+    const own = this.reports.of(this.self);
     if (own?.heldAt === change.step) {
       this.note('held');
       this.enter(now, 'arming');
@@ -334,8 +296,8 @@
       this.cancel(now, 'not held in time');
       return [];
     }
-    if (this.lastStep() >= change.step) this.holdLater();
-    if (this.acked.has(this.self)) return [];
+    if (this.reports.lastStep() >= change.step) this.holdLater();
+    if (this.orders.isAnswered(this.self)) return [];
     return this.give(now, [this.self], () => ({
       kind: 'hold',
       step: change.step,
@@ -344,9 +306,9 @@
 
   private arm(now: Millis): RankedOrder[] {
     const {map, step} = this.change!;
-    const waiting = this.ranks().filter(
-      rank => this.reportOf(rank)?.armed !== map.version,
-    );
+    const waiting = this.reports
+      .ranks()
+      .filter(rank => this.reports.of(rank)?.armed !== map.version);
     if (waiting.length === 0) {
       this.note('armed');
       this.enter(now, 'releasing');
@@ -364,8 +326,8 @@
   }
 
   private release(now: Millis): RankedOrder[] {
-    const held = this.all().filter(r => r.heldAt !== null);
-    if (held.length === 0 && this.acked.has(this.self)) {
+    const held = this.reports.all().filter(r => r.heldAt !== null);
+    if (held.length === 0 && this.orders.isAnswered(this.self)) {
       this.note('released');
       this.enter(now, 'switching');
       return [];
@@ -380,7 +342,7 @@
 
   private settle(now: Millis): RankedOrder[] {
     const {version} = this.change!.map;
-    const reports = this.all();
+    const reports = this.reports.all();
     if (reports.every(r => r.map === version)) {
       this.note('switched');
       this.change = undefined;
@@ -390,10 +352,14 @@
   }
 
   private releaseHeld(now: Millis, held: readonly RankReport[]): RankedOrder[] {
-    return this.give(now, rankNumbers(held), rank => ({
-      kind: 'release',
-      step: this.reportOf(rank)?.heldAt ?? 0,
-    }));
+    return this.give(
+      now,
+      held.map(r => r.rank),
+      rank => ({
+        kind: 'release',
+        step: this.reports.of(rank)?.heldAt ?? 0,
+      }),
+    );
   }
 
   private cancel(now: Millis, detail: string): void {
@@ -408,7 +374,6 @@
   }
 
   private nextToken(): void {
-    this.numbered += 1;
     this.token += 1;
     this.planted.clear();
   }
@@ -416,30 +381,23 @@
   private holdLater(): void {
     const {change} = this;
     if (change === undefined) return;
-    change.step = Math.max(change.step, this.lastStep()) + HOLD_MARGIN;
-    this.acked.delete(this.self);
-    this.sentAt.delete(this.self);
+    change.step = Math.max(change.step, this.reports.lastStep()) + HOLD_MARGIN;
+    this.orders.forget(this.self);
   }
 
   private enter(now: Millis, phase: CutoverPhase): void {
     this.state = phase;
     this.phaseAt = now;
-    this.sentAt.clear();
-    this.acked.clear();
+    this.orders.clear();
   }
 
   private give(
     now: Millis,
     ranks: readonly Rank[],
-    order: (rank: Rank) => CutoverOrder,
+    order: OrderFor,
   ): RankedOrder[] {
-    const due = ranks.filter(rank => {
-      const sent = this.sentAt.get(rank);
-      return sent === undefined || now - sent >= REPEAT_EVERY;
-    });
-    return due.map(rank => {
-      this.sentAt.set(rank, now);
-      const epoch = this.reportOf(rank)?.epoch ?? 0;
+    return this.orders.give(now, ranks, rank => {
+      const epoch = this.reports.of(rank)?.epoch ?? 0;
       return {rank, order: order(rank), token: this.token, epoch};
     });
   }
@@ -447,51 +405,4 @@
   private note(event: CutoverEvent['event']): void {
     this.events.push({event, map: this.change?.map.version ?? 0});
   }
-
-  private isClean(): boolean {
-    return this.all().every(r => r.armed === null && r.heldAt === null);
-  }
-
-  private isFresh(now: Millis): boolean {
-    return this.ranks().every(rank => {
-      const known = this.known.get(rank);
-      return known !== undefined && now - known.at <= FRESH_WITHIN;
-    });
-  }
-
-  private lastStep(): Step {
-    return Math.max(0, ...this.all().map(r => r.step));
-  }
-
-  private all(): RankReport[] {
-    return [...this.known.values()].map(({report}) => report);
-  }
-
-  private ranks(): Rank[] {
-    return Array.from({length: this.size}, (_, rank) => rank);
-  }
-}
-
-/** Whether a report was read before another one of the same rank. */
-function isOlder(report: RankReport, than: RankReport): boolean {
-  if (report.bornAt !== than.bornAt) return report.bornAt < than.bornAt;
-  if (report.epoch !== than.epoch) return report.epoch < than.epoch;
-  return report.step < than.step;
-}
-
-/**
- * Whether every rank is on, or armed for, the same map, so that the group may
- * begin its next pass.
- */
-function isUniform(reports: readonly RankReport[]): boolean {
-  const armed = new Set(reports.flatMap(r => r.armed ?? []));
-  if (armed.size === 0) return true;
-  const [target] = armed;
-  return (
-    armed.size === 1 &&
-    reports.every(r => r.armed === target || r.map === target)
-  );
 }
-
-const rankNumbers = (reports: readonly RankReport[]) =>
-  reports.map(({rank}) => rank);
--- /dev/null
+++ b/src/expert_groups/cutover/order_book.ts
@@ -0,0 +1,67 @@
+import type {Millis} from '../../core/index.js';
+import type {Rank} from '../types.js';
+import type {CutoverOrder, RankedOrder} from './types.js';
+
+/** An order that was not answered is given again after this time. */
+const REPEAT_EVERY: Millis = 120;
+
+/** Orders of one phase: which were given when, and which were answered. */
+export class OrderBook {
+  private readonly sentAt = new Map<Rank, Millis>();
+  private readonly answeredBy = new Set<Rank>();
+
+  /** A new phase begins: nothing is given or answered. */
+  clear(): void {
+    this.sentAt.clear();
+    this.answeredBy.clear();
+  }
+
+  /**
+   * A rank has answered its order.
+   * @param rank - the rank
+   * @param mayRepeat - whether the next order need not wait
+   */
+  answered(rank: Rank, mayRepeat: boolean): void {
+    this.answeredBy.add(rank);
+    if (mayRepeat) this.sentAt.delete(rank);
+  }
+
+  /**
+   * The order of a rank has changed.
+   * @param rank - the rank
+   */
+  forget(rank: Rank): void {
+    this.answeredBy.delete(rank);
+    this.sentAt.delete(rank);
+  }
+
+  /**
+   * Whether a rank has answered in this phase.
+   * @param rank - the rank
+   */
+  isAnswered(rank: Rank): boolean {
+    return this.answeredBy.has(rank);
+  }
+
+  /**
+   * Orders for those ranks that have not been given one just now.
+   * @param now - present time
+   * @param ranks - the ranks
+   * @param make - makes the order of a rank
+   */
+  give(
+    now: Millis,
+    ranks: readonly Rank[],
+    make: (rank: Rank) => RankedOrder,
+  ): RankedOrder[] {
+    const due = ranks.filter(rank => {
+      const sent = this.sentAt.get(rank);
+      return sent === undefined || now - sent >= REPEAT_EVERY;
+    });
+    for (const rank of due) this.sentAt.set(rank, now);
+    return due.map(make);
+  }
+}
+
+/** Makes the order of a rank. */
+export type OrderFor = (rank: Rank) => CutoverOrder;
--- /dev/null
+++ b/src/expert_groups/cutover/rank_reports.ts
@@ -0,0 +1,103 @@
+import type {Millis} from '../../core/index.js';
+import type {Rank, Step} from '../types.js';
+import type {RankReport} from './types.js';
+
+interface Known {
+  readonly report: RankReport;
+  readonly at: Millis;
+}
+
+/** Newest report of each rank of a group. */
+export class RankReports {
+  private readonly known = new Map<Rank, Known>();
+
+  /** @param size - ranks of the group */
+  constructor(private readonly size: number) {}
+
+  /**
+   * Takes a report, unless it is older than the one known.
+   * @param now - present time
+   * @param report - the report
+   * @returns whether the rank has been reborn, or its group formed anew
+   */
+  take(now: Millis, report: RankReport): boolean {
+    const before = this.known.get(report.rank)?.report;
+    if (before !== undefined && isOlder(report, before)) return false;
+    this.known.set(report.rank, {report, at: now});
+    return (
+      before !== undefined &&
+      (before.bornAt !== report.bornAt || before.epoch !== report.epoch)
+    );
+  }
+
+  /**
+   * The report of a rank.
+   * @param rank - the rank
+   */
+  of(rank: Rank): RankReport | undefined {
+    return this.known.get(rank)?.report;
+  }
+
+  /** Reports of all ranks that were heard. */
+  all(): RankReport[] {
+    return [...this.known.values()].map(({report}) => report);
+  }
+
+  /** Numbers of all ranks, heard or not. */
+  ranks(): Rank[] {
+    return Array.from({length: this.size}, (_, rank) => rank);
+  }
+
+  /** Latest pass that any rank was seen to begin. */
+  lastStep(): Step {
+    return Math.max(0, ...this.all().map(r => r.step));
+  }
+
+  /** Whether no rank is armed or held. */
+  isClean(): boolean {
+    return this.all().every(r => r.armed === null && r.heldAt === null);
+  }
+
+  /**
+   * Whether every rank was heard lately, in one open group on one map.
+   * @param now - present time
+   * @param within - how lately
+   */
+  isSettled(now: Millis, within: Millis): boolean {
+    const isFresh = this.ranks().every(rank => {
+      const known = this.known.get(rank);
+      return known !== undefined && now - known.at <= within;
+    });
+    const [first, ...others] = this.all();
+    return (
+      isFresh &&
+      first !== undefined &&
+      first.isOpen &&
+      others.every(
+        r => r.epoch === first.epoch && r.map === first.map && r.isOpen,
+      )
+    );
+  }
+}
+
+/**
+ * Whether every rank is on, or armed for, the same map, so that the group may
+ * begin its next pass.
+ * @param reports - reports of all ranks
+ */
+export function isUniform(reports: readonly RankReport[]): boolean {
+  const armed = new Set(reports.flatMap(r => r.armed ?? []));
+  if (armed.size === 0) return true;
+  const [target] = armed;
+  return (
+    armed.size === 1 &&
+    reports.every(r => r.armed === target || r.map === target)
+  );
+}
+
+/** Whether a report was read before another one of the same rank. */
+function isOlder(report: RankReport, than: RankReport): boolean {
+  if (report.bornAt !== than.bornAt) return report.bornAt < than.bornAt;
+  if (report.epoch !== than.epoch) return report.epoch < than.epoch;
+  return report.step < than.step;
+}
--- a/src/expert_groups/cutover/succession.ts
+++ b/src/expert_groups/cutover/succession.ts
@@ -1,7 +1,7 @@
 import type {Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import type {Rank} from '../types.js';
-import {TOKENS_PER_CLAIM} from './coordinator.js';
+import {TOKENS_PER_CLAIM} from './types.js';
 
 /** A coordinator that is silent this long is replaced. */
 const SILENT_AFTER: Millis = 1.5 * SECOND;
--- /dev/null
+++ b/src/expert_groups/cutover/timing.ts
@@ -0,0 +1,15 @@
+import type {Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+
+/** Passes between the latest one and the one that is held. */
+export const HOLD_MARGIN = 2;
+/** A report older than this says nothing of now. */
+export const FRESH_WITHIN: Millis = 1.2 * SECOND;
+/** Weights have to be there within this time, or the change is given up. */
+export const PREPARE_WITHIN: Millis = 6 * SECOND;
+/** All ranks must be armed within this time of the hold. */
+export const ARM_WITHIN: Millis = 1.5 * SECOND;
+/** A hold or an arming that nobody knows of is cleared after this time. */
+export const ORPHANED_AFTER: Millis = SECOND / 2;
+/** A coordinator that cannot reach all ranks steps down after this time. */
+export const RECOVER_WITHIN: Millis = 4 * SECOND;
--- a/src/expert_groups/cutover/types.ts
+++ b/src/expert_groups/cutover/types.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 
 import {mapVersion, rank, step} from '../types.js';
+import type {MapVersion} from '../types.js';
 
 /** What a rank's engine says of itself and its group. */
 export const rankReport = z.strictObject({
@@ -71,3 +72,27 @@
   readonly token: number;
   readonly epoch: number;
 }
+
+/** What a coordinator is at. */
+export type CutoverPhase =
+  /** Learns what an earlier coordinator left, and clears it. */
+  | 'recovering'
+  | 'idle'
+  | 'preparing'
+  | 'holding'
+  | 'arming'
+  | 'releasing'
+  | 'switching'
+  /** Another coordinator has taken over, or ranks cannot be reached. */
+  | 'resigned';
+
+/** What happened, for logs and counters. */
+export interface CutoverEvent {
+  readonly event:
+    'prepared' | 'held' | 'armed' | 'released' | 'switched' | 'cancelled';
+  readonly map: MapVersion;
+  readonly detail?: string;
+}
+
+/** Changes and clearings that one claim can number. */
+export const TOKENS_PER_CLAIM = 2 ** 16;
