--- a/src/expert_groups/cutover/coordinator.ts
+++ b/src/expert_groups/cutover/coordinator.ts
@@ -3,7 +3,8 @@
 import {expertLists} from './expert_lists.js';
 import {OrderBook} from './order_book.js';
 import type {OrderFor} from './order_book.js';
-import {RankReports, isUniform} from './rank_reports.js';
+import {clearingStep} from './clearing.js';
+import {RankReports} from './rank_reports.js';
 import {
   ARM_WITHIN,
   FRESH_WITHIN,
@@ -75,8 +76,6 @@
   get phase(): CutoverPhase {
     return this.state;
   }
-
-  /** Token of the present change or clearing. */
   get fencingToken(): number {
     return this.token;
   }
@@ -86,7 +85,6 @@
     return this.token + 1;
   }
 
-  /** Newest report of each rank. */
   reportOf(rank: Rank): RankReport | undefined {
     return this.reports.of(rank);
   }
@@ -151,7 +149,6 @@
 
   /**
    * Whether a change may start: every rank was heard lately, on one map.
-   * @param now - present time
    */
   isReady(now: Millis): boolean {
     return (
@@ -163,7 +160,6 @@
 
   /**
    * Starts a change; only when ready.
-   * @param now - present time
    * @param map - the map to come; it gets the next version
    */
   propose(now: Millis, map: ExpertMap): void {
@@ -224,26 +220,22 @@
       const plant: CutoverOrder = {kind: 'disarm', map: this.nextVersion};
       return this.give(now, reported, () => plant);
     }
-    const reports = [...this.planted.values()];
-    if (new Set(reports.map(r => r.epoch)).size > 1) {
-      this.planted.clear();
-      return [];
-    }
-    if (!isUniform(reports)) {
-      const armed = reports.filter(r => r.armed !== null);
-      return this.give(
-        now,
-        armed.map(r => r.rank),
-        rank => ({
+    const step = clearingStep([...this.planted.values()]);
+    switch (step.kind) {
+      case 'look_again':
+        this.planted.clear();
+        return [];
+      case 'disarm':
+        return this.give(now, step.ranks, rank => ({
           kind: 'disarm',
           map: this.planted.get(rank)?.armed ?? 0,
-        }),
-      );
+        }));
+      case 'release':
+        return this.releaseHeld(now, step.held);
+      case 'clean':
+        this.enter(now, 'idle');
+        return [];
     }
-    const held = reports.filter(r => r.heldAt !== null);
-    if (held.length > 0) return this.releaseHeld(now, held);
-    this.enter(now, 'idle');
-    return [];
   }
 
   /** Looks for holds and armings that no coordinator works on. */
--- a/src/expert_groups/cutover/rank_reports.ts
+++ b/src/expert_groups/cutover/rank_reports.ts
@@ -80,21 +80,6 @@
   }
 }
 
-/**
- * Whether every rank is on, or armed for, the same map, so that the group may
- * begin its next pass.
- * @param reports - reports of all ranks
- */
-export function isUniform(reports: readonly RankReport[]): boolean {
-  const armed = new Set(reports.flatMap(r => r.armed ?? []));
-  if (armed.size === 0) return true;
-  const [target] = armed;
-  return (
-    armed.size === 1 &&
-    reports.every(r => r.armed === target || r.map === target)
-  );
-}
-
 /** Whether a report was read before another one of the same rank. */
 function isOlder(report: RankReport, than: RankReport): boolean {
   if (report.bornAt !== than.bornAt) return report.bornAt < than.bornAt;
