Play an entry of the new form against scripted upstreams and a stand-in of the store

One entry over real sockets: answers reset, cut, unsealed, stray, doubled, unframed or never given; streams that go on at the exact event; groups that are down; versions that race; the store down; the end while a request runs.

--- /dev/null
+++ b/standins/keyed_log_server.ts
@@ -0,0 +1,108 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import {StandinServer, sendJson} from './http_server.js';
+
+interface Entry {
+  readonly key: string;
+  readonly value: Buffer;
+}
+
+const LENGTH_BYTES = 4;
+const HEAD_BYTES = 8;
+
+/** Stands in for the platform's store: keyed topics of one partition. */
+export class KeyedLogServer extends StandinServer {
+  /** While set, every call is answered with this status. */
+  failing: number | undefined;
+  private readonly topics = new Map<string, Entry[]>();
+  private waiting: (() => void)[] = [];
+
+  /**
+   * Writes a record as another writer would.
+   * @param topic - its topic
+   * @param key - its key
+   * @param value - a JSON value; nothing drops the key
+   */
+  put(topic: string, key: string, value?: unknown): void {
+    const text = value === undefined ? '' : JSON.stringify(value);
+    this.append(topic, {key, value: Buffer.from(text)});
+  }
+
+  protected async handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(req.url ?? '/', 'http://standin');
+    const topic = url.searchParams.get('Topic') ?? '';
+    const records = this.topics.get(topic) ?? [];
+    if (this.failing !== undefined) {
+      res.writeHead(this.failing).end();
+      return;
+    }
+    switch (url.pathname) {
+      case '/api/log-newest':
+        return sendJson(res, listing(records));
+      case '/api/log-read': {
+        const from = Number(url.searchParams.get('From'));
+        const wait = Number(url.searchParams.get('WaitMs'));
+        if (from >= records.length) await this.record(wait);
+        res.end(page(this.topics.get(topic) ?? [], from));
+        return;
+      }
+      case '/api/log-append': {
+        const chunks: Buffer[] = [];
+        for await (const chunk of req) chunks.push(chunk as Buffer);
+        const content = Buffer.concat(chunks).subarray(LENGTH_BYTES);
+        const end = 1 + (content[0] ?? 0);
+        const key = content.subarray(1, end).toString();
+        this.append(topic, {key, value: content.subarray(end)});
+        const at = (this.topics.get(topic)?.length ?? 1) - 1;
+        return sendJson(res, {Offset: at, End: at + 1});
+      }
+      default:
+        res.writeHead(404).end();
+    }
+  }
+
+  private append(topic: string, entry: Entry): void {
+    this.topics.set(topic, [...(this.topics.get(topic) ?? []), entry]);
+    for (const wake of this.waiting.splice(0)) wake();
+  }
+
+  private record(wait: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, wait);
+      this.waiting.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+}
+
+function listing(records: readonly Entry[]): object {
+  const newest = new Map(records.map((entry, at) => [entry.key, {entry, at}]));
+  return {
+    Items: [...newest.values()]
+      .filter(({entry}) => entry.value.length > 0)
+      .map(({entry, at}) => ({
+        Key: entry.key,
+        Value: entry.value.toString('base64'),
+        Offset: at,
+      })),
+    HasMore: false,
+    End: records.length,
+  };
+}
+
+function page(records: readonly Entry[], from: number): Buffer {
+  const head = Buffer.alloc(2 * HEAD_BYTES);
+  head.writeBigUInt64BE(BigInt(records.length));
+  const framed = records.slice(from).map(({key, value}) => {
+    const name = Buffer.from(key);
+    const length = Buffer.alloc(LENGTH_BYTES);
+    length.writeUInt32BE(1 + name.length + value.length);
+    return Buffer.concat([length, Buffer.from([name.length]), name, value]);
+  });
+  return Buffer.concat([head, ...framed]);
+}
--- /dev/null
+++ b/test/direct_entry.test.ts
@@ -0,0 +1,262 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {DirectWorld, idOf, sealed, wireRoute} from './support/direct_estate.js';
+import type {Script} from './support/direct_estate.js';
+
+const ROUTES = [
+  wireRoute('/load/', 'unsafe'),
+  wireRoute('/sheet/', 'safe'),
+  wireRoute('/plan/', 'streaming'),
+];
+const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+let world: DirectWorld;
+
+beforeEach(async () => {
+  world = new DirectWorld();
+  await world.start();
+});
+afterEach(() => world.close());
+
+async function withUpstreams(...scripts: Script[]): Promise<void> {
+  for (const script of scripts) await world.addUpstream(script);
+  world.configure(3, ROUTES);
+  await world.ready();
+}
+
+const good: Script = ({head, socket}) => socket.write(sealed(head, 'done'));
+const refuse: Script = ({socket}) =>
+  socket.write(
+    'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+  );
+const reset: Script = ({socket}) => socket.resetAndDestroy();
+
+const runs = () => world.upstreams.flatMap(({received}) => received);
+
+describe('DirectEntry', () => {
+  it('answers 503 and is not ready while it knows no configuration', async () => {
+    const answer = await world.call('/load/1');
+    expect(answer.status).toBe(503);
+    expect(answer.headers['retry-after']).toBeDefined();
+    expect(await world.readinessStatus()).toBe(503);
+  });
+
+  it('passes a request on as it is, and the answer back', async () => {
+    await withUpstreams(good);
+    const answer = await world.call('/load/1?x=%20y', {'X-Own': 'kept'});
+    expect(answer).toMatchObject({status: 200, body: 'done', isWhole: true});
+    expect(answer.headers['response-seal']).toBe('s');
+    const [head = ''] = runs();
+    expect(head).toContain('POST /load/1?x=%20y HTTP/1.1');
+    expect(head).toMatch(/X-Own: kept/);
+    expect(head).toMatch(/Tenant: depot/);
+    expect(head).toMatch(/Expect-Instance: i-1/);
+    expect(head).not.toMatch(/authorization/i);
+    const left = Number(/Deadline-Ms: (\d+)/.exec(head)?.[1]);
+    expect(left).toBeGreaterThan(1_000);
+    expect(left).toBeLessThanOrEqual(1_200);
+  });
+
+  it.each<[string, Script, number]>([
+    ['reset', reset, 502],
+    [
+      'cut short',
+      ({head, socket}) => {
+        socket.end(sealed(head, 'done').slice(0, -2));
+      },
+      502,
+    ],
+    [
+      'without its seal',
+      ({head, socket}) => {
+        socket.write(sealed(head, 'done').replace('Response-Seal: s\r\n', ''));
+      },
+      502,
+    ],
+    ['no HTTP at all', ({socket}) => socket.end('#!garbage\r\n\r\n'), 502],
+    [
+      'to another request',
+      ({head, socket}) => {
+        socket.write(sealed(head.replace(idOf(head), 'r-other'), 'stray'));
+      },
+      502,
+    ],
+    ['never given', () => undefined, 504],
+  ])(
+    'runs an unsafe request once when the answer is %s',
+    async (_name, script, status) => {
+      await withUpstreams(script, script);
+      const answer = await world.call('/load/1');
+      expect(answer.status).toBe(status);
+      expect(answer.headers['response-seal']).toBeUndefined();
+      expect(runs()).toHaveLength(1);
+    },
+  );
+
+  it('refuses an unsafe request on proof, at once, with when to return', async () => {
+    await withUpstreams(refuse);
+    const answer = await world.call('/load/1');
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+    expect(answer.ms).toBeLessThan(400);
+  });
+
+  it.each<[string, Script]>([
+    ['reset', reset],
+    ['refused', refuse],
+    [
+      'failed',
+      ({head, socket}) => {
+        socket.write(sealed(head, 'oops', '500 Error'));
+      },
+    ],
+  ])('sends a safe request once more when it is %s', async (_name, first) => {
+    let isFirst = true;
+    const script: Script = received => {
+      const answer = isFirst ? first : good;
+      isFirst = false;
+      answer(received);
+    };
+    await withUpstreams(script, script);
+    const answer = await world.call('/sheet/1', {}, 'GET');
+    expect(answer).toMatchObject({status: 200, body: 'done'});
+    expect(runs()).toHaveLength(2);
+  });
+
+  it("passes an upstream's own failure on unchanged", async () => {
+    await withUpstreams(({head, socket}) => {
+      socket.write(sealed(head, 'broken', '500 Error'));
+    });
+    const answer = await world.call('/load/1');
+    expect(answer).toMatchObject({status: 500, body: 'broken'});
+    expect(answer.headers['response-seal']).toBe('s');
+  });
+
+  it('goes on with a stream inside one answer, cut in an event', async () => {
+    let isFirst = true;
+    const script: Script = ({head, socket}) => {
+      const from = Number(/last-event-id: (\d+)/i.exec(head)?.[1] ?? 0);
+      const open =
+        `HTTP/1.1 200 OK\r\nRequest-Id: ${idOf(head)}\r\n` +
+        `Response-Seal: s${isFirst ? 1 : 2}\r\n` +
+        'Transfer-Encoding: chunked\r\n\r\n';
+      if (isFirst) {
+        isFirst = false;
+        socket.write(open + chunk(event(1)) + chunk(event(2).slice(0, 9)));
+        setTimeout(() => socket.resetAndDestroy(), 60);
+        return;
+      }
+      const rest = [1, 2, 3, 4].filter(id => id > from).map(event);
+      socket.write(`${open}${chunk(rest.join(''))}0\r\n\r\n`);
+    };
+    await withUpstreams(script, script);
+    const answer = await world.call('/plan/1');
+    expect(answer.isWhole).toBe(true);
+    expect(answer.body).toBe([1, 2, 3, 4].map(event).join(''));
+    expect(answer.headers['response-seal']).toBe('s1');
+    expect(runs()[1]).toMatch(/Last-Event-Id: 1\b/);
+  });
+
+  it('does not make a stream look whole that broke off for good', async () => {
+    const script: Script = ({head, socket}) => {
+      socket.write(
+        `HTTP/1.1 200 OK\r\nRequest-Id: ${idOf(head)}\r\n` +
+          'Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n' +
+          chunk(event(1)),
+      );
+      setTimeout(() => socket.resetAndDestroy(), 40);
+    };
+    await withUpstreams(script, script);
+    const answer = await world.call('/plan/1');
+    expect(answer.isWhole).toBe(false);
+    expect(runs()).toHaveLength(2);
+  });
+
+  it('adds no length to an answer that had none', async () => {
+    await withUpstreams(({head, socket}) => {
+      socket.end(
+        `HTTP/1.1 200 OK\r\nRequest-Id: ${idOf(head)}\r\n` +
+          'Response-Seal: s\r\n\r\ndone',
+      );
+    });
+    const answer = await world.call('/load/1');
+    expect(answer.body).toBe('done');
+    expect(answer.headers['content-length']).toBeUndefined();
+    expect(answer.headers['transfer-encoding']).toBeUndefined();
+    expect(answer.headers['connection']).toBe('close');
+  });
+
+  it('drops a kept connection on which a second answer arrives', async () => {
+    await withUpstreams(({head, socket}) => {
+      socket.write(sealed(head, 'first'));
+      setTimeout(() => socket.write(sealed(head, 'again')), 30);
+    });
+    expect((await world.call('/sheet/1', {}, 'GET')).body).toBe('first');
+    await new Promise(resolve => setTimeout(resolve, 120));
+    const answer = await world.call('/sheet/2', {}, 'GET');
+    expect(answer).toMatchObject({status: 200, body: 'first'});
+    expect(runs()).toHaveLength(2);
+  });
+
+  it('refuses at once while a group is down, after one rank said so', async () => {
+    await withUpstreams(({socket}) => {
+      socket.write(
+        'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nAt-Server: i-gone\r\n' +
+          'Content-Length: 0\r\n\r\n',
+      );
+    });
+    await world.call('/sheet/1', {}, 'GET');
+    const answers = await Promise.all(
+      Array.from({length: 20}, () => world.call('/sheet/1', {}, 'GET')),
+    );
+    expect(answers.every(({status}) => status === 503)).toBe(true);
+    expect(runs().length).toBeLessThanOrEqual(3);
+  });
+
+  it('stops the work of a caller that left', async () => {
+    let closed = 0;
+    await withUpstreams(({socket}) => {
+      socket.once('close', () => (closed += 1));
+    });
+    const call = world.call('/sheet/1', {'Deadline-Ms': '300'}, 'GET');
+    expect((await call).status).toBe(504);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    expect(closed).toBe(1);
+  });
+
+  it('follows a new version, and a key that was taken away', async () => {
+    await withUpstreams(good);
+    expect((await world.call('/load/1')).status).toBe(200);
+    world.configure(5, [wireRoute('/other/', 'safe')]);
+    await new Promise(resolve => setTimeout(resolve, 200));
+    expect((await world.call('/load/1')).status).toBe(404);
+    world.configure(4, ROUTES);
+    await new Promise(resolve => setTimeout(resolve, 200));
+    expect((await world.call('/load/1')).status).toBe(404);
+    const wrong = await world.call('/other/1', {Authorization: 'Bearer x'});
+    expect(wrong.status).toBe(401);
+  });
+
+  it('serves on with what it knows while the store is down', async () => {
+    await withUpstreams(good);
+    world.store.failing = 503;
+    await new Promise(resolve => setTimeout(resolve, 300));
+    expect((await world.call('/load/1')).status).toBe(200);
+    expect(await world.readinessStatus()).toBe(200);
+  });
+
+  it('finishes what is open when it is told to end', async () => {
+    await withUpstreams(({head, socket}) => {
+      setTimeout(() => socket.write(sealed(head, 'late')), 700);
+    });
+    const call = world.call('/load/1');
+    await new Promise(resolve => setTimeout(resolve, 100));
+    const drained = world.drain();
+    expect(await world.readinessStatus()).toBe(503);
+    const answer = await call;
+    expect(answer).toMatchObject({status: 200, body: 'late'});
+    expect(answer.headers['connection']).toBe('close');
+    await drained;
+  });
+});
