--- a/src/daemons/direct/map_planner.ts
+++ b/src/daemons/direct/map_planner.ts
@@ -44,7 +44,7 @@
     this.planner = new Planner({
       ...DEFAULT_POLICY,
       weightSkew: 1,
-      weightCost: 1,
+      weightCost: 2.5,
       newPerRank: Math.min(profile.newPerChange, NEW_PER_RANK),
     });
   }
