--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,6 +9,7 @@
   'routing',
   'admission',
   'expert_groups',
+  'direct',
 ].map(folder => `src/${folder}/**/*.ts`);
 
 const CLOCKS_AND_CHANCE = [
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -56,6 +56,7 @@
   private readonly plain: PlacementPolicy;
   private readonly ranks: PlacementPolicy;
   private readonly logger: Logger;
+  private readonly failures;
   private isDraining = false;
 
   /**
@@ -70,6 +71,11 @@
     this.clock = clock;
     this.dialect = estate.dialect;
     this.logger = logger;
+    this.failures = metrics.counter(
+      'baobabspan_attempt_failures_total',
+      'Attempts at an upstream without a whole good answer, by reason',
+      ['reason', 'service'],
+    );
     this.retries = new RetryAllowance(settings.retryBound, clock.now());
     this.kept = new UpstreamConnections(clock);
     this.single = new UpstreamConnections(clock, {keepAlive: false});
@@ -132,6 +138,15 @@
     await this.stop();
   }
 
+  /**
+   * Takes settings that have changed; addresses stay as they were.
+   * @param settings - the settings
+   */
+  reload({retryBound}: DirectSettings): void {
+    this.retries.setBound(retryBound);
+    this.logger.info('reload', {...retryBound});
+  }
+
   /** Stops at once. */
   async stop(): Promise<void> {
     this.view.stop();
@@ -202,6 +217,10 @@
     failure: AttemptFailure,
     took: Millis,
   ): void {
+    this.failures.inc({
+      reason: failure.kind === 'not_run' ? failure.reason : failure.kind,
+      service: ask.service,
+    });
     const detail =
       failure.kind === 'failed_answer' ? failure.status : failure.reason;
     this.logger.info('attempt_failed', {
@@ -222,7 +241,18 @@
     const {arrivedAt, service, route} = ask;
     const since = (at: Millis | undefined) =>
       at === undefined ? undefined : Math.round(at - arrivedAt);
-    this.parts.metrics.outcomes.inc({outcome: end.outcome, service});
+    const {metrics} = this.parts;
+    metrics.outcomes.inc({outcome: end.outcome, service});
+    if (end.retryAfter !== undefined) {
+      metrics.refusals.inc({reason: end.outcome, service});
+    }
+    const answeredAt = end.firstByteAt ?? now;
+    if (end.outcome === 'answered') {
+      metrics.firstByteSeconds.observe(
+        {service},
+        (answeredAt - arrivedAt) / SECOND,
+      );
+    }
     this.logger.info('request', {
       id: ask.facts.id,
       route: route.name,
--- a/src/daemons/direct/map_sidecar.ts
+++ b/src/daemons/direct/map_sidecar.ts
@@ -77,6 +77,11 @@
     void this.learn();
   }
 
+  /** Nothing of a sidecar's settings can change while it runs. */
+  reload(): void {
+    this.parts.logger.info('reload');
+  }
+
   /** Ends; the rank goes on with the map that it has. */
   async drain(): Promise<void> {
     this.isStopped = true;
--- a/src/direct/retry_allowance.ts
+++ b/src/direct/retry_allowance.ts
@@ -34,10 +34,18 @@
    * @param startedAt - start of this process
    */
   constructor(
-    private readonly bound: RetryBound,
+    private bound: RetryBound,
     private readonly startedAt: Millis,
   ) {}
 
+  /**
+   * Another bound is in force from now on.
+   * @param bound - the bound of all entries
+   */
+  setBound(bound: RetryBound): void {
+    this.bound = bound;
+  }
+
   /**
    * How many entries share the bound.
    * @param count - at least all that may be running
