--- /dev/null
+++ b/src/observability/bounded_writer.test.ts
@@ -0,0 +1,51 @@
+import {Writable} from 'node:stream';
+
+import {describe, expect, it} from 'vitest';
+
+import {Clock} from '../core/index.js';
+import {BoundedWriter} from './bounded_writer.js';
+
+class FakeClock extends Clock {
+  at = 0;
+
+  now(): number {
+    return this.at;
+  }
+
+  wall(): number {
+    return this.at;
+  }
+}
+
+class Sink extends Writable {
+  text = '';
+  isStuck = false;
+
+  override _write(chunk: Buffer, _encoding: string, done: () => void): void {
+    this.text += chunk.toString();
+    if (!this.isStuck) done();
+  }
+}
+
+describe('BoundedWriter', () => {
+  it('drops lines beyond its rate and tells how many', () => {
+    const clock = new FakeClock();
+    const sink = new Sink();
+    const writer = new BoundedWriter(sink, clock);
+    for (let i = 0; i < 5_000; i++) writer.write(`line ${i}`);
+    expect(sink.text.split('\n').length - 1).toBe(1_000);
+    clock.at = 1_000;
+    writer.write('later');
+    expect(sink.text).toContain('event=log_lines_dropped n=4000');
+    expect(sink.text).toContain('later');
+  });
+
+  it('never waits for a reader that does not take lines', () => {
+    const clock = new FakeClock();
+    const sink = new Sink({highWaterMark: 64});
+    sink.isStuck = true;
+    const writer = new BoundedWriter(sink, clock);
+    for (let i = 0; i < 500; i++) writer.write('x'.repeat(40));
+    expect(sink.writableLength).toBeLessThan(200);
+  });
+});
