--- /dev/null
+++ b/src/core/hop_by_hop.ts
@@ -0,0 +1,12 @@
+/** Headers, in lower case, that concern one connection only (RFC 9110). */
+export const HOP_BY_HOP_HEADERS: readonly string[] = [
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+];
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,6 +1,7 @@
 /** Identifiers, time and chance that every other folder builds on. */
 export * from './address.js';
 export * from './chance.js';
+export * from './hop_by_hop.js';
 export * from './ids.js';
 export * from './log.js';
 export * from './rendezvous.js';
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -1,4 +1,4 @@
-import type {Chance, Clock, Millis, ServiceName} from '../../core/index.js';
+import type {Clock, Millis, ServiceName} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import {
   EvenRanksPlacement,
@@ -18,10 +18,10 @@
 } from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
-import type {Logger, Metrics} from '../../observability/index.js';
+import type {Logger} from '../../observability/index.js';
 import {OperatorServer} from '../shared/operator_server.js';
 import type {DirectContext, ExchangeEnd} from './context.js';
-import type {DirectSettings, Estate} from './estate.js';
+import type {DirectParts, DirectSettings} from './estate.js';
 import {EstateView} from './estate_view.js';
 import {Exchange, headerLines} from './exchange.js';
 import type {AdmittedRequest} from './exchange.js';
@@ -31,15 +31,6 @@
 import {UpstreamConnections} from './upstream_connections.js';
 import {splitAddress} from './attempt.js';
 
-/** What an entry is made of. */
-export interface DirectParts {
-  readonly clock: Clock;
-  readonly chance: Chance;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly estate: Estate;
-}
-
 /** An entry that sends straight to the upstreams. */
 export class DirectEntry implements DirectContext {
   readonly clock: Clock;
--- a/src/daemons/direct/estate.ts
+++ b/src/daemons/direct/estate.ts
@@ -15,6 +15,7 @@
   UpstreamEntry,
 } from '../../direct/index.js';
 import type {Fault} from '../../errors/index.js';
+import type {DaemonParts} from '../shared/start_context.js';
 
 /** What a process of this form of deployment is told at its start. */
 export interface DirectSettings {
@@ -76,3 +77,8 @@
    */
   abstract rankAt(address: string): RankClient;
 }
+
+/** What a process of this form of deployment is made of. */
+export interface DirectParts extends DaemonParts {
+  readonly estate: Estate;
+}
--- a/src/daemons/direct/index.ts
+++ b/src/daemons/direct/index.ts
@@ -1,7 +1,5 @@
 /** The form of deployment in which entries send straight to upstreams. */
 export {DirectEntry} from './direct_entry.js';
-export type {DirectParts} from './direct_entry.js';
 export {Estate} from './estate.js';
-export type {DirectSettings} from './estate.js';
+export type {DirectParts, DirectSettings} from './estate.js';
 export {MapSidecar} from './map_sidecar.js';
-export type {MapSidecarParts} from './map_sidecar.js';
--- a/src/daemons/direct/map_sidecar.ts
+++ b/src/daemons/direct/map_sidecar.ts
@@ -1,11 +1,10 @@
-import type {Chance, Clock, Millis} from '../../core/index.js';
+import type {Millis} from '../../core/index.js';
 import {SECOND, hostPort} from '../../core/index.js';
 import type {ExpertProfile} from '../../direct/index.js';
 import {describe} from '../../errors/index.js';
-import type {Logger, Metrics} from '../../observability/index.js';
 import {OperatorServer} from '../shared/operator_server.js';
 import {startContext} from '../shared/start_context.js';
-import type {DirectSettings, Estate} from './estate.js';
+import type {DirectParts, DirectSettings} from './estate.js';
 import {MapTask} from './map_task.js';
 import {RankLinks} from './rank_links.js';
 import {RankRegistry} from './rank_registry.js';
@@ -14,15 +13,6 @@
 /** How often a sidecar asks for a configuration that it lacks. */
 const ASK_EVERY: Millis = SECOND;
 
-/** What a sidecar is made of. */
-export interface MapSidecarParts {
-  readonly clock: Clock;
-  readonly chance: Chance;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly estate: Estate;
-}
-
 /** The process beside a rank that keeps the group's expert maps. */
 export class MapSidecar {
   private readonly task: MapTask;
@@ -37,7 +27,7 @@
    */
   constructor(
     private readonly settings: DirectSettings,
-    private readonly parts: MapSidecarParts,
+    private readonly parts: DirectParts,
   ) {
     const {estate, clock, metrics} = parts;
     const {vm, availabilityZone, ip, upstream, linkKey} = settings;
--- a/src/daemons/direct/upstream_connections.ts
+++ b/src/daemons/direct/upstream_connections.ts
@@ -22,7 +22,7 @@
  */
 export class UpstreamConnections extends Agent {
   private readonly idleSince = new WeakMap<Duplex, Millis>();
-  private readonly onStray = (stray: Duplex) => stray.destroy();
+  private readonly droppers = new WeakMap<Duplex, () => void>();
 
   /**
    * @param clock - tells how long a connection was idle
@@ -59,17 +59,15 @@
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
     if (!isKept) return false;
     this.idleSince.set(socket, this.clock.now());
-    const drop = () => this.onStray(socket);
-    this.strays.set(socket, drop);
+    const drop = () => socket.destroy();
+    this.droppers.set(socket, drop);
     socket.on('data', drop);
     return true;
   }
 
   override reuseSocket(socket: Duplex, req: ClientRequest): void {
-    const drop = this.strays.get(socket);
+    const drop = this.droppers.get(socket);
     if (drop !== undefined) socket.off('data', drop);
     super.reuseSocket(socket, req);
   }
-
-  private readonly strays = new WeakMap<Duplex, () => void>();
 }
--- a/src/daemons/entry/request_parser.ts
+++ b/src/daemons/entry/request_parser.ts
@@ -15,27 +15,19 @@
 import type {CallKey, CallRequest, Resolved} from '../../calls/index.js';
 import {PRIORITIES} from '../../configuration/index.js';
 import type {Priority} from '../../configuration/index.js';
-import {serviceName} from '../../core/index.js';
+import {HOP_BY_HOP_HEADERS, serviceName} from '../../core/index.js';
 import type {CallId, Millis, ServiceName} from '../../core/index.js';
 import {Fault, describe} from '../../errors/index.js';
 import {workOf} from './request_work.js';
 import type {InForce} from './types.js';
 
-/** Headers that concern one connection only and are never passed on. */
+/** Headers that are never passed on. */
 const HOP_BY_HOP = new Set([
+  ...HOP_BY_HOP_HEADERS,
   'authorization',
-  'connection',
   'content-length',
   'expect',
   'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
 ]);
 
 const KEY_HEADER = 'idempotency-key';
