Answer a listener of the relay once, whatever ends its wait

Cause: news answers a waiting listener, but its timer stayed armed until the response closes. With a listener that reads slowly the timer answered a second time, and ERR_HTTP_HEADERS_SENT, thrown from a timer, ends the process. The same class: a question whose target is no URL ('//') threw from the request handler.

Change: a listener is an object that is answered once and stops its own timer; the query is read without parsing the target as a URL.

Looked for the same elsewhere: Exchange guards its end by isOver and Reply by headersSent; no other response is ended by both a timer and an event; no other handler parses a request target as a URL.

Both tests failed before: one caught ERR_HTTP_HEADERS_SENT as an uncaught exception, the other ended with ERR_INVALID_URL.

--- a/src/daemons/direct/zone_store.test.ts
+++ b/src/daemons/direct/zone_store.test.ts
@@ -1,3 +1,5 @@
+import {connect} from 'node:net';
+
 import {errAsync, okAsync} from 'neverthrow';
 import type {ResultAsync} from 'neverthrow';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
@@ -68,6 +70,8 @@
 describe('ZoneStore', () => {
   let log: string[];
   let entries: Entry[];
+  /** Addresses at which the entries relay. */
+  let relays: string[];
 
   beforeEach(async () => {
     log = [];
@@ -78,6 +82,7 @@
       const relay = hostPort('127.0.0.1', await freePort());
       known.push({name: vmName(`entry-${i}`), relay});
     }
+    relays = known.map(({relay}) => relay);
     for (const {name, relay} of known) {
       const store = new CountedStore(log);
       const bounds = new Map([[TOPIC, BOUND]]);
@@ -157,6 +162,45 @@
     15_000,
   );
 
+  it('does not end when news and the end of a wait meet on a slow connection', async () => {
+    log.push('first');
+    await heardBy('first', entries);
+    const relay = relays[0]!;
+    const uncaught: unknown[] = [];
+    const note = (thrown: unknown) => uncaught.push(thrown);
+    process.on('uncaughtException', note);
+    // The second answer waits behind the first one on its connection, so that
+    // it is written long before it is taken.
+    const ask = (from: number, wait: number) =>
+      `GET /?topic=${TOPIC}&from=${from}&wait=${wait} HTTP/1.1\r\nHost: relay\r\n\r\n`;
+    const socket = connect(Number(relay.split(':')[1]), '127.0.0.1');
+    let answers = '';
+    socket.on('data', (chunk: Buffer) => (answers += chunk.toString('latin1')));
+    socket.write(ask(1_000, 800) + ask(log.length, 400));
+    await pause(150);
+    log.push('second');
+    await heardBy('second', entries);
+    await pause(1_000);
+    socket.destroy();
+    process.off('uncaughtException', note);
+    expect(uncaught).toEqual([]);
+    expect(answers.match(/^HTTP\/1\.1 \d+/gm)).toEqual([
+      'HTTP/1.1 204',
+      'HTTP/1.1 200',
+    ]);
+  });
+
+  it('answers a question whose address is none', async () => {
+    const res = await new Promise<string>((resolve, reject) => {
+      const socket = connect(Number(relays[0]!.split(':')[1]), '127.0.0.1');
+      socket.on('data', (chunk: Buffer) => resolve(chunk.toString('latin1')));
+      socket.on('error', reject);
+      socket.on('close', () => reject(new Error('closed')));
+      socket.write('GET // HTTP/1.1\r\nHost: relay\r\n\r\n');
+    });
+    expect(res).toMatch(/^HTTP\/1\.1 503/);
+  });
+
   it('hears what is too large to relay from the store itself', async () => {
     log.push('x'.repeat(2 ** 18));
     expect(await heardBy(log[0]!, entries)).toBeLessThan(BOUND);
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -50,9 +50,44 @@
   ),
 });
 
-interface Waiting {
-  readonly from: Offset;
-  readonly res: ServerResponse;
+/** A listener whose question waits for news; it is answered once. */
+class Waiting {
+  private timer: NodeJS.Timeout | undefined;
+  private isAnswered = false;
+
+  /**
+   * @param from - offset that it reads from
+   * @param res - takes the answer
+   */
+  constructor(
+    readonly from: Offset,
+    private readonly res: ServerResponse,
+  ) {}
+
+  /**
+   * Waits for news.
+   * @param wait - how long
+   * @param isOver - called at the end of that time, unless it was answered
+   */
+  waitFor(wait: Millis, isOver: () => void): void {
+    this.timer = setTimeout(isOver, wait);
+  }
+
+  /**
+   * Answers, unless that was done.
+   * @param said - the answer
+   */
+  answer(said: RelayAnswer): void {
+    this.stop();
+    if (this.isAnswered) return;
+    this.isAnswered = true;
+    writeAnswer(this.res, said);
+  }
+
+  /** Waits no longer: an answer that is not taken yet ends the wait as well. */
+  stop(): void {
+    clearTimeout(this.timer);
+  }
 }
 
 interface Topic {
@@ -221,8 +256,9 @@
   }
 
   private take(req: IncomingMessage, res: ServerResponse): void {
-    const url = new URL(req.url ?? '/', 'http://relay');
-    const asked = question.safeParse(Object.fromEntries(url.searchParams));
+    const [, query = ''] = (req.url ?? '').split('?', 2);
+    const params = new URLSearchParams(query);
+    const asked = question.safeParse(Object.fromEntries(params));
     const {topic: name = '', from = 0, wait = 0} = asked.data ?? {};
     const bound = this.bounds.get(name);
     if (!asked.success || bound === undefined) {
@@ -231,29 +267,29 @@
     }
     const topic = this.topicOf(name);
     topic.listenedAt = this.clock.now();
-    const listener: Waiting = {from: offset(from), res};
+    res.on('error', err => {
+      this.logger.debug('relay_answer_not_taken', {err: describe(err)});
+    });
+    const listener = new Waiting(offset(from), res);
     if (this.answer(name, listener)) return;
     topic.waiting.add(listener);
-    const timer = setTimeout(() => {
+    listener.waitFor(wait, () => {
       topic.waiting.delete(listener);
       this.answer(name, listener, true);
-    }, wait);
+    });
     res.once('close', () => {
-      clearTimeout(timer);
+      listener.stop();
       topic.waiting.delete(listener);
     });
-    res.on('error', err => {
-      this.logger.debug('relay_answer_not_taken', {err: describe(err)});
-    });
   }
 
   /** Answers a listener if there is anything to say; always at the end. */
-  private answer(name: string, {from, res}: Waiting, isLast = false): boolean {
+  private answer(name: string, listener: Waiting, isLast = false): boolean {
     const {buffer} = this.topicOf(name);
     const within = (this.bounds.get(name) ?? 0) * SPACING_PART + CONTACT_SLACK;
-    const said = buffer.answer(this.clock.now(), from, within);
+    const said = buffer.answer(this.clock.now(), listener.from, within);
     if (said.kind === 'nothing' && !isLast) return false;
-    writeAnswer(res, said);
+    listener.answer(said);
     return true;
   }
 
