Take changes to a map again when their order is repeated before its answer

Cause: a prepare order goes to 23 ranks as changes to the map before. The links of these VMs take 5 to 6 ms an order, so that the coordinator repeats the orders (5 ms a rank after the first) before it has read the first answers. The repeated changes find a sidecar that has moved on to the new map already, and their base counts as unknown. That was told as 'unanswered', which means a lost order: 23 of them at once make the coordinator hold a pass 0.5 s ahead instead of 0.1 s, and make it send whole maps, whose repeats do no harm. So every second change went wrong.

Change: changes to the map that the sidecar knows already are taken as that map; an order whose base is unknown is answered with 'not_given', which is no loss, and is logged with the maps known; a sidecar keeps the map of an order whatever its engine answers.

Both tests failed before ('unanswered' in place of 'accepted' and 'not_given', and the engine got another map). The test of PrepareSender used 'unanswered' for a sidecar that has lost its base; that case is 'not_given' now, and as strict.

--- a/src/daemons/direct/prepare_sender.test.ts
+++ b/src/daemons/direct/prepare_sender.test.ts
@@ -21,14 +21,14 @@
     const sender = new PrepareSender();
     expect(sender.compact(1, prepare(7, 3))).toEqual({order: prepare(7, 3)});
     sender.acked(1, prepare(7, 3), 'accepted');
-    sender.acked(2, prepare(7, 3), 'unanswered');
+    sender.acked(2, prepare(7, 3), 'not_given');
     const {order, patch} = sender.compact(1, prepare(8, 5));
     expect(order).toMatchObject({map: 8, experts: []});
     expect(patch?.base).toBe(7);
     expect(changedLists(lists(3), patch!.changes)).toEqual(lists(5));
     expect(sender.compact(2, prepare(8, 5)).patch).toBeUndefined();
-    // A sidecar that has lost its base answers nothing, and gets the map.
-    sender.acked(1, prepare(8, 5), 'unanswered');
+    // A sidecar that has lost its base does not give the order.
+    sender.acked(1, prepare(8, 5), 'not_given');
     expect(sender.compact(1, prepare(8, 5)).patch).toBeUndefined();
   });
 
--- a/src/daemons/direct/prepare_sender.ts
+++ b/src/daemons/direct/prepare_sender.ts
@@ -79,7 +79,8 @@
    */
   acked(rank: number, order: CutoverOrder, outcome: OrderOutcome): void {
     if (order.kind !== 'prepare') return;
-    if (outcome === 'accepted') this.taken.set(rank, order.map);
-    else this.taken.delete(rank);
+    // Whatever the engine did, its sidecar knows the map that it passed on.
+    if (outcome === 'not_given') this.taken.delete(rank);
+    else this.taken.set(rank, order.map);
   }
 }
--- /dev/null
+++ b/src/daemons/direct/rank_follower.test.ts
@@ -0,0 +1,126 @@
+import {errAsync, okAsync} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+
+import {testReport} from '../../../test/support/rank_samples.js';
+import {RankClient} from '../../clients/index.js';
+import {Fault} from '../../errors/index.js';
+import {Succession} from '../../expert_groups/index.js';
+import type {
+  CutoverMessage,
+  CutoverOrder,
+  ExpertLists,
+} from '../../expert_groups/index.js';
+import type {Link} from '../../links/index.js';
+import {SILENT} from '../../observability/index.js';
+import type {OwnRank} from './own_rank.js';
+import {PrepareSender} from './prepare_sender.js';
+import {RankFollower} from './rank_follower.js';
+
+/** An engine that keeps the maps that it was ordered to prepare. */
+class PreparingEngine extends RankClient {
+  readonly maps: ExpertLists[] = [];
+
+  report() {
+    return okAsync(testReport(1));
+  }
+
+  chosen() {
+    return errAsync(new Fault('engine_unreachable'));
+  }
+
+  placement() {
+    return errAsync(new Fault('engine_unreachable'));
+  }
+
+  async give(order: CutoverOrder) {
+    if (order.kind === 'prepare') this.maps.push(order.experts);
+    return 'accepted' as const;
+  }
+}
+
+const lists = (seed: number): number[][][] =>
+  Array.from({length: 3}, (_, set) =>
+    Array.from({length: 4}, (_, rank) => [set, rank, 10 + ((seed * rank) % 7)]),
+  );
+
+describe('RankFollower', () => {
+  const start = {map: 0, experts: lists(0)};
+
+  function follower(engine: RankClient, acks: CutoverMessage[]) {
+    const ownRank = {
+      own: testReport(1),
+      expectLoading: () => undefined,
+      readReport: async () => testReport(1),
+    } as unknown as OwnRank;
+    const link = {
+      send: (message: CutoverMessage) => acks.push(message) > 0,
+    } as unknown as Link;
+    const one = new RankFollower(
+      engine,
+      ownRank,
+      new Succession(0),
+      () => start,
+      SILENT,
+    );
+    return {one, link};
+  }
+
+  const outcomes = (acks: readonly CutoverMessage[]) =>
+    acks.map(ack => (ack.type === 'cutover_ack' ? ack.outcome : ack.type));
+
+  it('takes changes to a map again when their order is repeated before its answer', async () => {
+    const engine = new PreparingEngine();
+    const acks: CutoverMessage[] = [];
+    const {one, link} = follower(engine, acks);
+    const sender = new PrepareSender();
+    sender.startFrom(4, start);
+    for (const [i, map] of [7, 8, 9].entries()) {
+      const order: CutoverOrder = {
+        kind: 'prepare',
+        map,
+        experts: lists(i + 1),
+      };
+      const facts = {group: 'g', rank: 1, token: map, epoch: 1};
+      // The answer to the first is still on its way when the second is sent.
+      for (let sent = 0; sent < 2; sent++) {
+        const compact = sender.compact(1, order);
+        expect(compact.patch?.base).toBe(i === 0 ? 0 : map - 1);
+        await one.carryOut(0, link, {
+          type: 'cutover_order',
+          ...facts,
+          ...compact,
+        });
+      }
+      for (const ack of acks.slice(-2)) {
+        if (ack.type === 'cutover_ack') {
+          sender.acked(1, order, ack.outcome);
+        }
+      }
+      expect(engine.maps.slice(-2)).toEqual([lists(i + 1), lists(i + 1)]);
+    }
+    expect(new Set(outcomes(acks))).toEqual(new Set(['accepted']));
+  });
+
+  it('tells that an order was not given when its base is unknown, so that the map is sent whole', async () => {
+    const engine = new PreparingEngine();
+    const acks: CutoverMessage[] = [];
+    const {one, link} = follower(engine, acks);
+    const sender = new PrepareSender();
+    sender.startFrom(4, {map: 5, experts: lists(3)});
+    const order: CutoverOrder = {kind: 'prepare', map: 7, experts: lists(1)};
+    const facts = {group: 'g', rank: 1, token: 7, epoch: 1};
+    const send = () =>
+      one.carryOut(0, link, {
+        type: 'cutover_order',
+        ...facts,
+        ...sender.compact(1, order),
+      });
+    await send();
+    expect(outcomes(acks)).toEqual(['not_given']);
+    expect(engine.maps).toEqual([]);
+    sender.acked(1, order, 'not_given');
+    await send();
+    expect(outcomes(acks).at(-1)).toBe('accepted');
+    expect(engine.maps).toEqual([lists(1)]);
+  });
+});
--- a/src/daemons/direct/rank_follower.ts
+++ b/src/daemons/direct/rank_follower.ts
@@ -3,10 +3,13 @@
 import {changedLists} from '../../expert_groups/index.js';
 import type {
   CutoverMessage,
+  CutoverOrder,
+  MapPatch,
   OrderOutcome,
   Succession,
 } from '../../expert_groups/index.js';
 import type {Link} from '../../links/index.js';
+import type {Logger} from '../../observability/index.js';
 import type {OwnRank, RankMessage} from './own_rank.js';
 import type {SentMap} from './prepare_sender.js';
 
@@ -19,19 +22,22 @@
   /** Link of the coordinator that watches this rank. */
   private watcher: Link | undefined;
   /** The map that this rank was last ordered to prepare. */
-  private base: SentMap | undefined;
+  private newest:
+    {readonly map: number; readonly experts: number[][][]} | undefined;
 
   /**
    * @param engine - engine of the rank beside
    * @param ownRank - looks at that rank
    * @param succession - knows the newest coordinator
    * @param startingMap - the map that the group starts with, once known
+   * @param logger - for orders that are not given
    */
   constructor(
     private readonly engine: RankClient,
     private readonly ownRank: OwnRank,
     private readonly succession: Succession,
     private readonly startingMap: () => SentMap | undefined,
+    private readonly logger: Logger,
   ) {}
 
   /** This sidecar coordinates the group itself from now on. */
@@ -100,7 +106,7 @@
     });
   }
 
-  /** Gives an order to the engine; one without its base is not given. */
+  /** Gives an order to the engine; one whose map is not known is not given. */
   private async give({
     order,
     patch,
@@ -108,17 +114,29 @@
     epoch,
   }: Order): Promise<OrderOutcome> {
     if (order.kind !== 'prepare') return this.engine.give(order, token, epoch);
-    let {experts} = order;
-    if (patch !== undefined) {
-      const known = [this.base, this.startingMap()];
-      const base = known.find(one => one?.map === patch.base);
-      if (base === undefined) return 'unanswered';
-      experts = changedLists(base.experts, patch.changes);
-    }
-    const whole = {...order, experts};
-    const outcome = await this.engine.give(whole, token, epoch);
-    if (outcome === 'accepted') this.base = whole;
-    return outcome;
+    const {map} = order;
+    const experts = patch ? this.patched(map, patch) : order.experts;
+    if (experts === undefined) return 'not_given';
+    this.newest = {map, experts};
+    const whole: CutoverOrder = {kind: 'prepare', map, experts};
+    return this.engine.give(whole, token, epoch);
+  }
+
+  /**
+   * Experts of a map that came as changes to another one. The same changes come
+   * again when the coordinator has not heard the answer to the first.
+   */
+  private patched(map: number, patch: MapPatch): number[][][] | undefined {
+    if (this.newest?.map === map) return this.newest.experts;
+    const known = [this.newest, this.startingMap()];
+    const base = known.find(one => one?.map === patch.base);
+    if (base !== undefined) return changedLists(base.experts, patch.changes);
+    this.logger.warn('map_base_unknown', {
+      map,
+      base: patch.base,
+      known: known.map(one => one?.map).join(' '),
+    });
+    return undefined;
   }
 
   private isObeyed(now: Millis, from: Link, token: number): boolean {
--- a/src/expert_groups/cutover/coordinator.ts
+++ b/src/expert_groups/cutover/coordinator.ts
@@ -112,6 +112,10 @@
       this.enter(now, 'resigned');
       return;
     }
+    if (outcome === 'not_given') {
+      this.orders.forget(given.rank);
+      return;
+    }
     if (outcome === 'unanswered') this.orders.unanswered();
     if (outcome === 'unanswered' || outcome === 'replaced') return;
     // An engine may refuse for the epoch before it looks at the token, and
--- a/src/expert_groups/cutover/types.ts
+++ b/src/expert_groups/cutover/types.ts
@@ -64,6 +64,8 @@
   'replaced',
   /** No answer: it may be carried out, now or much later. */
   'unanswered',
+  /** The sidecar could not make the order and has not given it to the engine. */
+  'not_given',
 ]);
 export type OrderOutcome = z.output<typeof orderOutcome>;
 
--- a/standins/lockstep_rank_server.ts
+++ b/standins/lockstep_rank_server.ts
@@ -11,6 +11,7 @@
   fenced: 412,
   replaced: 421,
   unanswered: 500,
+  not_given: 500,
 };
 
 interface WireOrder {
