--- a/src/daemons/direct/prepare_sender.ts
+++ b/src/daemons/direct/prepare_sender.ts
@@ -57,11 +57,7 @@
     if (this.newest?.map !== map) {
       this.base = this.newest;
       this.newest = {map, experts};
-      const changes = this.base ? listChanges(this.base.experts, experts) : [];
-      this.changes = changes.map(change => ({
-        ...change,
-        experts: [...change.experts],
-      }));
+      this.changes = this.base ? listChanges(this.base.experts, experts) : [];
     }
     const {base, changes} = this;
     if (base === undefined || this.taken.get(rank) !== base.map) {
--- a/src/expert_groups/cutover/map_patch.ts
+++ b/src/expert_groups/cutover/map_patch.ts
@@ -1,12 +1,14 @@
 /** Experts of each rank by set: `lists[set][rank]`. */
 export type ExpertLists = readonly (readonly (readonly number[])[])[];
 
-/** A rank's experts in a set that differ between two maps. */
-export interface ListChange {
-  readonly set: number;
-  readonly rank: number;
-  readonly experts: readonly number[];
-}
+/**
+ * Changes to expert lists in a flat form: set, rank, position and expert by
+ * turns, or `END` in place of an expert where a list ends at that position.
+ */
+export type ListChanges = readonly number[];
+
+const END = -1;
+const NUMBERS_PER_CHANGE = 4;
 
 /**
  * What changes from one map to another. Load that it answers: each rank is
@@ -15,15 +17,18 @@
  * @param from - lists of the map before
  * @param to - lists of the map to come, of the same shape
  */
-export function listChanges(from: ExpertLists, to: ExpertLists): ListChange[] {
-  const changes: ListChange[] = [];
+export function listChanges(from: ExpertLists, to: ExpertLists): number[] {
+  const changes: number[] = [];
   for (const [set, ranks] of to.entries()) {
     for (const [rank, experts] of ranks.entries()) {
       const before = from[set]?.[rank] ?? [];
-      const isSame =
-        before.length === experts.length &&
-        experts.every((expert, i) => before[i] === expert);
-      if (!isSame) changes.push({set, rank, experts});
+      for (const [position, expert] of experts.entries()) {
+        if (before[position] === expert) continue;
+        changes.push(set, rank, position, expert);
+      }
+      if (before.length > experts.length) {
+        changes.push(set, rank, experts.length, END);
+      }
     }
   }
   return changes;
@@ -36,12 +41,15 @@
  */
 export function changedLists(
   from: ExpertLists,
-  changes: readonly ListChange[],
+  changes: ListChanges,
 ): number[][][] {
   const lists = from.map(set => set.map(experts => [...experts]));
-  for (const {set, rank, experts} of changes) {
-    const ranks = lists[set];
-    if (ranks?.[rank] !== undefined) ranks[rank] = [...experts];
+  for (let i = 0; i < changes.length; i += NUMBERS_PER_CHANGE) {
+    const [set = 0, rank = 0, position = 0, expert = END] = changes.slice(i);
+    const experts = lists[set]?.[rank];
+    if (experts === undefined || position > experts.length) continue;
+    if (expert === END) experts.length = position;
+    else experts[position] = expert;
   }
   return lists;
 }
--- a/src/expert_groups/cutover/messages.ts
+++ b/src/expert_groups/cutover/messages.ts
@@ -54,13 +54,8 @@
   patch: z
     .strictObject({
       base: mapVersion,
-      changes: z.array(
-        z.strictObject({
-          set: z.int().nonnegative(),
-          rank,
-          experts: z.array(z.int().nonnegative()),
-        }),
-      ),
+      /** Flat, see `ListChanges`: a byte or two for each number. */
+      changes: z.array(z.int().min(-1).max(65_534)).max(65_536),
     })
     .optional(),
 });
