Read what has arrived before a call is given up

Cause: timers of a process that was busy fall due before its sockets are read. A call with a limit of 50 ms that was answered in time is aborted when the loop was blocked for longer, and its order counts as unanswered, which makes the coordinator careful. The same class as the repeated orders: a process takes its own delay for the silence of others.

Change: withinTime aborts in the check phase after its timer, when sockets have been read; its timer ends with the call, where AbortSignal.timeout woke the process once more for each.

--- a/src/clients/index.ts
+++ b/src/clients/index.ts
@@ -6,3 +6,4 @@
 export * from './weight_store_client.js';
 export * from './keyed_store.js';
 export * from './rank_client.js';
+export * from './time_limit.js';
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -7,7 +7,7 @@
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 
-import {KeyedStore} from '../../clients/index.js';
+import {KeyedStore, withinTime} from '../../clients/index.js';
 import type {KeyedListing, KeyedPage} from '../../clients/index.js';
 import type {Clock, Millis, Offset, VmName} from '../../core/index.js';
 import {SECOND, offset} from '../../core/index.js';
@@ -224,10 +224,11 @@
       from: `${from}`,
       wait: `${wait}`,
     });
-    const asked = request(`http://${relay}/?${query}`, {
-      dispatcher: this.agent,
-      signal: AbortSignal.timeout(wait + ANSWER_WITHIN),
-    }).then(async res => {
+    const asked = withinTime(wait + ANSWER_WITHIN, async signal => {
+      const res = await request(`http://${relay}/?${query}`, {
+        dispatcher: this.agent,
+        signal,
+      });
       const bytes = Buffer.from(await res.body.arrayBuffer());
       this.contact.regained();
       if (res.statusCode === NOTHING) {
