Keep loads, shares and hosts of a layer while a map is planned

Change: the greatest load, the share of a replica and the hosts are kept from move to move.

Tried and left out: leaving out layers that no budget can improve (no faster).

--- a/src/expert_groups/layer_plan.ts
+++ b/src/expert_groups/layer_plan.ts
@@ -44,6 +44,8 @@
   private readonly slots: Uint16Array;
   private readonly replicas: Uint16Array;
   private readonly perRank: Float64Array;
+  /** For each expert the load of one of its replicas. */
+  private readonly shares: Float64Array;
   private readonly mean: number;
   /** For each expert the ranks of its replicas. */
   private readonly hostsOf: number[][];
@@ -52,8 +54,11 @@
   private readonly touched: number[] = [];
   /** Whether a rank held an expert at first: `rank * experts + expert`. */
   private readonly held: Uint8Array;
+  /** The same for now. */
+  private readonly hosted: Uint8Array;
   /** Experts of each rank that it did not hold at first. */
   private readonly fresh: Uint16Array;
+  private most = 0;
 
   /**
    * @param layer - number of the layer
@@ -84,7 +89,9 @@
       this.hostsOf[expert]!.push(this.rankOf(slot));
       this.held[this.rankOf(slot) * loads.length + expert] = 1;
     }
+    this.hosted = this.held.slice();
     this.perRank = new Float64Array(ranks);
+    this.shares = new Float64Array(loads.length);
     this.delta = new Float64Array(this.perRank.length);
     this.sum();
     const placed = loads.filter((_, expert) => this.replicas[expert]! > 0);
@@ -94,7 +101,7 @@
 
   /** Greatest load of a rank now, by the time that it takes there. */
   get greatest(): number {
-    return Math.max(...this.perRank);
+    return this.most;
   }
 
   /** Mean load of the ranks. */
@@ -318,9 +325,16 @@
     }
     const affected = new Set([...changed, ...slots.map(s => s.expert)]);
     affected.delete(EMPTY_SLOT);
-    for (const expert of affected) this.hostsOf[expert] = [];
-    for (const [slot, expert] of this.slots.entries()) {
-      if (affected.has(expert)) this.hostsOf[expert]!.push(this.rankOf(slot));
+    for (const expert of affected) {
+      for (const rank of this.hostsOf[expert]!) this.setHosted(rank, expert, 0);
+      this.hostsOf[expert] = [];
+    }
+    for (let slot = 0; slot < this.slots.length; slot++) {
+      const expert = this.slots[slot]!;
+      if (!affected.has(expert)) continue;
+      const rank = this.rankOf(slot);
+      this.hostsOf[expert]!.push(rank);
+      this.setHosted(rank, expert, 1);
     }
     for (const expert of affected) {
       this.replicas[expert] = this.hostsOf[expert]!.length;
@@ -329,12 +343,17 @@
   }
 
   private sum(): void {
-    this.perRank.fill(0);
-    for (const [slot, expert] of this.slots.entries()) {
-      if (expert === EMPTY_SLOT) continue;
+    const {slots, perRank, shares} = this;
+    for (let expert = 0; expert < shares.length; expert++) {
+      shares[expert] = this.loads[expert]! / this.replicas[expert]!;
+    }
+    perRank.fill(0);
+    for (let slot = 0; slot < slots.length; slot++) {
+      if (slots[slot] === EMPTY_SLOT) continue;
       const rank = this.rankOf(slot);
-      this.perRank[rank]! += this.share(expert) * this.costOf(rank);
+      perRank[rank]! += this.share(slots[slot]!) * this.costOf(rank);
     }
+    this.most = this.perRank.reduce((a, b) => Math.max(a, b), 0);
   }
 
   private costOf(rank: number): number {
@@ -342,12 +361,16 @@
   }
 
   private hosts(rank: number, expert: number): boolean {
-    return expert !== EMPTY_SLOT && this.hostsOf[expert]!.includes(rank);
+    if (expert === EMPTY_SLOT) return false;
+    return this.hosted[rank * this.loads.length + expert] === 1;
+  }
+
+  private setHosted(rank: number, expert: number, is: 0 | 1): void {
+    this.hosted[rank * this.loads.length + expert] = is;
   }
 
   private share(expert: number): number {
-    if (expert === EMPTY_SLOT) return 0;
-    return this.loads[expert]! / this.replicas[expert]!;
+    return expert === EMPTY_SLOT ? 0 : this.shares[expert]!;
   }
 
   private rankOf(slot: number): number {
