Look at a rank that loads weights when they can be there

During each change, about one a second, each of them reads the report of its rank every 60 ms from the order on, although the time that the copies take is known from the layout of the experts.

Change: the follower counts what its rank has to copy, and the first look comes after four fifths of the time for that; an order that is repeated does not start the wait anew.

--- a/src/daemons/direct/group_planning.ts
+++ b/src/daemons/direct/group_planning.ts
@@ -46,6 +46,11 @@
     this.plannerFor(ranks);
   }
 
+  /** Time that a rank takes to copy an expert; 0 when not known. */
+  get copyTime(): Millis {
+    return this.profile?.copyTime ?? 0;
+  }
+
   /**
    * The map that the group starts with.
    * @param ranks - ranks of the group
--- a/src/daemons/direct/map_task.ts
+++ b/src/daemons/direct/map_task.ts
@@ -92,6 +92,7 @@
       this.ownRank,
       this.succession,
       () => this.startingMap(),
+      () => this.planning.copyTime,
       this.logger,
     );
     this.planning = new GroupPlanning(context.clock, this.logger);
--- a/src/daemons/direct/own_rank.ts
+++ b/src/daemons/direct/own_rank.ts
@@ -15,6 +15,8 @@
 const REPORT_EVERY: Millis = 0.5 * SECOND;
 /** A change of pace by this factor is written to the store. */
 const PACE_STEP = 1.3;
+/** The end of a load is looked for from this part of its usual time on. */
+const LOOK_FROM = 0.8;
 /** The end of a load is looked for this long at most. */
 const LOADING_WITHIN: Millis = 6 * SECOND;
 
@@ -38,6 +40,8 @@
 interface Loading {
   readonly map: number;
   readonly epoch: number;
+  /** Before that the weights cannot all be there. */
+  readonly from: Millis;
   readonly until: Millis;
 }
 
@@ -80,8 +84,8 @@
    * @param now - present time
    */
   tick(now: Millis): void {
-    const {isChanging} = this;
-    const isReportDue = isChanging || now - this.reportedAt >= REPORT_EVERY;
+    const isReportDue =
+      this.isChanging(now) || now - this.reportedAt >= REPORT_EVERY;
     const isSampleDue = this.isSampled && now - this.lookedAt >= SAMPLE_EVERY;
     if (isReportDue || isSampleDue) this.lookNow(now, isReportDue);
   }
@@ -107,16 +111,23 @@
   }
 
   /**
-   * The rank was ordered to load weights.
+   * The rank was ordered to load weights. Load that it answers: all ranks of
+   * large groups change maps each second, and each look costs processor time.
    * @param now - present time
    * @param given - the order
+   * @param takes - time that the rank needs for it at least
    */
   expectLoading(
     now: Millis,
     {order, epoch}: Pick<RankedOrder, 'order' | 'epoch'>,
+    takes: Millis = 0,
   ): void {
     if (order.kind !== 'prepare') return;
-    this.loading = {map: order.map, epoch, until: now + LOADING_WITHIN};
+    const {map} = order;
+    // The same order again does not start the load anew.
+    if (this.loading?.map === map && this.loading.epoch === epoch) return;
+    const from = now + LOOK_FROM * takes;
+    this.loading = {map, epoch, from, until: from + LOADING_WITHIN};
   }
 
   /** The coordinator has got the experts of the rank. */
@@ -142,9 +153,9 @@
   }
 
   /** Whether the rank is in the middle of a change, which may end any time. */
-  private get isChanging(): boolean {
+  private isChanging(now: Millis): boolean {
     const {loading, report} = this;
-    if (loading !== undefined) return true;
+    if (loading !== undefined && now >= loading.from) return true;
     return (
       (report?.armed ?? null) !== null || (report?.heldAt ?? null) !== null
     );
--- a/src/daemons/direct/rank_follower.test.ts
+++ b/src/daemons/direct/rank_follower.test.ts
@@ -60,6 +60,7 @@
       ownRank,
       new Succession(0),
       () => start,
+      () => 0,
       SILENT,
     );
     return {one, link};
--- a/src/daemons/direct/rank_follower.ts
+++ b/src/daemons/direct/rank_follower.ts
@@ -1,6 +1,6 @@
 import type {RankClient} from '../../clients/index.js';
 import type {Millis} from '../../core/index.js';
-import {changedLists} from '../../expert_groups/index.js';
+import {changedLists, copiesOf} from '../../expert_groups/index.js';
 import type {
   CutoverMessage,
   CutoverOrder,
@@ -30,6 +30,7 @@
    * @param ownRank - looks at that rank
    * @param succession - knows the newest coordinator
    * @param startingMap - the map that the group starts with, once known
+   * @param copyTime - tells how long the rank takes to copy an expert
    * @param logger - for orders that are not given
    */
   constructor(
@@ -37,6 +38,7 @@
     private readonly ownRank: OwnRank,
     private readonly succession: Succession,
     private readonly startingMap: () => SentMap | undefined,
+    private readonly copyTime: () => Millis,
     private readonly logger: Logger,
   ) {}
 
@@ -88,11 +90,13 @@
   ): Promise<void> {
     const {order, token, epoch, group, rank} = message;
     if (!this.isObeyed(now, from, token)) return;
-    this.ownRank.expectLoading(now, message);
+    if (message.type === 'cutover_look') {
+      this.ownRank.expectLoading(now, message);
+    }
     const outcome: OrderOutcome =
       message.type === 'cutover_look'
         ? message.outcome
-        : await this.give(message);
+        : await this.give(now, message);
     const report = await this.ownRank.readReport();
     from.send({
       type: 'cutover_ack',
@@ -107,16 +111,15 @@
   }
 
   /** Gives an order to the engine; one whose map is not known is not given. */
-  private async give({
-    order,
-    patch,
-    token,
-    epoch,
-  }: Order): Promise<OrderOutcome> {
+  private async give(now: Millis, message: Order): Promise<OrderOutcome> {
+    const {order, patch, token, epoch, rank} = message;
     if (order.kind !== 'prepare') return this.engine.give(order, token, epoch);
     const {map} = order;
     const experts = patch ? this.patched(map, patch) : order.experts;
     if (experts === undefined) return 'not_given';
+    const before = this.newest ?? this.startingMap();
+    const copies = before ? copiesOf(before.experts, experts, rank) : 0;
+    this.ownRank.expectLoading(now, message, copies * this.copyTime());
     this.newest = {map, experts};
     const whole: CutoverOrder = {kind: 'prepare', map, experts};
     return this.engine.give(whole, token, epoch);
--- a/src/expert_groups/cutover/map_patch.ts
+++ b/src/expert_groups/cutover/map_patch.ts
@@ -34,6 +34,26 @@
   return changes;
 }
 
+/**
+ * Experts that a rank has to copy for a map.
+ * @param from - lists of the map before
+ * @param to - lists of the map to come, of the same shape
+ * @param rank - the rank
+ */
+export function copiesOf(
+  from: ExpertLists,
+  to: ExpertLists,
+  rank: number,
+): number {
+  let copies = 0;
+  for (const [set, ranks] of to.entries()) {
+    const held = from[set]?.[rank] ?? [];
+    const wanted = ranks[rank] ?? [];
+    copies += wanted.filter(expert => !held.includes(expert)).length;
+  }
+  return copies;
+}
+
 /**
  * Makes the lists of a map from those of the one before.
  * @param from - lists of the map before
