Plan on when a change of map was given up

Cause: the planner remembers the map that it proposed last in place of the one in use. When that change is given up ('holding: not held in time' at 8.0 s), the map in use is unknown, and the ranks are asked for their experts; the rank beside the coordinator is asked at the claim only. So the coordinator never planned again, without a line in its log. The same gap: a successor whose group switches after its claim, by an arming of the one before.

Change: the map in use is kept beside the one that was proposed; the coordinator asks the own rank whenever its experts are unknown; 'map_unknown' is logged once for each map.

--- a/src/daemons/direct/group_planning.ts
+++ b/src/daemons/direct/group_planning.ts
@@ -18,6 +18,8 @@
 export class GroupPlanning {
   private profile: ExpertProfile | undefined;
   private planner: MapPlanner | undefined;
+  /** The newest map that was logged as unknown. */
+  private unknownMap: number | undefined;
 
   /**
    * @param clock - tells how long planning takes
@@ -131,6 +133,11 @@
   propose(now: Millis, coordinator: CutoverCoordinator, own: RankReport): void {
     const planner = this.plannerFor(own.size);
     if (planner === undefined) return;
+    const unplaced = this.unplaced(own);
+    if (unplaced.length > 0) {
+      this.noteUnknown(own, unplaced);
+      return;
+    }
     const paces = ranksOf(own.size).map(
       rank => coordinator.reportOf(rank)?.pace ?? 1,
     );
@@ -146,7 +153,17 @@
       took_ms: Math.round(this.clock.now() - now),
     });
     const proposed = coordinator.propose(now, plan.map);
-    if (proposed !== undefined) planner.adopt(proposed);
+    if (proposed !== undefined) planner.adopt(proposed, own.map);
+  }
+
+  /** Without the experts of all ranks no change can be planned. */
+  private noteUnknown(
+    {group, map}: RankReport,
+    ranks: readonly number[],
+  ): void {
+    if (this.unknownMap === map) return;
+    this.unknownMap = map;
+    this.logger.info('map_unknown', {group, map, ranks: ranks.join(' ')});
   }
 
   private plannerFor(ranks: number): MapPlanner | undefined {
--- a/src/daemons/direct/map_planner.ts
+++ b/src/daemons/direct/map_planner.ts
@@ -42,7 +42,8 @@
   /** Skew that the last plan left behind, and when that was found. */
   private reached: {readonly skew: number; readonly at: Millis} | undefined;
   private seenFrames = -1;
-  private adopted: ExpertMap | undefined;
+  /** Maps that were proposed, the newest last. */
+  private adopted: readonly ExpertMap[] = [];
   private readonly shape: GroupShape;
 
   /**
@@ -88,11 +89,14 @@
 
   /**
    * Takes a map that is about to be in use, so that no rank has to tell its
-   * part of it.
+   * part of it. The one before is kept: a change that is given up leaves the
+   * ranks on it.
    * @param map - the map under its number
+   * @param inUse - number of the map that the ranks are on
    */
-  adopt(map: ExpertMap): void {
-    this.adopted = map;
+  adopt(map: ExpertMap, inUse: number): void {
+    const before = this.adopted.filter(({version}) => version === inUse);
+    this.adopted = [...before, map];
   }
 
   /**
@@ -101,7 +105,7 @@
    * @param map - the map that it is on
    */
   lacks(rank: number, map: number): boolean {
-    if (map === 0 || map === this.adopted?.version) return false;
+    if (map === 0 || this.adoptedAs(map) !== undefined) return false;
     return this.placed.get(rank)?.map !== map;
   }
 
@@ -176,9 +180,14 @@
     return Math.max(LEAST_GAIN, leastGain(steady, SWITCH_TAKES + copyTime));
   }
 
+  private adoptedAs(map: number): ExpertMap | undefined {
+    return this.adopted.find(({version}) => version === map);
+  }
+
   private current(map: number): ExpertMap | undefined {
     if (map === 0) return startingMap(this.shape);
-    if (map === this.adopted?.version) return this.adopted;
+    const adopted = this.adoptedAs(map);
+    if (adopted !== undefined) return adopted;
     const lists: (readonly (readonly number[])[])[] = [];
     for (let rank = 0; rank < this.shape.ranks; rank++) {
       const placement = this.placed.get(rank);
--- /dev/null
+++ b/src/daemons/direct/map_task.test.ts
@@ -0,0 +1,95 @@
+import {okAsync} from 'neverthrow';
+import {afterEach, expect, it} from 'vitest';
+
+import {testReport} from '../../../test/support/rank_samples.js';
+import {RankClient} from '../../clients/index.js';
+import {
+  Chance,
+  availabilityZone,
+  serviceName,
+  vmName,
+} from '../../core/index.js';
+import type {CutoverOrder} from '../../expert_groups/index.js';
+import {Metrics, SILENT, SystemClock} from '../../observability/index.js';
+import {startContext} from '../shared/start_context.js';
+import {Contact} from './contact.js';
+import {MapTask} from './map_task.js';
+import type {MapPorts} from './map_task.js';
+import {RankWatch} from './rank_watch.js';
+
+/** The only rank of a group, on the map that a test sets. */
+class OnlyRank extends RankClient {
+  map = 7;
+  /** Maps whose placement was asked for. */
+  readonly placements: number[] = [];
+
+  report() {
+    return okAsync(testReport(0, {map: this.map, size: 1}));
+  }
+
+  chosen() {
+    return okAsync({epoch: 1, counts: [0, 0]});
+  }
+
+  placement() {
+    this.placements.push(this.map);
+    return okAsync({map: this.map, experts: [[0, 1]]});
+  }
+
+  async give(_order: CutoverOrder) {
+    return 'accepted' as const;
+  }
+}
+
+let task: MapTask | undefined;
+
+afterEach(() => task?.stop());
+
+it('asks the own rank for its experts again when it is on another map', async () => {
+  const clock = new SystemClock();
+  const engine = new OnlyRank();
+  const context = startContext(
+    'sidecar',
+    {
+      vm: vmName('side'),
+      availabilityZone: availabilityZone('a'),
+      host: '127.0.0.1',
+      service: serviceName('llm'),
+    },
+    {clock, chance: new Chance(1), logger: SILENT, metrics: new Metrics()},
+  );
+  const ports = {
+    watch: new RankWatch(engine, new Contact('engine', clock, SILENT)),
+    engine,
+    registry: {
+      register: async () => okAsync(undefined),
+      claim: async () => okAsync({claim: 1, isOwn: true}),
+      ranks: async () => okAsync(new Map()),
+    },
+    links: {broadcast: () => undefined, disconnect: () => undefined},
+    self: {sidecar: 'a:1', engine: 'a:2', pace: 1},
+  } as unknown as MapPorts;
+  task = new MapTask(context, ports);
+  task.post({
+    type: 'configured',
+    profile: {
+      layerSets: 1,
+      expertsPerSet: 2,
+      slotsPerRank: 2,
+      newPerChange: 1,
+      expertMegabytes: 1,
+      copyTime: 1,
+    },
+  });
+  const until = async (isSo: () => boolean) => {
+    const end = performance.now() + 8_000;
+    while (!isSo() && performance.now() < end) {
+      await new Promise(resolve => setTimeout(resolve, 20));
+    }
+    return isSo();
+  };
+  expect(await until(() => engine.placements.includes(7))).toBe(true);
+  // An arming of an earlier coordinator takes effect.
+  engine.map = 9;
+  expect(await until(() => engine.placements.includes(9))).toBe(true);
+}, 20_000);
--- a/src/daemons/direct/map_task.ts
+++ b/src/daemons/direct/map_task.ts
@@ -271,6 +271,8 @@
       if (watch !== undefined) this.ports.links.broadcast(watch);
     }
     this.reach.refresh(now, own, rank => this.planning.lacks(rank, own.map));
+    // The ranks of other VMs are asked by the watch message.
+    if (this.planning.lacks(own.rank, own.map)) this.ownRank.placeAgain();
     // Reports of a rank without its sidecar lag, and the group would be held
     // all the while: such a group keeps its map.
     const isWhole = this.reach.silent.length === 0;
