Go on with the pass that a rank holds when it refuses a second hold

Cause: the order to hold is repeated when its answer is late. A rank that holds already refuses the second, and the refusal moved the pass on, so that the report of the first hold never matched: the group stood until the change was given up after 1.5 s ('holding: not held in time'), and the coordinator cleared it.

Change: where the answer to a refused hold reports a pass that is held, that pass is taken.

Ruled out by the model: trusting any report of a held pass, or the answer to an earlier hold after a later one was given.

Both new tests failed before ('holding' in place of 'arming').

--- a/src/expert_groups/cutover/coordinator.ts
+++ b/src/expert_groups/cutover/coordinator.ts
@@ -1,5 +1,5 @@
 import type {Millis} from '../../core/index.js';
-import type {ExpertMap, MapVersion, Rank} from '../types.js';
+import type {ExpertMap, MapVersion, Rank, Step} from '../types.js';
 import type {MapChange} from './change.js';
 import {EventNotes} from './event_notes.js';
 import {expertLists} from './expert_lists.js';
@@ -112,10 +112,7 @@
       this.enter(now, 'resigned');
       return;
     }
-    if (outcome === 'not_given') {
-      this.orders.forget(given.rank);
-      return;
-    }
+    if (outcome === 'not_given') return this.notSent(given);
     if (outcome === 'unanswered') this.orders.unanswered();
     if (outcome === 'unanswered' || outcome === 'replaced') return;
     // An engine may refuse for the epoch before it looks at the token, and
@@ -127,7 +124,9 @@
     this.orders.answered(given.rank, outcome === 'accepted');
     if (outcome === 'accepted') return;
     const {kind} = given.order;
-    if (kind === 'hold' && this.state === 'holding') this.holdLater();
+    const isHold = kind === 'hold' && this.state === 'holding';
+    // A rank has one hold: it refuses a second one while the first stands.
+    if (isHold) this.holdLater(report?.heldAt ?? undefined);
     if (kind === 'prepare' && this.state === 'preparing') {
       this.cancel(now, `rank ${given.rank} refused to prepare`);
     }
@@ -368,11 +367,12 @@
     this.fenced.clear();
   }
 
-  private holdLater(): void {
+  private holdLater(heldAt?: Step): void {
     const {change} = this;
     if (change === undefined) return;
     const latest = Math.max(change.step, this.reports.lastStep());
-    change.step = latest + this.orders.holdMargin(this.reports.passTime);
+    const margin = this.orders.holdMargin(this.reports.passTime);
+    change.step = heldAt ?? latest + margin;
     this.orders.forget(change.holder);
   }
 
--- a/src/expert_groups/cutover/cutover.test.ts
+++ b/src/expert_groups/cutover/cutover.test.ts
@@ -283,6 +283,47 @@
     expect(coordinator.phase).toBe('idle');
   });
 
+  it.each([
+    {what: 'refuses a repeated hold', isMovedOn: false},
+    {what: 'refuses a later hold', isMovedOn: true},
+  ])('goes on with the pass that a rank holds when it $what', ({isMovedOn}) => {
+    const coordinator = new CutoverCoordinator(0, 2, 1, 0);
+    for (const rank of [0, 1]) coordinator.reported(0, report(rank));
+    for (const one of coordinator.tick(0)) {
+      coordinator.answered(1, one, 'accepted', report(one.rank));
+    }
+    coordinator.tick(2);
+    expect(coordinator.phase).toBe('idle');
+    const shape = {
+      ranks: 2,
+      layers: 1,
+      experts: 4,
+      slotsPerRank: 3,
+      expertSize: 1,
+    };
+    const map = coordinator.propose(3, startingMap(shape));
+    const prepared = {prepared: map!.version};
+    for (const one of coordinator.tick(4)) {
+      coordinator.answered(5, one, 'accepted', report(one.rank, prepared));
+    }
+    const [hold] = coordinator.tick(6);
+    const step = hold?.order.kind === 'hold' ? hold.order.step : 0;
+    const held = report(1, {...prepared, heldAt: step});
+    if (isMovedOn) {
+      // The answer to a repeated order overtakes the one to the first.
+      coordinator.answered(80, hold!, 'refused', report(1, prepared));
+      const [later] = coordinator.tick(81);
+      expect(later?.order).not.toEqual(hold?.order);
+      coordinator.answered(85, hold!, 'accepted', held);
+      coordinator.answered(90, later!, 'refused', held);
+    } else coordinator.answered(90, hold!, 'refused', held);
+    const arms = coordinator.tick(150);
+    expect(coordinator.phase).toBe('arming');
+    expect(arms.map(({order}) => order)).toEqual([
+      {kind: 'arm', map: map!.version, step},
+    ]);
+  });
+
   it('stops for good when another one has a higher token', () => {
     const coordinator = new CutoverCoordinator(0, 2, 1, 0);
     coordinator.reported(0, report(0));
