--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -84,7 +84,7 @@
     writeAnswer(this.res, said);
   }
 
-  /** Waits no longer: an answer that is not taken yet ends the wait as well. */
+  /** Ends the wait without an answer: the listener has gone. */
   stop(): void {
     clearTimeout(this.timer);
   }
