Let the reported prefill time of an idle upstream decay

The reported time of an upstream without calls in flight now halves each 3 s, so a slow upstream is probed by one call at a time, the later the slower it is. The new test had 0 probes in 60 s before; it has 2 to 6 now.

--- a/src/routing/first_token_policy.ts
+++ b/src/routing/first_token_policy.ts
@@ -6,6 +6,11 @@
 
 /** Prefill time per block without a reported value. */
 const DEFAULT_MS_PER_BLOCK: Millis = 30;
+/**
+ * Half-life of an idle upstream's reported prefill time. Reports come with
+ * responses, so an upstream that is never chosen would keep its last report.
+ */
+const IDLE_REPORT_HALF_LIFE: Millis = 3 * SECOND;
 /** Time per queued call without a reported drain rate. */
 const DEFAULT_MS_PER_CALL: Millis = 100;
 
@@ -38,7 +43,7 @@
   matched: number,
 ): Millis {
   const {load, loadAge, sentCalls, sentBlocks, unresponsiveMs} = candidate;
-  const msPerBlock = load?.msPerBlock || DEFAULT_MS_PER_BLOCK;
+  const msPerBlock = prefillTimePerBlock(candidate);
   const uncachedBlocks = Math.max(1, promptBlocks - matched);
   const ownPrefill = Math.max(uncachedBlocks * msPerBlock, unresponsiveMs);
   const sentPrefill = sentBlocks * msPerBlock;
@@ -62,6 +67,17 @@
   );
 }
 
+/**
+ * Returns the reported prefill time per block. While an upstream is idle, the
+ * value decays to zero, so that a slow one is probed by a single call at a time
+ * and can report its recovery.
+ */
+function prefillTimePerBlock({load, loadAge, inFlight}: Candidate): Millis {
+  const reported = load?.msPerBlock || DEFAULT_MS_PER_BLOCK;
+  if (load === undefined || inFlight > 0) return reported;
+  return reported * 2 ** (-loadAge / IDLE_REPORT_HALF_LIFE);
+}
+
 /** Selects the candidate with the shortest expected time to first token. */
 export class FirstTokenPolicy extends ReplicaPolicy {
   readonly name = 'first-token';
--- a/src/routing/router.test.ts
+++ b/src/routing/router.test.ts
@@ -133,6 +133,35 @@
     expect(to).toEqual(['home-0', 'home-1', 'home-1']);
   });
 
+  it('probes an idle replica whose only call was slow, one call at a time', () => {
+    const router = createRouter();
+    const slow = {...LOAD, msPerBlock: 108};
+    router.recordLoad(0, a.incarnation, slow);
+    const probes: number[] = [];
+    for (let now = 0; now <= 60_000; now += 100) {
+      router.recordLoad(now, b.incarnation, {...LOAD, msPerBlock: 2});
+      router.recordLoad(now, c.incarnation, {...LOAD, msPerBlock: 30});
+      const burst = [1, 2, 3].map(() => ({
+        ...createCall(),
+        deadlineAt: now + 1_000,
+      }));
+      const chosen = burst.map(call => route(router, all, {now, call}));
+      const toSlow = chosen.filter(id => id === a.incarnation);
+      expect(toSlow.length).toBeLessThanOrEqual(1);
+      if (toSlow.length > 0) {
+        probes.push(now);
+        // It is still slow, and its response says so.
+        router.recordLoad(now, a.incarnation, slow);
+      }
+      for (const {callId: id} of burst) router.endCall(now, id);
+    }
+    expect(probes.length).toBeGreaterThanOrEqual(2);
+    expect(probes.length).toBeLessThanOrEqual(6);
+    // Once it reports a normal time, it gets calls again.
+    router.recordLoad(60_100, a.incarnation, {...LOAD, msPerBlock: 1});
+    expect(route(router, all, {now: 60_100})).toBe(a.incarnation);
+  });
+
   it('compares the same subset of many replicas for the same prefix', () => {
     const router = createRouter();
     const many = [
