Limit the streams of an entry at a group by the gaps between events

Callers saw streams in time to their first event and late by a pause.

StreamLimiter bounds the streams of an entry at a group while the gaps of two passes in a row come near their target, and lets go when they fall.

--- a/src/daemons/direct/dispatcher.test.ts
+++ b/src/daemons/direct/dispatcher.test.ts
@@ -92,7 +92,7 @@
     const disconnected = submit('e', 0);
     expect(dispatcher.queueLength).toBe(1);
     dispatcher.withdraw(disconnected);
-    dispatcher.recordEndedUnstarted(10, 'g');
+    dispatcher.recordEnded(10, 'g', false);
     expect(log).toHaveLength(4);
     expect(dispatcher.queueLength).toBe(0);
   });
--- a/src/daemons/direct/dispatcher.ts
+++ b/src/daemons/direct/dispatcher.ts
@@ -11,6 +11,7 @@
   AdaptiveLifoOrder,
   LoadTracker,
   ConcurrencyLimiter,
+  StreamLimiter,
   PendingQueue,
 } from '../../direct/index.js';
 import type {
@@ -60,7 +61,7 @@
 export class Dispatcher {
   readonly loads = new LoadTracker();
   private readonly groupBreaker = new GroupCircuitBreaker();
-  private readonly limiters = new Map<GroupKey, ConcurrencyLimiter>();
+  private readonly limiters = new Map<GroupKey, GroupLimiters>();
   private readonly queue = new PendingQueue<DispatchRequest>(
     new AdaptiveLifoOrder(),
   );
@@ -93,7 +94,8 @@
     const groups = [...this.limiters].map(([group, limiter]) => ({
       group,
       isUnavailable: this.groupBreaker.isUnavailable(group),
-      ...limiter.status,
+      ...limiter.starts.status,
+      ...limiter.streams.status,
     }));
     return {waiting: this.queue.length, groups};
   }
@@ -173,22 +175,36 @@
     sentAt: Millis,
     target: Millis,
   ): void {
-    this.limiters.get(group)?.recordStarted(now, now - sentAt, target);
+    this.limiters.get(group)?.starts.recordStarted(now, now - sentAt, target);
     const downMs = Math.round(this.groupBreaker.downtime(now, group));
     if (this.groupBreaker.markAvailable(group, sentAt)) {
       this.logger.info('group_formed', {group, down_ms: downMs});
-      this.limiters.get(group)?.reset();
+      this.limiters.get(group)?.starts.reset();
     }
     this.dispatchQueued(now);
   }
 
   /**
-   * Records that a request ended before it started.
+   * Records the time between two events of a stream.
    * @param now - current time
    * @param group - group of its upstream
+   * @param gap - the time
+   * @param target - longest time with which the stream is in time
    */
-  recordEndedUnstarted(now: Millis, group: GroupKey): void {
-    this.limiters.get(group)?.recordEndedUnstarted();
+  recordGap(now: Millis, group: GroupKey, gap: Millis, target: Millis): void {
+    this.limiters.get(group)?.streams.recordGap(now, gap, target);
+  }
+
+  /**
+   * Records that a request has ended at an upstream.
+   * @param now - current time
+   * @param group - group of the upstream
+   * @param hasStarted - whether it had started there
+   */
+  recordEnded(now: Millis, group: GroupKey, hasStarted: boolean): void {
+    const limiters = this.limiters.get(group);
+    limiters?.streams.recordEnded();
+    if (!hasStarted) limiters?.starts.recordEndedUnstarted();
     this.dispatchQueued(now);
   }
 
@@ -217,8 +233,11 @@
     }
     const group = this.directory.groupOf(upstream);
     this.groupBreaker.recordRequest(now, group);
-    if (this.directory.hasEngines(req.service))
-      this.limiterOf(group).recordSent();
+    if (this.directory.hasEngines(req.service)) {
+      const {starts, streams} = this.limitersOf(group);
+      starts.recordSent();
+      streams.recordSent();
+    }
     req.send(now, upstream, group);
   }
 
@@ -238,9 +257,7 @@
     if (accepting.length === 0) return 'backed_off';
     const hasEngines = this.directory.hasEngines(req.service);
     const withCapacity = hasEngines
-      ? accepting.filter(
-          up => this.limiterOf(this.directory.groupOf(up)).hasCapacity,
-        )
+      ? accepting.filter(upstream => this.hasCapacity(now, upstream))
       : accepting;
     if (withCapacity.length === 0) return 'full';
     const reachable = withCapacity.filter(
@@ -268,16 +285,32 @@
     return Math.min(...ends.filter(end => end > -Infinity));
   }
 
-  private limiterOf(group: GroupKey): ConcurrencyLimiter {
-    let limiter = this.limiters.get(group);
-    if (limiter === undefined) {
-      limiter = new ConcurrencyLimiter(() => this.directory.entryCount());
-      this.limiters.set(group, limiter);
+  private hasCapacity(now: Millis, upstream: Upstream): boolean {
+    const limiters = this.limitersOf(this.directory.groupOf(upstream));
+    return limiters.starts.hasCapacity && limiters.streams.hasCapacity(now);
+  }
+
+  private limitersOf(group: GroupKey): GroupLimiters {
+    let limiters = this.limiters.get(group);
+    if (limiters === undefined) {
+      limiters = {
+        starts: new ConcurrencyLimiter(() => this.directory.entryCount()),
+        streams: new StreamLimiter(this.chance),
+      };
+      this.limiters.set(group, limiters);
     }
-    return limiter;
+    return limiters;
   }
 }
 
+/** Limits on the requests of this entry at one group. */
+interface GroupLimiters {
+  /** On requests that have not started. */
+  readonly starts: ConcurrencyLimiter;
+  /** On all requests. */
+  readonly streams: StreamLimiter;
+}
+
 /**
  * Maximum number of queued requests skipped in one pass because their service
  * has no capacity: those behind them may be for another service.
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -2,8 +2,7 @@
 
 import type {Millis} from '../../core/index.js';
 import {
-  EventFramer,
-  StreamProgress,
+  StreamDelivery,
   actionAfterFailure,
   healthOutcomeOf,
 } from '../../direct/index.js';
@@ -34,7 +33,7 @@
 export class Exchange {
   private readonly response: ResponseWriter;
   private readonly deadlineAt: Millis;
-  private readonly progress: StreamProgress;
+  private readonly delivery: StreamDelivery;
   private readonly triedIncarnations = new Set<string>();
   private attempt: Attempt | undefined;
   private upstream: Upstream | undefined;
@@ -43,19 +42,15 @@
   private group: GroupKey | undefined;
   private hasStarted = false;
   private pending: DispatchRequest | undefined;
-  /** Time of the last delivery to the caller, or of the request's arrival. */
-  private lastDeliveryAt: Millis;
   private submittedAt: Millis;
   private queueTime: Millis = 0;
   private sentAt: Millis = 0;
-  private firstByteAt: Millis | undefined;
   /** Number of upstreams that the request was sent to. */
   private sends = 0;
   private mayHaveRun = false;
   private head: ResponseHead | undefined;
   private bodyChunks: Buffer[] = [];
   private bodyBytes = 0;
-  private framer = new EventFramer();
   private failedResponse: (ResponseHead & {readonly body: Buffer}) | undefined;
   private isFinished = false;
   private cause: RejectionCause = 'busy';
@@ -83,8 +78,8 @@
     );
     const callerLimit = (metadata.callerTimeout ?? Infinity) - RESPONSE_MARGIN;
     this.deadlineAt = arrivedAt + Math.min(callerLimit, route.timeout);
-    this.progress = new StreamProgress(metadata.resumedAfter);
-    this.lastDeliveryAt = this.submittedAt = arrivedAt;
+    this.delivery = new StreamDelivery(metadata.resumedAfter, arrivedAt);
+    this.submittedAt = arrivedAt;
     res.on('close', () => this.onCallerClosed());
     const remaining = this.deadlineAt - context.clock.now();
     this.timer = setTimeout(() => this.onDeadline(), Math.max(0, remaining));
@@ -100,7 +95,7 @@
   private requestUpstream(): void {
     const {request, context} = this;
     const {route, arrivedAt} = request;
-    const abandonedAt = this.lastDeliveryAt + route.silencePatience;
+    const abandonedAt = this.delivery.lastDeliveryAt + route.silencePatience;
     this.pending = {
       service: request.service,
       promptTokens: request.metadata.promptTokens,
@@ -135,15 +130,13 @@
     this.head = undefined;
     this.bodyChunks = [];
     this.bodyBytes = 0;
-    this.framer = new EventFramer();
+    this.delivery.startRun();
     context.dispatcher.loads.recordSent(upstream.incarnation, promptTokens);
-    const resumeAfter =
-      this.progress.delivered > 0 ? this.progress.lastId : undefined;
     const lines = context.dialect.toUpstream(request.headers, {
       timeLeft: this.deadlineAt - now,
       expectedUpstream: upstream.registration.id,
       organisation: request.organisation,
-      resumeAfter,
+      resumeAfter: this.delivery.resumeAfter,
     });
     const {method = 'GET', url: path = '/'} = this.req;
     const hasBody =
@@ -217,8 +210,8 @@
   private onData(chunk: Buffer): void {
     const isSuccess = this.head !== undefined && this.head.status < 300;
     if (this.isStream && isSuccess) {
-      this.forwardFrames(this.framer.push(chunk));
-      if (!this.framer.isOverlong) return;
+      this.forwardEvents(chunk);
+      if (!this.delivery.isOverlong) return;
       this.abortAttempt({kind: 'may_have_run', reason: 'unterminated event'});
       return;
     }
@@ -233,12 +226,16 @@
     this.write(bytes);
   }
 
-  private forwardFrames(frames: ReturnType<EventFramer['push']>): void {
-    const newFrames = frames.filter(frame => this.progress.accept(frame));
-    if (newFrames.length === 0) return;
-    this.lastDeliveryAt = this.context.clock.now();
-    this.firstByteAt ??= this.lastDeliveryAt;
-    this.write(Buffer.concat(newFrames.map(({bytes}) => bytes)));
+  private forwardEvents(chunk: Buffer): void {
+    const {context, group, request, delivery} = this;
+    const now = context.clock.now();
+    const events = delivery.push(now, chunk);
+    if (events === undefined) return;
+    const {gap, bytes} = events;
+    const {gapTarget} = request.route;
+    if (gap !== undefined && gapTarget !== undefined && group !== undefined)
+      context.dispatcher.recordGap(now, group, gap, gapTarget);
+    this.write(bytes);
   }
 
   private write(bytes: Buffer): void {
@@ -260,7 +257,7 @@
     }
     this.recordOutcome('good');
     if (this.isStream && status < 300) {
-      const rest = this.framer.rest();
+      const {rest} = this.delivery;
       if (rest.length > 0) this.response.write(rest);
       this.response.end();
     } else if (this.response.isStarted) {
@@ -294,7 +291,7 @@
     );
     if (failure.kind !== 'not_run') this.mayHaveRun = true;
     const canContinue =
-      this.progress.delivered === 0 || request.route.resumable;
+      this.delivery.delivered === 0 || request.route.resumable;
     if (action === 'try_another' && canContinue) {
       this.requestUpstream();
       return;
@@ -361,7 +358,7 @@
     const {upstream, context, request} = this;
     if (upstream === undefined) return;
     const now = context.clock.now();
-    const elapsed = (this.firstByteAt ?? now) - this.sentAt;
+    const elapsed = (this.delivery.firstDeliveryAt ?? now) - this.sentAt;
     const latency = outcome === 'good' && !this.isStream ? elapsed : undefined;
     const {promptTokens} = request.metadata;
     context.dispatcher.loads.recordEnded(
@@ -375,8 +372,8 @@
     this.lastUpstream = upstream;
     const {group} = this;
     this.group = undefined;
-    if (group === undefined || this.hasStarted) return;
-    context.dispatcher.recordEndedUnstarted(now, group);
+    if (group !== undefined)
+      context.dispatcher.recordEnded(now, group, this.hasStarted);
   }
 
   private finish(outcome: string, status: number, retryAfter?: Millis): void {
@@ -391,9 +388,9 @@
       retryAfter,
       upstream: this.lastUpstream?.registration.id,
       sends: this.sends + (outcome === 'answered' ? 1 : 0),
-      firstByteAt: this.firstByteAt,
+      firstByteAt: this.delivery.firstDeliveryAt,
       queueTime: this.queueTime,
-      deliveredEvents: this.progress.delivered,
+      deliveredEvents: this.delivery.delivered,
     });
     this.onFinished();
   }
--- a/src/direct/event_frames.test.ts
+++ b/src/direct/event_frames.test.ts
@@ -1,11 +1,11 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 
-import {EventFramer, StreamProgress} from './index.js';
+import {EventFramer, StreamDelivery} from './index.js';
 
 const bytes = (text: string) => Buffer.from(text);
 
-describe('EventFramer and StreamProgress', () => {
+describe('EventFramer and StreamDelivery', () => {
   const stream = Array.from(
     {length: 6},
     (_, i) => `id: ${i + 1}\ndata: piece ${i + 1}\n\n`,
@@ -30,22 +30,36 @@
   });
 
   it('joins two runs without gaps or duplicates', () => {
-    const progress = new StreamProgress(undefined);
-    const first = new EventFramer();
+    const delivery = new StreamDelivery(undefined, 0);
     const cut = stream.indexOf('piece 4') + 3;
-    const got = first
-      .push(bytes(stream.slice(0, cut)))
-      .filter(frame => progress.accept(frame));
-    expect(progress.lastId).toBe(3);
+    const first = delivery.push(100, bytes(stream.slice(0, cut)));
+    expect(delivery.resumeAfter).toBe(3);
+    delivery.startRun();
     // The second run repeats one event that was already delivered.
     const again = stream.slice(stream.indexOf('id: 3'));
-    const rest = new EventFramer()
-      .push(bytes(again))
-      .filter(frame => progress.accept(frame));
-    const all = Buffer.concat([...got, ...rest].map(f => f.bytes)).toString();
+    const rest = delivery.push(900, bytes(again));
+    const all = Buffer.concat([first!.bytes, rest!.bytes]).toString();
     expect(all).toBe(stream);
   });
 
+  it('measures gaps between the events of a run, not between runs', () => {
+    const delivery = new StreamDelivery(undefined, 0);
+    const piece = (id: number) => bytes(`id: ${id}\ndata: x\n\n`);
+    const gaps = [
+      delivery.push(300, piece(1))?.gap,
+      delivery.push(370, piece(2))?.gap,
+      delivery.push(380, bytes('id: 3\n'))?.gap,
+      delivery.push(450, bytes('data: x\n\n'))?.gap,
+    ];
+    delivery.startRun();
+    gaps.push(delivery.push(1_500, piece(4))?.gap);
+    gaps.push(delivery.push(1_560, piece(5))?.gap);
+    expect(gaps).toEqual([undefined, 70, undefined, 80, undefined, 60]);
+    expect(delivery.firstDeliveryAt).toBe(300);
+    expect(delivery.lastDeliveryAt).toBe(1_560);
+    expect(delivery.delivered).toBe(5);
+  });
+
   it('accepts lines that end in CR LF, and events without an id', () => {
     const framer = new EventFramer();
     const frames = framer.push(bytes('data: x\r\n\r\nid:7\r\ndata: y\r\n\r\n'));
--- a/src/direct/event_frames.ts
+++ b/src/direct/event_frames.ts
@@ -62,39 +62,3 @@
   const match = /^id: ?(\d+)\r?$/m.exec(bytes.toString('latin1'));
   return match?.[1] === undefined ? undefined : Number(match[1]);
 }
-
-/** Tracks which events of a stream were delivered to the caller. */
-export class StreamProgress {
-  private last: number | undefined;
-  private events = 0;
-
-  /** @param resumedAfter - id after which the caller resumes the stream */
-  constructor(resumedAfter: number | undefined) {
-    this.last = resumedAfter;
-  }
-
-  /** Id of the last delivered event. */
-  get lastId(): number | undefined {
-    return this.last;
-  }
-
-  /** Number of delivered events. */
-  get delivered(): number {
-    return this.events;
-  }
-
-  /**
-   * Records an event for delivery unless it is a duplicate; a resumed run may
-   * repeat events.
-   * @param frame - the event
-   * @returns whether to deliver it
-   */
-  accept({id}: EventFrame): boolean {
-    if (id !== undefined && this.last !== undefined && id <= this.last) {
-      return false;
-    }
-    if (id !== undefined) this.last = id;
-    this.events += 1;
-    return true;
-  }
-}
--- /dev/null
+++ b/src/direct/stream_delivery.ts
@@ -0,0 +1,90 @@
+import type {Millis} from '../core/index.js';
+import {EventFramer} from './event_frames.js';
+import type {EventFrame} from './event_frames.js';
+
+/** Events of one chunk that are new to the caller. */
+export interface DeliverableEvents {
+  readonly bytes: Buffer;
+  /** Time since the previous events of the same run; undefined for its first. */
+  readonly gap: Millis | undefined;
+}
+
+/** Frames a stream's events and tracks their delivery over all its runs. */
+export class StreamDelivery {
+  private framer = new EventFramer();
+  private lastId: number | undefined;
+  private events = 0;
+  private firstAt: Millis | undefined;
+  private lastAt: Millis;
+  private hasRunDelivered = false;
+
+  /**
+   * @param resumedAfter - id after which the caller resumes the stream
+   * @param arrivedAt - arrival of the request
+   */
+  constructor(resumedAfter: number | undefined, arrivedAt: Millis) {
+    this.lastId = resumedAfter;
+    this.lastAt = arrivedAt;
+  }
+
+  /** Number of delivered events. */
+  get delivered(): number {
+    return this.events;
+  }
+
+  /** Time of the first delivery. */
+  get firstDeliveryAt(): Millis | undefined {
+    return this.firstAt;
+  }
+
+  /** Time of the last delivery, or of the arrival before the first. */
+  get lastDeliveryAt(): Millis {
+    return this.lastAt;
+  }
+
+  /** Id after which a further run continues; undefined if none was delivered. */
+  get resumeAfter(): number | undefined {
+    return this.events > 0 ? this.lastId : undefined;
+  }
+
+  /** Whether the bytes after the last event exceed the limit of an event. */
+  get isOverlong(): boolean {
+    return this.framer.isOverlong;
+  }
+
+  /** Bytes after the last complete event. */
+  get rest(): Buffer {
+    return this.framer.rest();
+  }
+
+  /** Starts a further run, on another upstream. */
+  startRun(): void {
+    this.framer = new EventFramer();
+    this.hasRunDelivered = false;
+  }
+
+  /**
+   * Adds a chunk of the run.
+   * @param now - current time
+   * @param chunk - the chunk
+   * @returns undefined if it completes no new event
+   */
+  push(now: Millis, chunk: Buffer): DeliverableEvents | undefined {
+    const frames = this.framer.push(chunk).filter(frame => this.accept(frame));
+    if (frames.length === 0) return undefined;
+    const gap = this.hasRunDelivered ? now - this.lastAt : undefined;
+    this.hasRunDelivered = true;
+    this.firstAt ??= now;
+    this.lastAt = now;
+    return {bytes: Buffer.concat(frames.map(({bytes}) => bytes)), gap};
+  }
+
+  /** Counts an event unless it is a duplicate; a run may repeat events. */
+  private accept({id}: EventFrame): boolean {
+    if (id !== undefined && this.lastId !== undefined && id <= this.lastId)
+      return false;
+    if (id !== undefined) this.lastId = id;
+    this.events += 1;
+    return true;
+  }
+}
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -56,6 +56,8 @@
   readonly timeout: Millis;
   /** Expected time to the response, or to a stream's first event. */
   readonly latencyTarget: Millis;
+  /** Longest gap between two events of a stream that is in time, if declared. */
+  readonly gapTarget: Millis | undefined;
   /** Time without events after which callers abandon a stream. */
   readonly silencePatience: Millis;
   /** 0 is the most urgent. */
--- a/test/support/direct_samples.ts
+++ b/test/support/direct_samples.ts
@@ -18,6 +18,7 @@
     repeat: 'stream',
     timeout: 8_000,
     latencyTarget: 400,
+    gapTarget: 120,
     silencePatience: 2_000,
     priority: 1,
     targets: [{service: serviceName('assistant'), weight: 1}],
