Let the sidecar of the last claim reclaim its group at once after a restart

Each sidecar reads the newest claim at its start. If it is that of its own previous incarnation, it claims at once, since no other process can hold it; if there is none, the ranks claim by turns without the timeout. The others wait as before.

--- a/src/daemons/direct/map_task.test.ts
+++ b/src/daemons/direct/map_task.test.ts
@@ -76,6 +76,7 @@
     registry: {
       register: async () => okAsync(undefined),
       claim: async () => okAsync({claim: 1, isOwn: true}),
+      newestClaim: async () => okAsync(undefined),
       ranks: async () => okAsync(new Map()),
     },
     links: {broadcast: () => undefined, disconnect: () => undefined},
--- a/src/daemons/direct/map_task.ts
+++ b/src/daemons/direct/map_task.ts
@@ -14,6 +14,7 @@
 import type {Link} from '../../links/index.js';
 import type {DaemonContext} from '../shared/context.js';
 import {Task} from '../shared/task.js';
+import {GroupClaims} from './group_claims.js';
 import {GroupPlanning} from './group_planning.js';
 import {LocalRank} from './local_rank.js';
 import type {RankMessage} from './local_rank.js';
@@ -42,6 +43,7 @@
   | {readonly type: 'opened'; readonly link: Link}
   | {readonly type: 'configured'; readonly profile: ExpertProfile}
   | {readonly type: 'claimed'; readonly claim: ClaimResult | undefined}
+  | {readonly type: 'vacant'; readonly ownClaim: number | undefined}
   | {
       readonly type: 'answered';
       readonly issued: IssuedOrder;
@@ -73,7 +75,7 @@
   private readonly succession: SuccessionTimer;
   private readonly transport: RankTransport;
   private readonly follower: RankFollower;
-  private isClaiming = false;
+  private readonly claims: GroupClaims;
   private lastWatchAt: Millis = -Infinity;
   private readonly timer: NodeJS.Timeout;
 
@@ -112,6 +114,14 @@
       },
       this.logger,
     );
+    this.claims = new GroupClaims(
+      ports,
+      {
+        claimed: claim => this.post({type: 'claimed', claim}),
+        vacant: ownClaim => this.post({type: 'vacant', ownClaim}),
+      },
+      this.logger,
+    );
     this.timer = setInterval(() => this.post({type: 'tick'}), TICK_INTERVAL);
   }
 
@@ -146,6 +156,9 @@
         return;
       case 'claimed':
         return this.onClaimResult(now, message.claim);
+      case 'vacant':
+        this.succession.recordVacancy(now, message.ownClaim);
+        return;
       case 'answered':
         return this.recordOutcome(
           now,
@@ -167,10 +180,11 @@
     const {coordinator} = this;
     const {lastReport: own} = this.localRank;
     if (own === undefined) return;
+    this.claims.readOnce(own);
     if (coordinator === undefined) {
       const isHolding = own.heldAt !== null;
       if (this.succession.shouldClaim(now, own.rank, isHolding))
-        this.claim(own);
+        this.claims.claim(own, this.succession.highestClaim);
       return;
     }
     this.coordinate(now, coordinator, own);
@@ -337,23 +351,7 @@
       this.coordinator?.recordSendFailure(issued);
   }
 
-  private claim({group, rank}: RankReport): void {
-    if (this.isClaiming) return;
-    this.isClaiming = true;
-    this.logger.info('coordinator_claim', {group, rank});
-    const {highestClaim} = this.succession;
-    const {registry, self} = this.ports;
-    void registry.claim(group, self, highestClaim).then(claim => {
-      if (claim.isErr()) {
-        const {message: reason} = claim.error;
-        this.logger.warn('coordinator_claim_failed', {group, rank, reason});
-      }
-      this.post({type: 'claimed', claim: claim.unwrapOr(undefined)});
-    });
-  }
-
   private onClaimResult(now: Millis, result: ClaimResult | undefined): void {
-    this.isClaiming = false;
     const {lastReport: own} = this.localRank;
     if (result === undefined || own === undefined) {
       this.succession.recordResignation(now);
--- a/src/daemons/direct/rank_registry.ts
+++ b/src/daemons/direct/rank_registry.ts
@@ -71,6 +71,23 @@
     return put.map(offset => ({isOwn: true, claim: offset + 1}));
   }
 
+  /**
+   * Reads the newest claim to coordinate a group.
+   * @param group - the group
+   * @returns the claim and the address of its sidecar; undefined if there is none
+   */
+  async newestClaim(
+    group: string,
+  ): Promise<Result<{claim: number; sidecar: string} | undefined, Fault>> {
+    const listing = await this.store.list(this.topic);
+    return listing.map(({records}) => {
+      const key = `${group}/${COORDINATOR}`;
+      const found = records.find(one => one.key === key);
+      const record = found?.value && parseRecord(found.value);
+      return record && {claim: found.offset + 1, sidecar: record.sidecar};
+    });
+  }
+
   /**
    * Reads the ranks of a group.
    * @param group - the group
--- a/src/expert_groups/cutover/cutover.test.ts
+++ b/src/expert_groups/cutover/cutover.test.ts
@@ -416,6 +416,31 @@
     expect(succession.shouldClaim(3_450, 1, false)).toBe(true);
   });
 
+  it('lets the sidecar of the last claim reclaim at once after a restart', () => {
+    // All sidecars restart; the claim in the store is that of rank 5.
+    const succession = new SuccessionTimer(0);
+    expect(succession.shouldClaim(90, 5, false)).toBe(false);
+    succession.recordVacancy(90, 7);
+    expect(succession.highestClaim).toBe(7);
+    expect(succession.shouldClaim(90, 5, false)).toBe(true);
+    // A claim that another rank made meanwhile is left in place.
+    succession.recordClaim(110, 8);
+    expect(succession.shouldClaim(120, 5, false)).toBe(false);
+  });
+
+  it('lets ranks claim by turns, without a timeout, where there is no claim', () => {
+    const succession = new SuccessionTimer(0);
+    succession.recordVacancy(90);
+    expect(succession.shouldClaim(90, 0, false)).toBe(true);
+    expect(succession.shouldClaim(90, 1, false)).toBe(false);
+    expect(succession.shouldClaim(590, 1, false)).toBe(true);
+    // A coordinator that has made contact already is not replaced.
+    const followed = new SuccessionTimer(0);
+    followed.recordContact(50, 5 * TOKENS_PER_CLAIM);
+    followed.recordVacancy(90, 4);
+    expect(followed.shouldClaim(90, 0, false)).toBe(false);
+  });
+
   it('rejects an older claim, and delays a claim after resigning', () => {
     const succession = new SuccessionTimer(0);
     expect(succession.recordContact(0, 5 * TOKENS_PER_CLAIM + 3)).toBe(true);
--- a/src/expert_groups/cutover/succession_timer.ts
+++ b/src/expert_groups/cutover/succession_timer.ts
@@ -57,6 +57,24 @@
     this.lastContactAt = now - COORDINATOR_TIMEOUT + CLAIM_GRACE_PERIOD;
   }
 
+  /**
+   * Records that no claim of a live process can exist: the group has none, or
+   * the newest is of this sidecar's previous incarnation. The former lets the
+   * ranks claim by turns without a timeout, the latter this rank at once; after
+   * a restart of all sidecars, the others wait for it.
+   * @param now - current time
+   * @param ownClaim - claim of the previous incarnation, if there is one
+   */
+  recordVacancy(now: Millis, ownClaim?: number): void {
+    if (this.highestToken > 0) return;
+    if (ownClaim === undefined) {
+      this.lastContactAt = now - COORDINATOR_TIMEOUT;
+      return;
+    }
+    this.recordedClaim = Math.max(this.recordedClaim, ownClaim);
+    this.lastContactAt = -Infinity;
+  }
+
   /**
    * Records contact from a coordinator.
    * @param now - current time
