Probe an unavailable group again as soon as it has rejected a probe

A rejection takes a few ms, so the next request may probe 0.1 s after the last one; while a probe is not rejected, others wait for its outcome, at most 0.4 s. Retries never probe, as they spend budget. Ranks that stall leave probes without an outcome; nothing waits for them.

--- a/src/daemons/direct/dispatcher.ts
+++ b/src/daemons/direct/dispatcher.ts
@@ -204,7 +204,10 @@
   recordEnded(now: Millis, group: GroupKey, hasStarted: boolean): void {
     const limiters = this.limiters.get(group);
     limiters?.streams.recordEnded();
-    if (!hasStarted) limiters?.starts.recordEndedUnstarted();
+    if (!hasStarted) {
+      limiters?.starts.recordEndedUnstarted();
+      this.groupBreaker.recordEndedUnstarted(group);
+    }
     this.dispatchQueued(now);
   }
 
@@ -248,9 +251,14 @@
     const untried = this.untriedUpstreams(req);
     if (untried.length === 0) return 'none';
     const available = untried.filter(upstream =>
-      this.groupBreaker.allowsRequest(now, this.directory.groupOf(upstream)),
+      this.isAvailable(now, req, this.directory.groupOf(upstream)),
     );
-    if (available.length === 0) return 'down';
+    if (available.length === 0) {
+      const isRecovering = untried.some(upstream =>
+        this.groupBreaker.isRecovering(now, this.directory.groupOf(upstream)),
+      );
+      return isRecovering ? 'full' : 'down';
+    }
     const accepting = available.filter(
       ({incarnation}) => this.loads.backoffUntil(incarnation) <= now,
     );
@@ -285,6 +293,17 @@
     return Math.min(...ends.filter(end => end > -Infinity));
   }
 
+  /** Only first attempts are probes: a retry costs budget. */
+  private isAvailable(
+    now: Millis,
+    {triedIncarnations}: DispatchRequest,
+    group: GroupKey,
+  ): boolean {
+    if (!this.groupBreaker.isUnavailable(group)) return true;
+    const isRetry = triedIncarnations.size > 0;
+    return !isRetry && this.groupBreaker.allowsRequest(now, group);
+  }
+
   private hasCapacity(now: Millis, upstream: Upstream): boolean {
     const limiters = this.limitersOf(this.directory.groupOf(upstream));
     return limiters.starts.hasCapacity && limiters.streams.hasCapacity(now);
--- a/src/daemons/direct/dispatcher_replay.test.ts
+++ b/src/daemons/direct/dispatcher_replay.test.ts
@@ -13,12 +13,13 @@
   load: Omit<ReplayLoad, 'seed'>,
   hasGapTarget = true,
 ): ReplayResult {
-  const sum = {inTime: 0, late: 0, rejected: 0};
+  const sum: ReplayResult = {inTime: 0, late: 0, rejected: 0, rejectedAt: []};
   for (const seed of SEEDS) {
     const result = replay({...load, seed}, hasGapTarget);
     sum.inTime += result.inTime;
     sum.late += result.late;
     sum.rejected += result.rejected;
+    sum.rejectedAt.push(...result.rejectedAt);
   }
   return sum;
 }
@@ -57,6 +58,21 @@
     expect(late + rejected).toBe(0);
   });
 
+  it.each([8, 40])(
+    'sends to a group as soon as it recovers, with %i entries',
+    entries => {
+      // A zone is partitioned for five seconds; then the group forms again.
+      const isBroken = (now: number) => now >= 5_000 && now < 10_000;
+      const calm = {...shifts, entries, perSecond: 36, skew: () => 1.1};
+      const {rejectedAt} = total({...calm, isBroken});
+      const during = rejectedAt.filter(at => at < 10_000);
+      const after = rejectedAt.filter(at => at >= 10_000);
+      expect(during.length).toBeGreaterThan(36 * 4 * SEEDS.length);
+      // An entry learns of the recovery from its next request.
+      expect(after.length).toBeLessThan(36 * 0.1 * SEEDS.length);
+    },
+  );
+
   it('does not reject more when no number of streams meets the target', () => {
     // One slow rank makes every pass longer than the target.
     const slow = {...shifts, perSecond: 6, skew: () => 30};
--- a/src/direct/group_circuit_breaker.test.ts
+++ b/src/direct/group_circuit_breaker.test.ts
@@ -24,6 +24,27 @@
     expect(breaker.allowsRequest(4_000, 'other')).toBe(true);
   });
 
+  it('probes again soon after a rejection, and sees a probe that is not rejected', () => {
+    const breaker = new GroupCircuitBreaker();
+    breaker.markUnavailable(0, 'g');
+    expect(breaker.isRecovering(50, 'g')).toBe(false);
+    for (let now = 100; now < 1_000; now += 100) {
+      expect(breaker.allowsRequest(now, 'g')).toBe(true);
+      breaker.recordRequest(now, 'g');
+      expect(breaker.allowsRequest(now + 3, 'g')).toBe(false);
+      breaker.markUnavailable(now + 4, 'g');
+      breaker.recordEndedUnstarted('g');
+      expect(breaker.isRecovering(now + 5, 'g')).toBe(false);
+    }
+    breaker.recordRequest(1_000, 'g');
+    expect(breaker.isRecovering(1_200, 'g')).toBe(true);
+    // Ranks that stall leave their probes without an outcome.
+    expect(breaker.isRecovering(1_400, 'g')).toBe(false);
+    expect(breaker.allowsRequest(1_400, 'g')).toBe(true);
+    breaker.recordRequest(1_400, 'g');
+    expect(breaker.isRecovering(1_500, 'g')).toBe(false);
+  });
+
   it('gives callers of an unavailable group a long Retry-After with jitter', () => {
     const chance = new Chance(3);
     const delays = Array.from({length: 200}, () =>
--- a/src/direct/group_circuit_breaker.ts
+++ b/src/direct/group_circuit_breaker.ts
@@ -2,10 +2,12 @@
 import {SECOND} from '../core/index.js';
 
 /**
- * Interval between requests that probe an unavailable group for its recovery.
- * Each entry probes independently, so a group receives probes more often.
+ * Minimum time between two probes of an unavailable group. Each entry probes
+ * independently; a group that recovers waits this long for its requests.
  */
-const PROBE_INTERVAL: Millis = 0.4 * SECOND;
+const PROBE_INTERVAL: Millis = 0.1 * SECOND;
+/** A probe without an outcome for this long no longer prevents the next. */
+const PROBE_TIMEOUT: Millis = 0.4 * SECOND;
 
 /** Group of ranks that step together, or a service whose groups are unknown. */
 export type GroupKey = string;
@@ -13,6 +15,9 @@
 interface Outage {
   readonly since: Millis;
   probedAt: Millis;
+  isProbing: boolean;
+  /** Whether probes remain without an outcome, as at stalled ranks. */
+  isSilent: boolean;
 }
 
 /**
@@ -33,8 +38,13 @@
    */
   markUnavailable(now: Millis, group: GroupKey): boolean {
     const known = this.outages.get(group);
-    if (known !== undefined) return false;
-    this.outages.set(group, {since: now, probedAt: now});
+    if (known !== undefined) {
+      known.isProbing = false;
+      known.isSilent = false;
+      return false;
+    }
+    const probe = {probedAt: now, isProbing: false, isSilent: false};
+    this.outages.set(group, {since: now, ...probe});
     return true;
   }
 
@@ -53,24 +63,55 @@
 
   /**
    * Returns whether a request may be sent to a group: always while the circuit
-   * is closed, and once per probe interval while it is open.
+   * is closed, and as the only probe while it is open.
    * @param now - current time
    * @param group - the group
    */
   allowsRequest(now: Millis, group: GroupKey): boolean {
     const outage = this.outages.get(group);
-    return outage === undefined || now - outage.probedAt >= PROBE_INTERVAL;
+    if (outage === undefined) return true;
+    const elapsed = now - outage.probedAt;
+    return elapsed >= (outage.isProbing ? PROBE_TIMEOUT : PROBE_INTERVAL);
   }
 
   /**
-   * Records that a request is sent to a group; it counts as a probe if the
-   * circuit is open.
+   * Returns whether a group is about to recover: it rejected the last probe but
+   * has not rejected the present one, while rejections take a few milliseconds.
+   * Requests wait for the outcome meanwhile.
+   * @param now - current time
+   * @param group - the group
+   */
+  isRecovering(now: Millis, group: GroupKey): boolean {
+    const outage = this.outages.get(group);
+    return (
+      outage !== undefined &&
+      outage.isProbing &&
+      !outage.isSilent &&
+      now - outage.probedAt < PROBE_TIMEOUT
+    );
+  }
+
+  /**
+   * Records that a request is sent to a group; it is a probe if the circuit is
+   * open.
    * @param now - current time
    * @param group - the group
    */
   recordRequest(now: Millis, group: GroupKey): void {
     const outage = this.outages.get(group);
-    if (outage !== undefined) outage.probedAt = now;
+    if (outage === undefined) return;
+    outage.isSilent ||= outage.isProbing;
+    outage.isProbing = true;
+    outage.probedAt = now;
+  }
+
+  /**
+   * Records that a request to a group ended before it started.
+   * @param group - the group
+   */
+  recordEndedUnstarted(group: GroupKey): void {
+    const outage = this.outages.get(group);
+    if (outage !== undefined) outage.isProbing = false;
   }
 
   /**
--- a/test/support/entry_replay.ts
+++ b/test/support/entry_replay.ts
@@ -23,7 +23,8 @@
   readonly duration: Millis;
   readonly seed: number;
   readonly skew: (now: Millis) => number;
-  readonly isStalled?: (now: Millis) => boolean;
+  /** Whether the ranks reject each request, as the group is incomplete. */
+  readonly isBroken?: (now: Millis) => boolean;
 }
 
 /** Result of the requests of a replay. */
@@ -31,6 +32,8 @@
   inTime: number;
   late: number;
   rejected: number;
+  /** Times of the rejections. */
+  readonly rejectedAt: Millis[];
 }
 
 const SERVICE = serviceName('assistant');
@@ -40,6 +43,8 @@
 const MEAN_EVENTS = 20;
 const MAX_EVENTS = 60;
 const PROMPT_TOKENS = 850;
+/** Time in which a rank rejects a request. */
+const REJECTION_TIME: Millis = 4;
 const GROUP = 'g';
 
 /**
@@ -49,7 +54,7 @@
  */
 export function replay(load: ReplayLoad, hasGapTarget = true): ReplayResult {
   const chance = new Chance(load.seed);
-  const group = new SteppingGroup(TWELVE_RANK_GROUP, load.skew, load.isStalled);
+  const group = new SteppingGroup(TWELVE_RANK_GROUP, load.skew, load.isBroken);
   const ranks: Upstream[] = Array.from(
     {length: TWELVE_RANK_GROUP.ranks},
     (_, i) => ({
@@ -76,14 +81,25 @@
         SILENT_LOGGER,
       ),
   );
-  const result = {inTime: 0, late: 0, rejected: 0};
+  const result: ReplayResult = {
+    inTime: 0,
+    late: 0,
+    rejected: 0,
+    rejectedAt: [],
+  };
+  /** Responses of ranks that reject a request. */
+  const rejections: {readonly at: Millis; deliver(now: Millis): void}[] = [];
   const arrivals = poissonArrivals(chance, load.perSecond, load.duration);
   const end = load.duration + 8_000;
+  let clock = 0;
   for (let now = 0; now < end; now++) {
+    clock = now;
     while ((arrivals[0] ?? Infinity) <= now) {
       arrivals.shift();
       arrive(now, chance.pick(dispatchers));
     }
+    while ((rejections[0]?.at ?? Infinity) <= now)
+      rejections.shift()!.deliver(now);
     group.tick(now);
     if (now % 50 === 0) for (const one of dispatchers) one.dispatchQueued(now);
   }
@@ -106,9 +122,27 @@
       trySpend: () => true,
       reject: () => {
         result.rejected += 1;
+        result.rejectedAt.push(clock);
       },
       send: (sentAt, upstream) => {
         dispatcher.loads.recordSent(upstream.incarnation, PROMPT_TOKENS);
+        const recordEnded = (now: Millis, hasStarted: boolean) => {
+          const {incarnation: id} = upstream;
+          const outcome = hasStarted ? 'good' : 'neutral';
+          dispatcher.loads.recordEnded(now, id, PROMPT_TOKENS, outcome);
+          dispatcher.recordEnded(now, GROUP, hasStarted);
+        };
+        if (load.isBroken?.(sentAt) === true) {
+          rejections.push({
+            at: sentAt + REJECTION_TIME,
+            deliver: now => {
+              dispatcher.markGroupUnavailable(now, upstream, 'missing rank');
+              recordEnded(now, false);
+              req.reject('group_down');
+            },
+          });
+          return;
+        }
         group.submit({
           rank: ranks.indexOf(upstream),
           promptTokens: PROMPT_TOKENS,
@@ -123,13 +157,7 @@
               dispatcher.recordGap(now, GROUP, gap, GAP_TARGET);
           },
           onEnd: now => {
-            dispatcher.loads.recordEnded(
-              now,
-              upstream.incarnation,
-              PROMPT_TOKENS,
-              'good',
-            );
-            dispatcher.recordEnded(now, GROUP, true);
+            recordEnded(now, true);
             result[isOnTime ? 'inTime' : 'late'] += 1;
           },
         });
