Mend small leftovers: a cycle of imports, fields set twice, a method without callers

rendezvous.ts imported the index that exports it; createCallMessage set prefix and cost twice, to the same values; nothing called LoadEstimator.reset. The recorded bytes of the messages are the same (test/recorded_bytes.test.ts).

--- a/src/calls/entry_messages.ts
+++ b/src/calls/entry_messages.ts
@@ -41,8 +41,6 @@
     ...(prefix && {prefix: [...prefix]}),
     ...(cost !== undefined && {cost}),
     credit: CREDIT_WINDOW_FRAMES,
-    ...(prefix && {prefix: [...prefix]}),
-    ...(cost && {cost}),
     ...issuedKeyFields(request),
     ...(resumeFrom === undefined ? {} : {resumeFrom}),
   };
--- a/src/core/rendezvous.ts
+++ b/src/core/rendezvous.ts
@@ -1,4 +1,4 @@
-import type {VmName} from '../core/index.js';
+import type {VmName} from './ids.js';
 
 const FNV_OFFSET_BASIS = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
--- a/src/expert_groups/load_estimator.ts
+++ b/src/expert_groups/load_estimator.ts
@@ -74,12 +74,6 @@
     this.recordComputeTime(report);
   }
 
-  /** Drops recorded steps and reports of a group that restarts its count. */
-  reset(): void {
-    this.lastStep.clear();
-    this.reports.clear();
-  }
-
   /**
    * Ends an interval and merges its reports into the estimates.
    * @param map - the map that the reports refer to
