Lengthen the lead of a hold with the share of orders that are lost

The lead is now 0.1 s and 1.8 s times the loss rate beyond 0.03, 0.5 s at most; the rate has a longer memory, so a few answers don't hide it. An order is sent again after 30 ms, so 0.2 s allow for several. The model's bounds hold as they were.

--- a/src/expert_groups/cutover/order_tracker.ts
+++ b/src/expert_groups/cutover/order_tracker.ts
@@ -1,10 +1,11 @@
 import type {Millis} from '../../core/index.js';
 import type {Rank} from '../types.js';
 import {
-  LOSSY_HOLD_LEAD_TIME,
-  ORDER_RETRY_INTERVAL,
   HOLD_LEAD_TIME,
+  HOLD_LEAD_TIME_PER_LOSS,
+  MAX_HOLD_LEAD_TIME,
   MAX_HOLD_MARGIN,
+  ORDER_RETRY_INTERVAL,
   DEFAULT_PASS_TIME,
 } from './timing.js';
 import type {CutoverOrder, IssuedOrder} from './types.js';
@@ -16,18 +17,15 @@
 const MAP_RETRY_INTERVAL_PER_RANK: Millis = 5;
 
 /** EWMA weight of one order in the share of unanswered orders. */
-const LOSS_EWMA_WEIGHT = 0.15;
-/** Loss rate from which the usual lead time is too short for a hold. */
-const LOSSY_ENTER_RATE = 0.12;
-/** Loss rate at which the usual lead time applies again. */
-const LOSSY_EXIT_RATE = 0.02;
+const LOSS_EWMA_WEIGHT = 0.05;
+/** A single late order does not lengthen the lead time of holds. */
+const NEGLIGIBLE_LOSS_RATE = 0.03;
 
 /** Tracks when the orders of a phase were issued, and which were answered. */
 export class OrderTracker {
   private readonly sentAt = new Map<Rank, Millis>();
   private readonly answeredRanks = new Set<Rank>();
   private lossRate = 0;
-  private isLossy = false;
 
   /** Clears issued and answered orders as a new phase begins. */
   clear(): void {
@@ -42,7 +40,6 @@
    */
   recordAnswer(rank: Rank, canResend: boolean): void {
     this.lossRate -= LOSS_EWMA_WEIGHT * this.lossRate;
-    if (this.lossRate <= LOSSY_EXIT_RATE) this.isLossy = false;
     this.answeredRanks.add(rank);
     if (canResend) this.sentAt.delete(rank);
   }
@@ -50,7 +47,6 @@
   /** Records an unanswered order, which may be executed now, later or never. */
   recordTimeout(): void {
     this.lossRate += LOSS_EWMA_WEIGHT * (1 - this.lossRate);
-    if (this.lossRate >= LOSSY_ENTER_RATE) this.isLossy = true;
   }
 
   /**
@@ -61,7 +57,11 @@
    * @param passTime - duration of a pass, if known
    */
   holdMargin(passTime: Millis | undefined): number {
-    const time = this.isLossy ? LOSSY_HOLD_LEAD_TIME : HOLD_LEAD_TIME;
+    const loss = Math.max(0, this.lossRate - NEGLIGIBLE_LOSS_RATE);
+    const time = Math.min(
+      MAX_HOLD_LEAD_TIME,
+      HOLD_LEAD_TIME + loss * HOLD_LEAD_TIME_PER_LOSS,
+    );
     const passes = Math.ceil(time / (passTime ?? DEFAULT_PASS_TIME));
     return Math.min(MAX_HOLD_MARGIN, passes);
   }
--- a/src/expert_groups/cutover/timing.ts
+++ b/src/expert_groups/cutover/timing.ts
@@ -7,11 +7,13 @@
  * the old map in use for longer.
  */
 export const HOLD_LEAD_TIME: Millis = 100;
+/** Maximum lead time of a hold while orders are lost. */
+export const MAX_HOLD_LEAD_TIME: Millis = SECOND / 2;
 /**
- * Lead time of a hold while orders are lost: each order can be sent about eight
- * times before the group has to wait for it.
+ * Lead time of a hold for each unit of the loss rate: the more orders are lost,
+ * the more often one has to be sent before the group waits for it.
  */
-export const LOSSY_HOLD_LEAD_TIME: Millis = SECOND / 2;
+export const HOLD_LEAD_TIME_PER_LOSS: Millis = 1.8 * SECOND;
 /** Pass time assumed until it has been measured; that of a busy group. */
 export const DEFAULT_PASS_TIME: Millis = 60;
 /** Maximum margin in passes, since an idle group may begin none for long. */
