Probe a slow idle upstream more rarely each time it is found slow again

Only a slow report decays (over 60 ms per block), 10 s are its half-life, doubled by each report like the one before, and one without a response is left to outlier detection.

--- a/src/routing/first_token_policy.ts
+++ b/src/routing/first_token_policy.ts
@@ -6,11 +6,8 @@
 
 /** Prefill time per block without a reported value. */
 const DEFAULT_MS_PER_BLOCK: Millis = 30;
-/**
- * Half-life of an idle upstream's reported prefill time. Reports come with
- * responses, so an upstream that is never chosen would keep its last report.
- */
-const IDLE_REPORT_HALF_LIFE: Millis = 3 * SECOND;
+/** Above this, a replica is slow: it gets few calls, if any. */
+const SLOW_MS_PER_BLOCK: Millis = 60;
 /** Time per queued call without a reported drain rate. */
 const DEFAULT_MS_PER_CALL: Millis = 100;
 
@@ -68,14 +65,13 @@
 }
 
 /**
- * Returns the reported prefill time per block. While an upstream is idle, the
- * value decays to zero, so that a slow one is probed by a single call at a time
- * and can report its recovery.
+ * Returns the reported prefill time per block. That of a slow upstream decays to
+ * zero while it is idle, so that it is probed by a single call at a time and can
+ * report its recovery.
  */
-function prefillTimePerBlock({load, loadAge, inFlight}: Candidate): Millis {
+function prefillTimePerBlock({load, reportDecay}: Candidate): Millis {
   const reported = load?.msPerBlock || DEFAULT_MS_PER_BLOCK;
-  if (load === undefined || inFlight > 0) return reported;
-  return reported * 2 ** (-loadAge / IDLE_REPORT_HALF_LIFE);
+  return reported > SLOW_MS_PER_BLOCK ? reported * 2 ** -reportDecay : reported;
 }
 
 /** Selects the candidate with the shortest expected time to first token. */
--- a/src/routing/replica_tracker.ts
+++ b/src/routing/replica_tracker.ts
@@ -1,3 +1,4 @@
+import {SECOND} from '../core/index.js';
 import type {AvailabilityZone, Incarnation, Millis} from '../core/index.js';
 import type {CacheMessage, LoadReport} from './messages.js';
 import {PREFIX_CAPACITY, PrefixIndex} from './prefix_index.js';
@@ -5,6 +6,16 @@
 import type {PromptPrefix} from './prompt_prefix.js';
 import type {Candidate} from './types.js';
 
+/**
+ * Half-life of an idle replica's reported prefill time. Reports come with
+ * responses, so a replica that is never chosen would keep its last report.
+ */
+const IDLE_REPORT_HALF_LIFE: Millis = 10 * SECOND;
+/** Reports whose prefill times differ by less than this factor are alike. */
+const SIMILAR_REPORT_FACTOR = 2;
+/** The half-life doubles with each report like the one before, so many times. */
+const MAX_HALF_LIFE_DOUBLINGS = 5;
+
 /** An upstream that accepts new calls. */
 export interface Replica {
   readonly incarnation: Incarnation;
@@ -15,6 +26,10 @@
   inFlight: number;
   load: LoadReport | undefined;
   loadAt: Millis;
+  /** Reports in a row that confirmed the prefill time. */
+  confirmations: number;
+  /** Whether the last call that ended had no response. */
+  isSilent: boolean;
   sentCalls: number;
   sentBlocks: number;
   /** Calls without a first response. */
@@ -57,6 +72,7 @@
         loadAge: now - state.loadAt,
         sentCalls: state.sentCalls,
         sentBlocks: state.sentBlocks,
+        reportDecay: reportDecay(now, state),
         matched: prefix.length > 0 ? state.prefixes.match(prefix) : 0,
         unresponsiveMs: state.unanswered > 0 ? now - state.lastContactAt : 0,
       };
@@ -89,6 +105,7 @@
     const state = this.states.get(replica);
     if (state === undefined) return;
     state.unanswered -= 1;
+    state.isSilent = false;
     state.lastContactAt = now;
   }
 
@@ -101,7 +118,9 @@
     const state = this.states.get(replica);
     if (state === undefined) return;
     state.inFlight -= 1;
-    if (!isAnswered) state.unanswered -= 1;
+    if (isAnswered) return;
+    state.unanswered -= 1;
+    state.isSilent = true;
   }
 
   /**
@@ -112,6 +131,8 @@
    */
   recordLoad(now: Millis, replica: Incarnation, load: LoadReport): void {
     const state = this.stateOf(replica);
+    const isConfirmed = isSimilar(state.load, load);
+    state.confirmations = isConfirmed ? state.confirmations + 1 : 0;
     state.load = load;
     state.loadAt = now;
     state.sentCalls = 0;
@@ -143,6 +164,8 @@
       inFlight: 0,
       load: undefined,
       loadAt: 0,
+      confirmations: 0,
+      isSilent: false,
       sentCalls: 0,
       sentBlocks: 0,
       unanswered: 0,
@@ -153,3 +176,23 @@
     return state;
   }
 }
+
+/**
+ * Returns the half-lives for which the report of a replica has decayed. A busy
+ * replica reports with its responses; one that does not respond is left to
+ * outlier detection. Each probe that confirms a slow replica delays the next.
+ */
+function reportDecay(now: Millis, state: ReplicaState): number {
+  if (state.load === undefined || state.inFlight > 0 || state.isSilent)
+    return 0;
+  const doublings = Math.min(MAX_HALF_LIFE_DOUBLINGS, state.confirmations);
+  return (now - state.loadAt) / (IDLE_REPORT_HALF_LIFE * 2 ** doublings);
+}
+
+function isSimilar(before: LoadReport | undefined, load: LoadReport): boolean {
+  if (before === undefined) return false;
+  const [low, high] = [before.msPerBlock, load.msPerBlock].sort(
+    (a, b) => a - b,
+  );
+  return high! <= low! * SIMILAR_REPORT_FACTOR;
+}
--- a/src/routing/router.test.ts
+++ b/src/routing/router.test.ts
@@ -138,7 +138,7 @@
     const slow = {...LOAD, msPerBlock: 108};
     router.recordLoad(0, a.incarnation, slow);
     const probes: number[] = [];
-    for (let now = 0; now <= 60_000; now += 100) {
+    for (let now = 0; now <= 180_000; now += 100) {
       router.recordLoad(now, b.incarnation, {...LOAD, msPerBlock: 2});
       router.recordLoad(now, c.incarnation, {...LOAD, msPerBlock: 30});
       const burst = [1, 2, 3].map(() => ({
@@ -153,13 +153,19 @@
         // It is still slow, and its response says so.
         router.recordLoad(now, a.incarnation, slow);
       }
-      for (const {callId: id} of burst) router.endCall(now, id);
+      for (const [i, {callId: id}] of burst.entries()) {
+        router.recordResult(now, id, incarnation(chosen[i]!), 'answered');
+        router.endCall(now, id);
+      }
     }
     expect(probes.length).toBeGreaterThanOrEqual(2);
     expect(probes.length).toBeLessThanOrEqual(6);
+    // Each probe that finds it slow delays the next.
+    const waits = probes.map((at, i) => at - (probes[i - 1] ?? 0));
+    expect(waits).toEqual([...waits].sort((a, b) => a - b));
     // Once it reports a normal time, it gets calls again.
-    router.recordLoad(60_100, a.incarnation, {...LOAD, msPerBlock: 1});
-    expect(route(router, all, {now: 60_100})).toBe(a.incarnation);
+    router.recordLoad(180_100, a.incarnation, {...LOAD, msPerBlock: 1});
+    expect(route(router, all, {now: 180_100})).toBe(a.incarnation);
   });
 
   it('compares the same subset of many replicas for the same prefix', () => {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -17,6 +17,8 @@
   readonly sentBlocks: number;
   /** Leading blocks of the call's prompt that it probably has cached. */
   readonly matched: number;
+  /** Half-lives for which its reported prefill time has decayed; 0 unless idle. */
+  readonly reportDecay: number;
   /** Time without a response while calls of this entry wait for one, ms. */
   readonly unresponsiveMs: Millis;
 }
