Plan nothing small in the time in which a shift of demand is due

The estimator knows the interval of shifts and the last one; a change now has to pay in the time that is left until the next, where that is less than the average, until a shift is a quarter of the interval overdue. A gain of 0.6 is planned at any time.

--- a/src/daemons/direct/map_planner.test.ts
+++ b/src/daemons/direct/map_planner.test.ts
@@ -69,6 +69,32 @@
     expect(shifting.isWorthwhile(20_000, second)).toBe(true);
   });
 
+  it('copies nothing small right before a shift is due', () => {
+    // A refinement that began as demand shifted delayed its map by 0.45 s.
+    const shifting = new MapPlanner(PROFILE, 4);
+    const gain = (removed: number) => ({
+      skewBefore: 1 + removed,
+      skewAfter: 1,
+      copyTime: 400,
+    });
+    for (let now = 0; now < 21_600; now += 100) {
+      const isOther = Math.floor(now / 3_600) % 2 === 1;
+      shifting.recordSelections(now, isOther ? SHIFTED : USUAL);
+      const phase = now % 3_600;
+      if (now < 14_400) continue;
+      if (phase === 1_500)
+        expect(shifting.isWorthwhile(now, gain(0.26))).toBe(true);
+      if (phase < 2_800) continue;
+      expect(shifting.isWorthwhile(now, gain(0.26))).toBe(false);
+      expect(shifting.isWorthwhile(now, gain(0.7))).toBe(true);
+    }
+    // The next shift does not come.
+    for (let now = 21_600; now < 40_000; now += 100) {
+      shifting.recordSelections(now, USUAL);
+    }
+    expect(shifting.isWorthwhile(40_000, gain(0.1))).toBe(true);
+  });
+
   it('plans around a slow rank from few selections', () => {
     const planner = new MapPlanner(PROFILE, 4);
     planner.recordSelections(0, [900, 900, 100, 100, 100, 100, 100, 100]);
--- a/src/daemons/direct/map_planner.ts
+++ b/src/daemons/direct/map_planner.ts
@@ -24,6 +24,8 @@
 export const SLOW_THRESHOLD = 1.3;
 /** A switch that reduces skew by less is not worth its pauses. */
 const MIN_SKEW_GAIN = 0.06;
+/** A switch that reduces skew by more is worth it at any time. */
+const MAX_MIN_SKEW_GAIN = 0.6;
 /** Time from a plan to the first pass on its map, without the copies. */
 const SWITCH_DURATION: Millis = 0.4 * SECOND;
 /** A plan is rated by its gain until the next one takes effect. */
@@ -201,11 +203,14 @@
   }
 
   private minGain(now: Millis, copyTime: Millis): number {
-    const stablePeriod = this.popularity.stablePeriod(now);
-    return Math.max(
-      MIN_SKEW_GAIN,
-      minSkewGain(stablePeriod, SWITCH_DURATION + copyTime),
+    const {popularity} = this;
+    // Just before a shift, the time that is left counts, not the average.
+    const stablePeriod = Math.min(
+      popularity.stablePeriod(now),
+      2 * popularity.timeUntilShift(now),
     );
+    const gain = minSkewGain(stablePeriod, SWITCH_DURATION + copyTime);
+    return Math.max(MIN_SKEW_GAIN, Math.min(MAX_MIN_SKEW_GAIN, gain));
   }
 
   private proposedMap(map: number): ExpertMap | undefined {
--- a/src/expert_groups/cutover/popularity_estimator.ts
+++ b/src/expert_groups/cutover/popularity_estimator.ts
@@ -22,6 +22,8 @@
  * The random mix of requests accounts for about a tenth.
  */
 const SHIFT_THRESHOLD = 0.25;
+/** A shift that is later than this multiple of the interval has not come. */
+const MAX_SHIFT_DELAY = 1.25;
 /** Duration of a shift, as old requests end and new ones arrive. */
 const SHIFT_DURATION: Millis = SECOND;
 
@@ -99,6 +101,21 @@
     return Math.max(this.shiftInterval, now - (this.lastShiftAt ?? now));
   }
 
+  /**
+   * Returns the time until the next shift, as far as shifts are regular.
+   * @param now - current time
+   * @returns 0 while a shift is due; infinity before the second shift, or if the
+   * next one has not come
+   */
+  timeUntilShift(now: Millis): Millis {
+    const {shiftInterval, lastShiftAt} = this;
+    if (shiftInterval === undefined || lastShiftAt === undefined)
+      return Infinity;
+    const since = now - lastShiftAt;
+    if (since > shiftInterval * MAX_SHIFT_DELAY) return Infinity;
+    return Math.max(0, shiftInterval - since);
+  }
+
   /** Returns the expected load of each expert, by set. */
   loads(): Float64Array[] {
     return Array.from({length: this.layers}, (_, layer) => {
