Fence ranks by an order that no later map can fall under

Copies of the order that were carried out seconds later disarmed a rank between its arming and the pass. Engines that check tokens refuse them; those of further check none.

The order now names the token of the recovery, which is never the version of a map.

--- a/src/expert_groups/cutover/coordinator.ts
+++ b/src/expert_groups/cutover/coordinator.ts
@@ -235,15 +235,11 @@
 
   /** Makes ranks reject orders with earlier tokens. */
   private fenceRanks(now: Millis, ranks: readonly Rank[]): IssuedOrder[] {
-    const {nextVersion} = this;
-    if (nextVersion === undefined) {
-      this.enterPhase(now, 'resigned');
-      return [];
-    }
     // Orders need the epoch, which is unknown until the rank has reported.
     const reported = ranks.filter(rank => this.reports.get(rank) !== undefined);
-    // The order itself has no effect: no rank has a map of that version.
-    const order: CutoverOrder = {kind: 'disarm', map: nextVersion};
+    // The order itself has no effect, however late: no map has or gets the
+    // version of a token that is in force while the group is recovered.
+    const order: CutoverOrder = {kind: 'disarm', map: this.token};
     return this.issue(now, reported, () => order);
   }
 
--- a/src/expert_groups/cutover/cutover.test.ts
+++ b/src/expert_groups/cutover/cutover.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 
+import {LockstepEngine} from '../../../standins/lockstep_engine.js';
 import {LockstepSimulation} from '../../../test/support/lockstep_simulation.js';
 import type {FaultPlan} from '../../../test/support/lockstep_simulation.js';
 import {testReport} from '../../../test/support/rank_samples.js';
@@ -292,6 +293,49 @@
     ]);
   });
 
+  it('does not disarm a map by a fence that is executed late', () => {
+    // further maps_under_faults, seed 175636784247: engines check no tokens, and
+    // a fence of the recovery reached a rank seconds later, once it was armed.
+    const coordinator = new CutoverCoordinator(0, 2, 1, 0);
+    const engine = new LockstepEngine(0, false);
+    const recover = (now: number) => {
+      for (const rank of [0, 1]) coordinator.recordReport(now, report(rank));
+      const fences = coordinator.tick(now);
+      expect(fences).toHaveLength(2);
+      for (const fence of fences)
+        coordinator.recordOutcome(now, fence, 'accepted', report(fence.rank));
+      coordinator.tick(now);
+      expect(coordinator.phase).toBe('idle');
+      return fences[1]!;
+    };
+    const map = engineDefaultMap({
+      ranks: 2,
+      layers: 1,
+      experts: 4,
+      slotsPerRank: 2,
+      expertSize: 1,
+    });
+    const late = [recover(0)];
+    for (const now of [100, 7_000]) {
+      const {version} = coordinator.propose(now, map)!;
+      const [token, step] = [coordinator.fencingToken, 20];
+      const experts = expertLists(map);
+      for (const order of [
+        {kind: 'prepare', map: version, experts} as const,
+        {kind: 'arm', map: version, step} as const,
+      ])
+        engine.applyOrder(now, 10, order, token);
+      for (const fence of late)
+        engine.applyOrder(now, 10, fence.order, fence.token);
+      expect(engine.armed?.map).toBe(version);
+      engine.reset();
+      // The switch takes too long and is cancelled.
+      coordinator.tick(now + 6_500);
+      expect(coordinator.phase).toBe('recovering');
+      late.push(recover(now + 6_600));
+    }
+  });
+
   it('does not treat a rejected order as a fence', () => {
     // An engine that checks the epoch first may not have seen the token.
     const coordinator = new CutoverCoordinator(0, 2, 1, 0);
