--- a/src/daemons/direct/dispatcher.ts
+++ b/src/daemons/direct/dispatcher.ts
@@ -187,7 +187,13 @@
    * @param target - longest time with which the stream is in time
    */
   recordGap(now: Millis, group: GroupKey, gap: Millis, target: Millis): void {
-    this.limiters.get(group)?.streams.recordGap(now, gap, target);
+    const streams = this.limiters.get(group)?.streams;
+    if (streams === undefined) return;
+    const wasLimiting = streams.isLimiting;
+    streams.recordGap(now, gap, target);
+    if (streams.isLimiting === wasLimiting) return;
+    const event = wasLimiting ? 'streams_unlimited' : 'streams_limited';
+    this.logger.info(event, {group, ...streams.status});
   }
 
   /**
--- a/src/direct/stream_limiter.ts
+++ b/src/direct/stream_limiter.ts
@@ -55,9 +55,14 @@
     return this.streams < Math.floor(this.limit + this.rounding);
   }
 
+  /** Whether there is a limit at present. */
+  get isLimiting(): boolean {
+    return this.limit !== Infinity;
+  }
+
   /** Fields for `/status`. */
   get status(): object {
-    const streamLimit = Number.isFinite(this.limit) ? this.limit : undefined;
+    const streamLimit = this.isLimiting ? this.limit : undefined;
     return {streams: this.streams, streamLimit, gapPressure: this.passPressure};
   }
 
@@ -105,7 +110,7 @@
   }
 
   private decrease(now: Millis, pressure: number): void {
-    if (this.limit === Infinity) this.floor = this.streams * MIN_FRACTION;
+    if (!this.isLimiting) this.floor = this.streams * MIN_FRACTION;
     this.pressedSince ??= now;
     if (now - this.pressedSince > MAX_FUTILE_TIME) {
       this.release();
