--- a/src/daemons/direct/dispatcher_replay.test.ts
+++ b/src/daemons/direct/dispatcher_replay.test.ts
@@ -54,7 +54,7 @@
   );
 
   it('keeps two thirds of the streams in time with few entries', () => {
-    // Half of them are in time without a limit on streams.
+    // 0.60 of them are in time without a limit on streams.
     expect(shareInTime(total(shifts))).toBeGreaterThan(2 / 3);
   });
 
