Give tests ports that the system hands to nobody else

Ports now come from below that range, each process from a start of its own, and each is tried. No check changed. The 43 tests of three files that use it pass; the failure itself is a race and was not reproduced.

--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -111,14 +111,27 @@
 
 /** Returns a port that was free when it was checked. */
 export async function freePort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
+  for (;;) {
+    const port = nextPort;
+    nextPort = nextPort + 1 < PORTS_END ? nextPort + 1 : PORTS_START;
+    const server = createServer().listen(port, '127.0.0.1');
+    const isFree = await new Promise<boolean>(resolve => {
+      server.once('listening', () => resolve(true));
+      server.once('error', () => resolve(false));
+    });
+    if (!isFree) continue;
+    server.close();
+    await once(server, 'close');
+    return port;
+  }
 }
 
+/** Below the ports that the system gives to connections and other listeners. */
+const PORTS_START = 20_000;
+const PORTS_END = 32_000;
+/** Test processes begin apart, so that none takes a port another has checked. */
+let nextPort = PORTS_START + ((process.pid * 97) % (PORTS_END - PORTS_START));
+
 const LIMITS = {
   MaxHeaderBytes: 16_384,
   MaxBodyBytes: 65_536,
