--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -14,6 +14,7 @@
   Upstream,
 } from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
+import type {AdmittedRequest} from './admitted_request.js';
 import type {UpstreamConnections} from './upstream_connections.js';
 
 /** Connect timeout; connecting takes two one-way trips. */
@@ -34,6 +35,26 @@
   readonly id: string | undefined;
 }
 
+/**
+ * Returns a caller's request as sent to an upstream.
+ * @param req - the caller's HTTP request
+ * @param admitted - the request with its body
+ * @param lines - headers for the upstream, without the framing
+ */
+export function attemptRequest(
+  req: IncomingMessage,
+  {body, metadata}: AdmittedRequest,
+  lines: HeaderLines,
+): AttemptRequest {
+  const {method = 'GET', url: path = '/'} = req;
+  const hasBody =
+    body.length > 0 || req.headers['content-length'] !== undefined;
+  const length: HeaderLines = hasBody
+    ? [['Content-Length', `${body.length}`]]
+    : [];
+  return {method, path, headers: [...lines, ...length], body, id: metadata.id};
+}
+
 /** Head of an upstream's response. */
 export interface ResponseHead {
   readonly status: number;
--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -2,6 +2,7 @@
 import type {
   ResponseMetadata,
   AttemptFailure,
+  AttemptProgress,
   HeaderDialect,
   RejectionCause,
   SharedRetryBudget,
@@ -30,6 +31,13 @@
   readonly deliveredEvents: number;
 }
 
+/** An attempt that has failed. */
+export interface FailedAttempt {
+  readonly upstream: Upstream | undefined;
+  readonly progress: AttemptProgress;
+  readonly failure: AttemptFailure;
+}
+
 /** State and services that the requests of an entry share. */
 export interface DirectContext {
   readonly clock: Clock;
@@ -51,10 +59,9 @@
 
   /** Records a failed attempt. */
   recordFailure(
+    now: Millis,
     request: AdmittedRequest,
-    upstream: Upstream | undefined,
-    failure: AttemptFailure,
-    duration: Millis,
+    attempt: FailedAttempt,
   ): void;
 
   /** Returns the Retry-After delay of a rejected request. */
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -7,7 +7,6 @@
 } from '../../direct/index.js';
 import type {
   ResponseMetadata,
-  AttemptFailure,
   RejectionCause,
   Route,
   Upstream,
@@ -16,7 +15,7 @@
 import type {ErrorName} from '../../errors/index.js';
 import type {Logger} from '../../observability/index.js';
 import {OperatorServer} from '../shared/operator_server.js';
-import type {DirectContext, ExchangeResult} from './context.js';
+import type {DirectContext, ExchangeResult, FailedAttempt} from './context.js';
 import {Dispatcher} from './dispatcher.js';
 import type {DirectParts, DirectSettings} from './estate.js';
 import {EstateTracker} from './estate_tracker.js';
@@ -216,23 +215,27 @@
   }
 
   recordFailure(
-    request: AdmittedRequest,
-    upstream: Upstream | undefined,
-    failure: AttemptFailure,
-    duration: Millis,
+    now: Millis,
+    {metadata, service}: AdmittedRequest,
+    {upstream, progress, failure}: FailedAttempt,
   ): void {
     this.attemptFailures.inc({
       reason: failure.kind === 'not_run' ? failure.reason : failure.kind,
-      service: request.service,
+      service,
     });
     const detail =
       failure.kind === 'failed_answer' ? failure.status : failure.reason;
+    const idle = progress.idleTime(now);
     this.logger.info('attempt_failed', {
-      id: request.metadata.id,
+      id: metadata.id,
       upstream: upstream?.registration.id,
       kind: failure.kind,
       detail,
-      ms: Math.round(duration),
+      ms: Math.round(now - progress.sentAt),
+      started: progress.hasStarted,
+      events: progress.events,
+      idle_ms: idle && Math.round(idle),
+      parts: metadata.sharedParts.join(',') || undefined,
     });
   }
 
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -2,6 +2,7 @@
 
 import type {Millis} from '../../core/index.js';
 import {
+  AttemptProgress,
   StreamDelivery,
   actionAfterFailure,
   healthOutcomeOf,
@@ -10,7 +11,6 @@
   ResponseMetadata,
   AttemptFailure,
   GroupKey,
-  HeaderLines,
   RejectionCause,
   Upstream,
   HealthOutcome,
@@ -18,7 +18,7 @@
 import {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
 import type {AdmittedRequest} from './admitted_request.js';
-import {Attempt} from './attempt.js';
+import {Attempt, attemptRequest} from './attempt.js';
 import type {ResponseHead} from './attempt.js';
 import type {DirectContext} from './context.js';
 import type {DispatchRequest, DispatchState} from './dispatcher.js';
@@ -40,11 +40,10 @@
   private lastUpstream: Upstream | undefined;
   /** Group of the current upstream. */
   private group: GroupKey | undefined;
-  private hasStarted = false;
   private pending: DispatchRequest | undefined;
   private submittedAt: Millis;
   private queueTime: Millis = 0;
-  private sentAt: Millis = 0;
+  private progress = new AttemptProgress(0);
   /** Number of upstreams that the request was sent to. */
   private sends = 0;
   private mayHaveRun = false;
@@ -123,8 +122,7 @@
     const {promptTokens} = request.metadata;
     this.upstream = upstream;
     this.group = group;
-    this.hasStarted = false;
-    this.sentAt = now;
+    this.progress = new AttemptProgress(now);
     this.queueTime += now - this.submittedAt;
     this.triedIncarnations.add(upstream.incarnation);
     this.head = undefined;
@@ -138,17 +136,9 @@
       organisation: request.organisation,
       resumeAfter: this.delivery.resumeAfter,
     });
-    const {method = 'GET', url: path = '/'} = this.req;
-    const hasBody =
-      request.body.length > 0 ||
-      this.req.headers['content-length'] !== undefined;
-    const length: HeaderLines = hasBody
-      ? [['Content-Length', `${request.body.length}`]]
-      : [];
-    const headers = [...lines, ...length];
     this.attempt = new Attempt(
       upstream,
-      {method, path, headers, body: request.body, id: request.metadata.id},
+      attemptRequest(this.req, request, lines),
       context.connectionsFor(request.route),
       context.dialect,
       {
@@ -199,12 +189,16 @@
   }
 
   private recordStart(): void {
-    const {context, group, sentAt, request} = this;
-    if (this.hasStarted || group === undefined) return;
-    this.hasStarted = true;
+    const {context, group, progress, request} = this;
     const now = context.clock.now();
+    if (group === undefined || !progress.recordStart(now)) return;
     const {latencyTarget} = request.route;
-    context.dispatcher.recordStarted(now, group, sentAt, latencyTarget);
+    context.dispatcher.recordStarted(
+      now,
+      group,
+      progress.sentAt,
+      latencyTarget,
+    );
   }
 
   private onData(chunk: Buffer): void {
@@ -230,6 +224,7 @@
     const {context, group, request, delivery} = this;
     const now = context.clock.now();
     const events = delivery.push(now, chunk);
+    this.progress.recordBytes(now, events?.count ?? 0);
     if (events === undefined) return;
     const {gap} = events;
     const {gapTarget} = request.route;
@@ -273,12 +268,12 @@
   }
 
   private onFailure(failure: AttemptFailure): void {
-    const {request, context} = this;
+    const {request, context, upstream, progress} = this;
     const now = context.clock.now();
     const isUnsent =
       failure.kind === 'not_run' && failure.reason === 'unreachable';
     this.recordOutcome(healthOutcomeOf(failure));
-    context.recordFailure(request, this.upstream, failure, now - this.sentAt);
+    context.recordFailure(now, request, {upstream, progress, failure});
     if (!isUnsent) this.sends += 1;
     const action = actionAfterFailure(
       {
@@ -358,7 +353,8 @@
     const {upstream, context, request} = this;
     if (upstream === undefined) return;
     const now = context.clock.now();
-    const elapsed = (this.delivery.firstDeliveryAt ?? now) - this.sentAt;
+    const elapsed =
+      (this.delivery.firstDeliveryAt ?? now) - this.progress.sentAt;
     const latency = outcome === 'good' && !this.isStream ? elapsed : undefined;
     const {promptTokens} = request.metadata;
     context.dispatcher.loads.recordEnded(
@@ -373,7 +369,7 @@
     const {group} = this;
     this.group = undefined;
     if (group !== undefined)
-      context.dispatcher.recordEnded(now, group, this.hasStarted);
+      context.dispatcher.recordEnded(now, group, this.progress.hasStarted);
   }
 
   private finish(outcome: string, status: number, retryAfter?: Millis): void {
--- a/src/direct/dialect.ts
+++ b/src/direct/dialect.ts
@@ -1,5 +1,5 @@
 import type {Millis, OrganisationName} from '../core/index.js';
-import type {RequestId, UpstreamId} from './types.js';
+import type {PromptPartId, RequestId, UpstreamId} from './types.js';
 
 /** Header lines of a message; names keep their original case. */
 export type HeaderLines = readonly (readonly [name: string, value: string])[];
@@ -15,6 +15,8 @@
   /** Id of the event after which the caller resumes its stream. */
   readonly resumedAfter: number | undefined;
   readonly promptTokens: number;
+  /** Parts of the prompt that other requests may share, in prompt order. */
+  readonly sharedParts: readonly PromptPartId[];
 }
 
 /** Metadata that an entry adds to the headers of a forwarded request. */
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -1,5 +1,6 @@
 /** Policies of an entry that sends requests directly to the upstreams. */
 export * from './attempt_policy.js';
+export * from './attempt_progress.js';
 export * from './dialect.js';
 export * from './event_frames.js';
 export * from './stream_delivery.js';
--- a/src/direct/stream_delivery.ts
+++ b/src/direct/stream_delivery.ts
@@ -5,6 +5,7 @@
 /** Events of one chunk that are new to the caller. */
 export interface DeliverableEvents {
   readonly bytes: Buffer;
+  readonly count: number;
   /** Time since the previous events of the same run; undefined for its first. */
   readonly gap: Millis | undefined;
 }
@@ -76,7 +77,8 @@
     this.hasRunDelivered = true;
     this.firstAt ??= now;
     this.lastAt = now;
-    return {bytes: Buffer.concat(frames.map(({bytes}) => bytes)), gap};
+    const bytes = Buffer.concat(frames.map(frame => frame.bytes));
+    return {bytes, count: frames.length, gap};
   }
 
   /** Counts an event unless it is a duplicate; a run may repeat events. */
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -11,6 +11,8 @@
 export type RequestId = Branded<string, 'RequestId'>;
 /** Id of an upstream, from its own registration. */
 export type UpstreamId = Branded<string, 'UpstreamId'>;
+/** Id of a part of prompts, the same in all requests that share the part. */
+export type PromptPartId = Branded<string, 'PromptPartId'>;
 /** Name of a group of ranks. */
 export type GroupName = Branded<string, 'GroupName'>;
 
@@ -24,6 +26,11 @@
  * @param value - the plain id
  */
 export const upstreamId = (value: string) => value as UpstreamId;
+/**
+ * Brands the id of a prompt part.
+ * @param value - the plain id
+ */
+export const promptPartId = (value: string) => value as PromptPartId;
 /**
  * Brands the name of a group.
  * @param value - the plain name
