--- /dev/null
+++ b/test/prompt_part_crashes.test.ts
@@ -0,0 +1,102 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {
+  DirectEstate,
+  requestIdOf,
+  sealedAnswer,
+  wireRoute,
+} from './support/direct_estate.js';
+import type {Answer, Script} from './support/direct_estate.js';
+
+const ENTRIES = 3;
+const UPSTREAMS = 8;
+/** Time for which an upstream is down after a crash, ms. */
+const RESTART_MS = 150;
+/** Time from the head of an answer to the crash, ms. */
+const CRASH_MS = 10;
+/** The rule allows five crashes, and three requests after them. */
+const MAX_CRASHES = 5;
+const MAX_LATER_REQUESTS = 3;
+
+const DEADLY = '48720f3588ea';
+const COMMON = 'a1979a9a31e';
+const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
+const WHOLE_STREAM = [1, 2, 3, 4].map(event).join('');
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+let estate: DirectEstate;
+/** Number of crashes before each deadly request reached an upstream. */
+let deadlyArrivals: number[];
+let crashes: number;
+
+beforeEach(() => {
+  estate = new DirectEstate();
+  deadlyArrivals = [];
+  crashes = 0;
+});
+afterEach(() => estate.close());
+
+/** Streams four events, or crashes as it begins to if the part is deadly. */
+const stream: Script = ({head, socket}) => {
+  if (!head.includes(DEADLY)) {
+    socket.write(sealedAnswer(head, WHOLE_STREAM));
+    return;
+  }
+  deadlyArrivals.push(crashes);
+  socket.write(
+    `HTTP/1.1 200 OK\r\nRequest-Id: ${requestIdOf(head)}\r\n` +
+      'Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n',
+  );
+  const upstream = estate.upstreams.find(({received}) =>
+    received.includes(head),
+  )!;
+  setTimeout(() => {
+    crashes += 1;
+    upstream.crash();
+    setTimeout(() => void upstream.restart(), RESTART_MS);
+  }, CRASH_MS);
+};
+
+async function startEstate(): Promise<void> {
+  await estate.start(ENTRIES);
+  for (let i = 0; i < UPSTREAMS; i++) await estate.addUpstream(stream);
+  estate.configure(3, [wireRoute('/plan/', 'streaming')]);
+  await estate.waitUntilReady();
+  // Entries learn of each other from the store.
+  await pause(300);
+}
+
+let own = 0;
+function ask(parts: readonly string[], entry: number): Promise<Answer> {
+  own += 1;
+  const ids = [...parts, `0${own.toString(16)}`];
+  const prefix = ids.map(id => `${id}:40`).join(',');
+  const headers = {'Prompt-Prefix': prefix};
+  return estate.call('/plan/1', headers, 'POST', entry % ENTRIES);
+}
+
+/** Sends deadly requests through all entries in turn, sound ones between. */
+async function sendDeadly(count: number): Promise<Answer[]> {
+  const answers: Answer[] = [];
+  for (let i = 0; i < count; i++) {
+    answers.push(await ask([COMMON, DEADLY], i));
+    await ask([COMMON], i + 1);
+    await pause(30);
+  }
+  return answers;
+}
+
+describe('A prompt part that crashes upstreams', () => {
+  it('reaches no more upstreams once a few have crashed, from any entry', async () => {
+    await startEstate();
+    const answers = await sendDeadly(24);
+    expect(crashes).toBeLessThanOrEqual(MAX_CRASHES);
+    const later = deadlyArrivals.filter(before => before >= MAX_CRASHES);
+    expect(later.length).toBeLessThanOrEqual(MAX_LATER_REQUESTS);
+    expect(answers.every(({status}) => status >= 400)).toBe(true);
+    for (let i = 0; i < ENTRIES; i++) {
+      const sound = await ask([COMMON], i);
+      expect(sound).toMatchObject({status: 200, body: WHOLE_STREAM});
+    }
+  }, 20_000);
+});
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -32,6 +32,7 @@
   readonly received: string[] = [];
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
+  private address: AddressInfo | undefined;
 
   /** @param script - answers each request */
   constructor(public script: Script) {
@@ -57,7 +58,20 @@
   async listen(): Promise<string> {
     this.server.listen(0, '127.0.0.1');
     await once(this.server, 'listening');
-    return hostPort('127.0.0.1', (this.server.address() as AddressInfo).port);
+    this.address = this.server.address() as AddressInfo;
+    return hostPort('127.0.0.1', this.address.port);
+  }
+
+  /** Ends like a crashed process: resets its connections, stops listening. */
+  crash(): void {
+    for (const socket of this.sockets) socket.resetAndDestroy();
+    this.server.close();
+  }
+
+  /** Listens again after a crash, at the same address. */
+  async restart(): Promise<void> {
+    this.server.listen(this.address?.port, '127.0.0.1');
+    await once(this.server, 'listening');
   }
 
   /** Number of connections that are still open. */
@@ -166,35 +180,51 @@
   };
 }
 
-/** One entry, a stand-in for the store, and scripted upstreams. */
+/** A running entry and its addresses. */
+interface RunningEntry {
+  readonly daemon: DirectEntry;
+  readonly callers: string;
+  readonly readiness: string;
+}
+
+/** Entries, a stand-in for the store, and scripted upstreams. */
 export class DirectEstate {
   readonly store = new KeyedLogServer();
   readonly upstreams: ScriptedUpstream[] = [];
-  private entry!: DirectEntry;
-  private callerAddress = '';
-  private readonly readinessAddresses: string[] = [];
+  private readonly entries: RunningEntry[] = [];
+  private storeAddress = '';
   private requestCount = 0;
 
-  /** Starts the store and the entry, without a configuration. */
-  async start(): Promise<void> {
+  /**
+   * Starts the store and the entries, without a configuration.
+   * @param entryCount - number of entries
+   */
+  async start(entryCount = 1): Promise<void> {
     const url = await this.store.listen();
-    const [front, ready, operators, relay] = [
+    this.storeAddress = url.replace('http://', '');
+    for (let i = 0; i < entryCount; i++) await this.addEntry();
+  }
+
+  /** Starts another entry. */
+  async addEntry(): Promise<void> {
+    const [front, ready, operators, relay, peers] = [
+      await freePort(),
       await freePort(),
       await freePort(),
       await freePort(),
       await freePort(),
     ];
-    this.callerAddress = hostPort('127.0.0.1', front);
-    this.readinessAddresses.push(hostPort('127.0.0.1', ready));
-    const clock = new SystemClock();
-    this.entry = new DirectEntry(
+    const callers = hostPort('127.0.0.1', front);
+    const readiness = hostPort('127.0.0.1', ready);
+    const number = this.entries.length + 1;
+    const daemon = new DirectEntry(
       {
-        vm: vmName('entry-1'),
+        vm: vmName(`entry-${number}`),
         availabilityZone: availabilityZone('a'),
         ip: '127.0.0.1',
-        callers: this.callerAddress,
-        readiness: this.readinessAddresses[0],
-        internalPorts: [relay, relay],
+        callers,
+        readiness,
+        internalPorts: [relay, peers],
         operatorPort: operators,
         linkKey: 'k',
         upstream: undefined,
@@ -203,14 +233,15 @@
         grace: 5_000,
       },
       {
-        clock,
-        chance: new Chance(1),
+        clock: new SystemClock(),
+        chance: new Chance(number),
         logger: SILENT_LOGGER,
         metrics: new Metrics(),
-        estate: new PlatformEstate(url.replace('http://', '')),
+        estate: new PlatformEstate(this.storeAddress),
       },
     );
-    await this.entry.start();
+    await daemon.start();
+    this.entries.push({daemon, callers, readiness});
   }
 
   /**
@@ -249,43 +280,47 @@
     return upstream;
   }
 
-  /** Waits until the entry is ready. */
+  /** Waits until all entries are ready. */
   async waitUntilReady(): Promise<void> {
     for (let i = 0; i < 200; i++) {
-      const {status} = await this.send(
-        this.readinessAddresses[0]!,
-        '/api/readiness',
+      const statuses = await Promise.all(
+        this.entries.map((_entry, index) => this.readinessStatus(index)),
       );
-      if (status === 200) return;
+      if (statuses.every(status => status === 200)) return;
       await new Promise(resolve => setTimeout(resolve, 25));
     }
-    throw new Error('the entry did not become ready');
+    throw new Error('the entries did not become ready');
   }
 
-  /** Returns the status code of the readiness endpoint. */
-  async readinessStatus(): Promise<number> {
-    return (await this.send(this.readinessAddresses[0]!, '/api/readiness'))
-      .status;
+  /**
+   * Returns the status code of the readiness endpoint.
+   * @param entry - index of the entry
+   */
+  async readinessStatus(entry = 0): Promise<number> {
+    const {readiness} = this.entries[entry]!;
+    return (await this.send(readiness, '/api/readiness')).status;
   }
 
-  /** Drains the entry, as its platform does before it stops the process. */
+  /** Drains the first entry, as its platform does before it stops the process. */
   async drain(): Promise<void> {
-    await this.entry.drain();
+    await this.entries[0]!.daemon.drain();
   }
 
   /**
-   * Sends a request to the entry.
+   * Sends a request to an entry.
    * @param path - request path
    * @param headers - headers besides the defaults
    * @param method - HTTP method
+   * @param entry - index of the entry
    */
   call(
     path: string,
     headers: Record<string, string> = {},
     method = 'POST',
+    entry = 0,
   ): Promise<Answer> {
     this.requestCount += 1;
-    return this.send(this.callerAddress, path, method, {
+    return this.send(this.entries[entry]!.callers, path, method, {
       Host: 'vans.example',
       'Request-Id': `r${this.requestCount}`,
       Authorization: 'Bearer k1',
@@ -294,9 +329,9 @@
     });
   }
 
-  /** Stops the entry, the upstreams and the store. */
+  /** Stops the entries, the upstreams and the store. */
   async close(): Promise<void> {
-    await this.entry.stop();
+    for (const {daemon} of this.entries) await daemon.stop();
     for (const upstream of this.upstreams) upstream.close();
     await this.store.close();
   }
