--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -9,8 +9,10 @@
   Route,
   Upstream,
 } from '../../direct/index.js';
-import type {DispatchState, Dispatcher} from './dispatcher.js';
 import type {AdmittedRequest} from './admitted_request.js';
+import type {DispatchState, Dispatcher} from './dispatcher.js';
+import type {QuarantineKeeper} from './quarantine_keeper.js';
+import type {RequestLog} from './request_log.js';
 import type {UpstreamConnections} from './upstream_connections.js';
 
 /** Result of a request. */
@@ -44,6 +46,8 @@
   readonly dialect: HeaderDialect;
   readonly dispatcher: Dispatcher;
   readonly retries: SharedRetryBudget;
+  readonly quarantine: QuarantineKeeper;
+  readonly log: RequestLog;
 
   /** Returns whether callers' connections close after their response. */
   isDraining(): boolean;
@@ -57,20 +61,11 @@
   /** Records that another upstream responded at the address. */
   markReplaced(upstream: Upstream): void;
 
-  /** Records a failed attempt. */
-  recordFailure(
-    now: Millis,
-    request: AdmittedRequest,
-    attempt: FailedAttempt,
-  ): void;
-
   /** Returns the Retry-After delay of a rejected request. */
   retryAfter(
+    now: Millis,
+    request: AdmittedRequest,
     cause: RejectionCause,
-    timeLeft: Millis,
-    earliest: Millis | undefined,
+    notBefore: Millis | undefined,
   ): Millis;
-
-  /** Records the result of a request. */
-  recordFinished(request: AdmittedRequest, result: ExchangeResult): void;
 }
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -8,14 +8,15 @@
 import type {
   ResponseMetadata,
   RejectionCause,
+  RequestId,
   Route,
   Upstream,
 } from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
-import type {Logger} from '../../observability/index.js';
+import type {Fields, Logger} from '../../observability/index.js';
 import {OperatorServer} from '../shared/operator_server.js';
-import type {DirectContext, ExchangeResult, FailedAttempt} from './context.js';
+import type {DirectContext} from './context.js';
 import {Dispatcher} from './dispatcher.js';
 import type {DirectParts, DirectSettings} from './estate.js';
 import {EstateTracker} from './estate_tracker.js';
@@ -23,6 +24,8 @@
 import type {AdmittedRequest} from './admitted_request.js';
 import {FrontServer} from './front_server.js';
 import type {BufferedRequest} from './front_server.js';
+import {QuarantineKeeper, ageOf} from './quarantine_keeper.js';
+import {RequestLog} from './request_log.js';
 import {ResponseWriter} from './response_writer.js';
 import {UpstreamConnections} from './upstream_connections.js';
 import {headerPairs, splitAddress} from './attempt.js';
@@ -33,6 +36,8 @@
   readonly dialect;
   readonly dispatcher: Dispatcher;
   readonly retries: SharedRetryBudget;
+  readonly quarantine: QuarantineKeeper;
+  readonly log: RequestLog;
   private readonly estate: EstateTracker;
   private readonly front: FrontServer;
   private readonly reusableConnections: UpstreamConnections;
@@ -40,7 +45,7 @@
   private readonly operators: OperatorServer;
   private readonly readiness: OperatorServer;
   private readonly logger: Logger;
-  private readonly attemptFailures;
+  private readonly openExchanges = new Set<Exchange>();
   /** Time at which the termination of this process began. */
   private drainingSince: Millis | undefined;
   private timer: NodeJS.Timeout | undefined;
@@ -57,10 +62,16 @@
     this.clock = clock;
     this.dialect = estate.dialect;
     this.logger = logger;
-    this.attemptFailures = metrics.counter(
-      'baobabspan_attempt_failures_total',
-      'Attempts at an upstream without a whole good answer, by reason',
-      ['reason', 'service'],
+    this.log = new RequestLog(clock, logger, metrics);
+    this.quarantine = new QuarantineKeeper(
+      {
+        store: estate.store,
+        topic: estate.topics.quarantines,
+        onAdded: () => this.openExchanges.forEach(one => one.applyQuarantine()),
+      },
+      clock,
+      logger,
+      metrics,
     );
     this.retries = new SharedRetryBudget(settings.retryBound, clock.now());
     this.reusableConnections = new UpstreamConnections(clock);
@@ -111,6 +122,9 @@
           );
         },
         onEntryCount: count => this.retries.setEntryCount(count),
+        onPeers: peers => this.quarantine.setPeers(peers),
+        onPeerMessage: (req, res) => this.quarantine.handleMessage(req, res),
+        onQuarantines: changes => this.quarantine.applyStored(changes),
       },
     );
   }
@@ -161,6 +175,7 @@
   /** Stops immediately. */
   async stop(): Promise<void> {
     this.estate.stop();
+    this.quarantine.stop();
     clearInterval(this.timer);
     this.logger.info('stopped', {open: this.front.openRequests});
     await Promise.resolve();
@@ -214,76 +229,18 @@
     this.logger.info('upstream_replaced', {upstream: id, address});
   }
 
-  recordFailure(
-    now: Millis,
-    {metadata, service}: AdmittedRequest,
-    {upstream, progress, failure}: FailedAttempt,
-  ): void {
-    this.attemptFailures.inc({
-      reason: failure.kind === 'not_run' ? failure.reason : failure.kind,
-      service,
-    });
-    const detail =
-      failure.kind === 'failed_answer' ? failure.status : failure.reason;
-    const idle = progress.idleTime(now);
-    this.logger.info('attempt_failed', {
-      id: metadata.id,
-      upstream: upstream?.registration.id,
-      kind: failure.kind,
-      detail,
-      ms: Math.round(now - progress.sentAt),
-      started: progress.hasStarted,
-      events: progress.events,
-      idle_ms: idle && Math.round(idle),
-      parts: metadata.sharedParts.join(',') || undefined,
-    });
-  }
-
   retryAfter(
+    now: Millis,
+    {metadata, route, arrivedAt}: AdmittedRequest,
     cause: RejectionCause,
-    timeLeft: Millis,
-    earliest: Millis | undefined,
+    notBefore: Millis | undefined,
   ): Millis {
+    const timeLeft =
+      arrivedAt + (metadata.callerTimeout ?? route.timeout) - now;
+    const earliest = (notBefore ?? now) - now;
     return retryAfter(cause, timeLeft, this.parts.chance, earliest);
   }
 
-  recordFinished(request: AdmittedRequest, result: ExchangeResult): void {
-    const now = this.clock.now();
-    const {arrivedAt, service, route} = request;
-    const since = (at: Millis | undefined) =>
-      at === undefined ? undefined : Math.round(at - arrivedAt);
-    const {metrics} = this.parts;
-    metrics.outcomes.inc({outcome: result.outcome, service});
-    if (result.retryAfter !== undefined) {
-      metrics.refusals.inc({reason: result.outcome, service});
-    }
-    const answeredAt = result.firstByteAt ?? now;
-    if (result.outcome === 'answered') {
-      metrics.firstByteSeconds.observe(
-        {service},
-        (answeredAt - arrivedAt) / SECOND,
-      );
-    }
-    this.logger.info('request', {
-      id: request.metadata.id,
-      route: route.name,
-      service,
-      organisation: request.organisation,
-      version: request.version,
-      upstream: result.upstream,
-      sends: result.sends,
-      outcome: result.outcome,
-      status: result.status,
-      events: result.deliveredEvents,
-      first_ms: since(result.firstByteAt),
-      waited_ms: Math.round(result.queueTime),
-      ms: since(now),
-      queued: result.rejectedIn?.queueLength,
-      down_ms: result.rejectedIn && Math.round(result.rejectedIn.downtime),
-      retry_after_ms: result.retryAfter && Math.round(result.retryAfter),
-    });
-  }
-
   private serve({
     req,
     res,
@@ -330,18 +287,32 @@
       arrivedAt,
       version: table.configuration.version,
     };
-    new Exchange(this, request, req, res, onFinished);
+    const quarantine = this.quarantine.match(request);
+    if (quarantine !== undefined) {
+      const parts = quarantine.parts.join(',');
+      reply.sendError(new Fault('prompt_quarantined', `prompt part ${parts}`));
+      this.recordRejected(metadata.id, 'prompt_quarantined', arrivedAt, {
+        parts,
+        age_ms: ageOf(quarantine, this.clock.wall()),
+      });
+      return;
+    }
+    const exchange = new Exchange(this, request, req, res, () => {
+      this.openExchanges.delete(exchange);
+      onFinished();
+    });
+    this.openExchanges.add(exchange);
+    exchange.start();
   }
 
   private recordRejected(
-    id: string | undefined,
+    id: RequestId | undefined,
     reason: ErrorName,
     arrivedAt: Millis,
+    fields: Fields = {},
   ): void {
-    this.parts.metrics.refusals.inc({reason, service: ''});
     const version = this.estate.holder.current?.configuration.version;
-    const ms = Math.round(this.clock.now() - arrivedAt);
-    this.logger.info('refused', {id, reason, version, ms});
+    this.log.recordRejected(id, reason, arrivedAt, {version, ...fields});
   }
 
   private hasEngines(service: ServiceName): boolean {
@@ -363,6 +334,7 @@
       ...this.estate.status(now),
       openRequests: this.front.openRequests,
       ...this.dispatcher.status,
+      promptQuarantine: this.quarantine.status,
       upstreams: this.estate.upstreams
         .all()
         .map(({registration, incarnation}) => ({
--- a/src/daemons/direct/estate.ts
+++ b/src/daemons/direct/estate.ts
@@ -56,12 +56,13 @@
   abstract readonly dialect: HeaderDialect;
   /** Path of the balancer's readiness checks. */
   abstract readonly readinessPath: string;
-  /** Topics of the configuration, registrations, entries and ranks. */
+  /** Topics of the platform's records and of this product's own. */
   abstract readonly topics: {
     readonly configuration: string;
     readonly upstreams: string;
     readonly entries: string;
     readonly ranks: string;
+    readonly quarantines: string;
   };
 
   /**
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -1,3 +1,5 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
 import {z} from 'zod';
 
 import type {
@@ -67,6 +69,12 @@
   onUpstreamRemoved(): void;
   /** Called with the number of entries that may be running. */
   onEntryCount(count: number): void;
+  /** Called with the `host:port` of each other entry. */
+  onPeers(peers: readonly string[]): void;
+  /** Called with a message of another entry. */
+  onPeerMessage(req: IncomingMessage, res: ServerResponse): void;
+  /** Called with changed quarantines of prompt parts. */
+  onQuarantines(changes: readonly KeyedChange[]): void;
 }
 
 /** Tracks configuration, upstreams, entries and ranks from the store. */
@@ -78,6 +86,7 @@
     readonly upstreams: KeyedFollower;
     readonly entries: KeyedFollower;
     readonly ranks: KeyedFollower;
+    readonly quarantines: KeyedFollower;
   };
   /** Ranks by engine address. */
   private readonly ranks = new Map<string, RegisteredRank>();
@@ -112,9 +121,11 @@
         [topics.upstreams, bounds.leavingUpstream],
         [topics.entries, OWN_TOPICS_WAIT],
         [topics.ranks, OWN_TOPICS_WAIT],
+        [topics.quarantines, OWN_TOPICS_WAIT],
       ]),
       clock,
       logger,
+      (req, res) => listener.onPeerMessage(req, res),
     );
     this.followers = {
       configuration: this.createFollower(
@@ -150,6 +161,10 @@
         },
         changes => this.applyRanks(changes),
       ),
+      quarantines: this.createFollower(
+        {topic: topics.quarantines, wait: OWN_TOPICS_WAIT, spacing: 0},
+        changes => this.listener.onQuarantines(changes),
+      ),
     };
   }
 
@@ -291,6 +306,10 @@
     const {vm, availabilityZone, relay} = this.location;
     this.entries.set(vm, {availabilityZone, relay});
     this.listener.onEntryCount(this.entries.size);
+    const relays = [...this.entries.values()].map(entry => entry?.relay);
+    this.listener.onPeers(
+      relays.filter(peer => peer !== undefined && peer !== relay) as string[],
+    );
     const sameZone: ZoneReader[] = [];
     for (const [name, entry] of this.entries) {
       if (entry?.availabilityZone !== availabilityZone) continue;
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -5,6 +5,7 @@
   AttemptProgress,
   StreamDelivery,
   actionAfterFailure,
+  hasProgressed,
   healthOutcomeOf,
 } from '../../direct/index.js';
 import type {
@@ -22,12 +23,11 @@
 import type {ResponseHead} from './attempt.js';
 import type {DirectContext} from './context.js';
 import type {DispatchRequest, DispatchState} from './dispatcher.js';
+import {ResponseBuffer} from './response_buffer.js';
 import {ResponseWriter} from './response_writer.js';
 
 /** Time before the caller's timeout at which the final response is due. */
 const RESPONSE_MARGIN: Millis = 25;
-/** Buffer limit of a non-stream body; a larger one is sent as it arrives. */
-const MAX_BUFFERED_BYTES = 2 ** 20;
 
 /** Handles a caller's request from its admission to its final response. */
 export class Exchange {
@@ -48,8 +48,7 @@
   private sends = 0;
   private mayHaveRun = false;
   private head: ResponseHead | undefined;
-  private bodyChunks: Buffer[] = [];
-  private bodyBytes = 0;
+  private body = new ResponseBuffer();
   private failedResponse: (ResponseHead & {readonly body: Buffer}) | undefined;
   private isFinished = false;
   private cause: RejectionCause = 'busy';
@@ -83,9 +82,21 @@
     const remaining = this.deadlineAt - context.clock.now();
     this.timer = setTimeout(() => this.onDeadline(), Math.max(0, remaining));
     context.retries.recordRequest(arrivedAt, request.service);
+  }
+
+  /** Starts to serve the request; its end may come at once. */
+  start(): void {
     this.requestUpstream();
   }
 
+  /** Refuses the request if its prompt was quarantined before it began to run. */
+  applyQuarantine(): void {
+    if (this.isFinished || this.progress.hasStarted) return;
+    if (this.context.quarantine.match(this.request) === undefined) return;
+    this.cancelAttempt();
+    this.respondError('prompt_quarantined');
+  }
+
   private get isStream(): boolean {
     return this.request.route.repeat === 'stream';
   }
@@ -126,8 +137,7 @@
     this.queueTime += now - this.submittedAt;
     this.triedIncarnations.add(upstream.incarnation);
     this.head = undefined;
-    this.bodyChunks = [];
-    this.bodyBytes = 0;
+    this.body = new ResponseBuffer();
     this.delivery.startRun();
     context.dispatcher.loads.recordSent(upstream.incarnation, promptTokens);
     const lines = context.dialect.toUpstream(request.headers, {
@@ -193,12 +203,8 @@
     const now = context.clock.now();
     if (group === undefined || !progress.recordStart(now)) return;
     const {latencyTarget} = request.route;
-    context.dispatcher.recordStarted(
-      now,
-      group,
-      progress.sentAt,
-      latencyTarget,
-    );
+    const {sentAt} = progress;
+    context.dispatcher.recordStarted(now, group, sentAt, latencyTarget);
   }
 
   private onData(chunk: Buffer): void {
@@ -209,22 +215,16 @@
       this.abortAttempt({kind: 'may_have_run', reason: 'unterminated event'});
       return;
     }
-    this.bodyChunks.push(chunk);
-    this.bodyBytes += chunk.length;
-    if (this.bodyBytes <= MAX_BUFFERED_BYTES || this.head === undefined) return;
-    if (!this.response.isStarted) {
-      this.response.sendHead(this.head);
-    }
-    const bytes = Buffer.concat(this.bodyChunks);
-    this.bodyChunks = [];
-    this.write(bytes);
+    if (!this.body.add(chunk) || this.head === undefined) return;
+    if (!this.response.isStarted) this.response.sendHead(this.head);
+    this.write(this.body.take());
   }
 
   private forwardEvents(chunk: Buffer): void {
     const {context, group, request, delivery} = this;
     const now = context.clock.now();
     const events = delivery.push(now, chunk);
-    this.progress.recordBytes(now, events?.count ?? 0);
+    this.recordProgress(now, events?.count ?? 0);
     if (events === undefined) return;
     const {gap} = events;
     const {gapTarget} = request.route;
@@ -233,6 +233,15 @@
     this.write(events.bytes);
   }
 
+  private recordProgress(now: Millis, events: number): void {
+    const {progress, request, context} = this;
+    const before = hasProgressed(progress);
+    progress.recordBytes(now, events);
+    if (!before && hasProgressed(progress)) {
+      context.quarantine.recordAnswer(request);
+    }
+  }
+
   private write(bytes: Buffer): void {
     if (this.response.write(bytes)) return;
     const {attempt} = this;
@@ -244,13 +253,14 @@
     const {head} = this;
     if (head === undefined) return;
     const {status} = head;
-    const body = Buffer.concat(this.bodyChunks);
+    const body = this.body.take();
     if (status >= 500) {
       this.failedResponse = {...head, body};
       this.onFailure({kind: 'failed_answer', status});
       return;
     }
     this.recordOutcome('good');
+    if (status < 300) this.context.quarantine.recordAnswer(this.request);
     if (this.isStream && status < 300) {
       const {rest} = this.delivery;
       if (rest.length > 0) this.response.write(rest);
@@ -273,7 +283,9 @@
     const isUnsent =
       failure.kind === 'not_run' && failure.reason === 'unreachable';
     this.recordOutcome(healthOutcomeOf(failure));
-    context.recordFailure(now, request, {upstream, progress, failure});
+    const attempt = {upstream, progress, failure};
+    context.log.recordFailure(now, request, attempt);
+    const isSuspect = context.quarantine.recordFailure(now, request, attempt);
     if (!isUnsent) this.sends += 1;
     const action = actionAfterFailure(
       {
@@ -287,7 +299,7 @@
     if (failure.kind !== 'not_run') this.mayHaveRun = true;
     const canContinue =
       this.delivery.delivered === 0 || request.route.resumable;
-    if (action === 'try_another' && canContinue) {
+    if (action === 'try_another' && canContinue && !isSuspect) {
       this.requestUpstream();
       return;
     }
@@ -317,13 +329,10 @@
 
   private respondError(reason: ErrorName): void {
     const fault = new Fault(reason);
-    const {metadata, route, arrivedAt} = this.request;
-    const now = this.context.clock.now();
-    const timeLeft =
-      arrivedAt + (metadata.callerTimeout ?? route.timeout) - now;
-    const {notBefore = now} = this.rejectedIn ?? {};
-    const earliest = notBefore - now;
-    const retryAfter = this.context.retryAfter(this.cause, timeLeft, earliest);
+    const {context, request, cause, rejectedIn} = this;
+    const now = context.clock.now();
+    const notBefore = rejectedIn?.notBefore;
+    const retryAfter = context.retryAfter(now, request, cause, notBefore);
     this.response.sendError(fault, retryAfter);
     this.finish(reason, fault.status, retryAfter);
   }
@@ -356,14 +365,10 @@
     const elapsed =
       (this.delivery.firstDeliveryAt ?? now) - this.progress.sentAt;
     const latency = outcome === 'good' && !this.isStream ? elapsed : undefined;
-    const {promptTokens} = request.metadata;
-    context.dispatcher.loads.recordEnded(
-      now,
-      upstream.incarnation,
-      promptTokens,
-      outcome,
-      latency,
-    );
+    const {incarnation} = upstream;
+    const {promptTokens: size} = request.metadata;
+    const {loads} = context.dispatcher;
+    loads.recordEnded(now, incarnation, size, outcome, latency);
     this.upstream = undefined;
     this.lastUpstream = upstream;
     const {group} = this;
@@ -378,7 +383,7 @@
     clearTimeout(this.timer);
     if (this.pending !== undefined)
       this.context.dispatcher.withdraw(this.pending);
-    this.context.recordFinished(this.request, {
+    this.context.log.recordFinished(this.request, {
       outcome,
       status,
       retryAfter,
--- /dev/null
+++ b/src/daemons/direct/quarantine_keeper.ts
@@ -0,0 +1,321 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import type {KeyedStore} from '../../clients/index.js';
+import type {Clock, Millis, ServiceName} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+import {
+  CrashBatch,
+  PromptQuarantine,
+  isBrokenOff,
+  isCrashAtStart,
+} from '../../direct/index.js';
+import type {
+  CrashReport,
+  EvidenceChange,
+  KeyedChange,
+  PromptPartId,
+  Quarantine,
+} from '../../direct/index.js';
+import {describeError} from '../../errors/index.js';
+import type {Logger, Metrics} from '../../observability/index.js';
+import type {AdmittedRequest} from './admitted_request.js';
+import type {FailedAttempt} from './context.js';
+import {
+  CrashReportExchange,
+  decodeReports,
+  encodeReports,
+} from './crash_report_exchange.js';
+
+/** Time for which the runs that break off with a crash are collected. */
+const BATCH_TIME: Millis = 20;
+const STORE_RETRY_DELAY: Millis = SECOND;
+/** Limit of the platform's store. */
+const MAX_KEY_BYTES = 255;
+
+/** Source of evidence in the log. */
+type EvidenceSource = 'own' | 'answer' | 'peer' | 'store' | 'operator';
+
+/** What a quarantine keeper uses of its entry. */
+export interface QuarantinePorts {
+  readonly store: KeyedStore;
+  /** Topic of the quarantines, which outlive the entries. */
+  readonly topic: string;
+  /** Called when requests that are not refused yet may have to be. */
+  onAdded(): void;
+}
+
+/**
+ * Keeps the prompt quarantine of this entry in step with the other entries: new
+ * reports go to them directly, and quarantines to the store as well, for entries
+ * that were unreachable or start later.
+ */
+export class QuarantineKeeper {
+  private readonly quarantine = new PromptQuarantine();
+  private readonly batch = new CrashBatch();
+  private readonly exchange: CrashReportExchange;
+  private readonly changes;
+  private isStopped = false;
+
+  /**
+   * @param ports - the store and callbacks
+   * @param clock - the clock
+   * @param logger - logs evidence and quarantines
+   * @param metrics - counts them
+   */
+  constructor(
+    private readonly ports: QuarantinePorts,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    metrics: Metrics,
+  ) {
+    this.exchange = new CrashReportExchange(
+      reports => this.receive(reports),
+      clock,
+      logger,
+    );
+    this.changes = metrics.counter(
+      'baobabspan_prompt_quarantine_changes_total',
+      'Crash reports and quarantines of prompt parts, by change',
+      ['change'],
+    );
+  }
+
+  /**
+   * Handles reports of another entry.
+   * @param req - the HTTP request
+   * @param res - its response
+   */
+  handleMessage(req: IncomingMessage, res: ServerResponse): void {
+    void this.exchange.handle(req, res);
+  }
+
+  /** Stops permanently. */
+  stop(): void {
+    this.isStopped = true;
+    void this.exchange.close();
+  }
+
+  /**
+   * Replaces the other entries.
+   * @param peers - `host:port` of each
+   */
+  setPeers(peers: readonly string[]): void {
+    this.exchange.setPeers(peers);
+  }
+
+  /** Fields of `/status`. */
+  get status(): object {
+    const wall = this.clock.wall();
+    return {
+      reports: this.quarantine.allReports.length,
+      knownParts: this.quarantine.knownPartCount,
+      quarantines: this.quarantine.current.map(quarantine => ({
+        service: quarantine.service,
+        parts: quarantine.parts,
+        ageMs: ageOf(quarantine, wall),
+        crashes: crashesOf(quarantine),
+      })),
+    };
+  }
+
+  /**
+   * Returns the quarantine that a request falls under, if any.
+   * @param request - the request
+   */
+  match({service, metadata}: AdmittedRequest): Quarantine | undefined {
+    return this.quarantine.match(service, metadata.sharedParts);
+  }
+
+  /**
+   * Records a failed attempt.
+   * @param now - current time
+   * @param request - the request
+   * @param attempt - the attempt
+   * @returns whether the request may crash another upstream if it is sent again
+   */
+  recordFailure(
+    now: Millis,
+    request: AdmittedRequest,
+    {upstream, progress, failure}: FailedAttempt,
+  ): boolean {
+    const {service, metadata} = request;
+    const {id, sharedParts} = metadata;
+    if (upstream === undefined || failure.kind !== 'may_have_run') return false;
+    const {incarnation} = upstream;
+    if (isBrokenOff(now, progress, failure))
+      this.batch.recordBroken(now, incarnation);
+    const isCrash = isCrashAtStart(now, progress, failure);
+    if (!isCrash || sharedParts.length === 0 || id === undefined) return false;
+    const crash = {service, upstream: incarnation, request: id};
+    const report = this.quarantine.report(
+      this.clock.wall(),
+      crash,
+      sharedParts,
+    );
+    if (this.batch.add(report)) {
+      setTimeout(() => void this.publishBatch(), BATCH_TIME);
+    }
+    return !report.isKnown;
+  }
+
+  /**
+   * Records that the run of a request has progressed or ended well.
+   * @param request - the request
+   */
+  recordAnswer({service, metadata}: AdmittedRequest): void {
+    const {sharedParts} = metadata;
+    if (sharedParts.length === 0) return;
+    const change = this.quarantine.recordAnswer(service, sharedParts);
+    void this.spread(change, 'answer');
+  }
+
+  /**
+   * Lifts the quarantines of a part.
+   * @param service - service of the part
+   * @param part - the part
+   */
+  async lift(service: ServiceName, part: PromptPartId): Promise<void> {
+    await this.spread(this.quarantine.clear(service, [part]), 'operator');
+  }
+
+  /**
+   * Applies records of the store.
+   * @param changes - the records
+   */
+  applyStored(changes: readonly KeyedChange[]): void {
+    for (const {key, value} of changes) {
+      if (value === undefined) continue;
+      try {
+        this.merge(decodeReports(value), 'store');
+      } catch (thrown) {
+        const reason = describeError(thrown);
+        this.logger.warn('quarantine_unreadable', {key, reason});
+      }
+    }
+  }
+
+  /** Removes reports past their retention. */
+  expire(): void {
+    const change = this.quarantine.expire(this.clock.wall());
+    this.record(change, 'own');
+    for (const quarantine of change.removed) void this.erase(quarantine);
+  }
+
+  private async publishBatch(): Promise<void> {
+    const {reports, isDiscarded} = this.batch.take();
+    const [first] = reports;
+    if (first === undefined) return;
+    if (isDiscarded) {
+      this.changes.inc({change: 'discarded'}, reports.length);
+      this.logger.info('crash_reports_discarded', {
+        reports: reports.length,
+        request: first.request,
+        reason: 'runs at many upstreams broke off together',
+      });
+      return;
+    }
+    await this.spread(this.quarantine.merge(this.clock.wall(), reports), 'own');
+  }
+
+  private receive(reports: readonly CrashReport[]): readonly CrashReport[] {
+    this.merge(reports, 'peer');
+    return this.quarantine.related(reports);
+  }
+
+  private merge(
+    reports: readonly CrashReport[],
+    source: EvidenceSource,
+  ): EvidenceChange {
+    const change = this.quarantine.merge(this.clock.wall(), reports);
+    this.record(change, source);
+    return change;
+  }
+
+  /** Passes a change that this entry caused on to the others and the store. */
+  private async spread(
+    change: EvidenceChange,
+    source: EvidenceSource,
+  ): Promise<void> {
+    this.record(change, source);
+    if (change.reports.length === 0) return;
+    this.store(change);
+    const answers = await this.exchange.publish(change.reports);
+    const further = this.merge(answers, 'peer');
+    if (further.reports.length === 0) return;
+    this.store(further);
+    const last = await this.exchange.publish(further.reports);
+    this.merge(last, 'peer');
+  }
+
+  private store({added, removed}: EvidenceChange): void {
+    for (const quarantine of removed) void this.erase(quarantine);
+    for (const quarantine of added) {
+      void this.put(quarantine, encodeReports(quarantine.reports));
+    }
+  }
+
+  private erase(quarantine: Quarantine): Promise<void> {
+    return this.put(quarantine, new Uint8Array(0));
+  }
+
+  /** Writes a record, with retries until it is stored. */
+  private async put(quarantine: Quarantine, value: Uint8Array): Promise<void> {
+    const {store, topic} = this.ports;
+    const {service, parts} = quarantine;
+    const key = `${service}/${parts.join('+')}`.slice(0, MAX_KEY_BYTES);
+    while (!this.isStopped) {
+      const put = await store.put(topic, key, value);
+      if (put.isOk()) return;
+      const {message: reason} = put.error;
+      this.logger.warn('quarantine_not_stored', {key, reason});
+      await new Promise(resolve => setTimeout(resolve, STORE_RETRY_DELAY));
+    }
+  }
+
+  private record(change: EvidenceChange, source: EvidenceSource): void {
+    for (const report of change.reports) {
+      const {upstream, service, request, at, isKnown} = report;
+      const isCleared = report.cleared.length > 0;
+      this.changes.inc({change: isCleared ? 'cleared' : 'suspected'});
+      this.logger.info(isCleared ? 'prompt_parts_cleared' : 'crash_suspected', {
+        ...{source, upstream, service, id: request, known: isKnown},
+        age_ms: Math.round(this.clock.wall() - at),
+        suspects: report.suspects.join(','),
+        cleared: report.cleared.join(',') || undefined,
+      });
+    }
+    for (const quarantine of change.removed) {
+      this.recordVerdict('lifted', quarantine, source);
+    }
+    for (const quarantine of change.added) {
+      this.recordVerdict('quarantined', quarantine, source);
+    }
+    if (change.added.length > 0) this.ports.onAdded();
+  }
+
+  private recordVerdict(
+    change: 'quarantined' | 'lifted',
+    quarantine: Quarantine,
+    source: EvidenceSource,
+  ): void {
+    this.changes.inc({change});
+    this.logger.warn(`prompt_parts_${change}`, {
+      source,
+      service: quarantine.service,
+      parts: quarantine.parts.join(','),
+      crashes: crashesOf(quarantine).join(' '),
+    });
+  }
+}
+
+/**
+ * Returns the time since the newest crash behind a quarantine.
+ * @param quarantine - the quarantine
+ * @param wallTime - current wall-clock time, Unix ms
+ */
+export function ageOf({reports}: Quarantine, wallTime: number): Millis {
+  return Math.round(wallTime - Math.max(...reports.map(({at}) => at)));
+}
+
+const crashesOf = ({reports}: Quarantine) =>
+  reports.map(({upstream, at}) => `${upstream}@${new Date(at).toISOString()}`);
--- /dev/null
+++ b/src/daemons/direct/request_log.ts
@@ -0,0 +1,120 @@
+import type {Clock, Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+import type {RequestId} from '../../direct/index.js';
+import type {ErrorName} from '../../errors/index.js';
+import type {Fields, Logger, Metrics} from '../../observability/index.js';
+import type {AdmittedRequest} from './admitted_request.js';
+import type {ExchangeResult, FailedAttempt} from './context.js';
+
+/** Logs and counts what becomes of requests and their attempts. */
+export class RequestLog {
+  private readonly attemptFailures;
+
+  /**
+   * @param clock - the clock
+   * @param logger - writes the lines
+   * @param metrics - counts the outcomes
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly metrics: Metrics,
+  ) {
+    this.attemptFailures = metrics.counter(
+      'baobabspan_attempt_failures_total',
+      'Attempts at an upstream without a whole good answer, by reason',
+      ['reason', 'service'],
+    );
+  }
+
+  /**
+   * Records a failed attempt.
+   * @param now - current time
+   * @param request - its request
+   * @param attempt - the attempt
+   */
+  recordFailure(
+    now: Millis,
+    {metadata, service}: AdmittedRequest,
+    {upstream, progress, failure}: FailedAttempt,
+  ): void {
+    this.attemptFailures.inc({
+      reason: failure.kind === 'not_run' ? failure.reason : failure.kind,
+      service,
+    });
+    const detail =
+      failure.kind === 'failed_answer' ? failure.status : failure.reason;
+    const idle = progress.idleTime(now);
+    this.logger.info('attempt_failed', {
+      id: metadata.id,
+      upstream: upstream?.registration.id,
+      kind: failure.kind,
+      detail,
+      ms: Math.round(now - progress.sentAt),
+      started: progress.hasStarted,
+      events: progress.events,
+      idle_ms: idle && Math.round(idle),
+      parts: metadata.sharedParts.join(',') || undefined,
+    });
+  }
+
+  /**
+   * Records the result of a request.
+   * @param request - the request
+   * @param result - its result
+   */
+  recordFinished(request: AdmittedRequest, result: ExchangeResult): void {
+    const now = this.clock.now();
+    const {arrivedAt, service, route} = request;
+    const since = (at: Millis | undefined) =>
+      at === undefined ? undefined : Math.round(at - arrivedAt);
+    const {metrics} = this;
+    metrics.outcomes.inc({outcome: result.outcome, service});
+    if (result.retryAfter !== undefined) {
+      metrics.refusals.inc({reason: result.outcome, service});
+    }
+    const answeredAt = result.firstByteAt ?? now;
+    if (result.outcome === 'answered') {
+      metrics.firstByteSeconds.observe(
+        {service},
+        (answeredAt - arrivedAt) / SECOND,
+      );
+    }
+    this.logger.info('request', {
+      id: request.metadata.id,
+      route: route.name,
+      service,
+      organisation: request.organisation,
+      version: request.version,
+      upstream: result.upstream,
+      sends: result.sends,
+      outcome: result.outcome,
+      status: result.status,
+      events: result.deliveredEvents,
+      first_ms: since(result.firstByteAt),
+      waited_ms: Math.round(result.queueTime),
+      ms: since(now),
+      queued: result.rejectedIn?.queueLength,
+      down_ms: result.rejectedIn && Math.round(result.rejectedIn.downtime),
+      retry_after_ms: result.retryAfter && Math.round(result.retryAfter),
+    });
+  }
+
+  /**
+   * Records a request that was refused before it was admitted.
+   * @param id - id of the request
+   * @param reason - the error
+   * @param arrivedAt - time of its arrival
+   * @param fields - what the decision depended on
+   */
+  recordRejected(
+    id: RequestId | undefined,
+    reason: ErrorName,
+    arrivedAt: Millis,
+    fields: Fields,
+  ): void {
+    this.metrics.refusals.inc({reason, service: ''});
+    const ms = Math.round(this.clock.now() - arrivedAt);
+    this.logger.info('refused', {id, reason, ms, ...fields});
+  }
+}
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -120,6 +120,7 @@
    * @param bounds - staleness bound of each topic
    * @param clock - the clock
    * @param logger - logs outages of the relay
+   * @param onMessage - called with messages of other entries
    */
   constructor(
     private readonly store: KeyedStore,
@@ -127,11 +128,15 @@
     private readonly bounds: ReadonlyMap<string, Millis>,
     private readonly clock: Clock,
     private readonly logger: Logger,
+    onMessage?: (req: IncomingMessage, res: ServerResponse) => void,
   ) {
     super();
     this.readers = new ZoneReaderSelector(vm);
     this.relayHealth = new DependencyHealth('relay', clock, logger);
-    this.server = createServer((req, res) => this.handle(req, res));
+    this.server = createServer((req, res) => {
+      if (req.method === 'POST' && onMessage !== undefined) onMessage(req, res);
+      else this.handle(req, res);
+    });
   }
 
   /**
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -1,6 +1,7 @@
 /** Policies of an entry that sends requests directly to the upstreams. */
 export * from './attempt_policy.js';
 export * from './attempt_progress.js';
+export * from './crash_batch.js';
 export * from './dialect.js';
 export * from './event_frames.js';
 export * from './stream_delivery.js';
@@ -8,6 +9,7 @@
 export * from './keyed_table.js';
 export * from './load_tracker.js';
 export * from './placement.js';
+export * from './prompt_quarantine.js';
 export * from './shared_retry_budget.js';
 export * from './relay_buffer.js';
 export * from './route_table.js';
--- /dev/null
+++ b/src/direct/prompt_quarantine.test.ts
@@ -0,0 +1,197 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {HOUR, incarnation, serviceName} from '../core/index.js';
+import {AttemptProgress} from './attempt_progress.js';
+import {PromptQuarantine, isCrashAtStart} from './prompt_quarantine.js';
+import type {CrashReport} from './prompt_quarantine.js';
+import {promptPartId, requestId} from './types.js';
+
+const SERVICE = serviceName('assistant');
+const [COMMON, DEADLY, OTHER] = ['c0', 'dead', 'b7'].map(promptPartId) as [
+  ReturnType<typeof promptPartId>,
+  ReturnType<typeof promptPartId>,
+  ReturnType<typeof promptPartId>,
+];
+const BROKEN = {kind: 'may_have_run', reason: 'aborted'} as const;
+
+/** Adds a crash of another upstream to a quarantine. */
+function crash(
+  quarantine: PromptQuarantine,
+  number: number,
+  parts: readonly (typeof COMMON)[],
+  at = number * 1_000,
+) {
+  const report = quarantine.report(
+    at,
+    {
+      service: SERVICE,
+      upstream: incarnation(`i-${number}@1`),
+      request: requestId(`r${number}`),
+    },
+    parts,
+  );
+  return quarantine.merge(at, [report]);
+}
+
+const partsOf = (quarantine: PromptQuarantine) =>
+  quarantine.current.map(({parts}) => parts);
+
+describe('isCrashAtStart', () => {
+  const progressOf = (events: number, idle: number) => {
+    const progress = new AttemptProgress(0);
+    progress.recordStart(0);
+    progress.recordBytes(1_000 - idle, events);
+    return progress;
+  };
+
+  it('is true for a run that broke off right after its head', () => {
+    expect(isCrashAtStart(1_000, progressOf(0, 60), BROKEN)).toBe(true);
+  });
+
+  it.each([
+    ['delivered events', progressOf(4, 3)],
+    ['stalled with its group', progressOf(1, 1_530)],
+    ['had not begun', new AttemptProgress(0)],
+  ])('is false for a run that %s', (_name, progress) => {
+    expect(isCrashAtStart(1_000, progress, BROKEN)).toBe(false);
+  });
+
+  it('is false for a request that did not run', () => {
+    const busy = {kind: 'not_run', reason: 'busy'} as const;
+    expect(isCrashAtStart(1_000, progressOf(0, 60), busy)).toBe(false);
+  });
+});
+
+describe('PromptQuarantine', () => {
+  it('quarantines a part after two crashes without an answer', () => {
+    const quarantine = new PromptQuarantine();
+    quarantine.recordAnswer(SERVICE, [COMMON]);
+    expect(crash(quarantine, 1, [COMMON, DEADLY]).added).toEqual([]);
+    expect(quarantine.match(SERVICE, [COMMON, DEADLY])).toBeUndefined();
+    expect(crash(quarantine, 2, [COMMON, DEADLY]).added).toHaveLength(1);
+    expect(partsOf(quarantine)).toEqual([[DEADLY]]);
+    expect(quarantine.match(SERVICE, [OTHER, DEADLY])).toBeDefined();
+    expect(quarantine.match(SERVICE, [COMMON])).toBeUndefined();
+    expect(quarantine.match(serviceName('b'), [DEADLY])).toBeUndefined();
+  });
+
+  it('serves requests with a part that always accompanies a deadly one', () => {
+    const quarantine = new PromptQuarantine();
+    crash(quarantine, 1, [COMMON, DEADLY]);
+    crash(quarantine, 2, [COMMON, DEADLY]);
+    expect(partsOf(quarantine)).toEqual([[COMMON, DEADLY]]);
+    expect(quarantine.match(SERVICE, [COMMON])).toBeUndefined();
+    expect(quarantine.match(SERVICE, [COMMON, DEADLY])).toBeDefined();
+    quarantine.recordAnswer(SERVICE, [COMMON]);
+    expect(partsOf(quarantine)).toEqual([[DEADLY]]);
+    expect(quarantine.match(SERVICE, [OTHER, DEADLY])).toBeDefined();
+  });
+
+  it('takes answers that other entries know into account', () => {
+    const [here, there] = [new PromptQuarantine(), new PromptQuarantine()];
+    there.recordAnswer(SERVICE, [COMMON]);
+    const {reports} = crash(here, 1, [COMMON, DEADLY]);
+    there.merge(1_000, reports);
+    here.merge(1_000, there.related(reports));
+    crash(here, 2, [COMMON, OTHER]);
+    expect(partsOf(here)).toEqual([]);
+  });
+
+  it('counts several crashes at the same moment as one', () => {
+    const quarantine = new PromptQuarantine();
+    crash(quarantine, 1, [DEADLY], 1_000);
+    crash(quarantine, 2, [DEADLY], 1_010);
+    expect(partsOf(quarantine)).toEqual([]);
+    crash(quarantine, 3, [DEADLY], 5_000);
+    expect(partsOf(quarantine)).toEqual([[DEADLY]]);
+  });
+
+  it('quarantines a part with earlier answers after four crashes in a row', () => {
+    const quarantine = new PromptQuarantine();
+    quarantine.recordAnswer(SERVICE, [COMMON]);
+    for (const number of [1, 2, 3]) crash(quarantine, number, [COMMON]);
+    quarantine.recordAnswer(SERVICE, [COMMON]);
+    for (const number of [4, 5, 6]) crash(quarantine, number, [COMMON]);
+    expect(partsOf(quarantine)).toEqual([]);
+    crash(quarantine, 7, [COMMON]);
+    expect(partsOf(quarantine)).toEqual([[COMMON]]);
+  });
+
+  it('quarantines several parts at once', () => {
+    const quarantine = new PromptQuarantine();
+    for (const number of [1, 3]) crash(quarantine, number, [DEADLY]);
+    for (const number of [2, 4]) crash(quarantine, number, [OTHER]);
+    expect(partsOf(quarantine)).toEqual([[DEADLY], [OTHER]]);
+  });
+
+  it('lifts a quarantine that an operator clears', () => {
+    const quarantine = new PromptQuarantine();
+    for (const number of [1, 2]) crash(quarantine, number, [DEADLY]);
+    expect(quarantine.clear(SERVICE, [DEADLY]).removed).toHaveLength(1);
+    expect(quarantine.match(SERVICE, [DEADLY])).toBeUndefined();
+  });
+
+  it('tries a part again after the retention of its reports', () => {
+    const quarantine = new PromptQuarantine();
+    for (const number of [1, 2]) crash(quarantine, number, [DEADLY]);
+    expect(quarantine.expire(23 * HOUR).removed).toEqual([]);
+    expect(quarantine.expire(25 * HOUR).removed).toHaveLength(1);
+  });
+
+  it('keeps bounded state for callers that send ever new parts', () => {
+    const quarantine = new PromptQuarantine();
+    for (const number of [1, 2]) crash(quarantine, number, [DEADLY]);
+    for (let i = 3; i < 2_000; i++) {
+      crash(quarantine, i, [promptPartId(`e${i}`)]);
+      quarantine.recordAnswer(SERVICE, [promptPartId(`a${i}`)]);
+    }
+    expect(quarantine.allReports.length).toBeLessThanOrEqual(512);
+    expect(partsOf(quarantine)).toEqual([[DEADLY]]);
+  });
+
+  it('comes to the same quarantines for any order of the reports', () => {
+    const part = fc.constantFrom(COMMON, DEADLY, OTHER);
+    const report = fc.record({
+      service: fc.constant(SERVICE),
+      upstream: fc.constantFrom('i-1', 'i-2', 'i-3').map(incarnation),
+      request: fc.constantFrom('r1', 'r2', 'r3', 'r4').map(requestId),
+      at: fc.integer({min: 0, max: 10_000}),
+      suspects: fc.uniqueArray(part, {minLength: 1}),
+      isKnown: fc.boolean(),
+      cleared: fc.uniqueArray(part),
+    });
+    // One crash has one report, apart from what was cleared since.
+    const reports = fc
+      .uniqueArray(report, {
+        selector: ({upstream, request}) => `${upstream} ${request}`,
+      })
+      .map(list =>
+        list.map(one => ({
+          ...one,
+          cleared: one.suspects.filter(id => one.cleared.includes(id)),
+        })),
+      );
+    const shuffled = reports.chain(list =>
+      fc.tuple(
+        fc.constant(list),
+        fc.shuffledSubarray(list, {
+          minLength: list.length,
+          maxLength: list.length,
+        }),
+      ),
+    );
+    const verdict = (list: readonly CrashReport[]) => {
+      const quarantine = new PromptQuarantine();
+      for (const one of list) quarantine.merge(10_000, [one]);
+      return new Set(
+        partsOf(quarantine).map(parts => [...parts].sort().join()),
+      );
+    };
+    fc.assert(
+      fc.property(shuffled, ([first, second]) => {
+        expect(verdict(second)).toEqual(verdict(first));
+      }),
+    );
+  });
+});
--- /dev/null
+++ b/src/direct/prompt_quarantine.ts
@@ -0,0 +1,355 @@
+import type {Incarnation, Millis, ServiceName} from '../core/index.js';
+import {HOUR} from '../core/index.js';
+import type {AttemptProgress} from './attempt_progress.js';
+import type {AttemptFailure} from './attempt_policy.js';
+import type {PromptPartId, RequestId} from './types.js';
+
+/** Events after which a run counts as unharmed by its prompt. */
+const PROGRESS_EVENTS = 2;
+/**
+ * Longest time from the last bytes of a run to the crash that it causes. Ranks
+ * that only lose another rank of their group stall for longer than that.
+ */
+const MAX_CRASH_DELAY: Millis = 500;
+/** Crashes that convict a part on which no answer was ever seen. */
+const CRASHES_OF_NEW_PART = 2;
+/** Crashes in a row that convict a part with earlier answers. */
+const CRASHES_OF_KNOWN_PART = 4;
+/** Crashes closer to each other may have one cause, such as a network fault. */
+const MIN_CRASH_SEPARATION: Millis = 50;
+/** Age at which a report no longer counts, and its part is tried again. */
+const REPORT_RETENTION: Millis = 24 * HOUR;
+/** Maximum number of reports; the oldest without a quarantine go first. */
+const MAX_REPORTS = 512;
+/** Maximum number of parts with known answers; the least recent go first. */
+const MAX_KNOWN_PARTS = 20_000;
+
+/** An upstream's crash as it began to answer a request, seen by one entry. */
+export interface CrashReport {
+  readonly service: ServiceName;
+  readonly upstream: Incarnation;
+  readonly request: RequestId;
+  /** Wall-clock time of the crash, Unix ms. */
+  readonly at: number;
+  /** Parts that may have caused it: the new ones, or all if none is new. */
+  readonly suspects: readonly PromptPartId[];
+  /** Whether answers on all suspects were seen before. */
+  readonly isKnown: boolean;
+  /** Suspects on which an answer was seen after the report, or that were lifted. */
+  readonly cleared: readonly PromptPartId[];
+}
+
+/** Parts that crash upstreams; requests that contain all of them are refused. */
+export interface Quarantine {
+  readonly service: ServiceName;
+  /** One part, or several that only ever came together. */
+  readonly parts: readonly PromptPartId[];
+  /** The crashes behind it, oldest first. */
+  readonly reports: readonly CrashReport[];
+}
+
+/** Effect of new evidence. */
+export interface EvidenceChange {
+  /** Reports that are new or have more cleared suspects. */
+  readonly reports: readonly CrashReport[];
+  readonly added: readonly Quarantine[];
+  readonly removed: readonly Quarantine[];
+}
+
+/**
+ * Returns whether a run that had begun broke off without a stall.
+ * @param now - current time
+ * @param progress - progress of the run
+ * @param failure - how the attempt ended
+ */
+export function isBrokenOff(
+  now: Millis,
+  progress: AttemptProgress,
+  failure: AttemptFailure,
+): boolean {
+  const idle = progress.idleTime(now);
+  return (
+    failure.kind === 'may_have_run' &&
+    idle !== undefined &&
+    idle <= MAX_CRASH_DELAY
+  );
+}
+
+/**
+ * Returns whether a run has progressed far enough to clear its prompt.
+ * @param progress - progress of the run
+ */
+export function hasProgressed(progress: AttemptProgress): boolean {
+  return progress.events >= PROGRESS_EVENTS;
+}
+
+/**
+ * Returns whether a failed attempt looks like a crash that the request caused:
+ * the run broke off before it made progress.
+ * @param now - current time
+ * @param progress - progress of the run
+ * @param failure - how the attempt ended
+ */
+export function isCrashAtStart(
+  now: Millis,
+  progress: AttemptProgress,
+  failure: AttemptFailure,
+): boolean {
+  return isBrokenOff(now, progress, failure) && !hasProgressed(progress);
+}
+
+/**
+ * Quarantine of prompt parts that crash upstreams, as a query of death does.
+ * Entries exchange crash reports and merge them in any order; which parts are
+ * quarantined follows from the reports alone. Answers clear suspects, so that a
+ * part that merely accompanies a deadly one stays usable.
+ */
+export class PromptQuarantine {
+  private readonly reports = new Map<string, CrashReport>();
+  private quarantines: readonly Quarantine[] = [];
+  /** Parts with known answers, least recent first. */
+  private readonly knownParts = new Set<string>();
+
+  /** The present quarantines. */
+  get current(): readonly Quarantine[] {
+    return this.quarantines;
+  }
+
+  /** All reports, oldest first. */
+  get allReports(): readonly CrashReport[] {
+    return [...this.reports.values()];
+  }
+
+  /** Number of parts with known answers. */
+  get knownPartCount(): number {
+    return this.knownParts.size;
+  }
+
+  /**
+   * Returns the quarantine that a request falls under, if any.
+   * @param service - service of the request
+   * @param parts - shared parts of its prompt
+   */
+  match(
+    service: ServiceName,
+    parts: readonly PromptPartId[],
+  ): Quarantine | undefined {
+    if (this.quarantines.length === 0) return undefined;
+    return this.quarantines.find(
+      quarantine =>
+        quarantine.service === service &&
+        quarantine.parts.every(part => parts.includes(part)),
+    );
+  }
+
+  /**
+   * Returns the parts on which no answer was seen.
+   * @param service - service of the request
+   * @param parts - shared parts of its prompt
+   */
+  newParts(
+    service: ServiceName,
+    parts: readonly PromptPartId[],
+  ): readonly PromptPartId[] {
+    return parts.filter(part => !this.knownParts.has(keyOf(service, part)));
+  }
+
+  /**
+   * Creates the report of a crash, without adding it.
+   * @param wallTime - wall-clock time of the crash, Unix ms
+   * @param crash - the upstream, and the request that it had begun to answer
+   * @param parts - shared parts of the request's prompt; at least one
+   */
+  report(
+    wallTime: number,
+    crash: Pick<CrashReport, 'service' | 'upstream' | 'request'>,
+    parts: readonly PromptPartId[],
+  ): CrashReport {
+    const {service, upstream, request} = crash;
+    const fresh = this.newParts(service, parts);
+    const isKnown = fresh.length === 0;
+    return {
+      ...{service, upstream, request, isKnown},
+      at: wallTime,
+      suspects: isKnown ? parts : fresh,
+      cleared: [],
+    };
+  }
+
+  /**
+   * Records an answer that went on, which clears its parts.
+   * @param service - service of the request
+   * @param parts - shared parts of its prompt
+   */
+  recordAnswer(
+    service: ServiceName,
+    parts: readonly PromptPartId[],
+  ): EvidenceChange {
+    for (const part of parts) this.addKnownPart(keyOf(service, part));
+    if (this.reports.size === 0) return NO_CHANGE;
+    return this.clear(service, parts);
+  }
+
+  /**
+   * Clears parts from all reports, as an answer or an operator does.
+   * @param service - service of the parts
+   * @param parts - the parts
+   */
+  clear(service: ServiceName, parts: readonly PromptPartId[]): EvidenceChange {
+    const cleared = [...this.reports.values()]
+      .filter(report => report.service === service)
+      .map(report => ({
+        ...report,
+        cleared: report.suspects.filter(part => parts.includes(part)),
+      }));
+    return this.apply(cleared);
+  }
+
+  /**
+   * Merges reports of this entry, of other entries or of the store.
+   * @param wallTime - current wall-clock time, Unix ms
+   * @param reports - the reports
+   */
+  merge(wallTime: number, reports: readonly CrashReport[]): EvidenceChange {
+    const recent = reports.filter(({at}) => wallTime - at < REPORT_RETENTION);
+    return this.apply(recent.map(report => this.withKnownCleared(report)));
+  }
+
+  /**
+   * Returns this entry's reports that bear on others: with a suspect in common.
+   * @param reports - the others
+   */
+  related(reports: readonly CrashReport[]): readonly CrashReport[] {
+    const keys = new Set(
+      reports.flatMap(({service, suspects}) =>
+        suspects.map(part => keyOf(service, part)),
+      ),
+    );
+    return this.allReports.filter(({service, suspects}) =>
+      suspects.some(part => keys.has(keyOf(service, part))),
+    );
+  }
+
+  /**
+   * Removes the reports past their retention.
+   * @param wallTime - current wall-clock time, Unix ms
+   */
+  expire(wallTime: number): EvidenceChange {
+    for (const [id, {at}] of this.reports) {
+      if (wallTime - at >= REPORT_RETENTION) this.reports.delete(id);
+    }
+    return this.derive([]);
+  }
+
+  /** Clears the suspects of which this entry knows answers. */
+  private withKnownCleared(report: CrashReport): CrashReport {
+    const {service, suspects, cleared, isKnown} = report;
+    if (isKnown) return report;
+    const known = suspects.filter(part =>
+      this.knownParts.has(keyOf(service, part)),
+    );
+    return {...report, cleared: [...cleared, ...known]};
+  }
+
+  private apply(reports: readonly CrashReport[]): EvidenceChange {
+    const changed: CrashReport[] = [];
+    for (const report of reports) {
+      const id = `${report.upstream} ${report.request}`;
+      const before = this.reports.get(id);
+      const {suspects, cleared} = before ?? report;
+      const all = new Set([...cleared, ...report.cleared]);
+      const merged = {
+        ...(before ?? report),
+        cleared: suspects.filter(part => all.has(part)),
+      };
+      if (before?.cleared.length === merged.cleared.length) continue;
+      this.reports.set(id, merged);
+      changed.push(merged);
+    }
+    if (changed.length === 0) return NO_CHANGE;
+    this.dropOverflow();
+    return this.derive(changed);
+  }
+
+  private dropOverflow(): void {
+    const kept = new Set(this.quarantines.flatMap(({reports}) => reports));
+    for (const [id, report] of this.reports) {
+      if (this.reports.size <= MAX_REPORTS) return;
+      if (!kept.has(report)) this.reports.delete(id);
+    }
+  }
+
+  private derive(reports: readonly CrashReport[]): EvidenceChange {
+    const before = this.quarantines;
+    const byParts = new Map<string, Quarantine>();
+    for (const group of this.reportsByPart().values()) {
+      if (!isConclusive(group)) continue;
+      const parts = commonSuspects(group);
+      const {service} = group[0]!;
+      byParts.set(keyOf(service, ...parts), {service, parts, reports: group});
+    }
+    this.quarantines = [...byParts.values()];
+    const ids = (list: readonly Quarantine[]) =>
+      new Set(list.map(({service, parts}) => keyOf(service, ...parts)));
+    const [old, present] = [ids(before), ids(this.quarantines)];
+    const isIn = (set: Set<string>) => (one: Quarantine) =>
+      set.has(keyOf(one.service, ...one.parts));
+    return {
+      reports,
+      added: this.quarantines.filter(one => !isIn(old)(one)),
+      removed: before.filter(one => !isIn(present)(one)),
+    };
+  }
+
+  /** Returns the reports that count against each part, oldest first. */
+  private reportsByPart(): Map<string, CrashReport[]> {
+    const byPart = new Map<string, CrashReport[]>();
+    const sorted = [...this.reports.values()].sort((a, b) => a.at - b.at);
+    for (const report of sorted) {
+      for (const part of openSuspects(report)) {
+        const key = keyOf(report.service, part);
+        byPart.set(key, [...(byPart.get(key) ?? []), report]);
+      }
+    }
+    return byPart;
+  }
+
+  private addKnownPart(key: string): void {
+    this.knownParts.delete(key);
+    this.knownParts.add(key);
+    if (this.knownParts.size <= MAX_KNOWN_PARTS) return;
+    const [oldest = ''] = this.knownParts;
+    this.knownParts.delete(oldest);
+  }
+}
+
+const NO_CHANGE: EvidenceChange = {reports: [], added: [], removed: []};
+
+function keyOf(service: ServiceName, ...parts: PromptPartId[]): string {
+  return [service, ...parts].join(' ');
+}
+
+const openSuspects = ({suspects, cleared}: CrashReport) =>
+  suspects.filter(part => !cleared.includes(part));
+
+/** Returns whether separate crashes suffice to quarantine their common part. */
+function isConclusive(reports: readonly CrashReport[]): boolean {
+  const upstreams = new Set<Incarnation>();
+  let lastAt = -Infinity;
+  let evidence = 0;
+  for (const {upstream, at, isKnown} of reports) {
+    if (upstreams.has(upstream) || at - lastAt < MIN_CRASH_SEPARATION) continue;
+    upstreams.add(upstream);
+    lastAt = at;
+    evidence += 1 / (isKnown ? CRASHES_OF_KNOWN_PART : CRASHES_OF_NEW_PART);
+  }
+  return evidence >= 1;
+}
+
+/** Returns the suspects that no report tells apart. */
+function commonSuspects(reports: readonly CrashReport[]): PromptPartId[] {
+  const [first, ...others] = reports.map(openSuspects);
+  return (first ?? []).filter(part =>
+    others.every(suspects => suspects.includes(part)),
+  );
+}
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -90,6 +90,11 @@
     'The group of ranks that serves the request is incomplete.',
     'Retry after the time in Retry-After; operators find the rank in the log.',
   ),
+  prompt_quarantined: entry(
+    422,
+    'A part of the prompt has crashed several upstreams and is quarantined.',
+    'Leave the part out; operators find its crashes at /status and can lift it.',
+  ),
   dependency_over_limit: entry(
     503,
     'The calling service has used up its share of this service.',
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -451,6 +451,7 @@
       upstreams: 'upstreams',
       entries: direct.ownEntry.topic,
       ranks: direct.rank.topic,
+      quarantines: 'quarantines',
     };
     const store = new MemoryStore(
       new Map([
@@ -474,6 +475,9 @@
         onConfiguration: () => undefined,
         onUpstreamRemoved: () => undefined,
         onEntryCount: () => undefined,
+        onPeers: () => undefined,
+        onPeerMessage: () => undefined,
+        onQuarantines: () => undefined,
       },
     );
     await view.start();
