Don't trust a refusal without an id on a reused connection

Callers were told 'not run, try again' for a request that an upstream was running, or it ran at a second upstream: a faulty upstream wrote an earlier refusal once more on a kept connection. A response with another id was caught; one without an id counted as the answer to the present request. On a reused connection a response now has to echo the id; upstreams do so in all responses but to what they could not read.

--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -172,12 +172,9 @@
     const status = res.statusCode ?? 0;
     const headers = headerPairs(res.rawHeaders);
     const metadata = this.dialect.readResponse(status, headers);
-    if (this.outbound.id !== undefined && metadata.id !== this.outbound.id) {
-      // A late response to another request; this one may still be running.
-      if (metadata.id !== undefined) {
-        this.fail('response to another request');
-        return;
-      }
+    if (!this.isOwnResponse(metadata)) {
+      this.fail('response to another request');
+      return;
     }
     this.res = res;
     const isFramed =
@@ -201,6 +198,16 @@
     res.on('close', () => this.fail('response truncated'));
   }
 
+  /**
+   * Returns whether a response belongs to this request. On a reused connection it
+   * may be a late or repeated response to an earlier one, even without an id.
+   */
+  private isOwnResponse(metadata: ResponseMetadata): boolean {
+    const {id} = this.outbound;
+    if (id === undefined || metadata.id === id) return true;
+    return metadata.id === undefined && !this.req.reusedSocket;
+  }
+
   private fail(detail: string): void {
     if (this.isFinished) return;
     this.cancel();
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -74,6 +74,11 @@
     await once(this.server, 'listening');
   }
 
+  /** Number of connections that were ever opened. */
+  get connectionCount(): number {
+    return this.sockets.size;
+  }
+
   /** Number of connections that are still open. */
   get openConnections(): number {
     return [...this.sockets].filter(socket => !socket.destroyed).length;
