Join nothing but the rest of a stream to a response that has begun

Callers found the text of an error in the middle of their stream, which then ended as if it were complete: when a stream had begun and broke off, a response of the next upstream with a status from 300 to 499 was written behind it, and so was an error of more than 1 MB. Events without an id, whose place is unknown, were taken over too. A second fault of the same cause: an answer too large for the buffer, which its caller had in part, was followed by the next upstream's.

A response that has begun now goes on only with a success of a stream, and events without an id end a further run. Attempts are accounted for in a class of their own, as Exchange grew too long.

--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -35,7 +35,7 @@
 
 /** An attempt that has failed. */
 export interface FailedAttempt {
-  readonly upstream: Upstream | undefined;
+  readonly upstream: Upstream;
   readonly progress: AttemptProgress;
   readonly failure: AttemptFailure;
 }
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -2,10 +2,8 @@
 
 import type {Millis} from '../../core/index.js';
 import {
-  AttemptProgress,
   StreamDelivery,
   actionAfterFailure,
-  hasProgressed,
   healthOutcomeOf,
 } from '../../direct/index.js';
 import type {
@@ -19,6 +17,7 @@
 import {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
 import type {AdmittedRequest} from './admitted_request.js';
+import {AttemptAccount} from './attempt_account.js';
 import {Attempt, attemptRequest} from './attempt.js';
 import type {ResponseHead} from './attempt.js';
 import type {DirectContext} from './context.js';
@@ -36,19 +35,18 @@
   private readonly delivery: StreamDelivery;
   private readonly triedIncarnations = new Set<string>();
   private attempt: Attempt | undefined;
-  private upstream: Upstream | undefined;
-  private lastUpstream: Upstream | undefined;
-  /** Group of the current upstream. */
-  private group: GroupKey | undefined;
   private pending: DispatchRequest | undefined;
   private submittedAt: Millis;
   private queueTime: Millis = 0;
-  private progress = new AttemptProgress(0);
+  /** Account of the latest attempt; undefined before the first. */
+  private account: AttemptAccount | undefined;
   /** Number of upstreams that the request was sent to. */
   private sends = 0;
   private mayHaveRun = false;
   private head: ResponseHead | undefined;
   private body = new ResponseBuffer();
+  /** Whether the response to the caller has begun as a stream. */
+  private isStreaming = false;
   private failedResponse: (ResponseHead & {readonly body: Buffer}) | undefined;
   private isFinished = false;
   private cause: RejectionCause = 'busy';
@@ -91,7 +89,9 @@
 
   /** Refuses the request if its prompt was quarantined before it began to run. */
   applyQuarantine(): void {
-    if (this.isFinished || this.progress.hasStarted) return;
+    const {account} = this;
+    const isRunning = account?.isOpen === true && account.progress.hasStarted;
+    if (this.isFinished || isRunning) return;
     if (this.context.quarantine.match(this.request) === undefined) return;
     this.cancelAttempt();
     this.respondError('prompt_quarantined');
@@ -130,16 +130,12 @@
 
   private send(now: Millis, upstream: Upstream, group: GroupKey): void {
     const {request, context} = this;
-    const {promptTokens} = request.metadata;
-    this.upstream = upstream;
-    this.group = group;
-    this.progress = new AttemptProgress(now);
+    this.account = new AttemptAccount(now, context, request, upstream, group);
     this.queueTime += now - this.submittedAt;
     this.triedIncarnations.add(upstream.incarnation);
     this.head = undefined;
     this.body = new ResponseBuffer();
     this.delivery.startRun();
-    context.dispatcher.loads.recordSent(upstream.incarnation, promptTokens);
     const lines = context.dialect.toUpstream(request.headers, {
       timeLeft: this.deadlineAt - now,
       expectedUpstream: upstream.registration.id,
@@ -161,9 +157,9 @@
   }
 
   private onHead(head: ResponseHead, metadata: ResponseMetadata): void {
-    const {upstream} = this;
     const {status} = head;
-    if (upstream === undefined) return;
+    if (this.account === undefined) return;
+    const {upstream} = this.account;
     this.context.applyResponseMetadata(upstream, metadata);
     if (metadata.isWrongUpstream) {
       this.context.markReplaced(upstream);
@@ -192,27 +188,24 @@
       });
       return;
     }
+    if (this.response.isStarted && !isSuccess) {
+      this.abortAttempt({kind: 'failed_answer', status});
+      return;
+    }
     this.head = head;
-    if (isSuccess) this.recordStart();
+    if (isSuccess) this.account.recordStart(this.context.clock.now());
     if (!isSuccess || !this.isStream || this.response.isStarted) return;
     this.response.sendHead(head);
-  }
-
-  private recordStart(): void {
-    const {context, group, progress, request} = this;
-    const now = context.clock.now();
-    if (group === undefined || !progress.recordStart(now)) return;
-    const {latencyTarget} = request.route;
-    const {sentAt} = progress;
-    context.dispatcher.recordStarted(now, group, sentAt, latencyTarget);
+    this.isStreaming = true;
   }
 
   private onData(chunk: Buffer): void {
     const isSuccess = this.head !== undefined && this.head.status < 300;
     if (this.isStream && isSuccess) {
       this.forwardEvents(chunk);
-      if (!this.delivery.isOverlong) return;
-      this.abortAttempt({kind: 'may_have_run', reason: 'unterminated event'});
+      const {defect} = this.delivery;
+      if (defect === undefined) return;
+      this.abortAttempt({kind: 'may_have_run', reason: defect});
       return;
     }
     if (!this.body.add(chunk) || this.head === undefined) return;
@@ -221,25 +214,10 @@
   }
 
   private forwardEvents(chunk: Buffer): void {
-    const {context, group, request, delivery} = this;
-    const now = context.clock.now();
-    const events = delivery.push(now, chunk);
-    this.recordProgress(now, events?.count ?? 0);
-    if (events === undefined) return;
-    const {gap} = events;
-    const {gapTarget} = request.route;
-    if (gap !== undefined && gapTarget !== undefined && group !== undefined)
-      context.dispatcher.recordGap(now, group, gap, gapTarget);
-    this.write(events.bytes);
-  }
-
-  private recordProgress(now: Millis, events: number): void {
-    const {progress, request, context} = this;
-    const before = hasProgressed(progress);
-    progress.recordBytes(now, events);
-    if (!before && hasProgressed(progress)) {
-      context.quarantine.recordAnswer(request);
-    }
+    const now = this.context.clock.now();
+    const events = this.delivery.push(now, chunk);
+    this.account?.recordEvents(now, events?.count ?? 0, events?.gap);
+    if (events !== undefined) this.write(events.bytes);
   }
 
   private write(bytes: Buffer): void {
@@ -254,12 +232,12 @@
     if (head === undefined) return;
     const {status} = head;
     const body = this.body.take();
-    if (status >= 500) {
+    if (status >= 500 && !this.response.isStarted) {
       this.failedResponse = {...head, body};
       this.onFailure({kind: 'failed_answer', status});
       return;
     }
-    this.recordOutcome('good');
+    this.recordOutcome(status >= 500 ? 'bad' : 'good');
     if (status < 300) this.context.quarantine.recordAnswer(this.request);
     if (this.isStream && status < 300) {
       const {rest} = this.delivery;
@@ -278,11 +256,13 @@
   }
 
   private onFailure(failure: AttemptFailure): void {
-    const {request, context, upstream, progress} = this;
+    const {request, context, account} = this;
     const now = context.clock.now();
+    if (account === undefined) return;
     const isUnsent =
       failure.kind === 'not_run' && failure.reason === 'unreachable';
     this.recordOutcome(healthOutcomeOf(failure));
+    const {upstream, progress} = account;
     const attempt = {upstream, progress, failure};
     context.log.recordFailure(now, request, attempt);
     const isSuspect = context.quarantine.recordFailure(now, request, attempt);
@@ -297,9 +277,7 @@
       failure,
     );
     if (failure.kind !== 'not_run') this.mayHaveRun = true;
-    const canContinue =
-      this.delivery.delivered === 0 || request.route.resumable;
-    if (action === 'try_another' && canContinue && !isSuspect) {
+    if (action === 'try_another' && this.canContinue && !isSuspect) {
       this.requestUpstream();
       return;
     }
@@ -309,6 +287,13 @@
     this.respondFinal(isGroupDown ? 'group_down' : 'overloaded');
   }
 
+  /** Whether the answer of another upstream can follow what the caller has. */
+  private get canContinue(): boolean {
+    if (!this.response.isStarted) return true;
+    const {resumable} = this.request.route;
+    return this.isStreaming && (resumable || this.delivery.delivered === 0);
+  }
+
   /**
    * Sends the final response, after which no attempt follows.
    * @param rejection - error if the request has not run
@@ -352,29 +337,19 @@
   }
 
   private cancelAttempt(): void {
-    if (this.upstream === undefined) return;
+    if (!this.account?.isOpen) return;
     this.attempt?.cancel();
     this.recordOutcome('neutral');
   }
 
   /** Records the outcome of the current attempt. */
   private recordOutcome(outcome: HealthOutcome): void {
-    const {upstream, context, request} = this;
-    if (upstream === undefined) return;
+    const {account, context, delivery} = this;
+    if (account === undefined) return;
     const now = context.clock.now();
-    const elapsed =
-      (this.delivery.firstDeliveryAt ?? now) - this.progress.sentAt;
-    const latency = outcome === 'good' && !this.isStream ? elapsed : undefined;
-    const {incarnation} = upstream;
-    const {promptTokens: size} = request.metadata;
-    const {loads} = context.dispatcher;
-    loads.recordEnded(now, incarnation, size, outcome, latency);
-    this.upstream = undefined;
-    this.lastUpstream = upstream;
-    const {group} = this;
-    this.group = undefined;
-    if (group !== undefined)
-      context.dispatcher.recordEnded(now, group, this.progress.hasStarted);
+    const elapsed = (delivery.firstDeliveryAt ?? now) - account.progress.sentAt;
+    const isTelling = outcome === 'good' && !this.isStream;
+    account.close(now, outcome, isTelling ? elapsed : undefined);
   }
 
   private finish(outcome: string, status: number, retryAfter?: Millis): void {
@@ -388,7 +363,7 @@
       status,
       retryAfter,
       rejectedIn: this.rejectedIn,
-      upstream: this.lastUpstream?.registration.id,
+      upstream: this.account?.upstream.registration.id,
       sends: this.sends + (outcome === 'answered' ? 1 : 0),
       firstByteAt: this.delivery.firstDeliveryAt,
       queueTime: this.queueTime,
--- a/src/daemons/direct/quarantine_keeper.ts
+++ b/src/daemons/direct/quarantine_keeper.ts
@@ -140,7 +140,7 @@
   ): boolean {
     const {service, metadata} = request;
     const {id, sharedParts} = metadata;
-    if (upstream === undefined || failure.kind !== 'may_have_run') return false;
+    if (failure.kind !== 'may_have_run') return false;
     const {incarnation} = upstream;
     if (isBrokenOff(now, progress, failure))
       this.batch.recordBroken(now, incarnation);
--- a/src/daemons/direct/request_log.ts
+++ b/src/daemons/direct/request_log.ts
@@ -47,7 +47,7 @@
     const idle = progress.idleTime(now);
     this.logger.info('attempt_failed', {
       id: metadata.id,
-      upstream: upstream?.registration.id,
+      upstream: upstream.registration.id,
       kind: failure.kind,
       detail,
       ms: Math.round(now - progress.sentAt),
--- a/src/direct/stream_delivery.ts
+++ b/src/direct/stream_delivery.ts
@@ -18,6 +18,9 @@
   private firstAt: Millis | undefined;
   private lastAt: Millis;
   private hasRunDelivered = false;
+  private isFurtherRun = false;
+  /** Whether a further run sent an event whose place in the stream is unknown. */
+  private hasUnplacedEvent = false;
 
   /**
    * @param resumedAfter - id after which the caller resumes the stream
@@ -48,9 +51,10 @@
     return this.events > 0 ? this.lastId : undefined;
   }
 
-  /** Whether the bytes after the last event exceed the limit of an event. */
-  get isOverlong(): boolean {
-    return this.framer.isOverlong;
+  /** Why the run cannot go on, if so. */
+  get defect(): string | undefined {
+    if (this.framer.isOverlong) return 'unterminated event';
+    return this.hasUnplacedEvent ? 'event without id' : undefined;
   }
 
   /** Bytes after the last complete event. */
@@ -62,6 +66,8 @@
   startRun(): void {
     this.framer = new EventFramer();
     this.hasRunDelivered = false;
+    this.hasUnplacedEvent = false;
+    this.isFurtherRun = this.events > 0;
   }
 
   /**
@@ -83,6 +89,8 @@
 
   /** Counts an event unless it is a duplicate; a run may repeat events. */
   private accept({id}: EventFrame): boolean {
+    if (this.isFurtherRun && id === undefined) this.hasUnplacedEvent = true;
+    if (this.hasUnplacedEvent) return false;
     if (id !== undefined && this.lastId !== undefined && id <= this.lastId)
       return false;
     if (id !== undefined) this.lastId = id;
--- a/test/broken_answers.test.ts
+++ b/test/broken_answers.test.ts
@@ -2,6 +2,7 @@
 
 import {
   DirectEstate,
+  requestIdOf,
   sealedAnswer,
   wireRoute,
 } from './support/direct_estate.js';
@@ -15,6 +16,7 @@
 /** Statuses that promise callers that their request did not run. */
 const NOT_RUN = [408, 421, 429, 503];
 const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 
 let estate: DirectEstate;
 
@@ -32,6 +34,20 @@
 
 const received = () => estate.upstreams.flatMap(upstream => upstream.received);
 
+/** Runs the scripts in turn, whichever upstream gets the request. */
+function inTurn(...scripts: Script[]): Script {
+  let turn = 0;
+  return request => {
+    const script = scripts[Math.min(turn, scripts.length - 1)]!;
+    turn += 1;
+    script(request);
+  };
+}
+
+const headOf = (head: string, framing = 'Transfer-Encoding: chunked\r\n') =>
+  `HTTP/1.1 200 OK\r\nRequest-Id: ${requestIdOf(head)}\r\n` +
+  `Response-Seal: s\r\n${framing}\r\n`;
+
 const refusal = (id: string) =>
   `HTTP/1.1 503 Busy\r\n${id}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
 
@@ -74,3 +90,105 @@
     },
   );
 });
+describe('A stream that breaks off and goes on with', () => {
+  const begun: Script = ({head, socket}) => {
+    socket.write(headOf(head) + chunk(event(1)));
+    setTimeout(() => socket.resetAndDestroy(), 40);
+  };
+  const LARGE = 'x'.repeat(1.5 * 2 ** 20);
+
+  it.each<[string, Script]>([
+    ...['500 Error', '503 Busy', '400 Bad', '404 None', '301 Moved'].map(
+      (status): [string, Script] => [
+        `status ${status}`,
+        ({head, socket}) =>
+          socket.write(sealedAnswer(head, 'no such stream', status)),
+      ],
+    ),
+    [
+      'an error of 1.5 MB',
+      ({head, socket}) => socket.write(sealedAnswer(head, LARGE, '500 Error')),
+    ],
+    [
+      'an error without a length',
+      ({head, socket}) =>
+        socket.end(headOf(head, '').replace('200 OK', '400 Bad') + 'no such'),
+    ],
+    [
+      'an event without an id',
+      ({head, socket}) =>
+        socket.write(sealedAnswer(head, 'data: {"error": "gone"}\n\n')),
+    ],
+  ])(
+    '%s contains nothing of that, and is not complete',
+    async (_name, next) => {
+      const script = inTurn(begun, next);
+      await withUpstreams(script, script);
+      const answer = await estate.call('/plan/1');
+      expect(answer.body).toBe(event(1));
+      expect(answer.isWhole).toBe(false);
+      expect(received()).toHaveLength(2);
+    },
+  );
+});
+
+describe('An answer that is too large to be buffered', () => {
+  const LARGE = 'x'.repeat(1.5 * 2 ** 20);
+
+  it('is followed by no other when it is an error', async () => {
+    const script = inTurn(
+      ({head, socket}) => socket.write(sealedAnswer(head, LARGE, '500 Error')),
+      ({head, socket}) => socket.write(sealedAnswer(head, 'second')),
+    );
+    await withUpstreams(script, script);
+    const answer = await estate.call('/sheet/1', {}, 'GET');
+    expect(answer).toMatchObject({status: 500, isWhole: true});
+    expect(answer.body).not.toContain('second');
+    expect(received()).toHaveLength(1);
+  });
+
+  it('is followed by no other when it breaks off', async () => {
+    const script = inTurn(
+      ({head, socket}) => {
+        socket.write(sealedAnswer(head, LARGE + LARGE).slice(0, -9));
+        setTimeout(() => socket.resetAndDestroy(), 100);
+      },
+      ({head, socket}) => socket.write(sealedAnswer(head, 'second')),
+    );
+    await withUpstreams(script, script);
+    const answer = await estate.call('/sheet/1', {}, 'GET');
+    expect(answer.isWhole).toBe(false);
+    expect(answer.body).not.toContain('second');
+    expect(received()).toHaveLength(1);
+  });
+});
+
+describe('An answer whose head breaks off', () => {
+  it.each(['/load/1', '/plan/1'])(
+    'is not passed on as a success, on %s at any byte',
+    async path => {
+      let cut = 0;
+      let whole = '';
+      await withUpstreams(({head, socket}) => {
+        whole = sealedAnswer(head, event(1));
+        socket.end(whole.slice(0, cut));
+      });
+      for (cut = 1; cut === 1 || cut < whole.length; cut += 3) {
+        const answer = await estate.call(path).catch(() => undefined);
+        const isSuccess = answer?.status === 200 && answer.isWhole;
+        expect(isSuccess, `cut at byte ${cut}`).toBe(false);
+      }
+    },
+    30_000,
+  );
+
+  it('is not passed on as a success on a kept connection', async () => {
+    await withUpstreams(({head, socket}) => {
+      const whole = sealedAnswer(head, event(1));
+      if (/\/plan\/1/.test(head)) socket.write(whole);
+      else socket.end(whole.slice(0, whole.indexOf('Content-Length') + 9));
+    });
+    expect((await estate.call('/plan/1')).status).toBe(200);
+    expect((await estate.call('/plan/2')).status).not.toBe(200);
+  });
+});
