Take a stream that ends within an event as broken off

Callers got a stream that ended as if it were complete, with a piece of an event at its end: an upstream stopped inside an event and closed its connection (a response with neither length nor chunks), or ended its chunks there. Such a run now counts as broken off: the stream goes on at another upstream, or its response is aborted. What was written in the same turn is sent first.

--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -231,6 +231,10 @@
     const {head} = this;
     if (head === undefined) return;
     const {status} = head;
+    if (status < 300 && this.isStream && this.delivery.endsWithinEvent) {
+      this.onFailure({kind: 'may_have_run', reason: 'ended within an event'});
+      return;
+    }
     const body = this.body.take();
     if (status >= 500 && !this.response.isStarted) {
       this.failedResponse = {...head, body};
--- a/src/daemons/direct/response_writer.ts
+++ b/src/daemons/direct/response_writer.ts
@@ -74,12 +74,15 @@
   }
 
   /**
-   * Aborts an incomplete response. If it is delimited by the end of its
-   * connection, only a reset distinguishes the abort from a regular end.
+   * Aborts an incomplete response, after the bytes written in this turn are sent.
+   * If it is delimited by the end of its connection, only a reset distinguishes
+   * the abort from a regular end.
    */
   abort(): void {
-    if (!this.isFramed) this.res.socket?.resetAndDestroy();
-    this.res.destroy();
+    setImmediate(() => {
+      if (!this.isFramed) this.res.socket?.resetAndDestroy();
+      this.res.destroy();
+    });
   }
 
   /**
--- a/src/direct/event_frames.ts
+++ b/src/direct/event_frames.ts
@@ -1,5 +1,5 @@
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
+export const LINE_FEED = 0x0a;
+export const CARRIAGE_RETURN = 0x0d;
 /** Size limit of an unfinished event; valid events hold a few tokens. */
 const MAX_EVENT_BYTES = 2 ** 18;
 
--- a/src/direct/stream_delivery.ts
+++ b/src/direct/stream_delivery.ts
@@ -1,5 +1,5 @@
 import type {Millis} from '../core/index.js';
-import {EventFramer} from './event_frames.js';
+import {CARRIAGE_RETURN, EventFramer, LINE_FEED} from './event_frames.js';
 import type {EventFrame} from './event_frames.js';
 
 /** Events of one chunk that are new to the caller. */
@@ -57,6 +57,13 @@
     return this.hasUnplacedEvent ? 'event without id' : undefined;
   }
 
+  /** Whether an event was begun and not completed; line ends don't begin one. */
+  get endsWithinEvent(): boolean {
+    return this.rest.some(
+      byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN,
+    );
+  }
+
   /** Bytes after the last complete event. */
   get rest(): Buffer {
     return this.framer.rest();
--- a/test/broken_answers.test.ts
+++ b/test/broken_answers.test.ts
@@ -192,3 +192,56 @@
     expect((await estate.call('/plan/2')).status).not.toBe(200);
   });
 });
+
+describe('A stream that ends', () => {
+  it.each<[string, string]>([
+    ['with its connection', ''],
+    ['with its length', `Content-Length: ${event(1).length * 2}\r\n`],
+  ])('%s is complete', async (_name, framing) => {
+    await withUpstreams(({head, socket}) => {
+      socket.end(headOf(head, framing) + event(1) + event(2));
+    });
+    const answer = await estate.call('/plan/1');
+    expect(answer).toMatchObject({status: 200, isWhole: true});
+    expect(answer.body).toBe(event(1) + event(2));
+  });
+
+  const broken: [string, Script][] = [
+    [
+      'with its connection',
+      ({head, socket}) =>
+        socket.end(headOf(head, '') + event(1) + event(2).slice(0, 9)),
+    ],
+    [
+      'in chunks',
+      ({head, socket}) =>
+        socket.write(
+          headOf(head) + chunk(event(1) + event(2).slice(0, 9)) + '0\r\n\r\n',
+        ),
+    ],
+  ];
+
+  it.each(broken)(
+    '%s within an event goes on at another upstream',
+    async (_name, first) => {
+      const script = inTurn(first, ({head, socket}) => {
+        socket.write(sealedAnswer(head, event(2) + event(3)));
+      });
+      await withUpstreams(script, script);
+      const answer = await estate.call('/plan/1');
+      expect(answer.body).toBe(event(1) + event(2) + event(3));
+      expect(answer.isWhole).toBe(true);
+      expect(received()[1]).toMatch(/Last-Event-Id: 1\b/);
+    },
+  );
+
+  it.each(broken)(
+    '%s within an event is not complete if no other can go on',
+    async (_name, first) => {
+      await withUpstreams(first);
+      const answer = await estate.call('/plan/1');
+      expect(answer.body).toBe(event(1));
+      expect(answer.isWhole).toBe(false);
+    },
+  );
+});
