Fail streams that end within an event in the sidecar as well

The same two faults in the product's own form of deployment: an event that an engine had begun was dropped in silence and the call ended as complete, and an error that carried the header of a resumed stream counted as its continuation.

--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -231,7 +231,7 @@
     const {head} = this;
     if (head === undefined) return;
     const {status} = head;
-    if (status < 300 && this.isStream && this.delivery.endsWithinEvent) {
+    if (status < 300 && this.isStream && this.delivery.isWithinEvent) {
       this.onFailure({kind: 'may_have_run', reason: 'ended within an event'});
       return;
     }
--- /dev/null
+++ b/src/daemons/sidecar/upstream_request.test.ts
@@ -0,0 +1,94 @@
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+import type {AddressInfo, Server} from 'node:net';
+
+import {afterEach, describe, expect, it} from 'vitest';
+
+import type {AnswerHead, CallMessage} from '../../calls/index.js';
+import {callId, organisationName, serviceName} from '../../core/index.js';
+import {UpstreamRequest, createUpstreamAgent} from './upstream_request.js';
+
+const servers: Server[] = [];
+afterEach(() => servers.splice(0).forEach(server => server.close()));
+
+const CALL: CallMessage = {
+  type: 'call',
+  callId: callId('c1'),
+  attempt: 1,
+  service: serviceName('assistant'),
+  organisation: organisationName('depot'),
+  weight: 1,
+  priority: 'normal',
+  idempotent: true,
+  remainingMs: 1_000,
+  method: 'GET',
+  path: '/plan',
+  headers: {},
+  body: new Uint8Array(0),
+  credit: 64,
+};
+const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
+const headOf = (status: string, more: string) =>
+  `HTTP/1.1 ${status}\r\nContent-Type: text/event-stream\r\n${more}\r\n`;
+
+/** Sends a call to an upstream that writes the bytes and closes. */
+async function answerOf(bytes: string, change: Partial<CallMessage> = {}) {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => socket.end(bytes));
+  });
+  servers.push(server);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const agent = createUpstreamAgent();
+  let [body, head]: [string, AnswerHead | undefined] = ['', undefined];
+  let end: 'complete' | 'unreachable' | string = '';
+  await new UpstreamRequest(
+    `http://127.0.0.1:${port}`,
+    agent,
+    {...CALL, ...change},
+    {
+      onHead: received => (head = received),
+      onData: piece => (body += Buffer.from(piece.body).toString()),
+      onEnd: () => (end = 'complete'),
+      isFlowControlled: () => false,
+      onUnreachable: () => (end = 'unreachable'),
+      onFailure: detail => (end = detail),
+    },
+  ).run();
+  await agent.destroy();
+  return {end, body, head: head as AnswerHead | undefined};
+}
+
+describe('UpstreamRequest', () => {
+  it('completes a stream that ends with its connection', async () => {
+    const answer = await answerOf(headOf('200 OK', '') + event(1));
+    expect(answer).toMatchObject({end: 'complete', body: event(1)});
+  });
+
+  it.each([true, false])(
+    'fails for a stream that ends within an event (idempotent: %s)',
+    async idempotent => {
+      const bytes = headOf('200 OK', '') + event(1) + 'id: 2\ndat';
+      const {end} = await answerOf(bytes, {idempotent});
+      expect(end).toBe('the stream ended within an event');
+    },
+  );
+
+  it('does not continue a stream with an error', async () => {
+    const bytes =
+      headOf('500 Error', 'Baobabspan-Resumed-From: 1\r\n') + event(2);
+    const {head} = await answerOf(bytes, {resumeFrom: 1});
+    expect(head?.firstEvent).toBeUndefined();
+  });
+
+  it('fails for a head that breaks off at any byte', async () => {
+    const head = headOf('200 OK', 'Content-Length: 4\r\n');
+    for (let cut = 1; cut < head.length; cut += 5) {
+      const {end, head: received} = await answerOf(head.slice(0, cut));
+      expect(end, `cut at byte ${cut}`).not.toBe('complete');
+      expect(received).toBeUndefined();
+    }
+  });
+});
--- a/src/daemons/sidecar/upstream_request.ts
+++ b/src/daemons/sidecar/upstream_request.ts
@@ -3,6 +3,7 @@
 
 import {CALLER_SERVICE_HEADER} from '../../calls/index.js';
 import type {AnswerHead, AnswerPiece, CallMessage} from '../../calls/index.js';
+import {EventFramer} from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
 import {EventSplitter} from './event_splitter.js';
 
@@ -81,7 +82,7 @@
     try {
       const head = this.parseHead(res);
       this.listener.onHead(head);
-      await this.forwardBody(res, head.firstEvent);
+      await this.forwardBody(res, head);
       this.listener.onEnd();
     } catch (thrown) {
       this.listener.onFailure(describeError(thrown));
@@ -109,8 +110,9 @@
   }: Dispatcher.ResponseData) {
     const headers = flattenHeaders(raw);
     const type = headers['content-type'] ?? '';
-    const isResumable =
-      this.call.idempotent && type.startsWith('text/event-stream');
+    // An error is no part of the stream that it would continue.
+    const isSuccess = status >= 200 && status < 300;
+    const isResumable = this.call.idempotent && isSuccess && isStream(type);
     if (!isResumable) return {status, headers, firstEvent: undefined};
     const resumed = headers[RESUMED_FROM_HEADER];
     const firstEvent = this.call.resumeFrom ? Number(resumed) : 0;
@@ -120,11 +122,15 @@
 
   private async forwardBody(
     res: Dispatcher.ResponseData,
-    firstEvent: number | undefined,
+    {headers, firstEvent}: AnswerHead,
   ): Promise<void> {
     const splitter = new EventSplitter();
+    const framer = new EventFramer();
+    const hasEvents = isStream(headers['content-type'] ?? '');
     let event = firstEvent;
     for await (const chunk of res.body as AsyncIterable<Buffer>) {
+      if (hasEvents) framer.push(chunk);
+      if (framer.isOverlong) throw new Error('unterminated event');
       if (event === undefined) {
         await this.takeCredit();
         this.listener.onData({body: new Uint8Array(chunk)});
@@ -136,6 +142,8 @@
         event += 1;
       }
     }
+    if (framer.isWithinEvent)
+      throw new Error('the stream ended within an event');
   }
 
   private send(): Promise<Dispatcher.ResponseData> {
@@ -167,6 +175,9 @@
   }
 }
 
+const isStream = (contentType: string) =>
+  contentType.startsWith('text/event-stream');
+
 function flattenHeaders(
   headers: Record<string, string | string[] | undefined>,
 ): Record<string, string> {
--- a/src/direct/event_frames.ts
+++ b/src/direct/event_frames.ts
@@ -1,5 +1,5 @@
-export const LINE_FEED = 0x0a;
-export const CARRIAGE_RETURN = 0x0d;
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 /** Size limit of an unfinished event; valid events hold a few tokens. */
 const MAX_EVENT_BYTES = 2 ** 18;
 
@@ -40,6 +40,13 @@
     return this.pending.length > MAX_EVENT_BYTES;
   }
 
+  /** Whether an event was begun and not completed; line ends don't begin one. */
+  get isWithinEvent(): boolean {
+    return this.pending.some(
+      byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN,
+    );
+  }
+
   /** Returns the bytes after the last complete event. */
   rest(): Buffer {
     return this.pending;
--- a/src/direct/stream_delivery.ts
+++ b/src/direct/stream_delivery.ts
@@ -1,5 +1,5 @@
 import type {Millis} from '../core/index.js';
-import {CARRIAGE_RETURN, EventFramer, LINE_FEED} from './event_frames.js';
+import {EventFramer} from './event_frames.js';
 import type {EventFrame} from './event_frames.js';
 
 /** Events of one chunk that are new to the caller. */
@@ -57,11 +57,9 @@
     return this.hasUnplacedEvent ? 'event without id' : undefined;
   }
 
-  /** Whether an event was begun and not completed; line ends don't begin one. */
-  get endsWithinEvent(): boolean {
-    return this.rest.some(
-      byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN,
-    );
+  /** Whether the run has begun an event and not completed it. */
+  get isWithinEvent(): boolean {
+    return this.framer.isWithinEvent;
   }
 
   /** Bytes after the last complete event. */
