Let operators lift a quarantine, and expire it after its retention

POST /quarantine/lift on the operators' port of any entry clears a part; the reports that were cleared are stored, so that entries which do not hear of it directly follow. Before, a key that was removed from the store left the quarantine standing at those entries (the new test failed: its entries had not learnt of each other yet).

--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -99,7 +99,10 @@
       status: () => this.status(),
       readinessPath: estate.readinessPath,
     };
-    this.operators = new OperatorServer(operatorView);
+    this.operators = new OperatorServer({
+      ...operatorView,
+      actions: {'/quarantine/lift': query => this.quarantine.lift(query)},
+    });
     this.readiness = new OperatorServer(operatorView);
     const {vm, availabilityZone, ip, internalPorts, stalenessBounds} = settings;
     const relay = hostPort(ip, internalPorts[0]);
--- a/src/daemons/direct/quarantine_keeper.ts
+++ b/src/daemons/direct/quarantine_keeper.ts
@@ -1,19 +1,19 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import type {KeyedStore} from '../../clients/index.js';
-import type {Clock, Millis, ServiceName} from '../../core/index.js';
-import {SECOND} from '../../core/index.js';
+import type {Clock, Millis} from '../../core/index.js';
+import {MINUTE, SECOND, serviceName} from '../../core/index.js';
 import {
   CrashBatch,
   PromptQuarantine,
   isBrokenOff,
   isCrashAtStart,
+  promptPartId,
 } from '../../direct/index.js';
 import type {
   CrashReport,
   EvidenceChange,
   KeyedChange,
-  PromptPartId,
   Quarantine,
 } from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
@@ -29,9 +29,13 @@
 /** Time for which the runs that break off with a crash are collected. */
 const BATCH_TIME: Millis = 20;
 const STORE_RETRY_DELAY: Millis = SECOND;
+const EXPIRY_INTERVAL: Millis = MINUTE;
 /** Limit of the platform's store. */
 const MAX_KEY_BYTES = 255;
 
+/** Removes a key from the store. */
+const NO_VALUE = new Uint8Array(0);
+
 /** Source of evidence in the log. */
 type EvidenceSource = 'own' | 'answer' | 'peer' | 'store' | 'operator';
 
@@ -54,6 +58,7 @@
   private readonly batch = new CrashBatch();
   private readonly exchange: CrashReportExchange;
   private readonly changes;
+  private readonly expiryTimer: NodeJS.Timeout;
   private isStopped = false;
 
   /**
@@ -78,6 +83,7 @@
       'Crash reports and quarantines of prompt parts, by change',
       ['change'],
     );
+    this.expiryTimer = setInterval(() => this.expire(), EXPIRY_INTERVAL);
   }
 
   /**
@@ -92,6 +98,7 @@
   /** Stops permanently. */
   stop(): void {
     this.isStopped = true;
+    clearInterval(this.expiryTimer);
     void this.exchange.close();
   }
 
@@ -170,12 +177,17 @@
   }
 
   /**
-   * Lifts the quarantines of a part.
-   * @param service - service of the part
-   * @param part - the part
+   * Lifts the quarantines of a part at all entries.
+   * @param query - `service` and `part`
+   * @returns whether both are given
    */
-  async lift(service: ServiceName, part: PromptPartId): Promise<void> {
-    await this.spread(this.quarantine.clear(service, [part]), 'operator');
+  lift(query: URLSearchParams): boolean {
+    const [service, part] = [query.get('service'), query.get('part')];
+    if (service === null || part === null) return false;
+    const parts = [promptPartId(part.toLowerCase())];
+    const change = this.quarantine.clear(serviceName(service), parts);
+    void this.spread(change, 'operator');
+    return true;
   }
 
   /**
@@ -195,10 +207,12 @@
   }
 
   /** Removes reports past their retention. */
-  expire(): void {
+  private expire(): void {
     const change = this.quarantine.expire(this.clock.wall());
     this.record(change, 'own');
-    for (const quarantine of change.removed) void this.erase(quarantine);
+    for (const quarantine of change.removed) {
+      void this.put(quarantine, NO_VALUE);
+    }
   }
 
   private async publishBatch(): Promise<void> {
@@ -247,17 +261,16 @@
     this.merge(last, 'peer');
   }
 
-  private store({added, removed}: EvidenceChange): void {
-    for (const quarantine of removed) void this.erase(quarantine);
+  private store({reports, added, removed}: EvidenceChange): void {
+    // What cleared a quarantine has to reach the other entries as well.
+    for (const quarantine of removed) {
+      void this.put(quarantine, encodeReports(reports));
+    }
     for (const quarantine of added) {
       void this.put(quarantine, encodeReports(quarantine.reports));
     }
   }
 
-  private erase(quarantine: Quarantine): Promise<void> {
-    return this.put(quarantine, new Uint8Array(0));
-  }
-
   /** Writes a record, with retries until it is stored. */
   private async put(quarantine: Quarantine, value: Uint8Array): Promise<void> {
     const {store, topic} = this.ports;
--- a/src/daemons/shared/operator_server.ts
+++ b/src/daemons/shared/operator_server.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
-import type {Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
 import {hostPort} from '../../core/index.js';
@@ -15,15 +15,28 @@
   status(): object;
   /** Readiness path of the platform's balancer, if it isn't `/readyz`. */
   readonly readinessPath?: string;
+  /** Actions by path, which a POST with their arguments in the query starts. */
+  readonly actions?: Readonly<Record<string, OperatorAction>>;
 }
 
+/** Action of an operator; returns whether its arguments are valid. */
+export type OperatorAction = (query: URLSearchParams) => boolean;
+
 const OPERATOR_REQUEST_TIMEOUT_MS = 10_000;
 
 async function respond(
   handlers: OperatorHandlers,
-  path: string,
+  {method, url = ''}: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
+  const [path = '', query = ''] = url.split('?', 2);
+  const action = handlers.actions?.[path];
+  if (action !== undefined) {
+    const isValid = method === 'POST' && action(new URLSearchParams(query));
+    res.statusCode = isValid ? 202 : 400;
+    res.end(isValid ? 'accepted\n' : 'a POST with valid arguments is needed\n');
+    return;
+  }
   switch (path === handlers.readinessPath ? '/readyz' : path) {
     case '/healthz':
       res.setHeader('content-type', 'text/plain');
@@ -49,15 +62,14 @@
   }
 }
 
-/** Serves `/healthz`, `/readyz`, `/metrics` and `/status`. */
+/** Serves `/healthz`, `/readyz`, `/metrics`, `/status` and actions. */
 export class OperatorServer {
   private readonly server: Server;
 
   /** @param handlers - sources of the responses */
   constructor(handlers: OperatorHandlers) {
     this.server = createServer((req, res) => {
-      const path = (req.url ?? '').split('?', 1)[0] ?? '';
-      void respond(handlers, path, res).catch(() => res.destroy());
+      void respond(handlers, req, res).catch(() => res.destroy());
     });
     this.server.requestTimeout = OPERATOR_REQUEST_TIMEOUT_MS;
   }
--- a/test/prompt_part_crashes.test.ts
+++ b/test/prompt_part_crashes.test.ts
@@ -62,17 +62,29 @@
   for (let i = 0; i < UPSTREAMS; i++) await estate.addUpstream(stream);
   estate.configure(3, [wireRoute('/plan/', 'streaming')]);
   await estate.waitUntilReady();
-  // Entries learn of each other from the store.
-  await pause(300);
+  for (let entry = 0; entry < ENTRIES; entry++) await knowsPeers(entry);
+}
+
+/** Waits until an entry has learnt of the others from the store. */
+async function knowsPeers(entry: number): Promise<void> {
+  for (;;) {
+    const {body} = await estate.operate('/status', 'GET', entry);
+    if (JSON.parse(body).entries === ENTRIES) return;
+    await pause(100);
+  }
 }
 
 let own = 0;
-function ask(parts: readonly string[], entry: number): Promise<Answer> {
+function ask(
+  parts: readonly string[],
+  entry: number,
+  entries = ENTRIES,
+): Promise<Answer> {
   own += 1;
   const ids = [...parts, `0${own.toString(16)}`];
   const prefix = ids.map(id => `${id}:40`).join(',');
   const headers = {'Prompt-Prefix': prefix};
-  return estate.call('/plan/1', headers, 'POST', entry % ENTRIES);
+  return estate.call('/plan/1', headers, 'POST', entry % entries);
 }
 
 /** Sends deadly requests through all entries in turn, sound ones between. */
@@ -100,4 +112,50 @@
       expect(sound).toMatchObject({status: 200, body: WHOLE_STREAM});
     }
   }, 20_000);
+
+  it('reaches no more upstreams while the store is away', async () => {
+    await startEstate();
+    estate.store.failureStatus = 503;
+    await sendDeadly(12);
+    expect(crashes).toBeLessThanOrEqual(MAX_CRASHES);
+    const later = deadlyArrivals.filter(before => before >= MAX_CRASHES);
+    expect(later.length).toBeLessThanOrEqual(MAX_LATER_REQUESTS);
+  }, 20_000);
+
+  it('reaches no upstream from an entry that starts later', async () => {
+    await startEstate();
+    await sendDeadly(6);
+    const before = deadlyArrivals.length;
+    await estate.addEntry();
+    await estate.waitUntilReady();
+    await pause(300);
+    const answer = await ask([COMMON, DEADLY], ENTRIES, ENTRIES + 1);
+    expect(answer.status).toBe(422);
+    expect(JSON.parse(answer.body)).toMatchObject({
+      reason: 'prompt_quarantined',
+      detail: `prompt part ${DEADLY}`,
+    });
+    expect(deadlyArrivals).toHaveLength(before);
+  }, 20_000);
+
+  it('crashes no second upstream by the same request', async () => {
+    await startEstate();
+    const answer = await ask([COMMON, DEADLY], 0);
+    expect(answer.isWhole).toBe(false);
+    expect(deadlyArrivals).toHaveLength(1);
+  }, 20_000);
+
+  it('is tried again after an operator lifts its quarantine', async () => {
+    await startEstate();
+    await sendDeadly(6);
+    const before = deadlyArrivals.length;
+    const query = `service=app&part=${DEADLY}`;
+    expect(await estate.operate(`/quarantine/lift?${query}`)).toMatchObject({
+      status: 400,
+    });
+    await estate.operate(`/quarantine/lift?${query}`, 'POST');
+    await pause(200);
+    await ask([COMMON, DEADLY], 1);
+    expect(deadlyArrivals).toHaveLength(before + 1);
+  }, 20_000);
 });
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -190,6 +190,7 @@
   readonly daemon: DirectEntry;
   readonly callers: string;
   readonly readiness: string;
+  readonly operators: string;
 }
 
 /** Entries, a stand-in for the store, and scripted upstreams. */
@@ -245,7 +246,8 @@
       },
     );
     await daemon.start();
-    this.entries.push({daemon, callers, readiness});
+    const port = hostPort('127.0.0.1', operators);
+    this.entries.push({daemon, callers, readiness, operators: port});
   }
 
   /**
@@ -305,6 +307,16 @@
     return (await this.send(readiness, '/api/readiness')).status;
   }
 
+  /**
+   * Sends a request to an entry's port for operators.
+   * @param path - path and query
+   * @param method - HTTP method
+   * @param entry - index of the entry
+   */
+  operate(path: string, method = 'GET', entry = 0): Promise<Answer> {
+    return this.send(this.entries[entry]!.operators, path, method);
+  }
+
   /** Drains the first entry, as its platform does before it stops the process. */
   async drain(): Promise<void> {
     await this.entries[0]!.daemon.drain();
