Dismiss the report of a crash when its upstream goes on with other runs

A reset of one connection right after the head of a response looks like a crash that its prompt caused. Bytes of any run at the same upstream within a second show that it is alive, at whichever entry; the report is then cleared for all.

--- a/src/daemons/direct/attempt_account.ts
+++ b/src/daemons/direct/attempt_account.ts
@@ -56,6 +56,7 @@
     const {context, group, progress, request} = this;
     const hadProgressed = hasProgressed(progress);
     progress.recordBytes(now, events);
+    context.quarantine.recordAlive(this.upstream);
     if (!hadProgressed && hasProgressed(progress)) {
       context.quarantine.recordAnswer(request);
     }
--- a/src/daemons/direct/quarantine_keeper.ts
+++ b/src/daemons/direct/quarantine_keeper.ts
@@ -15,6 +15,7 @@
   EvidenceChange,
   KeyedChange,
   Quarantine,
+  Upstream,
 } from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
 import type {Logger, Metrics} from '../../observability/index.js';
@@ -37,7 +38,8 @@
 const NO_VALUE = new Uint8Array(0);
 
 /** Source of evidence in the log. */
-type EvidenceSource = 'own' | 'answer' | 'peer' | 'store' | 'operator';
+type EvidenceSource =
+  'own' | 'answer' | 'alive' | 'peer' | 'store' | 'operator';
 
 /** What a quarantine keeper uses of its entry. */
 export interface QuarantinePorts {
@@ -172,10 +174,23 @@
   recordAnswer({service, metadata}: AdmittedRequest): void {
     const {sharedParts} = metadata;
     if (sharedParts.length === 0) return;
-    const change = this.quarantine.recordAnswer(service, sharedParts);
+    const change = this.quarantine.recordAnswer(
+      this.clock.wall(),
+      service,
+      sharedParts,
+    );
     void this.spread(change, 'answer');
   }
 
+  /**
+   * Records bytes of a run: its upstream is alive.
+   * @param upstream - the upstream
+   */
+  recordAlive({incarnation}: Upstream): void {
+    const wall = this.clock.wall();
+    void this.spread(this.quarantine.recordAlive(wall, incarnation), 'alive');
+  }
+
   /**
    * Lifts the quarantines of a part at all entries.
    * @param query - `service` and `part`
@@ -185,7 +200,11 @@
     const [service, part] = [query.get('service'), query.get('part')];
     if (service === null || part === null) return false;
     const parts = [promptPartId(part.toLowerCase())];
-    const change = this.quarantine.clear(serviceName(service), parts);
+    const change = this.quarantine.clear(
+      this.clock.wall(),
+      serviceName(service),
+      parts,
+    );
     void this.spread(change, 'operator');
     return true;
   }
@@ -250,8 +269,8 @@
     change: EvidenceChange,
     source: EvidenceSource,
   ): Promise<void> {
-    this.record(change, source);
     if (change.reports.length === 0) return;
+    this.record(change, source);
     this.store(change);
     const answers = await this.exchange.publish(change.reports);
     const further = this.merge(answers, 'peer');
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -2,6 +2,7 @@
 export * from './attempt_policy.js';
 export * from './attempt_progress.js';
 export * from './crash_batch.js';
+export * from './crash_signature.js';
 export * from './dialect.js';
 export * from './event_frames.js';
 export * from './stream_delivery.js';
--- a/src/direct/prompt_quarantine.test.ts
+++ b/src/direct/prompt_quarantine.test.ts
@@ -2,8 +2,7 @@
 import {describe, expect, it} from 'vitest';
 
 import {HOUR, incarnation, serviceName} from '../core/index.js';
-import {AttemptProgress} from './attempt_progress.js';
-import {PromptQuarantine, isCrashAtStart} from './prompt_quarantine.js';
+import {PromptQuarantine} from './prompt_quarantine.js';
 import type {CrashReport} from './prompt_quarantine.js';
 import {promptPartId, requestId} from './types.js';
 
@@ -13,7 +12,7 @@
   ReturnType<typeof promptPartId>,
   ReturnType<typeof promptPartId>,
 ];
-const BROKEN = {kind: 'may_have_run', reason: 'aborted'} as const;
+const NOW = 60_000;
 
 /** Adds a crash of another upstream to a quarantine. */
 function crash(
@@ -37,36 +36,10 @@
 const partsOf = (quarantine: PromptQuarantine) =>
   quarantine.current.map(({parts}) => parts);
 
-describe('isCrashAtStart', () => {
-  const progressOf = (events: number, idle: number) => {
-    const progress = new AttemptProgress(0);
-    progress.recordStart(0);
-    progress.recordBytes(1_000 - idle, events);
-    return progress;
-  };
-
-  it('is true for a run that broke off right after its head', () => {
-    expect(isCrashAtStart(1_000, progressOf(0, 60), BROKEN)).toBe(true);
-  });
-
-  it.each([
-    ['delivered events', progressOf(4, 3)],
-    ['stalled with its group', progressOf(1, 1_530)],
-    ['had not begun', new AttemptProgress(0)],
-  ])('is false for a run that %s', (_name, progress) => {
-    expect(isCrashAtStart(1_000, progress, BROKEN)).toBe(false);
-  });
-
-  it('is false for a request that did not run', () => {
-    const busy = {kind: 'not_run', reason: 'busy'} as const;
-    expect(isCrashAtStart(1_000, progressOf(0, 60), busy)).toBe(false);
-  });
-});
-
 describe('PromptQuarantine', () => {
   it('quarantines a part after two crashes without an answer', () => {
     const quarantine = new PromptQuarantine();
-    quarantine.recordAnswer(SERVICE, [COMMON]);
+    quarantine.recordAnswer(NOW, SERVICE, [COMMON]);
     expect(crash(quarantine, 1, [COMMON, DEADLY]).added).toEqual([]);
     expect(quarantine.match(SERVICE, [COMMON, DEADLY])).toBeUndefined();
     expect(crash(quarantine, 2, [COMMON, DEADLY]).added).toHaveLength(1);
@@ -83,14 +56,14 @@
     expect(partsOf(quarantine)).toEqual([[COMMON, DEADLY]]);
     expect(quarantine.match(SERVICE, [COMMON])).toBeUndefined();
     expect(quarantine.match(SERVICE, [COMMON, DEADLY])).toBeDefined();
-    quarantine.recordAnswer(SERVICE, [COMMON]);
+    quarantine.recordAnswer(NOW, SERVICE, [COMMON]);
     expect(partsOf(quarantine)).toEqual([[DEADLY]]);
     expect(quarantine.match(SERVICE, [OTHER, DEADLY])).toBeDefined();
   });
 
   it('takes answers that other entries know into account', () => {
     const [here, there] = [new PromptQuarantine(), new PromptQuarantine()];
-    there.recordAnswer(SERVICE, [COMMON]);
+    there.recordAnswer(NOW, SERVICE, [COMMON]);
     const {reports} = crash(here, 1, [COMMON, DEADLY]);
     there.merge(1_000, reports);
     here.merge(1_000, there.related(reports));
@@ -109,15 +82,31 @@
 
   it('quarantines a part with earlier answers after four crashes in a row', () => {
     const quarantine = new PromptQuarantine();
-    quarantine.recordAnswer(SERVICE, [COMMON]);
+    quarantine.recordAnswer(NOW, SERVICE, [COMMON]);
     for (const number of [1, 2, 3]) crash(quarantine, number, [COMMON]);
-    quarantine.recordAnswer(SERVICE, [COMMON]);
+    quarantine.recordAnswer(NOW, SERVICE, [COMMON]);
     for (const number of [4, 5, 6]) crash(quarantine, number, [COMMON]);
     expect(partsOf(quarantine)).toEqual([]);
     crash(quarantine, 7, [COMMON]);
     expect(partsOf(quarantine)).toEqual([[COMMON]]);
   });
 
+  it('ignores the crash of an upstream that goes on with other runs', () => {
+    const quarantine = new PromptQuarantine();
+    crash(quarantine, 1, [DEADLY], 1_000);
+    crash(quarantine, 2, [DEADLY], 2_000);
+    const upstream = incarnation('i-2@1');
+    expect(quarantine.recordAlive(2_050, upstream).removed).toEqual([]);
+    expect(quarantine.recordAlive(2_400, upstream).removed).toHaveLength(1);
+  });
+
+  it('counts the crash of an upstream that answers again later', () => {
+    const quarantine = new PromptQuarantine();
+    for (const number of [1, 2]) crash(quarantine, number, [DEADLY]);
+    quarantine.recordAlive(5_000, incarnation('i-2@1'));
+    expect(partsOf(quarantine)).toEqual([[DEADLY]]);
+  });
+
   it('quarantines several parts at once', () => {
     const quarantine = new PromptQuarantine();
     for (const number of [1, 3]) crash(quarantine, number, [DEADLY]);
@@ -128,7 +117,7 @@
   it('lifts a quarantine that an operator clears', () => {
     const quarantine = new PromptQuarantine();
     for (const number of [1, 2]) crash(quarantine, number, [DEADLY]);
-    expect(quarantine.clear(SERVICE, [DEADLY]).removed).toHaveLength(1);
+    expect(quarantine.clear(NOW, SERVICE, [DEADLY]).removed).toHaveLength(1);
     expect(quarantine.match(SERVICE, [DEADLY])).toBeUndefined();
   });
 
@@ -144,7 +133,7 @@
     for (const number of [1, 2]) crash(quarantine, number, [DEADLY]);
     for (let i = 3; i < 2_000; i++) {
       crash(quarantine, i, [promptPartId(`e${i}`)]);
-      quarantine.recordAnswer(SERVICE, [promptPartId(`a${i}`)]);
+      quarantine.recordAnswer(NOW, SERVICE, [promptPartId(`a${i}`)]);
     }
     expect(quarantine.allReports.length).toBeLessThanOrEqual(512);
     expect(partsOf(quarantine)).toEqual([[DEADLY]]);
--- a/src/direct/prompt_quarantine.ts
+++ b/src/direct/prompt_quarantine.ts
@@ -1,22 +1,21 @@
 import type {Incarnation, Millis, ServiceName} from '../core/index.js';
 import {HOUR} from '../core/index.js';
-import type {AttemptProgress} from './attempt_progress.js';
-import type {AttemptFailure} from './attempt_policy.js';
 import type {PromptPartId, RequestId} from './types.js';
 
-/** Events after which a run counts as unharmed by its prompt. */
-const PROGRESS_EVENTS = 2;
-/**
- * Longest time from the last bytes of a run to the crash that it causes. Ranks
- * that only lose another rank of their group stall for longer than that.
- */
-const MAX_CRASH_DELAY: Millis = 500;
 /** Crashes that convict a part on which no answer was ever seen. */
 const CRASHES_OF_NEW_PART = 2;
 /** Crashes in a row that convict a part with earlier answers. */
 const CRASHES_OF_KNOWN_PART = 4;
 /** Crashes closer to each other may have one cause, such as a network fault. */
 const MIN_CRASH_SEPARATION: Millis = 50;
+/**
+ * Time after a reported crash within which bytes of other runs at the upstream
+ * show that it is alive: later than what was in flight, earlier than a restart.
+ */
+const ALIVE_WINDOW: {readonly from: Millis; readonly to: Millis} = {
+  from: 100,
+  to: 1_000,
+};
 /** Age at which a report no longer counts, and its part is tried again. */
 const REPORT_RETENTION: Millis = 24 * HOUR;
 /** Maximum number of reports; the oldest without a quarantine go first. */
@@ -56,48 +55,6 @@
   readonly removed: readonly Quarantine[];
 }
 
-/**
- * Returns whether a run that had begun broke off without a stall.
- * @param now - current time
- * @param progress - progress of the run
- * @param failure - how the attempt ended
- */
-export function isBrokenOff(
-  now: Millis,
-  progress: AttemptProgress,
-  failure: AttemptFailure,
-): boolean {
-  const idle = progress.idleTime(now);
-  return (
-    failure.kind === 'may_have_run' &&
-    idle !== undefined &&
-    idle <= MAX_CRASH_DELAY
-  );
-}
-
-/**
- * Returns whether a run has progressed far enough to clear its prompt.
- * @param progress - progress of the run
- */
-export function hasProgressed(progress: AttemptProgress): boolean {
-  return progress.events >= PROGRESS_EVENTS;
-}
-
-/**
- * Returns whether a failed attempt looks like a crash that the request caused:
- * the run broke off before it made progress.
- * @param now - current time
- * @param progress - progress of the run
- * @param failure - how the attempt ended
- */
-export function isCrashAtStart(
-  now: Millis,
-  progress: AttemptProgress,
-  failure: AttemptFailure,
-): boolean {
-  return isBrokenOff(now, progress, failure) && !hasProgressed(progress);
-}
-
 /**
  * Quarantine of prompt parts that crash upstreams, as a query of death does.
  * Entries exchange crash reports and merge them in any order; which parts are
@@ -107,6 +64,8 @@
 export class PromptQuarantine {
   private readonly reports = new Map<string, CrashReport>();
   private quarantines: readonly Quarantine[] = [];
+  /** Times at which this entry learnt of recent crashes, by upstream. */
+  private readonly learntAt = new Map<Incarnation, Millis>();
   /** Parts with known answers, least recent first. */
   private readonly knownParts = new Set<string>();
 
@@ -178,31 +137,60 @@
 
   /**
    * Records an answer that went on, which clears its parts.
+   * @param wallTime - current wall-clock time, Unix ms
    * @param service - service of the request
    * @param parts - shared parts of its prompt
    */
   recordAnswer(
+    wallTime: number,
     service: ServiceName,
     parts: readonly PromptPartId[],
   ): EvidenceChange {
     for (const part of parts) this.addKnownPart(keyOf(service, part));
     if (this.reports.size === 0) return NO_CHANGE;
-    return this.clear(service, parts);
+    return this.clear(wallTime, service, parts);
   }
 
   /**
    * Clears parts from all reports, as an answer or an operator does.
+   * @param wallTime - current wall-clock time, Unix ms
    * @param service - service of the parts
    * @param parts - the parts
    */
-  clear(service: ServiceName, parts: readonly PromptPartId[]): EvidenceChange {
+  clear(
+    wallTime: number,
+    service: ServiceName,
+    parts: readonly PromptPartId[],
+  ): EvidenceChange {
     const cleared = [...this.reports.values()]
-      .filter(report => report.service === service)
+      .filter(
+        report =>
+          report.service === service &&
+          openSuspects(report).some(part => parts.includes(part)),
+      )
       .map(report => ({
         ...report,
         cleared: report.suspects.filter(part => parts.includes(part)),
       }));
-    return this.apply(cleared);
+    return this.apply(wallTime, cleared);
+  }
+
+  /**
+   * Records bytes of a run, which dismiss a report that its upstream crashed.
+   * @param wallTime - current wall-clock time, Unix ms
+   * @param upstream - upstream of the run
+   */
+  recordAlive(wallTime: number, upstream: Incarnation): EvidenceChange {
+    const learntAt = this.learntAt.get(upstream);
+    if (learntAt === undefined) return NO_CHANGE;
+    const elapsed = wallTime - learntAt;
+    if (elapsed < ALIVE_WINDOW.from) return NO_CHANGE;
+    this.learntAt.delete(upstream);
+    if (elapsed > ALIVE_WINDOW.to) return NO_CHANGE;
+    const dismissed = [...this.reports.values()]
+      .filter(report => report.upstream === upstream)
+      .map(report => ({...report, cleared: report.suspects}));
+    return this.apply(wallTime, dismissed);
   }
 
   /**
@@ -212,7 +200,10 @@
    */
   merge(wallTime: number, reports: readonly CrashReport[]): EvidenceChange {
     const recent = reports.filter(({at}) => wallTime - at < REPORT_RETENTION);
-    return this.apply(recent.map(report => this.withKnownCleared(report)));
+    return this.apply(
+      wallTime,
+      recent.map(report => this.withKnownCleared(report)),
+    );
   }
 
   /**
@@ -238,6 +229,9 @@
     for (const [id, {at}] of this.reports) {
       if (wallTime - at >= REPORT_RETENTION) this.reports.delete(id);
     }
+    for (const [upstream, learntAt] of this.learntAt) {
+      if (wallTime - learntAt > ALIVE_WINDOW.to) this.learntAt.delete(upstream);
+    }
     return this.derive([]);
   }
 
@@ -251,7 +245,10 @@
     return {...report, cleared: [...cleared, ...known]};
   }
 
-  private apply(reports: readonly CrashReport[]): EvidenceChange {
+  private apply(
+    wallTime: number,
+    reports: readonly CrashReport[],
+  ): EvidenceChange {
     const changed: CrashReport[] = [];
     for (const report of reports) {
       const id = `${report.upstream} ${report.request}`;
@@ -264,6 +261,7 @@
       };
       if (before?.cleared.length === merged.cleared.length) continue;
       this.reports.set(id, merged);
+      if (before === undefined) this.learntAt.set(report.upstream, wallTime);
       changed.push(merged);
     }
     if (changed.length === 0) return NO_CHANGE;
