Store the last state of a quarantine after an outage of the store

A quarantine and its lift that were both waiting for the store could be written in either order, so that an entry that starts later kept what was lifted. Writes of a key now follow each other with the latest value.

--- /dev/null
+++ b/src/daemons/direct/quarantine_keeper.test.ts
@@ -0,0 +1,67 @@
+import {errAsync, okAsync} from 'neverthrow';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+
+import type {KeyedStore} from '../../clients/index.js';
+import {Clock, incarnation, offset, serviceName} from '../../core/index.js';
+import {promptPartId, requestId} from '../../direct/index.js';
+import type {CrashReport} from '../../direct/index.js';
+import {Fault} from '../../errors/index.js';
+import {Metrics, SILENT_LOGGER} from '../../observability/index.js';
+import {decodeReports, encodeReports} from './crash_report_exchange.js';
+import {QuarantineKeeper} from './quarantine_keeper.js';
+
+class FixedClock extends Clock {
+  now = () => 10_000;
+  wall = () => 10_000;
+}
+
+const report = (number: number): CrashReport => ({
+  service: serviceName('assistant'),
+  upstream: incarnation(`i-${number}@1`),
+  request: requestId(`r${number}`),
+  at: number * 1_000,
+  suspects: [promptPartId('dead')],
+  isKnown: false,
+  cleared: [],
+});
+
+describe('QuarantineKeeper', () => {
+  beforeEach(() => vi.useFakeTimers());
+  afterEach(() => vi.useRealTimers());
+
+  it('stores the last state of a quarantine when the store is back', async () => {
+    let isAway = true;
+    const stored: CrashReport[][] = [];
+    const put: KeyedStore['put'] = (_topic, _key, value) => {
+      if (isAway) return errAsync(new Fault('store_unavailable'));
+      stored.push(decodeReports(value));
+      return okAsync(offset(stored.length));
+    };
+    const keeper = new QuarantineKeeper(
+      {
+        store: {put} as KeyedStore,
+        topic: 'quarantines',
+        onAdded: () => undefined,
+      },
+      new FixedClock(),
+      SILENT_LOGGER,
+      new Metrics(),
+    );
+    const value = encodeReports([report(1), report(2)]);
+    keeper.applyStored([{key: 'k', value}]);
+    const query = new URLSearchParams({service: 'assistant', part: 'dead'});
+    keeper.lift(query);
+    keeper.applyStored([
+      {key: 'k', value: encodeReports([report(3), report(4)])},
+    ]);
+    keeper.lift(query);
+    await vi.advanceTimersByTimeAsync(1_500);
+    isAway = false;
+    await vi.advanceTimersByTimeAsync(3_000);
+    expect(stored).toHaveLength(1);
+    const upstreams = stored[0]!.map(({upstream}) => upstream);
+    expect(upstreams).toEqual(['i-3@1', 'i-4@1']);
+    expect(stored[0]!.every(({cleared}) => cleared.length === 1)).toBe(true);
+    keeper.stop();
+  });
+});
--- a/src/daemons/direct/quarantine_keeper.ts
+++ b/src/daemons/direct/quarantine_keeper.ts
@@ -60,6 +60,8 @@
   private readonly batch = new CrashBatch();
   private readonly exchange: CrashReportExchange;
   private readonly changes;
+  /** Values that are being written to the store, by key. */
+  private readonly unstored = new Map<string, Uint8Array>();
   private readonly expiryTimer: NodeJS.Timeout;
   private isStopped = false;
 
@@ -290,17 +292,28 @@
     }
   }
 
-  /** Writes a record, with retries until it is stored. */
+  /**
+   * Writes a record, with retries until it is stored. A later value of the same
+   * key replaces one that was not stored yet.
+   */
   private async put(quarantine: Quarantine, value: Uint8Array): Promise<void> {
     const {store, topic} = this.ports;
     const {service, parts} = quarantine;
     const key = `${service}/${parts.join('+')}`.slice(0, MAX_KEY_BYTES);
+    const isWriting = this.unstored.has(key);
+    this.unstored.set(key, value);
+    if (isWriting) return;
     while (!this.isStopped) {
-      const put = await store.put(topic, key, value);
-      if (put.isOk()) return;
-      const {message: reason} = put.error;
-      this.logger.warn('quarantine_not_stored', {key, reason});
-      await new Promise(resolve => setTimeout(resolve, STORE_RETRY_DELAY));
+      const latest = this.unstored.get(key) ?? value;
+      const put = await store.put(topic, key, latest);
+      if (put.isErr()) {
+        const {message: reason} = put.error;
+        this.logger.warn('quarantine_not_stored', {key, reason});
+        await new Promise(resolve => setTimeout(resolve, STORE_RETRY_DELAY));
+      } else if (this.unstored.get(key) === latest) {
+        this.unstored.delete(key);
+        return;
+      }
     }
   }
 
