--- a/test/broken_answers.test.ts
+++ b/test/broken_answers.test.ts
@@ -1,22 +1,18 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {
+  chunk,
   DirectEstate,
+  event,
   requestIdOf,
+  ROUTES,
   sealedAnswer,
   wireRoute,
 } from './support/direct_estate.js';
 import type {Script} from './support/direct_estate.js';
 
-const ROUTES = [
-  wireRoute('/load/', 'unsafe'),
-  wireRoute('/sheet/', 'safe'),
-  wireRoute('/plan/', 'streaming'),
-];
 /** Statuses that promise callers that their request did not run. */
 const NOT_RUN = [408, 421, 429, 503];
-const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
-const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 
 let estate: DirectEstate;
 
--- a/test/direct_entry.test.ts
+++ b/test/direct_entry.test.ts
@@ -1,21 +1,16 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {
+  chunk,
   DirectEstate,
+  event,
   requestIdOf,
+  ROUTES,
   sealedAnswer,
   wireRoute,
 } from './support/direct_estate.js';
 import type {Script} from './support/direct_estate.js';
 
-const ROUTES = [
-  wireRoute('/load/', 'unsafe'),
-  wireRoute('/sheet/', 'safe'),
-  wireRoute('/plan/', 'streaming'),
-];
-const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
-const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
-
 let estate: DirectEstate;
 
 beforeEach(async () => {
--- a/test/endless_bytes.test.ts
+++ b/test/endless_bytes.test.ts
@@ -4,16 +4,11 @@
 import {
   DirectEstate,
   requestIdOf,
+  ROUTES,
   sealedAnswer,
-  wireRoute,
 } from './support/direct_estate.js';
 import type {Script} from './support/direct_estate.js';
 
-const ROUTES = [
-  wireRoute('/load/', 'unsafe'),
-  wireRoute('/sheet/', 'safe'),
-  wireRoute('/plan/', 'streaming'),
-];
 const FILLER = 'x'.repeat(16 * 2 ** 10);
 /** Half of the smallest VM's memory; the caller and the upstream run in it too. */
 const MAX_MEMORY_GROWTH_BYTES = 125 * 2 ** 20;
--- a/test/prompt_part_crashes.test.ts
+++ b/test/prompt_part_crashes.test.ts
@@ -2,6 +2,8 @@
 
 import {
   DirectEstate,
+  event,
+  pause,
   requestIdOf,
   sealedAnswer,
   wireRoute,
@@ -20,9 +22,7 @@
 
 const DEADLY = '48720f3588ea';
 const COMMON = 'a1979a9a31e';
-const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
 const WHOLE_STREAM = [1, 2, 3, 4].map(event).join('');
-const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 let estate: DirectEstate;
 /** Number of crashes before each deadly request reached an upstream. */
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -115,6 +115,23 @@
   );
 }
 
+/**
+ * Returns an event of a stream.
+ * @param id - its id
+ */
+export const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
+
+/**
+ * Returns a chunk of a body in chunked encoding.
+ * @param text - content of the chunk
+ */
+export const chunk = (text: string) =>
+  `${text.length.toString(16)}\r\n${text}\r\n`;
+
+/** Waits for a time in ms. */
+export const pause = (ms: number) =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
 /** An answer as its caller received it. */
 export interface Answer {
   readonly status: number;
@@ -151,6 +168,7 @@
 /** Test processes begin apart, so that none takes a port another has checked. */
 let nextPort = PORTS_START + ((process.pid * 97) % (PORTS_END - PORTS_START));
 
+/** Limits of the stand-in configuration, in the platform's format. */
 const LIMITS = {
   MaxHeaderBytes: 16_384,
   MaxBodyBytes: 65_536,
@@ -185,6 +203,13 @@
   };
 }
 
+/** One route of each retry class. */
+export const ROUTES = [
+  wireRoute('/load/', 'unsafe'),
+  wireRoute('/sheet/', 'safe'),
+  wireRoute('/plan/', 'streaming'),
+];
+
 /** A running entry and its addresses. */
 interface RunningEntry {
   readonly daemon: DirectEntry;
