Log from which source an update came and how late it can be

The configuration line now has the source and the time since the previous response, which bounds the delay; a histogram has the same for each topic.

--- a/src/clients/keyed_store.ts
+++ b/src/clients/keyed_store.ts
@@ -20,6 +20,8 @@
       readonly next: Offset;
       /** Least time between two reads, if it differs from the default, ms. */
       readonly spacing?: Millis;
+      /** Process that returned the page, if it was not the store itself. */
+      readonly relayedBy?: string;
     }
   /** The log no longer stores the requested records. */
   | {readonly kind: 'expired'};
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -113,6 +113,7 @@
       estate,
       clock,
       logger,
+      metrics,
       {
         onConfiguration: ({version, limits}) => {
           this.front.setLimits(limits);
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -22,10 +22,14 @@
   UpstreamChange,
   ZoneReader,
 } from '../../direct/index.js';
-import type {Logger} from '../../observability/index.js';
+import type {Logger, Metrics} from '../../observability/index.js';
 import type {Estate, StalenessBounds} from './estate.js';
 import {KeyedFollower} from './keyed_follower.js';
-import type {FollowerSettings} from './keyed_follower.js';
+import type {
+  FollowerListener,
+  FollowerSettings,
+  UpdateOrigin,
+} from './keyed_follower.js';
 import {parseRegisteredRank} from './rank_registry.js';
 import type {RegisteredRank} from './rank_registry.js';
 import {ZoneStore} from './zone_store.js';
@@ -92,6 +96,7 @@
   private readonly ranks = new Map<string, RegisteredRank>();
   private readonly entries = new Map<string, EntryRecord | undefined>();
   private readonly store: ZoneStore;
+  private readonly updateDelay;
   private hasUpstreams = false;
   private isStopped = false;
   private timer: NodeJS.Timeout | undefined;
@@ -102,6 +107,7 @@
    * @param estate - platform services
    * @param clock - the clock
    * @param logger - logs changes
+   * @param metrics - measures the delay of updates
    * @param listener - callbacks
    */
   constructor(
@@ -110,9 +116,15 @@
     private readonly estate: Estate,
     private readonly clock: Clock,
     private readonly logger: Logger,
+    metrics: Metrics,
     private readonly listener: EstateListener,
   ) {
     const {topics} = estate;
+    this.updateDelay = metrics.histogram(
+      'baobabspan_update_delay_bound_seconds',
+      'Time between an update of a topic and the contact before it',
+      ['topic'],
+    );
     this.store = new ZoneStore(
       estate.store,
       location.vm,
@@ -135,7 +147,8 @@
           wait: bounds.configuration,
           spacing: 0,
         },
-        changes => changes.forEach(change => this.applyConfiguration(change)),
+        (changes, origin) =>
+          changes.forEach(change => this.applyConfiguration(change, origin)),
       ),
       upstreams: this.createFollower(
         {
@@ -228,14 +241,20 @@
 
   private createFollower(
     settings: FollowerSettings,
-    onChanges: (changes: readonly KeyedChange[]) => void,
+    onChanges: FollowerListener['onChanges'],
   ): KeyedFollower {
     return new KeyedFollower(
       this.store,
       settings,
       this.clock,
       {
-        onChanges,
+        onChanges: (changes, origin) => {
+          onChanges(changes, origin);
+          const {sinceContact} = origin;
+          if (sinceContact === undefined) return;
+          const {topic} = settings;
+          this.updateDelay.observe({topic}, sinceContact / SECOND);
+        },
         onRecovered: () => {
           if (settings.topic !== this.estate.topics.upstreams) return;
           this.upstreams.recordRegistryRecovered(this.clock.now());
@@ -245,7 +264,10 @@
     );
   }
 
-  private applyConfiguration(change: KeyedChange): void {
+  private applyConfiguration(
+    change: KeyedChange,
+    {source, sinceContact}: UpdateOrigin,
+  ): void {
     const read = this.estate.parseConfiguration(change);
     if (read === undefined) return;
     if (read.isErr()) {
@@ -265,6 +287,8 @@
       routes: routes.length,
       services: services.length,
       organisations: organisations.length,
+      source,
+      since_contact_ms: sinceContact && Math.round(sinceContact),
     });
   }
 
--- a/src/daemons/direct/keyed_follower.ts
+++ b/src/daemons/direct/keyed_follower.ts
@@ -11,10 +11,21 @@
 const MIN_RETRY_DELAY: Millis = 100;
 const MAX_RETRY_DELAY: Millis = SECOND / 2;
 
+/** How an update reached a follower. */
+export interface UpdateOrigin {
+  /** `listing`, `store`, or the entry that relayed it. */
+  readonly source: string;
+  /**
+   * Time since the previous response, which is an upper bound of the delay of
+   * the update; undefined for the first.
+   */
+  readonly sinceContact: Millis | undefined;
+}
+
 /** Callbacks of a follower. */
 export interface FollowerListener {
   /** Called with new records, and with the first listing even if empty. */
-  onChanges(changes: readonly KeyedChange[]): void;
+  onChanges(changes: readonly KeyedChange[], origin: UpdateOrigin): void;
   /** Called when the store responds after an outage, before the changes. */
   onRecovered(downtime: Millis): void;
 }
@@ -98,7 +109,10 @@
       const {records, startedAt} = listing.value;
       this.nextOffset = startedAt;
       this.reportRecovery();
-      this.listener.onChanges(this.table.applyListing(records, startedAt));
+      this.listener.onChanges(
+        this.table.applyListing(records, startedAt),
+        this.originOf('listing'),
+      );
       return undefined;
     }
     // A waiting read would detect the recovery only when it ends.
@@ -115,10 +129,24 @@
     this.spacing = page.value.spacing ?? this.settings.spacing;
     this.reportRecovery();
     const changes = this.table.apply(records);
-    if (changes.length > 0) this.listener.onChanges(changes);
+    if (changes.length > 0) {
+      const source = page.value.relayedBy ?? 'store';
+      this.listener.onChanges(changes, this.originOf(source));
+    }
     return undefined;
   }
 
+  private originOf(source: string): UpdateOrigin {
+    const {lastContactAt} = this;
+    return {
+      source,
+      sinceContact:
+        lastContactAt === undefined
+          ? undefined
+          : this.clock.now() - lastContactAt,
+    };
+  }
+
   private recordSuccess(): void {
     this.failures = 0;
     this.lastContactAt = this.clock.now();
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -245,6 +245,7 @@
       const {next, records} = responseSchema.parse(unpack(bytes));
       return {
         kind: 'records' as const,
+        relayedBy: name,
         records: records.map(([key, at, value]) => ({
           key,
           offset: offset(at),
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -107,7 +107,13 @@
     return new Gauge({name, help, labelNames, registers: [this.registry]});
   }
 
-  private histogram(name: string, help: string, labelNames: string[]) {
+  /**
+   * Registers a histogram of durations, seconds.
+   * @param name - metric name
+   * @param help - help text of one sentence
+   * @param labelNames - names of the labels
+   */
+  histogram(name: string, help: string, labelNames: string[]): Histogram {
     return new Histogram({
       name,
       help,
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -471,6 +471,7 @@
       parts as Estate,
       new FixedClock(),
       createLogger('info', line => lines.push(line)),
+      new Metrics(),
       {
         onConfiguration: () => undefined,
         onUpstreamRemoved: () => undefined,
