Choose the source of each read by the age of the last contact

Callers saw requests handled by a version older than the bound. An entry read a topic through one path whose waits and timeouts added up to more than the bound: its read of the store waited for the whole bound and timed out a second later, so one lost response outlived the bound, and an entry that the store turned away asked nobody else, however long that lasted.

Responses now carry the age of the relay's contact. From it a pure planner chooses relay, store or peers and derives waits and timeouts from the bound, so that two failed attempts in a row stay inside it. Entries of small sites read from peers too.

--- a/src/clients/keyed_store.ts
+++ b/src/clients/keyed_store.ts
@@ -39,11 +39,14 @@
    * @param topic - the topic
    * @param from - offset of the first record
    * @param wait - how long the store may wait for a record, ms
+   * @param responseTimeout - timeout beyond the wait, ms; the client's default
+   *   if omitted
    */
   abstract read(
     topic: string,
     from: Offset,
     wait: Millis,
+    responseTimeout?: Millis,
   ): ResultAsync<KeyedPage, Fault>;
 
   /**
--- /dev/null
+++ b/src/daemons/direct/entry_directory.ts
@@ -0,0 +1,127 @@
+import {z} from 'zod';
+
+import type {KeyedStore} from '../../clients/index.js';
+import type {
+  AvailabilityZone,
+  Clock,
+  Millis,
+  VmName,
+} from '../../core/index.js';
+import {SECOND, vmName} from '../../core/index.js';
+import type {KeyedChange, ZoneReader} from '../../direct/index.js';
+import type {Logger} from '../../observability/index.js';
+
+const ANNOUNCE_RETRY_DELAY: Millis = SECOND;
+
+const entryRecord = z.object({
+  availabilityZone: z.string(),
+  /** `host:port` at which it relays updates from the store. */
+  relay: z.string(),
+});
+type EntryRecord = z.output<typeof entryRecord>;
+
+/** Location of an entry. */
+export interface EntryLocation {
+  readonly vm: VmName;
+  readonly availabilityZone: AvailabilityZone;
+  /** `host:port` at which it relays updates from the store to other entries. */
+  readonly relay: string;
+}
+
+/** Callbacks of an entry directory. */
+export interface EntryDirectoryListener {
+  /** Called with the number of entries that may be running. */
+  onEntryCount(count: number): void;
+  /** Called with the `host:port` of each other entry. */
+  onPeers(peers: readonly string[]): void;
+  /** Called with the entries that can be read from, and which are in the zone. */
+  onReaders(
+    readers: readonly ZoneReader[],
+    isInZone: (reader: ZoneReader) => boolean,
+  ): void;
+}
+
+/** Entries of the estate, each of which announces itself in the store. */
+export class EntryDirectory {
+  private readonly entries = new Map<string, EntryRecord | undefined>();
+  private isStopped = false;
+
+  /**
+   * @param location - location of this entry
+   * @param store - the platform's store
+   * @param topic - topic of the entries' records
+   * @param clock - the clock
+   * @param logger - logs changes
+   * @param listener - callbacks
+   */
+  constructor(
+    private readonly location: EntryLocation,
+    private readonly store: KeyedStore,
+    private readonly topic: string,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly listener: EntryDirectoryListener,
+  ) {}
+
+  /** Number of entries that may be running, including this one. */
+  get count(): number {
+    return Math.max(1, this.entries.size);
+  }
+
+  /** Stops announcing. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /**
+   * Applies records of the entries.
+   * @param changes - the records
+   */
+  apply(changes: readonly KeyedChange[]): void {
+    for (const {key, value} of changes) {
+      if (value === undefined) this.entries.delete(key);
+      else this.entries.set(key, parseEntry(value));
+    }
+    const {vm, availabilityZone, relay} = this.location;
+    this.entries.set(vm, {availabilityZone, relay});
+    this.listener.onEntryCount(this.entries.size);
+    const readers: ZoneReader[] = [];
+    for (const [name, entry] of this.entries) {
+      if (entry === undefined) continue;
+      readers.push({name: vmName(name), relay: entry.relay});
+    }
+    const peers = readers.map(reader => reader.relay);
+    this.listener.onPeers(peers.filter(peer => peer !== relay));
+    const isInZone = ({name}: ZoneReader) =>
+      this.entries.get(name)?.availabilityZone === availabilityZone;
+    this.listener.onReaders(readers, isInZone);
+    this.logger.info('entries', {
+      count: this.entries.size,
+      same_zone: readers.filter(isInZone).length,
+    });
+  }
+
+  /** Writes the record of this entry, with retries until it is stored. */
+  async announce(): Promise<void> {
+    const {vm, availabilityZone, relay} = this.location;
+    const startedAt = this.clock.wall();
+    const record = {startedAt, availabilityZone, relay};
+    const value = Buffer.from(JSON.stringify(record));
+    while (!this.isStopped) {
+      const put = await this.store.put(this.topic, vm, value);
+      if (put.isOk()) return;
+      this.logger.warn('announce_failed', {reason: put.error.message});
+      await new Promise(resolve => setTimeout(resolve, ANNOUNCE_RETRY_DELAY));
+    }
+  }
+}
+
+/** Returns undefined for another format: the entry counts, but can't relay. */
+function parseEntry(value: Uint8Array): EntryRecord | undefined {
+  try {
+    const text = Buffer.from(value).toString('utf8');
+    return entryRecord.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -1,16 +1,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import {z} from 'zod';
-
-import type {
-  AvailabilityZone,
-  Clock,
-  Millis,
-  VmName,
-} from '../../core/index.js';
-import {SECOND, vmName} from '../../core/index.js';
+import type {Clock, Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
 import {
   ConfigurationHolder,
+  INTERNAL_TIMING,
+  configurationTiming,
+  registrationTiming,
   UpstreamTable,
   upstreamId,
 } from '../../direct/index.js';
@@ -18,11 +14,13 @@
   DirectConfiguration,
   GroupKey,
   KeyedChange,
+  TopicTiming,
   Upstream,
   UpstreamChange,
-  ZoneReader,
 } from '../../direct/index.js';
 import type {Logger, Metrics} from '../../observability/index.js';
+import {EntryDirectory} from './entry_directory.js';
+import type {EntryLocation} from './entry_directory.js';
 import type {Estate, StalenessBounds} from './estate.js';
 import {KeyedFollower} from './keyed_follower.js';
 import type {
@@ -50,21 +48,6 @@
 const OWN_TOPICS_SPACING: Millis = 3 * SECOND;
 const EXPIRY_INTERVAL: Millis = SECOND / 4;
 
-const entryRecord = z.object({
-  availabilityZone: z.string(),
-  /** `host:port` at which it relays updates from the store. */
-  relay: z.string(),
-});
-type EntryRecord = z.output<typeof entryRecord>;
-
-/** Location of an entry. */
-export interface EntryLocation {
-  readonly vm: VmName;
-  readonly availabilityZone: AvailabilityZone;
-  /** `host:port` at which it relays updates from the store to its zone. */
-  readonly relay: string;
-}
-
 /** Callbacks of an estate tracker. */
 export interface EstateListener {
   /** Called when another version is in force. */
@@ -94,11 +77,10 @@
   };
   /** Ranks by engine address. */
   private readonly ranks = new Map<string, RegisteredRank>();
-  private readonly entries = new Map<string, EntryRecord | undefined>();
+  private readonly entries: EntryDirectory;
   private readonly store: ZoneStore;
   private readonly updateDelay;
   private hasUpstreams = false;
-  private isStopped = false;
   private timer: NodeJS.Timeout | undefined;
 
   /**
@@ -128,17 +110,24 @@
     this.store = new ZoneStore(
       estate.store,
       location.vm,
-      new Map([
-        [topics.configuration, bounds.configuration],
-        [topics.upstreams, bounds.leavingUpstream],
-        [topics.entries, OWN_TOPICS_WAIT],
-        [topics.ranks, OWN_TOPICS_WAIT],
-        [topics.quarantines, OWN_TOPICS_WAIT],
-      ]),
+      topicTimings(bounds, topics),
       clock,
       logger,
       (req, res) => listener.onPeerMessage(req, res),
     );
+    this.entries = new EntryDirectory(
+      location,
+      estate.store,
+      topics.entries,
+      clock,
+      logger,
+      {
+        onEntryCount: count => listener.onEntryCount(count),
+        onPeers: peers => listener.onPeers(peers),
+        onReaders: (readers, isInZone) =>
+          this.store.setEntries(readers, isInZone),
+      },
+    );
     this.followers = {
       configuration: this.createFollower(
         // An overdue response reveals an unresponsive connection.
@@ -164,7 +153,7 @@
           wait: OWN_TOPICS_WAIT,
           spacing: OWN_TOPICS_SPACING,
         },
-        changes => this.applyEntries(changes),
+        changes => this.entries.apply(changes),
       ),
       ranks: this.createFollower(
         {
@@ -186,12 +175,12 @@
     await this.store.listen(this.location.relay);
     for (const follower of Object.values(this.followers)) follower.start();
     this.timer = setInterval(() => this.expire(), EXPIRY_INTERVAL);
-    void this.announce();
+    void this.entries.announce();
   }
 
   /** Stops permanently. */
   stop(): void {
-    this.isStopped = true;
+    this.entries.stop();
     clearInterval(this.timer);
     for (const follower of Object.values(this.followers)) follower.stop();
     void this.store.close();
@@ -205,7 +194,7 @@
 
   /** Number of entries that may be running, including this one. */
   get entryCount(): number {
-    return Math.max(1, this.entries.size);
+    return this.entries.count;
   }
 
   /**
@@ -235,7 +224,7 @@
       version: this.holder.current?.configuration.version,
       configurationAgeMs: age(this.followers.configuration),
       upstreamsAgeMs: age(this.followers.upstreams),
-      entries: this.entries.size,
+      entries: this.entries.count,
     };
   }
 
@@ -322,45 +311,6 @@
     return change;
   }
 
-  private applyEntries(changes: readonly KeyedChange[]): void {
-    for (const {key, value} of changes) {
-      if (value === undefined) this.entries.delete(key);
-      else this.entries.set(key, parseEntry(value));
-    }
-    const {vm, availabilityZone, relay} = this.location;
-    this.entries.set(vm, {availabilityZone, relay});
-    this.listener.onEntryCount(this.entries.size);
-    const relays = [...this.entries.values()].map(entry => entry?.relay);
-    this.listener.onPeers(
-      relays.filter(peer => peer !== undefined && peer !== relay) as string[],
-    );
-    const sameZone: ZoneReader[] = [];
-    for (const [name, entry] of this.entries) {
-      if (entry?.availabilityZone !== availabilityZone) continue;
-      sameZone.push({name: vmName(name), relay: entry.relay});
-    }
-    this.store.setEntries(sameZone);
-    this.logger.info('entries', {
-      count: this.entries.size,
-      same_zone: sameZone.length,
-    });
-  }
-
-  /** Writes the record of this entry, with retries until it is stored. */
-  private async announce(): Promise<void> {
-    const {store, topics} = this.estate;
-    const {vm, availabilityZone, relay} = this.location;
-    const startedAt = this.clock.wall();
-    const record = {startedAt, availabilityZone, relay};
-    const value = Buffer.from(JSON.stringify(record));
-    while (!this.isStopped) {
-      const put = await store.put(topics.entries, vm, value);
-      if (put.isOk()) return;
-      this.logger.warn('announce_failed', {reason: put.error.message});
-      await new Promise(resolve => setTimeout(resolve, SECOND));
-    }
-  }
-
   private applyRanks(changes: readonly KeyedChange[]): void {
     for (const {key, value} of changes) {
       const place = parseRegisteredRank(key, value);
@@ -383,12 +333,16 @@
   }
 }
 
-/** Returns undefined for another format: the entry counts, but can't relay. */
-function parseEntry(value: Uint8Array): EntryRecord | undefined {
-  try {
-    const text = Buffer.from(value).toString('utf8');
-    return entryRecord.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
+/** Returns the timing of each topic that entries read through each other. */
+function topicTimings(
+  {configuration, leavingUpstream}: StalenessBounds,
+  topics: Estate['topics'],
+): ReadonlyMap<string, TopicTiming> {
+  return new Map([
+    [topics.configuration, configurationTiming(configuration)],
+    [topics.upstreams, registrationTiming(leavingUpstream)],
+    [topics.entries, INTERNAL_TIMING],
+    [topics.ranks, INTERNAL_TIMING],
+    [topics.quarantines, INTERNAL_TIMING],
+  ]);
 }
--- a/src/daemons/direct/zone_store.test.ts
+++ b/src/daemons/direct/zone_store.test.ts
@@ -19,10 +19,15 @@
 const BOUND = 1_000;
 const ENTRIES = 8;
 
+/** Response timeout of a store client that is given none. */
+const DEFAULT_RESPONSE_TIMEOUT = 1_000;
+
 /** An in-memory store that counts its calls and can become unavailable. */
 class CountingStore extends KeyedStore {
   calls = 0;
   isUnavailable = false;
+  /** Number of next reads whose responses are lost. */
+  lostResponses = 0;
 
   constructor(private readonly log: string[]) {
     super();
@@ -37,9 +42,17 @@
     _topic: string,
     from: Offset,
     wait: Millis,
+    responseTimeout: Millis = DEFAULT_RESPONSE_TIMEOUT,
   ): ResultAsync<KeyedPage, Fault> {
     this.calls += 1;
     if (this.isUnavailable) return errAsync(new Fault('store_unavailable'));
+    if (this.lostResponses > 0) {
+      this.lostResponses -= 1;
+      const timeout = pause(wait + responseTimeout);
+      return okAsync(undefined)
+        .map(() => timeout)
+        .andThen(() => errAsync(new Fault('store_unavailable')));
+    }
     const page = async (): Promise<KeyedPage> => {
       const end = performance.now() + wait;
       while (this.log.length <= from && performance.now() < end) {
@@ -60,6 +73,8 @@
   }
 }
 
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
 interface Entry {
   readonly store: CountingStore;
   readonly zone: ZoneStore;
@@ -69,26 +84,32 @@
 
 describe('ZoneStore', () => {
   let log: string[];
-  let entries: Entry[];
+  let entries: Entry[] = [];
   /** Relay addresses of the entries. */
   let relays: string[];
 
-  beforeEach(async () => {
+  beforeEach(() => startZone(ENTRIES));
+
+  /** Starts entries of one zone and waits until they follow the topic. */
+  async function startZone(count: number): Promise<void> {
+    await stopZone();
     log = [];
     entries = [];
     const clock = new SystemClock();
     const zoneEntries: {name: ReturnType<typeof vmName>; relay: string}[] = [];
-    for (let i = 0; i < ENTRIES; i++) {
+    for (let i = 0; i < count; i++) {
       const relay = hostPort('127.0.0.1', await freePort());
       zoneEntries.push({name: vmName(`entry-${i}`), relay});
     }
     relays = zoneEntries.map(({relay}) => relay);
     for (const {name, relay} of zoneEntries) {
       const store = new CountingStore(log);
-      const bounds = new Map([[TOPIC, BOUND]]);
-      const zone = new ZoneStore(store, name, bounds, clock, SILENT_LOGGER);
+      const timings = new Map([
+        [TOPIC, {bound: BOUND, busySpacing: 0.4 * BOUND}],
+      ]);
+      const zone = new ZoneStore(store, name, timings, clock, SILENT_LOGGER);
       await zone.listen(relay);
-      zone.setEntries(zoneEntries);
+      zone.setEntries(zoneEntries, () => true);
       const received: string[] = [];
       const onChanges = (changes: readonly KeyedChange[]) =>
         changes.forEach(({value}) =>
@@ -105,14 +126,15 @@
       entries.push({store, zone, follower, received});
     }
     await pause(2 * BOUND);
-  });
+  }
 
-  afterEach(async () => {
+  afterEach(() => stopZone());
+
+  async function stopZone(): Promise<void> {
     for (const {follower} of entries) follower.stop();
     await Promise.all(entries.map(({zone}) => zone.close()));
-  });
-
-  const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+    entries = [];
+  }
 
   /** Returns the time until all given entries have received a text, ms. */
   async function timeUntilReceived(
@@ -165,6 +187,44 @@
     15_000,
   );
 
+  it.each([2, ENTRIES])(
+    'reads from peers when the store turns away half of %s entries',
+    async count => {
+      await startZone(count);
+      const turnedAway = entries.slice(0, count / 2);
+      for (const {store} of turnedAway) store.isUnavailable = true;
+      for (let i = 0; i < 5; i++) {
+        log.push(`update ${i}`);
+        const delay = await timeUntilReceived(`update ${i}`, turnedAway);
+        expect(delay).toBeLessThan(BOUND);
+      }
+    },
+    30_000,
+  );
+
+  it.each([2, ENTRIES])(
+    'receives updates within the bound after a lost response at each of %s entries',
+    async count => {
+      await startZone(count);
+      for (const {store} of entries) store.lostResponses = 1;
+      // The next read of each entry that reads for itself has begun by then.
+      await pause(0.6 * BOUND);
+      log.push('after');
+      expect(await timeUntilReceived('after', entries)).toBeLessThan(BOUND);
+    },
+    30_000,
+  );
+
+  it('does not take two entries without the store for each other', async () => {
+    await startZone(2);
+    const [first, second] = entries as [Entry, Entry];
+    first.store.isUnavailable = true;
+    second.store.isUnavailable = true;
+    await pause(2 * BOUND);
+    const lost = await first.zone.read(TOPIC, offset(log.length), 0);
+    expect(lost.isErr()).toBe(true);
+  });
+
   it('survives a record that coincides with a poll timeout on a slow connection', async () => {
     log.push('first');
     await timeUntilReceived('first', entries);
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -1,48 +1,33 @@
-import {once} from 'node:events';
-import {createServer} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import {pack, unpack} from 'msgpackr';
-import {ResultAsync, okAsync} from 'neverthrow';
+import {unpack} from 'msgpackr';
+import {ResultAsync, err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 
 import {KeyedStore, withTimeout} from '../../clients/index.js';
 import type {KeyedListing, KeyedPage} from '../../clients/index.js';
 import type {Clock, Millis, Offset, VmName} from '../../core/index.js';
-import {SECOND, offset} from '../../core/index.js';
-import {RelayBuffer, ZoneReaderSelector} from '../../direct/index.js';
-import type {RelayResponse, ZoneReader} from '../../direct/index.js';
-import {Fault, asFault, describeError} from '../../errors/index.js';
+import {offset} from '../../core/index.js';
+import {RelaySelector, nextReadStep, peerSpacing} from '../../direct/index.js';
+import type {
+  ReadSource,
+  ReadStep,
+  TopicTiming,
+  ZoneReader,
+} from '../../direct/index.js';
+import {Fault, asFault} from '../../errors/index.js';
 import type {Logger} from '../../observability/index.js';
-import {splitAddress} from './attempt.js';
 import {DependencyHealth} from './dependency_health.js';
+import {AGE_HEADER, MISS_HEADER, RelayServer} from './relay_server.js';
 
-/**
- * Maximum wait of a listener's long poll, as a fraction of the staleness bound
- * of its topic.
- */
-const LONG_POLL_FRACTION = 0.2;
-/** Maximum wait of a relay's own read, as a fraction of the bound. */
-const READ_WAIT_FRACTION = 0.25;
-/** Time between a relay's reads of a busy topic, as a fraction of the bound. */
-const READ_SPACING_FRACTION = 0.4;
-/** Additional tolerance for the age of a relay's contact with the store. */
-const CONTACT_SLACK: Millis = 300;
-/** Time for a response beyond the wait that was requested. */
-const RESPONSE_TIMEOUT: Millis = 400;
-/** A topic without polls for this time is read for this entry only. */
-const LISTENER_TTL: Millis = 5 * SECOND;
+/** Connect timeout of a relay. */
+const CONNECT_TIMEOUT: Millis = 400;
 const MAX_CONNECTIONS = 4;
 const OK = 200;
 const NO_CONTENT = 204;
-const UNAVAILABLE = 503;
 
-const querySchema = z.object({
-  topic: z.string(),
-  from: z.coerce.number().int().nonnegative(),
-  wait: z.coerce.number().nonnegative().max(30_000),
-});
 const responseSchema = z.object({
   next: z.int().nonnegative(),
   records: z.array(
@@ -50,93 +35,59 @@
   ),
 });
 
-/** Long poll of a listener, which receives one response. */
-class LongPoll {
-  private timer: NodeJS.Timeout | undefined;
-  private isResponded = false;
-
-  /**
-   * @param from - offset from which it reads
-   * @param res - the HTTP response
-   */
-  constructor(
-    readonly from: Offset,
-    private readonly res: ServerResponse,
-  ) {}
-
-  /**
-   * Starts the timeout of the poll.
-   * @param wait - the timeout
-   * @param onTimeout - called at the timeout unless it was responded to
-   */
-  startTimeout(wait: Millis, onTimeout: () => void): void {
-    this.timer = setTimeout(onTimeout, wait);
-  }
-
-  /**
-   * Responds, unless that was done already.
-   * @param response - the response
-   */
-  respond(response: RelayResponse): void {
-    this.cancelTimeout();
-    if (this.isResponded) return;
-    this.isResponded = true;
-    writeResponse(this.res, response);
-  }
-
-  /** Cancels the timeout, as when the listener has disconnected. */
-  cancelTimeout(): void {
-    clearTimeout(this.timer);
-  }
+/** Records of a topic and the time as of which there were no further ones. */
+interface RelayedPage {
+  readonly page: KeyedPage & {kind: 'records'};
+  readonly contactAt: Millis;
 }
 
-interface TopicState {
-  readonly buffer: RelayBuffer;
-  readonly polls: Set<LongPoll>;
-  lastPolledAt: Millis;
+/** Topic and position of a read. */
+interface ReadPosition {
+  readonly topic: string;
+  readonly from: Offset;
+  /** Maximum wait that the caller requests. */
+  readonly wait: Millis;
 }
 
 /**
- * Client of the platform's store that reads through a relay: one entry reads
- * for its zone. Each entry keeps its own table and falls back to the store
- * itself if the relay does not respond, cannot reach the store or lacks the
- * requested records; applied records are never reverted. This limits the load
- * of a hundred entries that each follow four topics.
+ * Client of the platform's store that reads through other entries as well: one
+ * entry reads for its zone, and an entry that the store turns away or does not
+ * respond to reads from peers. Each entry keeps its own table, so applied
+ * records are never reverted. The relay limits the load of a hundred entries
+ * that each follow several topics.
  */
 export class ZoneStore extends KeyedStore {
-  private readonly topics = new Map<string, TopicState>();
-  private readonly readers: ZoneReaderSelector;
+  private readonly server: RelayServer;
+  private readonly selector: RelaySelector;
   private readonly relayHealth: DependencyHealth;
-  private readonly server: Server;
+  /** Number of consecutive failed reads of the store, by topic. */
+  private readonly storeFailures = new Map<string, number>();
   private readonly agent = new Agent({
     connections: MAX_CONNECTIONS,
     pipelining: 1,
-    connectTimeout: RESPONSE_TIMEOUT,
+    connectTimeout: CONNECT_TIMEOUT,
   });
 
   /**
    * @param store - the store itself
    * @param vm - this entry
-   * @param bounds - staleness bound of each topic
+   * @param timings - timing of each topic that is read through other entries
    * @param clock - the clock
-   * @param logger - logs outages of the relay
+   * @param logger - logs outages of the store and the relay
    * @param onMessage - called with messages of other entries
    */
   constructor(
     private readonly store: KeyedStore,
     vm: VmName,
-    private readonly bounds: ReadonlyMap<string, Millis>,
+    private readonly timings: ReadonlyMap<string, TopicTiming>,
     private readonly clock: Clock,
     private readonly logger: Logger,
     onMessage?: (req: IncomingMessage, res: ServerResponse) => void,
   ) {
     super();
-    this.readers = new ZoneReaderSelector(vm);
+    this.selector = new RelaySelector(vm);
     this.relayHealth = new DependencyHealth('relay', clock, logger);
-    this.server = createServer((req, res) => {
-      if (req.method === 'POST' && onMessage !== undefined) onMessage(req, res);
-      else this.handle(req, res);
-    });
+    this.server = new RelayServer(timings, clock, logger, onMessage);
   }
 
   /**
@@ -144,24 +95,25 @@
    * @param address - `host:port`
    */
   async listen(address: string): Promise<void> {
-    const {host, port} = splitAddress(address);
-    this.server.listen({host, port});
-    await once(this.server, 'listening');
+    await this.server.listen(address);
   }
 
   /** Stops relaying. */
   async close(): Promise<void> {
     this.server.close();
-    this.server.closeAllConnections();
     await this.agent.destroy();
   }
 
   /**
-   * Replaces the entries of the zone.
-   * @param entries - all entries, including this one
+   * Replaces the entries.
+   * @param entries - all entries of the estate, including this one
+   * @param isInZone - whether an entry is in the zone of this one
    */
-  setEntries(entries: readonly ZoneReader[]): void {
-    this.readers.setEntries(entries);
+  setEntries(
+    entries: readonly ZoneReader[],
+    isInZone: (entry: ZoneReader) => boolean,
+  ): void {
+    this.selector.setEntries(entries, isInZone);
   }
 
   list(topic: string): ResultAsync<KeyedListing, Fault> {
@@ -181,170 +133,154 @@
     from: Offset,
     wait: Millis,
   ): ResultAsync<KeyedPage, Fault> {
-    const bound = this.bounds.get(topic);
-    const now = this.clock.now();
-    const reader = this.readers.current(now);
-    if (bound === undefined || reader === undefined) {
-      return this.readStore(topic, from, wait);
+    const timing = this.timings.get(topic);
+    if (timing === undefined) return this.store.read(topic, from, wait);
+    return new ResultAsync(this.readThrough({topic, from, wait}, timing));
+  }
+
+  /** Tries the sources in turn until one responds. */
+  private async readThrough(
+    position: ReadPosition,
+    timing: TopicTiming,
+  ): Promise<Result<KeyedPage, Fault>> {
+    const {topic, wait} = position;
+    const tried: ReadSource[] = [];
+    let fault: Fault | undefined;
+    for (;;) {
+      const now = this.clock.now();
+      const hasListeners = this.server.hasListeners(now, topic);
+      const step = nextReadStep(now, timing, {
+        contactAt: this.contactAt(topic),
+        wait,
+        hasListeners,
+        // Entries that poll this one must not be polled by it.
+        relay: hasListeners ? undefined : this.selector.relay(now),
+        peers: this.selector.peers(now),
+        storeFailures: this.storeFailures.get(topic) ?? 0,
+        tried,
+      });
+      if (step === undefined) {
+        return err(fault ?? new Fault('store_unavailable'));
+      }
+      tried.push(step.source);
+      const page =
+        step.source.kind === 'store'
+          ? await this.readStore(position, step, timing)
+          : await this.readEntry(position, step, step.source.entry, timing);
+      if (page.isOk()) return page;
+      // The failure of the store is the one to report.
+      if (fault === undefined || step.source.kind === 'store') {
+        fault = page.error;
+      }
     }
-    // Entries that poll this one must not be polled by it.
-    if (this.hasListeners(now, topic)) return this.readStore(topic, from, wait);
-    const readWait = Math.min(wait, bound * LONG_POLL_FRACTION);
-    return this.queryRelay(reader, topic, from, readWait).andThen(page =>
-      page === undefined
-        ? this.readStore(topic, from, wait)
-        : okAsync<KeyedPage, Fault>(page),
-    );
   }
 
-  private readStore(
-    topic: string,
-    from: Offset,
-    wait: Millis,
-  ): ResultAsync<KeyedPage, Fault> {
-    const bound = this.bounds.get(topic);
-    const hasListeners = this.hasListeners(this.clock.now(), topic);
-    if (bound === undefined) return this.store.read(topic, from, wait);
-    const readWait = hasListeners
-      ? Math.min(wait, bound * READ_WAIT_FRACTION)
-      : wait;
-    return this.store.read(topic, from, readWait).map(page => {
-      if (page.kind !== 'records') return page;
-      const {buffer} = this.topicOf(topic);
-      buffer.append(this.clock.now(), from, page.records, page.next);
-      this.respondToPolls(topic);
-      if (!hasListeners) return page;
-      const isBusy = page.records.length > 0;
-      return {...page, spacing: isBusy ? bound * READ_SPACING_FRACTION : 0};
-    });
+  private async readStore(
+    {topic, from}: ReadPosition,
+    {wait, timeout}: ReadStep,
+    {busySpacing}: TopicTiming,
+  ): Promise<Result<KeyedPage, Fault>> {
+    const read = await this.store.read(topic, from, wait, timeout - wait);
+    if (read.isErr()) {
+      const failures = this.storeFailures.get(topic) ?? 0;
+      this.storeFailures.set(topic, failures + 1);
+      const reason = read.error.message;
+      if (failures === 0)
+        this.logger.warn('store_unreachable', {topic, reason});
+      return read;
+    }
+    if (this.storeFailures.delete(topic)) {
+      this.logger.info('store_reachable', {topic});
+    }
+    if (read.value.kind !== 'records') return read;
+    const now = this.clock.now();
+    this.append(topic, from, {page: read.value, contactAt: now});
+    if (!this.server.hasListeners(now, topic)) return read;
+    const isBusy = read.value.records.length > 0;
+    return ok({...read.value, spacing: isBusy ? busySpacing : 0});
   }
 
-  /** Queries the relay; undefined if the store has to be read instead. */
-  private queryRelay(
+  private async readEntry(
+    position: ReadPosition,
+    step: ReadStep,
+    entry: ZoneReader,
+    timing: TopicTiming,
+  ): Promise<Result<KeyedPage, Fault>> {
+    const {topic, from} = position;
+    const isPeer = step.source.kind === 'peer';
+    const read = await this.query(entry, position, step);
+    if (read.isErr()) return err(read.error);
+    const {page, contactAt} = read.value;
+    const isNewer =
+      page.records.length > 0 || contactAt > this.contactAt(topic);
+    // Two entries without the store must not take each other for it.
+    if (isPeer && !isNewer) {
+      return err(new Fault('store_unavailable', `${entry.name} is no newer`));
+    }
+    this.append(topic, from, read.value);
+    if (!isPeer) return ok(page);
+    this.selector.recordResponse(entry.name);
+    return ok({...page, spacing: peerSpacing(timing)});
+  }
+
+  private query(
     {name, relay}: ZoneReader,
-    topic: string,
-    from: Offset,
-    wait: Millis,
-  ): ResultAsync<KeyedPage | undefined, Fault> {
+    {topic, from}: ReadPosition,
+    {source, wait, timeout}: ReadStep,
+  ): ResultAsync<RelayedPage, Fault> {
     const query = new URLSearchParams({
       topic,
       from: `${from}`,
       wait: `${wait}`,
+      ...(source.kind === 'peer' ? {as: 'peer'} : {}),
     });
-    const page = withTimeout(wait + RESPONSE_TIMEOUT, async signal => {
+    const response = withTimeout(timeout, async signal => {
       const res = await request(`http://${relay}/?${query}`, {
         dispatcher: this.agent,
         signal,
       });
-      const bytes = Buffer.from(await res.body.arrayBuffer());
-      this.relayHealth.recordSuccess();
-      if (res.statusCode === NO_CONTENT) {
-        return {kind: 'records' as const, records: [], next: from, spacing: 0};
-      }
-      if (res.statusCode !== OK) return undefined;
-      const {next, records} = responseSchema.parse(unpack(bytes));
-      return {
-        kind: 'records' as const,
-        relayedBy: name,
-        records: records.map(([key, at, value]) => ({
-          key,
-          offset: offset(at),
-          value: value ?? undefined,
-        })),
-        next: offset(next),
-        spacing: 0,
-      };
+      const body = Buffer.from(await res.body.arrayBuffer());
+      const {statusCode: status, headers} = res;
+      const age = Number(headers[AGE_HEADER] ?? Infinity);
+      if (status === NO_CONTENT) return {age, next: from, records: []};
+      if (status === OK) return {age, ...responseSchema.parse(unpack(body))};
+      return {miss: `${String(headers[MISS_HEADER])}`};
     });
-    return ResultAsync.fromPromise(page, thrown =>
-      asFault(thrown, 'store_unavailable'),
-    ).orElse(fault => {
-      this.readers.recordFailure(this.clock.now(), name);
+    return ResultAsync.fromPromise(response, thrown => {
+      this.selector.recordFailure(this.clock.now(), name);
+      const fault = asFault(thrown, 'store_unavailable');
       this.relayHealth.recordFailure(`${name}: ${fault.message}`);
-      return okAsync<KeyedPage | undefined, Fault>(undefined);
-    });
-  }
-
-  private handle(req: IncomingMessage, res: ServerResponse): void {
-    const [, query = ''] = (req.url ?? '').split('?', 2);
-    const params = new URLSearchParams(query);
-    const parsed = querySchema.safeParse(Object.fromEntries(params));
-    const {topic: name = '', from = 0, wait = 0} = parsed.data ?? {};
-    const bound = this.bounds.get(name);
-    if (!parsed.success || bound === undefined) {
-      res.writeHead(UNAVAILABLE).end();
-      return;
-    }
-    const topic = this.topicOf(name);
-    topic.lastPolledAt = this.clock.now();
-    res.on('error', err => {
-      this.logger.debug('relay_answer_not_taken', {err: describeError(err)});
-    });
-    const poll = new LongPoll(offset(from), res);
-    if (this.tryRespond(name, poll)) return;
-    topic.polls.add(poll);
-    poll.startTimeout(wait, () => {
-      topic.polls.delete(poll);
-      this.tryRespond(name, poll, true);
-    });
-    res.once('close', () => {
-      poll.cancelTimeout();
-      topic.polls.delete(poll);
+      return fault;
+    }).andThen((read): Result<RelayedPage, Fault> => {
+      this.relayHealth.recordSuccess();
+      const now = this.clock.now();
+      if ('miss' in read) {
+        if (read.miss === 'stale') this.selector.recordStale(now, name);
+        return err(new Fault('store_unavailable', `${name}: ${read.miss}`));
+      }
+      const records = read.records.map(([key, at, value]) => ({
+        key,
+        offset: offset(at),
+        value: value ?? undefined,
+      }));
+      const next = offset(read.next);
+      return ok({
+        page: {kind: 'records', relayedBy: name, records, next, spacing: 0},
+        contactAt: now - read.age,
+      });
     });
   }
 
-  /** Responds to a poll if there are records, or if it has timed out. */
-  private tryRespond(name: string, poll: LongPoll, isLast = false): boolean {
-    const {buffer} = this.topicOf(name);
-    const maxAge =
-      (this.bounds.get(name) ?? 0) * READ_SPACING_FRACTION + CONTACT_SLACK;
-    const response = buffer.read(this.clock.now(), poll.from, maxAge);
-    if (response.kind === 'nothing' && !isLast) return false;
-    poll.respond(response);
-    return true;
-  }
-
-  private respondToPolls(name: string): void {
-    const {polls} = this.topicOf(name);
-    for (const poll of [...polls]) {
-      if (this.tryRespond(name, poll)) polls.delete(poll);
-    }
-  }
-
-  private hasListeners(now: Millis, name: string): boolean {
-    const {lastPolledAt} = this.topicOf(name);
-    return now - lastPolledAt <= LISTENER_TTL;
-  }
-
-  private topicOf(name: string): TopicState {
-    let topic = this.topics.get(name);
-    if (topic === undefined) {
-      topic = {
-        buffer: new RelayBuffer(),
-        polls: new Set(),
-        lastPolledAt: -Infinity,
-      };
-      this.topics.set(name, topic);
-    }
-    return topic;
+  private append(
+    topic: string,
+    from: Offset,
+    {page: {records, next}, contactAt}: RelayedPage,
+  ): void {
+    this.server.bufferOf(topic)?.append(contactAt, from, records, next);
+    this.server.respondToPolls(topic);
   }
-}
 
-function writeResponse(res: ServerResponse, response: RelayResponse): void {
-  switch (response.kind) {
-    case 'nothing':
-      res.writeHead(NO_CONTENT).end();
-      return;
-    case 'unavailable':
-      res.writeHead(UNAVAILABLE).end();
-      return;
-    case 'records': {
-      const records = response.records.map(({key, offset: at, value}) => [
-        key,
-        at,
-        value ?? null,
-      ]);
-      const body = pack({next: response.next, records});
-      res.writeHead(OK, {'content-length': body.length}).end(body);
-    }
+  private contactAt(topic: string): Millis {
+    return this.server.bufferOf(topic)?.contactAt ?? -Infinity;
   }
 }
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -507,7 +507,7 @@
   const topic = params.get('topic') ?? '';
   const from = offset(Number(params.get('from')));
   const wait = Number(params.get('wait'));
-  const bounds = new Map([[topic, 30_000]]);
+  const timings = new Map([[topic, {bound: 30_000, busySpacing: 12_000}]]);
   const logger = createLogger('error', () => undefined);
   const page: KeyedPage = {
     kind: 'records',
@@ -522,7 +522,7 @@
   it('answers the recorded question with the recorded body', async () => {
     const clock = new FixedClock();
     const store = new MemoryStore(new Map(), page);
-    const zone = new ZoneStore(store, vmName('a'), bounds, clock, logger);
+    const zone = new ZoneStore(store, vmName('a'), timings, clock, logger);
     const address = hostPort('127.0.0.1', await freePort());
     await zone.listen(address);
     try {
@@ -546,7 +546,7 @@
     const zone = new ZoneStore(
       new MemoryStore(),
       vmName('z'),
-      bounds,
+      timings,
       new FixedClock(),
       logger,
     );
@@ -556,6 +556,7 @@
         name: vmName(name),
         relay: address,
       })),
+      () => true,
     );
     try {
       const heard = (await zone.read(topic, from, wait))._unsafeUnwrap();
