Keep the request limits that upstreams name

Callers' requests went on to an upstream in need at its usual rate: nothing read Server-Limit. Each entry now keeps an equal share of the limit, by a token bucket that starts empty or, where one token at each entry were too many, by a time slot of its own; entries tell each other of limits and of their ends. What no upstream may take is rejected with the time of the next slot.

--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -55,8 +55,17 @@
   /** Returns the connection pool for requests of a route. */
   connectionsFor(route: Route): UpstreamConnections;
 
-  /** Applies the departure or backoff that a response head announces. */
-  applyResponseMetadata(upstream: Upstream, metadata: ResponseMetadata): void;
+  /**
+   * Applies the departure, backoff or limit that a response head announces.
+   * @param upstream - the upstream
+   * @param sentAt - time at which the request was sent
+   * @param metadata - metadata of the response
+   */
+  applyResponseMetadata(
+    upstream: Upstream,
+    sentAt: Millis,
+    metadata: ResponseMetadata,
+  ): void;
 
   /** Records that another upstream responded at the address. */
   markReplaced(upstream: Upstream): void;
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -1,3 +1,5 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
 import type {Clock, Millis, ServiceName} from '../../core/index.js';
 import {SECOND, hostPort} from '../../core/index.js';
 import {
@@ -24,6 +26,8 @@
 import type {AdmittedRequest} from './admitted_request.js';
 import {FrontServer} from './front_server.js';
 import type {BufferedRequest} from './front_server.js';
+import {LIMITS_PATH, LimitKeeper} from './limit_keeper.js';
+import {PeerChannel} from './peer_channel.js';
 import {QuarantineKeeper, ageOf} from './quarantine_keeper.js';
 import {RequestLog} from './request_log.js';
 import {ResponseWriter} from './response_writer.js';
@@ -38,6 +42,8 @@
   readonly retries: SharedRetryBudget;
   readonly quarantine: QuarantineKeeper;
   readonly log: RequestLog;
+  private readonly peers: PeerChannel;
+  private readonly limits: LimitKeeper;
   private readonly estate: EstateTracker;
   private readonly front: FrontServer;
   private readonly reusableConnections: UpstreamConnections;
@@ -63,9 +69,11 @@
     this.dialect = estate.dialect;
     this.logger = logger;
     this.log = new RequestLog(clock, logger, metrics);
+    this.peers = new PeerChannel(clock, logger);
     this.quarantine = new QuarantineKeeper(
       {
         store: estate.store,
+        channel: this.peers,
         topic: estate.topics.quarantines,
         onAdded: () => this.openExchanges.forEach(one => one.applyQuarantine()),
       },
@@ -90,6 +98,13 @@
       parts.chance,
       logger,
     );
+    this.limits = new LimitKeeper(
+      this.dispatcher.limits,
+      this.peers,
+      clock,
+      logger,
+      metrics,
+    );
     this.front = new FrontServer(clock, this.dialect, logger, request =>
       this.serve(request),
     );
@@ -121,13 +136,14 @@
         },
         onUpstreamRemoved: () => {
           const {upstreams} = this.estate;
-          this.dispatcher.loads.prune(incarnation =>
-            upstreams.has(incarnation),
-          );
+          const {loads, limits} = this.dispatcher;
+          loads.prune(incarnation => upstreams.has(incarnation));
+          limits.prune(incarnation => upstreams.has(incarnation));
         },
         onEntryCount: count => this.retries.setEntryCount(count),
-        onPeers: peers => this.quarantine.setPeers(peers),
-        onPeerMessage: (req, res) => this.quarantine.handleMessage(req, res),
+        onShare: share => this.dispatcher.limits.setShare(share),
+        onPeers: peers => this.peers.setPeers(peers),
+        onPeerMessage: (req, res) => this.handlePeerMessage(req, res),
         onQuarantines: changes => this.quarantine.applyStored(changes),
       },
     );
@@ -180,6 +196,7 @@
   async stop(): Promise<void> {
     this.estate.stop();
     this.quarantine.stop();
+    void this.peers.close();
     clearInterval(this.timer);
     this.logger.info('stopped', {open: this.front.openRequests});
     await Promise.resolve();
@@ -199,12 +216,22 @@
 
   applyResponseMetadata(
     upstream: Upstream,
-    {isLeaving, backOff}: ResponseMetadata,
+    sentAt: Millis,
+    metadata: ResponseMetadata,
   ): void {
+    const {isLeaving, backOff, limit} = metadata;
+    if (limit !== undefined || metadata.isSealed || metadata.isNotRun) {
+      this.limits.applyResponse(upstream.incarnation, sentAt, limit);
+    }
     if (isLeaving) this.markLeaving(upstream);
     if (backOff !== undefined) this.recordBackoff(upstream, backOff);
   }
 
+  private handlePeerMessage(req: IncomingMessage, res: ServerResponse): void {
+    if (req.url === LIMITS_PATH) void this.limits.handleMessage(req, res);
+    else this.quarantine.handleMessage(req, res);
+  }
+
   private markLeaving(upstream: Upstream): void {
     if (!this.estate.upstreams.markLeaving(this.clock.now(), upstream)) return;
     const {id, address} = upstream.registration;
@@ -346,6 +373,7 @@
           service: registration.service,
           address: registration.address,
           suspended: this.dispatcher.loads.isSuspended(now, incarnation),
+          limit: this.dispatcher.limits.rateOf(incarnation),
           ...this.dispatcher.loads.loadOf(incarnation),
         })),
     };
--- a/src/daemons/direct/dispatcher.ts
+++ b/src/daemons/direct/dispatcher.ts
@@ -13,6 +13,7 @@
   ConcurrencyLimiter,
   StreamLimiter,
   PendingQueue,
+  UpstreamLimits,
 } from '../../direct/index.js';
 import type {
   GroupKey,
@@ -46,6 +47,7 @@
 
 /** What a dispatcher knows as it rejects a request. */
 export interface DispatchState {
+  readonly reason: Unplaced;
   /** Number of queued requests. */
   readonly queueLength: number;
   /** Time for which its group has been down; 0 if it is available. */
@@ -66,6 +68,7 @@
 /** Balances the requests of an entry and queues those beyond the capacity. */
 export class Dispatcher {
   readonly loads = new LoadTracker();
+  readonly limits = new UpstreamLimits();
   private readonly groupBreaker = new GroupCircuitBreaker();
   private readonly limiters = new Map<GroupKey, GroupLimiters>();
   private readonly queue = new PendingQueue<DispatchRequest>(
@@ -242,6 +245,7 @@
       starts.recordSent();
       streams.recordSent();
     }
+    this.limits.recordSent(now, upstream.incarnation);
     req.send(now, upstream, group);
   }
 
@@ -264,10 +268,14 @@
       ({incarnation}) => this.loads.backoffUntil(incarnation) <= now,
     );
     if (accepting.length === 0) return 'backed_off';
+    const withinLimit = accepting.filter(({incarnation}) =>
+      this.limits.allows(now, incarnation),
+    );
+    if (withinLimit.length === 0) return 'limited';
     const hasEngines = this.directory.hasEngines(req.service);
     const withCapacity = hasEngines
-      ? accepting.filter(upstream => this.hasCapacity(now, upstream))
-      : accepting;
+      ? withinLimit.filter(upstream => this.hasCapacity(now, upstream))
+      : withinLimit;
     if (withCapacity.length === 0) return 'full';
     const reachable = withCapacity.filter(
       ({incarnation}) => !this.loads.isSuspended(now, incarnation),
@@ -286,22 +294,27 @@
       .filter(({incarnation}) => !triedIncarnations.has(incarnation));
   }
 
-  /** Returns the earliest end of a backoff of the untried upstreams. */
-  private backedOffUntil(req: DispatchRequest): Millis {
-    const ends = this.untriedUpstreams(req).map(({incarnation}) =>
-      this.loads.backoffUntil(incarnation),
+  /** Returns when the first of the untried upstreams accepts a request again. */
+  private acceptingFrom(now: Millis, req: DispatchRequest): Millis {
+    const times = this.untriedUpstreams(req).map(({incarnation}) =>
+      Math.max(
+        this.loads.backoffUntil(incarnation),
+        this.limits.nextAt(now, incarnation),
+      ),
     );
-    return Math.min(...ends.filter(end => end > -Infinity));
+    return Math.min(...times.filter(time => time > -Infinity));
   }
 
   /**
    * Returns whether a request that cannot be placed now waits. It does not wait
    * for a group that is down, whose recovery time is unknown: the caller's retry
-   * covers a longer time.
+   * covers a longer time, and for a limit only up to its latency target.
    */
   private waits(now: Millis, req: DispatchRequest, reason: Unplaced): boolean {
-    const isInTime = PendingQueue.canStartInTime(now, req);
-    return reason === 'full' && req.mayWait && isInTime;
+    if (!req.mayWait || !PendingQueue.canStartInTime(now, req)) return false;
+    if (reason === 'limited')
+      return this.acceptingFrom(now, req) <= req.targetAt;
+    return reason === 'full';
   }
 
   private reject(now: Millis, req: DispatchRequest, reason: Unplaced): void {
@@ -311,7 +324,11 @@
     req.reject(REJECTIONS[reason], {
       queueLength: this.queue.length,
       downtime: Math.max(0, ...downtimes),
-      notBefore: reason === 'backed_off' ? this.backedOffUntil(req) : undefined,
+      reason,
+      notBefore:
+        reason === 'backed_off' || reason === 'limited'
+          ? this.acceptingFrom(now, req)
+          : undefined,
     });
   }
 
@@ -353,6 +370,8 @@
   | 'down'
   /** All upstreams requested a backoff. */
   | 'backed_off'
+  /** The limits that the upstreams name leave no request for this entry now. */
+  | 'limited'
   /** The limits of all groups are reached. */
   | 'full';
 
@@ -360,6 +379,7 @@
   none: 'no_upstream',
   down: 'group_down',
   backed_off: 'overloaded',
+  limited: 'overloaded',
   full: 'overloaded',
 } as const satisfies Record<Unplaced, DispatchRejection>;
 
--- a/src/daemons/direct/entry_directory.ts
+++ b/src/daemons/direct/entry_directory.ts
@@ -8,7 +8,7 @@
   VmName,
 } from '../../core/index.js';
 import {SECOND, vmName} from '../../core/index.js';
-import type {KeyedChange, ZoneReader} from '../../direct/index.js';
+import type {EntryShare, KeyedChange, ZoneReader} from '../../direct/index.js';
 import type {Logger} from '../../observability/index.js';
 
 const ANNOUNCE_RETRY_DELAY: Millis = SECOND;
@@ -32,6 +32,8 @@
 export interface EntryDirectoryListener {
   /** Called with the number of entries that may be running. */
   onEntryCount(count: number): void;
+  /** Called with the position of this entry in the common order of names. */
+  onShare(share: EntryShare): void;
   /** Called with the `host:port` of each other entry. */
   onPeers(peers: readonly string[]): void;
   /** Called with the entries that can be read from, and which are in the zone. */
@@ -85,6 +87,8 @@
     const {vm, availabilityZone, relay} = this.location;
     this.entries.set(vm, {availabilityZone, relay});
     this.listener.onEntryCount(this.entries.size);
+    const names = [...this.entries.keys()].sort();
+    this.listener.onShare({index: names.indexOf(vm), count: names.length});
     const readers: ZoneReader[] = [];
     for (const [name, entry] of this.entries) {
       if (entry === undefined) continue;
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -12,6 +12,7 @@
 } from '../../direct/index.js';
 import type {
   DirectConfiguration,
+  EntryShare,
   GroupKey,
   KeyedChange,
   TopicTiming,
@@ -56,6 +57,8 @@
   onUpstreamRemoved(): void;
   /** Called with the number of entries that may be running. */
   onEntryCount(count: number): void;
+  /** Called with the position of this entry among all entries. */
+  onShare(share: EntryShare): void;
   /** Called with the `host:port` of each other entry. */
   onPeers(peers: readonly string[]): void;
   /** Called with a message of another entry. */
@@ -123,6 +126,7 @@
       logger,
       {
         onEntryCount: count => listener.onEntryCount(count),
+        onShare: share => listener.onShare(share),
         onPeers: peers => listener.onPeers(peers),
         onReaders: (readers, isInZone) =>
           this.store.setEntries(readers, isInZone),
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -159,8 +159,8 @@
   private onHead(head: ResponseHead, metadata: ResponseMetadata): void {
     const {status} = head;
     if (this.account === undefined) return;
-    const {upstream} = this.account;
-    this.context.applyResponseMetadata(upstream, metadata);
+    const {upstream, progress} = this.account;
+    this.context.applyResponseMetadata(upstream, progress.sentAt, metadata);
     if (metadata.isWrongUpstream) {
       this.context.markReplaced(upstream);
       this.abortAttempt({kind: 'not_run', reason: 'wrong_upstream'});
--- a/src/daemons/direct/quarantine_keeper.test.ts
+++ b/src/daemons/direct/quarantine_keeper.test.ts
@@ -8,6 +8,7 @@
 import {Fault} from '../../errors/index.js';
 import {Metrics, SILENT_LOGGER} from '../../observability/index.js';
 import {decodeReports, encodeReports} from './crash_report_exchange.js';
+import {PeerChannel} from './peer_channel.js';
 import {QuarantineKeeper} from './quarantine_keeper.js';
 
 class FixedClock extends Clock {
@@ -40,6 +41,7 @@
     const keeper = new QuarantineKeeper(
       {
         store: {put} as KeyedStore,
+        channel: new PeerChannel(new FixedClock(), SILENT_LOGGER),
         topic: 'quarantines',
         onAdded: () => undefined,
       },
--- a/src/daemons/direct/quarantine_keeper.ts
+++ b/src/daemons/direct/quarantine_keeper.ts
@@ -21,6 +21,7 @@
 import type {Logger, Metrics} from '../../observability/index.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import type {FailedAttempt} from './context.js';
+import type {PeerChannel} from './peer_channel.js';
 import {
   CrashReportExchange,
   decodeReports,
@@ -44,6 +45,8 @@
 /** What a quarantine keeper uses of its entry. */
 export interface QuarantinePorts {
   readonly store: KeyedStore;
+  /** Channel to the other entries. */
+  readonly channel: PeerChannel;
   /** Topic of the quarantines, which outlive the entries. */
   readonly topic: string;
   /** Called when requests that are not refused yet may have to be. */
@@ -79,7 +82,7 @@
   ) {
     this.exchange = new CrashReportExchange(
       reports => this.receive(reports),
-      clock,
+      ports.channel,
       logger,
     );
     this.changes = metrics.counter(
@@ -103,15 +106,6 @@
   stop(): void {
     this.isStopped = true;
     clearInterval(this.expiryTimer);
-    void this.exchange.close();
-  }
-
-  /**
-   * Replaces the other entries.
-   * @param peers - `host:port` of each
-   */
-  setPeers(peers: readonly string[]): void {
-    this.exchange.setPeers(peers);
   }
 
   /** Fields of `/status`. */
--- a/src/daemons/direct/request_log.ts
+++ b/src/daemons/direct/request_log.ts
@@ -94,6 +94,7 @@
       first_ms: since(result.firstByteAt),
       waited_ms: Math.round(result.queueTime),
       ms: since(now),
+      unplaced: result.rejectedIn?.reason,
       queued: result.rejectedIn?.queueLength,
       down_ms: result.rejectedIn && Math.round(result.rejectedIn.downtime),
       retry_after_ms: result.retryAfter && Math.round(result.retryAfter),
--- a/src/direct/dialect.ts
+++ b/src/direct/dialect.ts
@@ -1,5 +1,6 @@
 import type {Millis, OrganisationName} from '../core/index.js';
 import type {PromptPartId, RequestId, UpstreamId} from './types.js';
+import type {RequestRate} from './upstream_limits.js';
 
 /** Header lines of a message; names keep their original case. */
 export type HeaderLines = readonly (readonly [name: string, value: string])[];
@@ -45,6 +46,8 @@
   readonly isLeaving: boolean;
   /** Time for which the upstream wants no requests from this VM. */
   readonly backOff: Millis | undefined;
+  /** Requests per second that the upstream accepts from all entries together. */
+  readonly limit: RequestRate | undefined;
 }
 
 /** Header format of the callers and upstreams of an estate. */
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -19,6 +19,7 @@
 export * from './stream_limiter.js';
 export * from './topic_timing.js';
 export * from './types.js';
+export * from './upstream_limits.js';
 export * from './upstream_table.js';
 export * from './pending_queue.js';
 export * from './relay_selector.js';
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -476,6 +476,7 @@
         onConfiguration: () => undefined,
         onUpstreamRemoved: () => undefined,
         onEntryCount: () => undefined,
+        onShare: () => undefined,
         onPeers: () => undefined,
         onPeerMessage: () => undefined,
         onQuarantines: () => undefined,
--- a/test/support/entry_replay.ts
+++ b/test/support/entry_replay.ts
@@ -189,7 +189,7 @@
       const run = (now: Millis) => {
         dispatcher.markGroupUnavailable(now, upstream, 'missing rank');
         recordEnded(now, false);
-        req.reject('group_down', {queueLength: 0, downtime: 0});
+        req.reject('group_down', {reason: 'down', queueLength: 0, downtime: 0});
       };
       this.scheduled.push({at: sentAt + REJECTION_TIME, run});
       return;
