Ignore registrations whose address no connection can use

Addresses are now checked where they are decoded: registrations (IPv4 and port), the entries' and the ranks' own records.

--- a/src/daemons/direct/entry_directory.ts
+++ b/src/daemons/direct/entry_directory.ts
@@ -7,7 +7,7 @@
   Millis,
   VmName,
 } from '../../core/index.js';
-import {SECOND, vmName} from '../../core/index.js';
+import {SECOND, isHostPort, vmName} from '../../core/index.js';
 import type {EntryShare, KeyedChange, ZoneReader} from '../../direct/index.js';
 import type {Logger} from '../../observability/index.js';
 
@@ -16,7 +16,7 @@
 const entryRecord = z.object({
   availabilityZone: z.string(),
   /** `host:port` at which it relays updates from the store. */
-  relay: z.string(),
+  relay: z.string().refine(isHostPort),
 });
 type EntryRecord = z.output<typeof entryRecord>;
 
--- a/src/daemons/direct/rank_registry.ts
+++ b/src/daemons/direct/rank_registry.ts
@@ -3,13 +3,14 @@
 import {z} from 'zod';
 
 import type {KeyedStore} from '../../clients/index.js';
+import {isHostPort} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
 
 const rankRecord = z.object({
   /** Link address of the sidecar beside the rank. */
-  sidecar: z.string(),
+  sidecar: z.string().refine(isHostPort),
   /** Address of the rank's engine. */
-  engine: z.string(),
+  engine: z.string().refine(isHostPort),
   /** Slowdown factor of the engine; 1 for a healthy one. */
   pace: z.number().positive().default(1),
 });
--- a/standins/keyed_log_server.ts
+++ b/standins/keyed_log_server.ts
@@ -25,7 +25,17 @@
    */
   put(topic: string, key: string, value?: unknown): void {
     const text = value === undefined ? '' : JSON.stringify(value);
-    this.append(topic, {key, value: Buffer.from(text)});
+    this.putBytes(topic, key, Buffer.from(text));
+  }
+
+  /**
+   * Appends a record of any content on behalf of another writer.
+   * @param topic - topic of the record
+   * @param key - key of the record
+   * @param value - the bytes; none write a tombstone
+   */
+  putBytes(topic: string, key: string, value: Buffer): void {
+    this.append(topic, {key, value});
   }
 
   protected async handle(
