Follow the VM list past entries that cannot be read

The same cause in the product's own form: the list was parsed as a whole, so one odd VM stopped every process from following it, and an address with a port out of range threw when its link was dialled.

Failed before: six cases of vm_list_client.test.ts (the fetch failed as a whole, or returned the VM that cannot be dialled).

--- a/src/clients/vm_list_client.ts
+++ b/src/clients/vm_list_client.ts
@@ -8,13 +8,20 @@
 import {listedVm} from '../membership/index.js';
 import type {ListedVm} from '../membership/index.js';
 
+/** A copy of the list. */
+export interface VmListing {
+  readonly vms: readonly ListedVm[];
+  /** Why VMs of the list were left out, one reason for each. */
+  readonly rejected: readonly string[];
+}
+
 /** Client of the platform's list of live and leaving VMs, which may lag. */
 export abstract class VmListClient {
   /** Fetches the list, or returns a `log_unavailable` fault. */
-  abstract fetch(): ResultAsync<readonly ListedVm[], Fault>;
+  abstract fetch(): ResultAsync<VmListing, Fault>;
 }
 
-const list = z.object({vms: z.array(listedVm)});
+const list = z.object({vms: z.array(z.unknown())});
 const ANSWER_TIMEOUT: Millis = 5_000;
 
 /** VM list client over HTTP. */
@@ -24,15 +31,27 @@
     super();
   }
 
-  fetch(): ResultAsync<readonly ListedVm[], Fault> {
+  fetch(): ResultAsync<VmListing, Fault> {
     const answer = request(`${this.url}/vms`, {
       signal: AbortSignal.timeout(ANSWER_TIMEOUT),
     }).then(async res => {
       const body = await res.body.json();
-      return list.parse(body).vms;
+      return readVms(list.parse(body).vms);
     });
     return ResultAsync.fromPromise(answer, thrown =>
       asFault(thrown, 'log_unavailable'),
     );
   }
 }
+
+/** Leaves out the VMs that cannot be read, so that the others are followed. */
+function readVms(listed: readonly unknown[]): VmListing {
+  const vms: ListedVm[] = [];
+  const rejected: string[] = [];
+  for (const one of listed) {
+    const parsed = listedVm.safeParse(one);
+    if (parsed.success) vms.push(parsed.data);
+    else rejected.push(z.prettifyError(parsed.error));
+  }
+  return {vms, rejected};
+}
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -3,6 +3,7 @@
 import {
   availabilityZone,
   incarnation,
+  isHostPort,
   serviceName,
   vmName,
 } from '../core/index.js';
@@ -32,7 +33,7 @@
 export const listedVm = z.object({
   vm: z.string().min(1).transform(vmName),
   availabilityZone: z.string().min(1).transform(availabilityZone),
-  address: z.string(),
+  address: z.string().refine(isHostPort, 'no address with a port'),
   state: z.enum(['live', 'leaving']),
   role: z.enum(ROLES),
   service: z.string().transform(serviceName).optional(),
