Answer the requests that a shutdown cuts

At the end of the grace period the process exited with requests open: their callers got a closed connection, with no word on whether the request had run. And the time of arrival was that of the head, so a request whose body came late in the grace was passed on and then cut.

What is still open 300 ms before the kill is answered now: 503 if it was never sent, 502 (shut_down) if it may have run, a broken stream if it had begun. A request counts from its last byte, and is refused from 2.5 s after the signal on instead of 3 s, since the signal itself may be handled late.

Failed before: 'answers requests that are still open at the end of a drain' (no answer) and 'rejects a request whose body arrives too late in a drain' (200).

--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -31,6 +31,7 @@
 import {QuarantineKeeper, ageOf} from './quarantine_keeper.js';
 import {RequestLog} from './request_log.js';
 import {ResponseWriter} from './response_writer.js';
+import {Shutdown} from './shutdown.js';
 import {UpstreamConnections} from './upstream_connections.js';
 import {headerPairs, splitAddress} from './attempt.js';
 
@@ -46,14 +47,13 @@
   private readonly limits: LimitKeeper;
   private readonly estate: EstateTracker;
   private readonly front: FrontServer;
+  private readonly shutdown: Shutdown;
   private readonly reusableConnections: UpstreamConnections;
   private readonly singleUseConnections: UpstreamConnections;
   private readonly operators: OperatorServer;
   private readonly readiness: OperatorServer;
   private readonly logger: Logger;
   private readonly openExchanges = new Set<Exchange>();
-  /** Time at which the termination of this process began. */
-  private drainingSince: Millis | undefined;
   private timer: NodeJS.Timeout | undefined;
 
   /**
@@ -108,6 +108,7 @@
     this.front = new FrontServer(clock, this.dialect, logger, request =>
       this.serve(request),
     );
+    this.shutdown = new Shutdown(this.front, clock, logger);
     const operatorView = {
       metrics,
       notReadyReason: () => this.notReady(),
@@ -167,19 +168,7 @@
 
   /** Finishes accepted requests, then stops; ends within the grace period. */
   async drain(): Promise<void> {
-    this.drainingSince = this.clock.now();
-    this.logger.info('draining', {open: this.front.openRequests});
-    this.front.closeAfterResponses();
-    const startedAt = this.drainingSince;
-    const end = startedAt + this.settings.grace - SHUTDOWN_MARGIN;
-    for (;;) {
-      const now = this.clock.now();
-      if (now - startedAt >= UNLISTING_TIME) this.front.closeIdle();
-      const isDrained =
-        this.front.openRequests === 0 && now - startedAt >= MIN_DRAIN_TIME;
-      if (isDrained || now >= end) break;
-      await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_INTERVAL));
-    }
+    await this.shutdown.drain(this.settings.grace, this.openExchanges);
     await this.stop();
   }
 
@@ -203,7 +192,7 @@
   }
 
   isDraining(): boolean {
-    return this.drainingSince !== undefined;
+    return this.shutdown.isDraining;
   }
 
   connectionsFor({repeat}: Route): UpstreamConnections {
@@ -284,8 +273,8 @@
     );
     const headers = headerPairs(req.rawHeaders);
     const metadata = this.dialect.readRequest(headers);
-    const drainingFor = arrivedAt - (this.drainingSince ?? arrivedAt);
-    if (drainingFor >= UNLISTING_TIME) {
+    const now = this.clock.now();
+    if (!this.shutdown.isAccepting(now)) {
       // The balancer routes here for lack of others; another VM can serve it.
       reply.sendError(new Fault('draining'), DRAINING_RETRY_AFTER);
       this.recordRejected(metadata.id, 'draining', arrivedAt);
@@ -380,17 +369,7 @@
   }
 }
 
-/** Time between the end of the process and the time at which it is killed. */
-const SHUTDOWN_MARGIN: Millis = 300;
-/**
- * Time in which the balancer stops routing new connections here. A request that
- * arrives later would not finish before the process is killed.
- */
-const UNLISTING_TIME: Millis = 3 * SECOND;
 /** Short, since another VM receives the caller's next attempt. */
 const DRAINING_RETRY_AFTER: Millis = 50;
-/** Minimum time from the termination signal to the end of an idle process. */
-const MIN_DRAIN_TIME: Millis = 3.5 * SECOND;
-const DRAIN_CHECK_INTERVAL: Millis = 100;
 /** Interval at which the queue is processed even without other events. */
 const QUEUE_CHECK_INTERVAL: Millis = 50;
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -326,12 +326,26 @@
     this.finish(reason, fault.status, retryAfter);
   }
 
+  /** Ends the request because this process stops. */
+  shutDown(): void {
+    this.giveUp('shut_down', 'draining');
+  }
+
   /** Ends the request at the deadline of the caller or its route. */
   private onDeadline(): void {
+    this.giveUp('deadline_passed', 'overloaded');
+  }
+
+  /**
+   * Ends the request without a response of an upstream.
+   * @param sent - error if the request may have run
+   * @param unsent - error if it has not run
+   */
+  private giveUp(sent: ErrorName, unsent: ErrorName): void {
     if (this.isFinished) return;
     const wasSent = this.attempt?.mayHaveBeenSent === true || this.mayHaveRun;
     this.cancelAttempt();
-    this.respondError(wasSent ? 'deadline_passed' : 'overloaded');
+    this.respondError(wasSent ? sent : unsent);
   }
 
   private onCallerClosed(): void {
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -115,6 +115,11 @@
     'This process is shutting down and accepts no new requests.',
     'Send the request again; another process will serve it.',
   ),
+  shut_down: entry(
+    502,
+    'This process had to stop while the call may have been running.',
+    'Check whether the call took effect before sending it again.',
+  ),
   upstream_lost: entry(
     502,
     'The upstream became unreachable while the call may have been running.',
--- a/test/direct_entry.test.ts
+++ b/test/direct_entry.test.ts
@@ -1,9 +1,10 @@
-import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {
   chunk,
   DirectEstate,
   event,
+  pause,
   requestIdOf,
   ROUTES,
   sealedAnswer,
@@ -343,4 +344,38 @@
     expect(late.headers['connection']).toBe('close');
     await Promise.all([long.catch(() => undefined), drained]);
   }, 15_000);
+
+  /** Puts a route in force that waits longer than a drain takes. */
+  async function configureSlowRoute(): Promise<void> {
+    const slow = wireRoute('/slow/', 'unsafe', {TimeoutMs: 9_000});
+    estate.configure(4, [...ROUTES, slow]);
+    await vi.waitFor(async () => {
+      const {body} = await estate.operate('/status');
+      expect(JSON.parse(body)).toMatchObject({version: 4});
+    });
+  }
+
+  it('answers requests that are still open at the end of a drain', async () => {
+    await withUpstreams(() => undefined);
+    await configureSlowRoute();
+    const send = () => estate.call('/slow/1', {'Deadline-Ms': '9000'});
+    const open = send();
+    await pause(100);
+    let answer: Awaited<typeof open> | undefined;
+    void open.then(received => (answer = received));
+    await estate.drain();
+    // It may have run, so nothing that promises the opposite.
+    expect(answer).toMatchObject({status: 502, isWhole: true});
+  }, 15_000);
+
+  it('rejects a request whose body arrives too late in a drain', async () => {
+    await withUpstreams(answerDone);
+    await configureSlowRoute();
+    const drained = estate.drain();
+    await pause(2_000);
+    const answer = estate.callSlowly('/slow/1', 1_400);
+    expect((await answer).status).toBe(503);
+    expect(receivedHeads()).toHaveLength(0);
+    await drained;
+  }, 15_000);
 });
--- a/test/odd_registrations.test.ts
+++ b/test/odd_registrations.test.ts
@@ -5,7 +5,7 @@
 const NESTED = `${'{"a":'.repeat(200_000)}1${'}'.repeat(200_000)}`;
 
 const registration = (fields: string) =>
-  `{"Service":"app","Address":"127.0.0.1:9","Zone":"a","Slots":6,` +
+  '{"Service":"app","Address":"127.0.0.1:9","Zone":"a","Slots":6,' +
   `"State":"ready","Sequence":1,"born":5,${fields}}`;
 
 let estate: DirectEstate;
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -362,12 +362,32 @@
   ): Promise<Answer> {
     this.requestCount += 1;
     return this.send(this.entries[entry]!.callers, path, method, {
+      ...this.headersOf(this.requestCount),
+      ...headers,
+    });
+  }
+
+  private headersOf(request: number): Record<string, string> {
+    return {
       Host: 'vans.example',
-      'Request-Id': `r${this.requestCount}`,
+      'Request-Id': `r${request}`,
       Authorization: 'Bearer k1',
       'Deadline-Ms': '1200',
-      ...headers,
-    });
+    };
+  }
+
+  /**
+   * Sends a request whose body follows its head after a time.
+   * @param path - request path
+   * @param delay - the time, ms
+   */
+  callSlowly(path: string, delay: number): Promise<Answer> {
+    this.requestCount += 1;
+    const headers = {
+      ...this.headersOf(this.requestCount),
+      'Deadline-Ms': '9000',
+    };
+    return this.send(this.entries[0]!.callers, path, 'POST', headers, delay);
   }
 
   /** Stops the entries, the upstreams and the store. */
@@ -382,6 +402,7 @@
     path: string,
     method = 'GET',
     headers: Record<string, string> = {},
+    bodyDelay = 0,
   ): Promise<Answer> {
     const [host, port] = address.split(':');
     const startedAt = performance.now();
@@ -412,7 +433,13 @@
           }),
         );
       });
-      req.end(method === 'POST' ? 'load' : undefined);
+      const body = method === 'POST' ? 'load' : undefined;
+      if (bodyDelay === 0) {
+        req.end(body);
+        return;
+      }
+      req.flushHeaders();
+      setTimeout(() => req.end(body), bodyDelay);
     });
   }
 }
