Quarantine requests that crash upstreams as a whole

A trial that logged the whole prompt showed why: all requests that crash are repeats of one prompt, whose last part was not looked at because it belongs to a single request; the parts before it had answers. And such a request was sent to a second upstream.

The last part now counts as evidence like the others, without being remembered when an answer clears it. A run that breaks off as it begins is retried only after it is known that its upstream is alive or that many broke off together. Only runs older than the crash show an upstream alive: later ones may be at a process that has restarted.

--- a/src/daemons/direct/admitted_request.ts
+++ b/src/daemons/direct/admitted_request.ts
@@ -1,6 +1,9 @@
 import type {Millis, OrganisationName, ServiceName} from '../../core/index.js';
 import type {HeaderLines, RequestMetadata, Route} from '../../direct/index.js';
 
+/** Time before the caller's timeout at which the final response is due. */
+const RESPONSE_MARGIN: Millis = 25;
+
 /** A request that passed authorization and routing. */
 export interface AdmittedRequest {
   readonly metadata: RequestMetadata;
@@ -14,3 +17,16 @@
   /** Version of the configuration that admitted it. */
   readonly version: number;
 }
+
+/**
+ * Returns the time at which the final response is due.
+ * @param request - the request
+ */
+export function deadlineOf({
+  metadata,
+  route,
+  arrivedAt,
+}: AdmittedRequest): Millis {
+  const callerLimit = (metadata.callerTimeout ?? Infinity) - RESPONSE_MARGIN;
+  return arrivedAt + Math.min(callerLimit, route.timeout);
+}
--- a/src/daemons/direct/attempt_account.ts
+++ b/src/daemons/direct/attempt_account.ts
@@ -56,7 +56,7 @@
     const {context, group, progress, request} = this;
     const hadProgressed = hasProgressed(progress);
     progress.recordBytes(now, events);
-    context.quarantine.recordAlive(this.upstream);
+    context.quarantine.recordAlive(now, this.upstream, progress.sentAt);
     if (!hadProgressed && hasProgressed(progress)) {
       context.quarantine.recordAnswer(request);
     }
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -16,6 +16,7 @@
 } from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
+import {deadlineOf} from './admitted_request.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import {AttemptAccount} from './attempt_account.js';
 import {Attempt, attemptRequest} from './attempt.js';
@@ -25,9 +26,6 @@
 import {ResponseBuffer} from './response_buffer.js';
 import {ResponseWriter} from './response_writer.js';
 
-/** Time before the caller's timeout at which the final response is due. */
-const RESPONSE_MARGIN: Millis = 25;
-
 /** Handles a caller's request from its admission to its final response. */
 export class Exchange {
   private readonly response: ResponseWriter;
@@ -68,12 +66,11 @@
     res: ServerResponse,
     private readonly onFinished: () => void,
   ) {
-    const {metadata, route, arrivedAt} = request;
+    const {metadata, arrivedAt} = request;
     this.response = new ResponseWriter(res, context.dialect, () =>
       context.isDraining(),
     );
-    const callerLimit = (metadata.callerTimeout ?? Infinity) - RESPONSE_MARGIN;
-    this.deadlineAt = arrivedAt + Math.min(callerLimit, route.timeout);
+    this.deadlineAt = deadlineOf(request);
     this.delivery = new StreamDelivery(metadata.resumedAfter, arrivedAt);
     this.submittedAt = arrivedAt;
     res.on('close', () => this.onCallerClosed());
@@ -281,8 +278,10 @@
       failure,
     );
     if (failure.kind !== 'not_run') this.mayHaveRun = true;
-    if (action === 'try_another' && this.canContinue && !isSuspect) {
-      this.requestUpstream();
+    if (action === 'try_another' && this.canContinue) {
+      const {quarantine} = context;
+      if (!isSuspect) this.requestUpstream();
+      else quarantine.awaitVerdict(request, upstream, this.applyVerdict);
       return;
     }
     const isGroupDown =
@@ -291,6 +290,13 @@
     this.respondFinal(isGroupDown ? 'group_down' : 'overloaded');
   }
 
+  /** Retries a request that may have crashed its upstream if it has not. */
+  private readonly applyVerdict = (isSuspected: boolean): void => {
+    if (this.isFinished) return;
+    if (isSuspected) this.respondFinal('overloaded');
+    else this.requestUpstream();
+  };
+
   /** Whether the answer of another upstream can follow what the caller has. */
   private get canContinue(): boolean {
     if (!this.response.isStarted) return true;
--- a/src/daemons/direct/quarantine_keeper.ts
+++ b/src/daemons/direct/quarantine_keeper.ts
@@ -15,6 +15,7 @@
   EvidenceChange,
   KeyedChange,
   Quarantine,
+  RequestMetadata,
   Upstream,
 } from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
@@ -30,6 +31,8 @@
 
 /** Time for which the runs that break off with a crash are collected. */
 const BATCH_TIME: Millis = 20;
+/** Longer than a batch and the time in which bytes may have been in flight. */
+const VERDICT_DELAY: Millis = 150;
 const STORE_RETRY_DELAY: Millis = SECOND;
 const EXPIRY_INTERVAL: Millis = MINUTE;
 /** Limit of the platform's store. */
@@ -128,7 +131,7 @@
    * @param request - the request
    */
   match({service, metadata}: AdmittedRequest): Quarantine | undefined {
-    return this.quarantine.match(service, metadata.sharedParts);
+    return this.quarantine.match(service, partsOf(metadata));
   }
 
   /**
@@ -144,47 +147,69 @@
     {upstream, progress, failure}: FailedAttempt,
   ): boolean {
     const {service, metadata} = request;
-    const {id, sharedParts} = metadata;
+    const {id} = metadata;
+    const parts = partsOf(metadata);
     if (failure.kind !== 'may_have_run') return false;
     const {incarnation} = upstream;
     if (isBrokenOff(now, progress, failure))
       this.batch.recordBroken(now, incarnation);
     const isCrash = isCrashAtStart(now, progress, failure);
-    if (!isCrash || sharedParts.length === 0 || id === undefined) return false;
+    if (!isCrash || parts.length === 0 || id === undefined) return false;
     const crash = {service, upstream: incarnation, request: id};
-    const report = this.quarantine.report(
-      this.clock.wall(),
-      crash,
-      sharedParts,
-    );
+    const report = this.quarantine.report(this.clock.wall(), crash, parts);
     if (this.batch.add(report)) {
       setTimeout(() => void this.publishBatch(), BATCH_TIME);
     }
     return !report.isKnown;
   }
 
+  /**
+   * Waits until it is known whether the run of a request broke off alone: its
+   * upstream would have gone on with other runs by then.
+   * @param request - the request
+   * @param upstream - upstream of the attempt that broke off
+   * @param onVerdict - called with whether the request is still suspected
+   */
+  awaitVerdict(
+    {metadata}: AdmittedRequest,
+    {incarnation}: Upstream,
+    onVerdict: (isSuspected: boolean) => void,
+  ): void {
+    const {id} = metadata;
+    setTimeout(() => {
+      onVerdict(
+        id !== undefined && this.quarantine.isSuspected(incarnation, id),
+      );
+    }, VERDICT_DELAY);
+  }
+
   /**
    * Records that the run of a request has progressed or ended well.
    * @param request - the request
    */
   recordAnswer({service, metadata}: AdmittedRequest): void {
-    const {sharedParts} = metadata;
-    if (sharedParts.length === 0) return;
+    const {sharedParts, ownPart} = metadata;
+    if (partsOf(metadata).length === 0) return;
     const change = this.quarantine.recordAnswer(
       this.clock.wall(),
       service,
       sharedParts,
+      ownPart,
     );
     void this.spread(change, 'answer');
   }
 
   /**
    * Records bytes of a run: its upstream is alive.
+   * @param now - current time
    * @param upstream - the upstream
+   * @param sentAt - time at which the run's request was sent
    */
-  recordAlive({incarnation}: Upstream): void {
+  recordAlive(now: Millis, {incarnation}: Upstream, sentAt: Millis): void {
     const wall = this.clock.wall();
-    void this.spread(this.quarantine.recordAlive(wall, incarnation), 'alive');
+    const sentWall = wall - (now - sentAt);
+    const change = this.quarantine.recordAlive(wall, incarnation, sentWall);
+    void this.spread(change, 'alive');
   }
 
   /**
@@ -356,5 +381,8 @@
   return Math.round(wallTime - Math.max(...reports.map(({at}) => at)));
 }
 
+const partsOf = ({sharedParts, ownPart}: RequestMetadata) =>
+  ownPart === undefined ? sharedParts : [...sharedParts, ownPart];
+
 const crashesOf = ({reports}: Quarantine) =>
   reports.map(({upstream, at}) => `${upstream}@${new Date(at).toISOString()}`);
--- a/src/direct/dialect.ts
+++ b/src/direct/dialect.ts
@@ -18,6 +18,8 @@
   readonly promptTokens: number;
   /** Parts of the prompt that other requests may share, in prompt order. */
   readonly sharedParts: readonly PromptPartId[];
+  /** Last part of the prompt, the same only in repeats of the request. */
+  readonly ownPart: PromptPartId | undefined;
 }
 
 /** Metadata that an entry adds to the headers of a forwarded request. */
--- a/src/direct/prompt_quarantine.test.ts
+++ b/src/direct/prompt_quarantine.test.ts
@@ -96,14 +96,18 @@
     crash(quarantine, 1, [DEADLY], 1_000);
     crash(quarantine, 2, [DEADLY], 2_000);
     const upstream = incarnation('i-2@1');
-    expect(quarantine.recordAlive(2_050, upstream).removed).toEqual([]);
-    expect(quarantine.recordAlive(2_400, upstream).removed).toHaveLength(1);
+    const alive = (at: number, sentAt: number) =>
+      quarantine.recordAlive(at, upstream, sentAt).removed;
+    expect(alive(2_050, 1_500)).toEqual([]);
+    // This run was sent after the crash, perhaps to a restarted process.
+    expect(alive(2_400, 2_100)).toEqual([]);
+    expect(alive(2_400, 1_500)).toHaveLength(1);
   });
 
   it('counts the crash of an upstream that answers again later', () => {
     const quarantine = new PromptQuarantine();
     for (const number of [1, 2]) crash(quarantine, number, [DEADLY]);
-    quarantine.recordAlive(5_000, incarnation('i-2@1'));
+    quarantine.recordAlive(5_000, incarnation('i-2@1'), 500);
     expect(partsOf(quarantine)).toEqual([[DEADLY]]);
   });
 
--- a/src/direct/prompt_quarantine.ts
+++ b/src/direct/prompt_quarantine.ts
@@ -140,15 +140,19 @@
    * @param wallTime - current wall-clock time, Unix ms
    * @param service - service of the request
    * @param parts - shared parts of its prompt
+   * @param ownPart - part that only repeats of the request share; it is not
+   *   remembered, since the parts of all requests would displace shared ones
    */
   recordAnswer(
     wallTime: number,
     service: ServiceName,
     parts: readonly PromptPartId[],
+    ownPart?: PromptPartId,
   ): EvidenceChange {
     for (const part of parts) this.addKnownPart(keyOf(service, part));
     if (this.reports.size === 0) return NO_CHANGE;
-    return this.clear(wallTime, service, parts);
+    const all = ownPart === undefined ? parts : [...parts, ownPart];
+    return this.clear(wallTime, service, all);
   }
 
   /**
@@ -175,14 +179,31 @@
     return this.apply(wallTime, cleared);
   }
 
+  /**
+   * Returns whether a request is still suspected of having crashed an upstream.
+   * @param upstream - the upstream
+   * @param request - the request
+   */
+  isSuspected(upstream: Incarnation, request: RequestId): boolean {
+    const report = this.reports.get(reportId(upstream, request));
+    return report !== undefined && openSuspects(report).length > 0;
+  }
+
   /**
    * Records bytes of a run, which dismiss a report that its upstream crashed.
    * @param wallTime - current wall-clock time, Unix ms
    * @param upstream - upstream of the run
+   * @param sentAt - wall-clock time at which the run's request was sent
    */
-  recordAlive(wallTime: number, upstream: Incarnation): EvidenceChange {
+  recordAlive(
+    wallTime: number,
+    upstream: Incarnation,
+    sentAt: number,
+  ): EvidenceChange {
     const learntAt = this.learntAt.get(upstream);
     if (learntAt === undefined) return NO_CHANGE;
+    // A later run may be at a process that has already restarted.
+    if (sentAt > learntAt - ALIVE_WINDOW.from) return NO_CHANGE;
     const elapsed = wallTime - learntAt;
     if (elapsed < ALIVE_WINDOW.from) return NO_CHANGE;
     this.learntAt.delete(upstream);
@@ -251,7 +272,7 @@
   ): EvidenceChange {
     const changed: CrashReport[] = [];
     for (const report of reports) {
-      const id = `${report.upstream} ${report.request}`;
+      const id = reportId(report.upstream, report.request);
       const before = this.reports.get(id);
       const {suspects, cleared} = before ?? report;
       const all = new Set([...cleared, ...report.cleared]);
@@ -321,6 +342,9 @@
   }
 }
 
+const reportId = (upstream: Incarnation, request: RequestId) =>
+  `${upstream} ${request}`;
+
 const NO_CHANGE: EvidenceChange = {reports: [], added: [], removed: []};
 
 function keyOf(service: ServiceName, ...parts: PromptPartId[]): string {
--- a/test/prompt_part_crashes.test.ts
+++ b/test/prompt_part_crashes.test.ts
@@ -158,4 +158,24 @@
     await ask([COMMON, DEADLY], 1);
     expect(deadlyArrivals).toHaveLength(before + 1);
   }, 20_000);
+
+  it('reaches few upstreams if only the whole prompt is deadly', async () => {
+    await startEstate();
+    // Sound requests have shown that the other parts are harmless.
+    for (let i = 0; i < ENTRIES; i++) await ask([COMMON], i);
+    const headers = {'Prompt-Prefix': `${COMMON}:40,${DEADLY}:1014`};
+    const repeat = (entry: number) =>
+      estate.call('/plan/1', headers, 'POST', entry % ENTRIES);
+    for (let i = 0; i < 12; i++) {
+      await repeat(i);
+      await pause(30);
+    }
+    expect(crashes).toBeLessThanOrEqual(MAX_CRASHES);
+    expect(deadlyArrivals.length).toBeLessThanOrEqual(3);
+    expect((await repeat(1)).status).toBe(422);
+    for (let i = 0; i < ENTRIES; i++) {
+      const sound = await ask([COMMON], i);
+      expect(sound).toMatchObject({status: 200, body: WHOLE_STREAM});
+    }
+  }, 20_000);
 });
