Give each topic a connection of its own to the relay

Five topics poll the relay, and a long poll occupies its connection, but there were four: a poll waited for another one's and timed out before it was sent. The relay was then skipped for 10 s, its listeners read the store, and the next entry became a reader as well. It came with the fifth topic.

--- a/src/daemons/direct/zone_store.test.ts
+++ b/src/daemons/direct/zone_store.test.ts
@@ -9,7 +9,7 @@
 import type {KeyedListing, KeyedPage} from '../../clients/index.js';
 import {hostPort, offset, vmName} from '../../core/index.js';
 import type {Millis, Offset} from '../../core/index.js';
-import {configurationTiming} from '../../direct/index.js';
+import {configurationTiming, registrationTiming} from '../../direct/index.js';
 import type {KeyedChange} from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
 import {SILENT_LOGGER, SystemClock} from '../../observability/index.js';
@@ -92,7 +92,10 @@
   beforeEach(() => startZone(ENTRIES));
 
   /** Starts entries of one zone and waits until they follow the topic. */
-  async function startZone(count: number): Promise<void> {
+  async function startZone(
+    count: number,
+    timing = configurationTiming(BOUND),
+  ): Promise<void> {
     await stopZone();
     log = [];
     entries = [];
@@ -105,7 +108,7 @@
     relays = zoneEntries.map(({relay}) => relay);
     for (const {name, relay} of zoneEntries) {
       const store = new CountingStore(log);
-      const timings = new Map([[TOPIC, configurationTiming(BOUND)]]);
+      const timings = new Map([[TOPIC, timing]]);
       const zone = new ZoneStore(store, name, timings, clock, SILENT_LOGGER);
       await zone.listen(relay);
       zone.setEntries(zoneEntries, () => true);
@@ -166,6 +169,50 @@
     expect(calls[0]).toBeLessThan(20);
   });
 
+  it('reads a topic that changes all the time through one entry', async () => {
+    await startZone(ENTRIES, registrationTiming(BOUND));
+    const before = entries.map(({store}) => store.calls);
+    const end = performance.now() + 6 * BOUND;
+    while (performance.now() < end) {
+      log.push('heartbeat');
+      await pause(20);
+    }
+    const calls = entries.map(({store}, i) => store.calls - before[i]!);
+    expect(calls.slice(1)).toEqual(calls.slice(1).map(() => 0));
+  }, 20_000);
+
+  it('polls each topic of the relay without waiting for the others', async () => {
+    const topics = ['a', 'b', 'c', 'd', 'e'];
+    const timings = new Map(
+      topics.map(name => [name, {bound: 4 * BOUND, busySpacing: 0}]),
+    );
+    const clock = new SystemClock();
+    const [listener, relay] = ['entry-7', 'entry-0'].map(
+      name =>
+        new ZoneStore(
+          new CountingStore(log),
+          vmName(name),
+          timings,
+          clock,
+          SILENT_LOGGER,
+        ),
+    ) as [ZoneStore, ZoneStore];
+    const address = hostPort('127.0.0.1', await freePort());
+    await relay.listen(address);
+    const names = Array.from({length: 6}, (_, i) => vmName(`entry-${i}`));
+    listener.setEntries(
+      names.map(name => ({name, relay: address})),
+      () => true,
+    );
+    for (const name of topics) await relay.read(name, offset(0), 0);
+    const startedAt = performance.now();
+    await Promise.all(
+      topics.map(name => listener.read(name, offset(0), BOUND)),
+    );
+    expect(performance.now() - startedAt).toBeLessThan(1.5 * BOUND);
+    await Promise.all([listener.close(), relay.close()]);
+  });
+
   it('delivers a burst of updates well within the bound', async () => {
     let longest = 0;
     for (let i = 0; i < 20; i++) {
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -24,7 +24,6 @@
 
 /** Connect timeout of a relay. */
 const CONNECT_TIMEOUT: Millis = 400;
-const MAX_CONNECTIONS = 4;
 const OK = 200;
 const NO_CONTENT = 204;
 
@@ -62,11 +61,7 @@
   private readonly relayHealth: DependencyHealth;
   /** Number of consecutive failed reads of the store, by topic. */
   private readonly storeFailures = new Map<string, number>();
-  private readonly agent = new Agent({
-    connections: MAX_CONNECTIONS,
-    pipelining: 1,
-    connectTimeout: CONNECT_TIMEOUT,
-  });
+  private readonly agent: Agent;
 
   /**
    * @param store - the store itself
@@ -86,6 +81,12 @@
   ) {
     super();
     this.selector = new RelaySelector(vm);
+    this.agent = new Agent({
+      // A long poll occupies its connection.
+      connections: Math.max(1, timings.size),
+      pipelining: 1,
+      connectTimeout: CONNECT_TIMEOUT,
+    });
     this.relayHealth = new DependencyHealth('relay', clock, logger);
     this.server = new RelayServer(timings, clock, logger, onMessage);
   }
