Share limits cautiously until the number of entries is known

Found by reading: an entry that had named limits in hand before it had read the entries' records took each of them for its own alone, as after a restart while the store is away.

Failed before: 'sends little until it knows how many entries share the limit' (59 requests in 30 s, as if it were alone at 2 a second).

--- a/src/direct/upstream_limits.test.ts
+++ b/src/direct/upstream_limits.test.ts
@@ -167,6 +167,18 @@
     expect(limits.rateOf(UPSTREAM)).toBeUndefined();
   });
 
+  it('sends little until it knows how many entries share the limit', () => {
+    const limits = new UpstreamLimits();
+    limits.recordNamed(0, 0, UPSTREAM, 2);
+    let sent = 0;
+    for (let now = TICK; now < 30_000; now += TICK) {
+      if (!limits.allows(now, UPSTREAM)) continue;
+      limits.recordSent(now, UPSTREAM);
+      sent += 1;
+    }
+    expect(sent).toBeLessThanOrEqual(2);
+  });
+
   it('forgets upstreams that are gone', () => {
     const limits = new UpstreamLimits();
     limits.recordNamed(0, 0, UPSTREAM, 2);
--- a/src/direct/upstream_limits.ts
+++ b/src/direct/upstream_limits.ts
@@ -4,6 +4,8 @@
 /** Requests per second. */
 export type RequestRate = number;
 
+/** Number of entries assumed until the actual number is known. */
+const DEFAULT_ENTRY_COUNT = 64;
 /** A raised limit takes effect after this time without a lower one. */
 const RAISE_DELAY: Millis = 4 * SECOND;
 /**
@@ -60,7 +62,7 @@
   private readonly limits = new Map<Incarnation, LimitState>();
   /** Ends of limits, which outdate earlier reports of them. */
   private readonly endedAt = new Map<Incarnation, Millis>();
-  private share: EntryShare = {index: 0, count: 1};
+  private share: EntryShare = {index: 0, count: DEFAULT_ENTRY_COUNT};
   /** Wall-clock time minus `now`, by which entries agree on time slots. */
   private wallOffset: Millis = 0;
 
