--- a/src/daemons/direct/entry_directory.ts
+++ b/src/daemons/direct/entry_directory.ts
@@ -8,7 +8,7 @@
   VmName,
 } from '../../core/index.js';
 import {SECOND, isHostPort, vmName} from '../../core/index.js';
-import type {EntryShare, KeyedChange, ZoneReader} from '../../direct/index.js';
+import type {EntryShare, KeyedChange, RelayEntry} from '../../direct/index.js';
 import type {Logger} from '../../observability/index.js';
 
 const ANNOUNCE_RETRY_DELAY: Millis = SECOND;
@@ -38,8 +38,8 @@
   onPeers(peers: readonly string[]): void;
   /** Called with the entries that can be read from, and which are in the zone. */
   onReaders(
-    readers: readonly ZoneReader[],
-    isInZone: (reader: ZoneReader) => boolean,
+    readers: readonly RelayEntry[],
+    isInZone: (reader: RelayEntry) => boolean,
   ): void;
 }
 
@@ -89,14 +89,14 @@
     this.listener.onEntryCount(this.entries.size);
     const names = [...this.entries.keys()].sort();
     this.listener.onShare({index: names.indexOf(vm), count: names.length});
-    const readers: ZoneReader[] = [];
+    const readers: RelayEntry[] = [];
     for (const [name, entry] of this.entries) {
       if (entry === undefined) continue;
       readers.push({name: vmName(name), relay: entry.relay});
     }
     const peers = readers.map(reader => reader.relay);
     this.listener.onPeers(peers.filter(peer => peer !== relay));
-    const isInZone = ({name}: ZoneReader) =>
+    const isInZone = ({name}: RelayEntry) =>
       this.entries.get(name)?.availabilityZone === availabilityZone;
     this.listener.onReaders(readers, isInZone);
     this.logger.info('entries', {
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -15,7 +15,7 @@
   ReadSource,
   ReadStep,
   TopicTiming,
-  ZoneReader,
+  RelayEntry,
 } from '../../direct/index.js';
 import {Fault, asFault} from '../../errors/index.js';
 import type {Logger} from '../../observability/index.js';
@@ -111,8 +111,8 @@
    * @param isInZone - whether an entry is in the zone of this one
    */
   setEntries(
-    entries: readonly ZoneReader[],
-    isInZone: (entry: ZoneReader) => boolean,
+    entries: readonly RelayEntry[],
+    isInZone: (entry: RelayEntry) => boolean,
   ): void {
     this.selector.setEntries(entries, isInZone);
   }
@@ -204,7 +204,7 @@
   private async readEntry(
     position: ReadPosition,
     step: ReadStep,
-    entry: ZoneReader,
+    entry: RelayEntry,
     timing: TopicTiming,
   ): Promise<Result<KeyedPage, Fault>> {
     const {topic, from} = position;
@@ -225,7 +225,7 @@
   }
 
   private query(
-    {name, relay}: ZoneReader,
+    {name, relay}: RelayEntry,
     {topic, from}: ReadPosition,
     {source, wait, timeout}: ReadStep,
   ): ResultAsync<RelayedPage, Fault> {
--- a/src/direct/read_plan.test.ts
+++ b/src/direct/read_plan.test.ts
@@ -9,14 +9,14 @@
   peerSpacing,
   registrationTiming,
 } from './index.js';
-import type {ReadSource, ReadStep, TopicTiming, ZoneReader} from './index.js';
+import type {ReadSource, ReadStep, TopicTiming, RelayEntry} from './index.js';
 
 const BOUND = 3_000;
 /** Time until a source that works responds. */
 const ROUND_TRIP = 20;
 const RETRY_DELAY = 200;
 
-const reader = (name: string): ZoneReader => ({
+const reader = (name: string): RelayEntry => ({
   name: vmName(name),
   relay: `${name}:1`,
 });
@@ -32,7 +32,7 @@
   readonly hasListeners: boolean;
   /** Minimum time between two reads. */
   readonly spacing: number;
-  readonly relay: ZoneReader | undefined;
+  readonly relay: RelayEntry | undefined;
 }
 
 const DEPLOYMENTS: readonly [string, Deployment][] = [
--- a/src/direct/read_plan.ts
+++ b/src/direct/read_plan.ts
@@ -1,7 +1,7 @@
 import type {Millis} from '../core/index.js';
 import {SECOND} from '../core/index.js';
 import type {TopicTiming} from './topic_timing.js';
-import type {ZoneReader} from './relay_selector.js';
+import type {RelayEntry} from './relay_selector.js';
 
 /*
  * Fractions of a topic's staleness bound. With them, an update is in force
@@ -34,9 +34,9 @@
 export type ReadSource =
   | {readonly kind: 'store'}
   /** The entry that reads the store for this zone. */
-  | {readonly kind: 'relay'; readonly entry: ZoneReader}
+  | {readonly kind: 'relay'; readonly entry: RelayEntry}
   /** Another entry, while the store does not respond to this one. */
-  | {readonly kind: 'peer'; readonly entry: ZoneReader};
+  | {readonly kind: 'peer'; readonly entry: RelayEntry};
 
 /** One attempt to read a topic. */
 export interface ReadStep {
@@ -59,9 +59,9 @@
   /** Whether other entries read the topic through this one. */
   readonly hasListeners: boolean;
   /** Relay of this entry's zone, unless this entry reads for itself. */
-  readonly relay: ZoneReader | undefined;
+  readonly relay: RelayEntry | undefined;
   /** Other entries in the order in which to query them. */
-  readonly peers: readonly ZoneReader[];
+  readonly peers: readonly RelayEntry[];
   /** Number of consecutive failed reads of the store. */
   readonly storeFailures: number;
   /** Sources that this read has already tried. */
--- a/src/direct/relay_selector.ts
+++ b/src/direct/relay_selector.ts
@@ -9,7 +9,7 @@
 const STALE_BACKOFF: Millis = 2 * SECOND;
 
 /** An entry that other entries can read from. */
-export interface ZoneReader {
+export interface RelayEntry {
   readonly name: VmName;
   /** `host:port` of its relay. */
   readonly relay: string;
@@ -23,8 +23,8 @@
  * than one entry reads.
  */
 export class RelaySelector {
-  private zoneEntries: readonly ZoneReader[] = [];
-  private others: readonly ZoneReader[] = [];
+  private zoneEntries: readonly RelayEntry[] = [];
+  private others: readonly RelayEntry[] = [];
   private lastResponsive: VmName | undefined;
   private readonly skippedUntil = new Map<VmName, Millis>();
 
@@ -37,8 +37,8 @@
    * @param isInZone - whether an entry is in the zone of this one
    */
   setEntries(
-    entries: readonly ZoneReader[],
-    isInZone: (entry: ZoneReader) => boolean,
+    entries: readonly RelayEntry[],
+    isInZone: (entry: RelayEntry) => boolean,
   ): void {
     this.zoneEntries = entries
       .filter(isInZone)
@@ -55,7 +55,7 @@
    * @param now - current time
    * @returns undefined if this entry reads the store itself
    */
-  relay(now: Millis): ZoneReader | undefined {
+  relay(now: Millis): RelayEntry | undefined {
     if (this.zoneEntries.length < MIN_ENTRIES) return undefined;
     const first = this.zoneEntries.find(({name}) => !this.isSkipped(now, name));
     return first?.name === this.self ? undefined : first;
@@ -66,7 +66,7 @@
    * between entries, so that many without the store do not query the same one.
    * @param now - current time
    */
-  peers(now: Millis): ZoneReader[] {
+  peers(now: Millis): RelayEntry[] {
     const usable = this.others.filter(({name}) => !this.isSkipped(now, name));
     const last = usable.filter(({name}) => name === this.lastResponsive);
     return [...last, ...usable.filter(entry => !last.includes(entry))];
