Order the records of the store by its era, then by offset

Cause: tables of topics took a record's offset for its age. A store restored from a copy gives offsets out again, so a topic that is written rarely dropped everything until its offset had passed the old one; where the topic had grown past the old offset before the next read, the records between were never read and nothing noticed.

Fix: a position in a topic has the era of the store and an offset, and only compares through comparePositions, so the compiler finds every user. A read that is answered in another era lists the topic. Keys that the listing of a later era lacks are lost, not removed; registrations get the grace period of a registry outage. Relays answer a listener of an earlier era with a complete listing, and ignore pages of an earlier one. The log names the era and what a listing held.

--- a/src/clients/keyed_store.ts
+++ b/src/clients/keyed_store.ts
@@ -1,6 +1,6 @@
 import type {ResultAsync} from 'neverthrow';
 
-import type {Millis, Offset} from '../core/index.js';
+import type {Era, LogPosition, Millis} from '../core/index.js';
 import type {KeyedRecord} from '../direct/index.js';
 import type {Fault} from '../errors/index.js';
 
@@ -8,7 +8,7 @@
 export interface KeyedListing {
   readonly records: readonly KeyedRecord[];
   /** End of the topic when the first page was read. */
-  readonly startedAt: Offset;
+  readonly startedAt: LogPosition;
 }
 
 /** Records appended to a topic. */
@@ -16,15 +16,24 @@
   | {
       readonly kind: 'records';
       readonly records: readonly KeyedRecord[];
-      /** Offset at which the next read starts. */
-      readonly next: Offset;
+      /** Position at which the next read starts. */
+      readonly next: LogPosition;
       /** Least time between two reads, if it differs from the default, ms. */
       readonly spacing?: Millis;
       /** Process that returned the page, if it was not the store itself. */
       readonly relayedBy?: string;
     }
-  /** The log no longer stores the requested records. */
-  | {readonly kind: 'expired'};
+  /** A listing in place of records of an earlier era. */
+  | (KeyedListing & {
+      readonly kind: 'listing';
+      /** Process that returned it. */
+      readonly relayedBy: string;
+    })
+  /**
+   * The log no longer stores the requested records, or the store is in another
+   * era: the topic has to be listed.
+   */
+  | {readonly kind: 'expired'; readonly era: Era};
 
 /** Store of compacted topics, which retain the newest record of each key. */
 export abstract class KeyedStore {
@@ -35,16 +44,16 @@
   abstract list(topic: string): ResultAsync<KeyedListing, Fault>;
 
   /**
-   * Reads the records appended since an offset.
+   * Reads the records appended since a position.
    * @param topic - the topic
-   * @param from - offset of the first record
+   * @param from - position of the first record
    * @param wait - how long the store may wait for a record, ms
    * @param responseTimeout - timeout beyond the wait, ms; the client's default
    *   if omitted
    */
   abstract read(
     topic: string,
-    from: Offset,
+    from: LogPosition,
     wait: Millis,
     responseTimeout?: Millis,
   ): ResultAsync<KeyedPage, Fault>;
@@ -54,11 +63,11 @@
    * @param topic - the topic
    * @param key - key of the record
    * @param value - value of the record
-   * @returns offset of the record
+   * @returns position of the record
    */
   abstract put(
     topic: string,
     key: string,
     value: Uint8Array,
-  ): ResultAsync<Offset, Fault>;
+  ): ResultAsync<LogPosition, Fault>;
 }
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -24,6 +24,11 @@
 export type Version = Branded<number, 'Version'>;
 /** Offset of a record in the platform's log. */
 export type Offset = Branded<number, 'Offset'>;
+/**
+ * Number of a life of the platform's store: it rises each time the store comes
+ * back from an older copy, without the records that were written since.
+ */
+export type Era = Branded<number, 'Era'>;
 /** Identifier of a log record, chosen by its writer. */
 export type RecordId = Branded<string, 'RecordId'>;
 
@@ -62,6 +67,11 @@
  * @param value - the plain number
  */
 export const offset = (value: number) => value as Offset;
+/**
+ * Brands an era of the store.
+ * @param value - the plain number
+ */
+export const era = (value: number) => value as Era;
 /**
  * Brands the id of a log record.
  * @param value - the plain id
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -4,5 +4,6 @@
 export * from './hop_by_hop.js';
 export * from './ids.js';
 export * from './log.js';
+export * from './log_position.js';
 export * from './rendezvous.js';
 export * from './time.js';
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -252,6 +252,10 @@
           if (settings.topic !== this.estate.topics.upstreams) return;
           this.upstreams.recordRegistryRecovered(this.clock.now());
         },
+        onRestored: () => {
+          if (settings.topic !== this.estate.topics.upstreams) return;
+          this.upstreams.recordRegistryRecovered(this.clock.now());
+        },
       },
       this.logger,
     );
--- a/src/daemons/direct/keyed_follower.test.ts
+++ b/src/daemons/direct/keyed_follower.test.ts
@@ -2,7 +2,8 @@
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {KeyedStore} from '../../clients/index.js';
-import {offset} from '../../core/index.js';
+import {position} from '../../../test/support/positions.js';
+import type {LogPosition} from '../../core/index.js';
 import {Fault} from '../../errors/index.js';
 import {SILENT_LOGGER, SystemClock} from '../../observability/index.js';
 import {KeyedFollower} from './keyed_follower.js';
@@ -15,10 +16,10 @@
   readonly waits: number[] = [];
 
   list() {
-    return okAsync({records: [], startedAt: offset(0)});
+    return okAsync({records: [], startedAt: position(0)});
   }
 
-  read(_topic: string, next: ReturnType<typeof offset>, wait: number) {
+  read(_topic: string, next: LogPosition, wait: number) {
     this.waits.push(wait);
     if (this.isUnavailable) return errAsync(new Fault('store_unavailable'));
     return okAsync({kind: 'records' as const, records: [], next}).map(
@@ -49,6 +50,7 @@
       {
         onChanges: () => undefined,
         onRecovered: downtime => recoveries.push(downtime),
+        onRestored: () => undefined,
       },
       SILENT_LOGGER,
     );
--- a/src/daemons/direct/keyed_follower.ts
+++ b/src/daemons/direct/keyed_follower.ts
@@ -1,5 +1,5 @@
-import type {KeyedStore} from '../../clients/index.js';
-import type {Clock, Millis, Offset} from '../../core/index.js';
+import type {KeyedListing, KeyedStore} from '../../clients/index.js';
+import type {Clock, LogPosition, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import {KeyedTable} from '../../direct/index.js';
 import type {KeyedChange} from '../../direct/index.js';
@@ -28,6 +28,8 @@
   onChanges(changes: readonly KeyedChange[], origin: UpdateOrigin): void;
   /** Called when the store responds after an outage, before the changes. */
   onRecovered(downtime: Millis): void;
+  /** Called when the store has lost records, before the changes. */
+  onRestored(): void;
 }
 
 /** Settings of a follower. */
@@ -42,7 +44,7 @@
 /** Follows a keyed topic: lists it once, then reads new records. */
 export class KeyedFollower {
   private readonly table = new KeyedTable();
-  private nextOffset: Offset | undefined;
+  private next: LogPosition | undefined;
   private readonly storeHealth: DependencyHealth;
   private failures = 0;
   private lastContactAt: Millis | undefined;
@@ -103,39 +105,61 @@
 
   private async readOnce(): Promise<Fault | undefined> {
     const {topic, wait} = this.settings;
-    if (this.nextOffset === undefined) {
-      const listing = await this.store.list(topic);
-      if (listing.isErr()) return listing.error;
-      const {records, startedAt} = listing.value;
-      this.nextOffset = startedAt;
-      this.reportRecovery();
-      this.listener.onChanges(
-        this.table.applyListing(records, startedAt),
-        this.originOf('listing'),
-      );
-      return undefined;
-    }
+    if (this.next === undefined) return this.list();
     // A waiting read would detect the recovery only when it ends.
     const readWait = this.storeHealth.isUnavailable ? 0 : wait;
-    const page = await this.store.read(topic, this.nextOffset, readWait);
-    if (page.isErr()) return page.error;
-    if (page.value.kind === 'expired') {
-      this.logger.warn('topic_history_expired', {topic, from: this.nextOffset});
-      this.nextOffset = undefined;
+    const read = await this.store.read(topic, this.next, readWait);
+    if (read.isErr()) return read.error;
+    const page = read.value;
+    if (page.kind === 'expired') {
+      const {offset: from, era: before} = this.next;
+      const {era} = page;
+      this.logger.warn('topic_history_expired', {topic, from, before, era});
+      return this.list();
+    }
+    if (page.kind === 'listing') {
+      this.applyListing(page, page.relayedBy);
       return undefined;
     }
-    const {records, next} = page.value;
-    this.nextOffset = next;
-    this.spacing = page.value.spacing ?? this.settings.spacing;
+    this.next = page.next;
+    this.spacing = page.spacing ?? this.settings.spacing;
     this.reportRecovery();
-    const changes = this.table.apply(records);
+    const changes = this.table.apply(page.records);
     if (changes.length > 0) {
-      const source = page.value.relayedBy ?? 'store';
+      const source = page.relayedBy ?? 'store';
       this.listener.onChanges(changes, this.originOf(source));
     }
     return undefined;
   }
 
+  private async list(): Promise<Fault | undefined> {
+    const listing = await this.store.list(this.settings.topic);
+    if (listing.isErr()) return listing.error;
+    this.applyListing(listing.value, 'listing');
+    return undefined;
+  }
+
+  private applyListing(
+    {records, startedAt}: KeyedListing,
+    source: string,
+  ): void {
+    const before = this.next;
+    this.next = startedAt;
+    this.reportRecovery();
+    const changes = this.table.applyListing(records, startedAt);
+    if (before !== undefined) {
+      const {era, offset} = startedAt;
+      this.logger.info('topic_listed', {
+        ...{topic: this.settings.topic, source, era, end: offset},
+        ...{era_before: before.era, end_before: before.offset},
+        ...{records: records.length, changes: changes.length},
+        lost: changes.filter(({isLost}) => isLost).length,
+      });
+      if (before.era !== era) this.listener.onRestored();
+    }
+    this.listener.onChanges(changes, this.originOf(source));
+  }
+
   private originOf(source: string): UpdateOrigin {
     const {lastContactAt} = this;
     return {
--- a/src/daemons/direct/quarantine_keeper.test.ts
+++ b/src/daemons/direct/quarantine_keeper.test.ts
@@ -1,8 +1,9 @@
 import {errAsync, okAsync} from 'neverthrow';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
+import {position} from '../../../test/support/positions.js';
 import type {KeyedStore} from '../../clients/index.js';
-import {Clock, incarnation, offset, serviceName} from '../../core/index.js';
+import {Clock, incarnation, serviceName} from '../../core/index.js';
 import {promptPartId, requestId} from '../../direct/index.js';
 import type {CrashReport} from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
@@ -36,7 +37,7 @@
     const put: KeyedStore['put'] = (_topic, _key, value) => {
       if (isAway) return errAsync(new Fault('store_unavailable'));
       stored.push(decodeReports(value));
-      return okAsync(offset(stored.length));
+      return okAsync(position(stored.length));
     };
     const keeper = new QuarantineKeeper(
       {
--- a/src/daemons/direct/rank_registry.ts
+++ b/src/daemons/direct/rank_registry.ts
@@ -64,12 +64,12 @@
     const listing = await this.store.list(this.topic);
     if (listing.isErr()) return err(listing.error);
     const found = listing.value.records.find(one => one.key === key);
-    if (found !== undefined && found.offset + 1 > knownClaim) {
-      return ok({isOwn: false, claim: found.offset + 1});
+    if (found !== undefined && found.position.offset + 1 > knownClaim) {
+      return ok({isOwn: false, claim: found.position.offset + 1});
     }
     const value = Buffer.from(JSON.stringify(record));
     const put = await this.store.put(this.topic, key, value);
-    return put.map(offset => ({isOwn: true, claim: offset + 1}));
+    return put.map(({offset}) => ({isOwn: true, claim: offset + 1}));
   }
 
   /**
@@ -85,7 +85,9 @@
       const key = `${group}/${COORDINATOR}`;
       const found = records.find(one => one.key === key);
       const record = found?.value && parseRecord(found.value);
-      return record && {claim: found.offset + 1, sidecar: record.sidecar};
+      return (
+        record && {claim: found.position.offset + 1, sidecar: record.sidecar}
+      );
     });
   }
 
--- a/src/daemons/direct/relay_server.ts
+++ b/src/daemons/direct/relay_server.ts
@@ -5,8 +5,8 @@
 import {pack} from 'msgpackr';
 import {z} from 'zod';
 
-import type {Clock, Millis, Offset} from '../../core/index.js';
-import {SECOND, offset} from '../../core/index.js';
+import type {Clock, LogPosition, Millis} from '../../core/index.js';
+import {SECOND, era, offset} from '../../core/index.js';
 import {RelayBuffer, maxRelayAge} from '../../direct/index.js';
 import type {RelayResponse, TopicTiming} from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
@@ -15,6 +15,8 @@
 
 /** Header with the age of the relay's contact with the store, ms. */
 export const AGE_HEADER = 'contact-age';
+/** Header with the era of the records. */
+export const ERA_HEADER = 'log-era';
 /** Header with the reason why the relay cannot respond. */
 export const MISS_HEADER = 'relay-miss';
 /** A topic without polls for this time is read for this entry only. */
@@ -26,6 +28,8 @@
 const querySchema = z.object({
   topic: z.string(),
   from: z.coerce.number().int().nonnegative(),
+  /** Era of that offset. */
+  era: z.coerce.number().int().nonnegative().default(0),
   wait: z.coerce.number().nonnegative().max(30_000),
   /** Whether the sender polls regularly, or only while it lacks the store. */
   as: z.enum(['listener', 'peer']).default('listener'),
@@ -37,12 +41,12 @@
   private isResponded = false;
 
   /**
-   * @param from - offset from which it reads
+   * @param from - position from which it reads
    * @param isPeer - whether it comes from a peer that lacks the store
    * @param res - the HTTP response
    */
   constructor(
-    readonly from: Offset,
+    readonly from: LogPosition,
     readonly isPeer: boolean,
     private readonly res: ServerResponse,
   ) {}
@@ -173,12 +177,13 @@
       res.writeHead(UNAVAILABLE).end();
       return;
     }
-    const {from, wait, as} = parsed.data;
+    const {wait, as, ...start} = parsed.data;
+    const from = {era: era(start.era), offset: offset(start.from)};
     if (as === 'listener') topic.lastPolledAt = this.clock.now();
     res.on('error', err => {
       this.logger.debug('relay_answer_not_taken', {err: describeError(err)});
     });
-    const poll = new LongPoll(offset(from), as === 'peer', res);
+    const poll = new LongPoll(from, as === 'peer', res);
     if (this.tryRespond(topic, poll, wait === 0)) return;
     topic.polls.add(poll);
     poll.startTimeout(wait, () => {
@@ -211,16 +216,19 @@
     res.writeHead(UNAVAILABLE, {[MISS_HEADER]: response.reason}).end();
     return;
   }
-  const headers = {[AGE_HEADER]: `${Math.round(response.age)}`};
+  const headers = {
+    [AGE_HEADER]: `${Math.round(response.age)}`,
+    [ERA_HEADER]: `${response.era}`,
+  };
   if (response.kind === 'nothing') {
     res.writeHead(NO_CONTENT, headers).end();
     return;
   }
-  const records = response.records.map(({key, offset: at, value}) => [
+  const records = response.records.map(({key, position, value}) => [
     key,
-    at,
+    position.offset,
     value ?? null,
   ]);
-  const body = pack({next: response.next, records});
+  const body = pack({next: response.next.offset, records});
   res.writeHead(OK, {...headers, 'content-length': body.length}).end(body);
 }
--- a/src/daemons/direct/zone_store.test.ts
+++ b/src/daemons/direct/zone_store.test.ts
@@ -5,10 +5,11 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {freePort} from '../../../test/support/direct_estate.js';
+import {position} from '../../../test/support/positions.js';
 import {KeyedStore} from '../../clients/index.js';
 import type {KeyedListing, KeyedPage} from '../../clients/index.js';
-import {hostPort, offset, vmName} from '../../core/index.js';
-import type {Millis, Offset} from '../../core/index.js';
+import {hostPort, vmName} from '../../core/index.js';
+import type {LogPosition, Millis} from '../../core/index.js';
 import {configurationTiming, registrationTiming} from '../../direct/index.js';
 import type {KeyedChange} from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
@@ -36,12 +37,12 @@
 
   list(): ResultAsync<KeyedListing, Fault> {
     this.calls += 1;
-    return okAsync({records: [], startedAt: offset(0)});
+    return okAsync({records: [], startedAt: position(0)});
   }
 
   read(
     _topic: string,
-    from: Offset,
+    {offset: from}: LogPosition,
     wait: Millis,
     responseTimeout: Millis = DEFAULT_RESPONSE_TIMEOUT,
   ): ResultAsync<KeyedPage, Fault> {
@@ -61,15 +62,15 @@
       }
       const records = this.log.slice(from).map((text, i) => ({
         key: `${from + i}`,
-        offset: offset(from + i),
+        position: position(from + i),
         value: Buffer.from(text),
       }));
-      return {kind: 'records', records, next: offset(this.log.length)};
+      return {kind: 'records', records, next: position(this.log.length)};
     };
     return okAsync(undefined).map(page);
   }
 
-  put(): ResultAsync<Offset, Fault> {
+  put(): ResultAsync<LogPosition, Fault> {
     return errAsync(new Fault('store_unavailable'));
   }
 }
@@ -121,7 +122,11 @@
         zone,
         {topic: TOPIC, wait: BOUND, spacing: 0},
         clock,
-        {onChanges, onRecovered: () => undefined},
+        {
+          onChanges,
+          onRecovered: () => undefined,
+          onRestored: () => undefined,
+        },
         SILENT_LOGGER,
       );
       follower.start();
@@ -204,10 +209,10 @@
       names.map(name => ({name, relay: address})),
       () => true,
     );
-    for (const name of topics) await relay.read(name, offset(0), 0);
+    for (const name of topics) await relay.read(name, position(0), 0);
     const startedAt = performance.now();
     await Promise.all(
-      topics.map(name => listener.read(name, offset(0), BOUND)),
+      topics.map(name => listener.read(name, position(0), BOUND)),
     );
     expect(performance.now() - startedAt).toBeLessThan(1.5 * BOUND);
     await Promise.all([listener.close(), relay.close()]);
@@ -279,7 +284,7 @@
     first.store.isUnavailable = true;
     second.store.isUnavailable = true;
     await pause(2 * BOUND);
-    const lost = await first.zone.read(TOPIC, offset(log.length), 0);
+    const lost = await first.zone.read(TOPIC, position(log.length), 0);
     expect(lost.isErr()).toBe(true);
   });
 
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -8,8 +8,8 @@
 
 import {KeyedStore, withTimeout} from '../../clients/index.js';
 import type {KeyedListing, KeyedPage} from '../../clients/index.js';
-import type {Clock, Millis, Offset, VmName} from '../../core/index.js';
-import {offset} from '../../core/index.js';
+import type {Clock, LogPosition, Millis, VmName} from '../../core/index.js';
+import {era, offset} from '../../core/index.js';
 import {RelaySelector, nextReadStep, peerSpacing} from '../../direct/index.js';
 import type {
   ReadSource,
@@ -20,7 +20,12 @@
 import {Fault, asFault} from '../../errors/index.js';
 import type {Logger} from '../../observability/index.js';
 import {DependencyHealth} from './dependency_health.js';
-import {AGE_HEADER, MISS_HEADER, RelayServer} from './relay_server.js';
+import {
+  AGE_HEADER,
+  ERA_HEADER,
+  MISS_HEADER,
+  RelayServer,
+} from './relay_server.js';
 
 /** Connect timeout of a relay. */
 const CONNECT_TIMEOUT: Millis = 400;
@@ -36,14 +41,14 @@
 
 /** Records of a topic and the time as of which there were no further ones. */
 interface RelayedPage {
-  readonly page: KeyedPage & {kind: 'records'};
+  readonly page: KeyedPage & {kind: 'records' | 'listing'};
   readonly contactAt: Millis;
 }
 
 /** Topic and position of a read. */
 interface ReadPosition {
   readonly topic: string;
-  readonly from: Offset;
+  readonly from: LogPosition;
   /** Maximum wait that the caller requests. */
   readonly wait: Millis;
 }
@@ -118,20 +123,25 @@
   }
 
   list(topic: string): ResultAsync<KeyedListing, Fault> {
-    return this.store.list(topic);
+    return this.store.list(topic).map(listing => {
+      const {records, startedAt} = listing;
+      this.server.bufferOf(topic)?.replace(records, startedAt);
+      this.server.respondToPolls(topic);
+      return listing;
+    });
   }
 
   put(
     topic: string,
     key: string,
     value: Uint8Array,
-  ): ResultAsync<Offset, Fault> {
+  ): ResultAsync<LogPosition, Fault> {
     return this.store.put(topic, key, value);
   }
 
   read(
     topic: string,
-    from: Offset,
+    from: LogPosition,
     wait: Millis,
   ): ResultAsync<KeyedPage, Fault> {
     const timing = this.timings.get(topic);
@@ -213,7 +223,9 @@
     if (read.isErr()) return err(read.error);
     const {page, contactAt} = read.value;
     const isNewer =
-      page.records.length > 0 || contactAt > this.contactAt(topic);
+      page.kind === 'listing' ||
+      page.records.length > 0 ||
+      contactAt > this.contactAt(topic);
     // Two entries without the store must not take each other for it.
     if (isPeer && !isNewer) {
       return err(new Fault('store_unavailable', `${entry.name} is no newer`));
@@ -221,6 +233,7 @@
     this.append(topic, from, read.value);
     if (!isPeer) return ok(page);
     this.selector.recordResponse(entry.name);
+    if (page.kind === 'listing') return ok(page);
     return ok({...page, spacing: peerSpacing(timing)});
   }
 
@@ -231,8 +244,9 @@
   ): ResultAsync<RelayedPage, Fault> {
     const query = new URLSearchParams({
       topic,
-      from: `${from}`,
+      from: `${from.offset}`,
       wait: `${wait}`,
+      ...(from.era > 0 ? {era: `${from.era}`} : {}),
       ...(source.kind === 'peer' ? {as: 'peer'} : {}),
     });
     const response = withTimeout(timeout, async signal => {
@@ -243,8 +257,11 @@
       const body = Buffer.from(await res.body.arrayBuffer());
       const {statusCode: status, headers} = res;
       const age = Number(headers[AGE_HEADER] ?? Infinity);
-      if (status === NO_CONTENT) return {age, next: from, records: []};
-      if (status === OK) return {age, ...responseSchema.parse(unpack(body))};
+      const its = era(Number(headers[ERA_HEADER] ?? 0));
+      if (status === NO_CONTENT)
+        return {age, era: its, next: from.offset, records: []};
+      if (status === OK)
+        return {age, era: its, ...responseSchema.parse(unpack(body))};
       return {miss: `${String(headers[MISS_HEADER])}`};
     });
     return ResultAsync.fromPromise(response, thrown => {
@@ -259,25 +276,37 @@
         if (read.miss === 'stale') this.selector.recordStale(now, name);
         return err(new Fault('store_unavailable', `${name}: ${read.miss}`));
       }
+      // An entry that does not send its era answers for the first one.
+      if (!(read.era >= from.era)) {
+        return err(new Fault('store_unavailable', `${name}: earlier era`));
+      }
+      const contactAt = now - read.age;
+      const positionOf = (at: number) => ({era: read.era, offset: offset(at)});
       const records = read.records.map(([key, at, value]) => ({
         key,
-        offset: offset(at),
+        position: positionOf(at),
         value: value ?? undefined,
       }));
-      const next = offset(read.next);
+      const next = positionOf(read.next);
+      const relayedBy = name;
       return ok({
-        page: {kind: 'records', relayedBy: name, records, next, spacing: 0},
-        contactAt: now - read.age,
+        page:
+          read.era > from.era
+            ? {kind: 'listing', relayedBy, records, startedAt: next}
+            : {kind: 'records', relayedBy, records, next, spacing: 0},
+        contactAt,
       });
     });
   }
 
   private append(
     topic: string,
-    from: Offset,
-    {page: {records, next}, contactAt}: RelayedPage,
+    from: LogPosition,
+    {page, contactAt}: RelayedPage,
   ): void {
-    this.server.bufferOf(topic)?.append(contactAt, from, records, next);
+    const buffer = this.server.bufferOf(topic);
+    if (page.kind === 'listing') buffer?.replace(page.records, page.startedAt);
+    else buffer?.append(contactAt, from, page.records, page.next);
     this.server.respondToPolls(topic);
   }
 
--- a/src/direct/keyed_table.test.ts
+++ b/src/direct/keyed_table.test.ts
@@ -1,15 +1,20 @@
 import {describe, expect, it} from 'vitest';
 
-import {offset} from '../core/index.js';
+import {position} from '../../test/support/positions.js';
 import {KeyedTable} from './index.js';
 import type {KeyedRecord} from './index.js';
 
 const bytes = (text: string) => Buffer.from(text);
 
 describe('KeyedTable', () => {
-  const record = (key: string, at: number, value?: string): KeyedRecord => ({
+  const record = (
+    key: string,
+    at: number,
+    value?: string,
+    era = 0,
+  ): KeyedRecord => ({
     key,
-    offset: offset(at),
+    position: position(at, era),
     value: value === undefined ? undefined : bytes(value),
   });
 
@@ -21,16 +26,36 @@
     );
   });
 
+  it('accepts a lower offset of a later era, and none of an earlier one', () => {
+    const table = new KeyedTable();
+    table.apply([record('a', 9, 'old', 1)]);
+    const restored = table.applyListing(
+      [record('a', 2, 'x', 2)],
+      position(3, 2),
+    );
+    expect(restored).toHaveLength(1);
+    expect(table.apply([record('a', 3, 'y', 2)])).toHaveLength(1);
+    expect(table.apply([record('a', 10, 'late', 1)])).toEqual([]);
+  });
+
+  it('reports keys that a later era lacks as lost, not as removed', () => {
+    const table = new KeyedTable();
+    table.apply([record('a', 9, 'old', 1)]);
+    expect(table.applyListing([], position(12, 2))).toEqual([
+      {key: 'a', value: undefined, isLost: true},
+    ]);
+  });
+
   it('removes keys missing from a listing, unless they are newer than it', () => {
     const table = new KeyedTable();
     table.apply([record('old', 3, 'x'), record('new', 9, 'y')]);
-    const changes = table.applyListing([], offset(8));
+    const changes = table.applyListing([], position(8));
     expect(changes).toEqual([{key: 'old', value: undefined}]);
   });
 
   it('accepts a record that was written while the pages were read', () => {
     const table = new KeyedTable();
-    table.applyListing([record('a', 12, 'second')], offset(10));
+    table.applyListing([record('a', 12, 'second')], position(10));
     expect(table.apply([record('a', 11, 'first')])).toEqual([]);
   });
 });
--- a/src/direct/keyed_table.ts
+++ b/src/direct/keyed_table.ts
@@ -1,9 +1,10 @@
-import type {Offset} from '../core/index.js';
+import {comparePositions} from '../core/index.js';
+import type {LogPosition} from '../core/index.js';
 
 /** A record of a keyed topic. */
 export interface KeyedRecord {
   readonly key: string;
-  readonly offset: Offset;
+  readonly position: LogPosition;
   /** The value; undefined if the record is a tombstone of the key. */
   readonly value: Uint8Array | undefined;
 }
@@ -12,16 +13,18 @@
 export interface KeyedChange {
   readonly key: string;
   readonly value: Uint8Array | undefined;
+  /** Whether the store has lost the key's record: nobody removed the key. */
+  readonly isLost?: boolean;
 }
 
 interface LatestRecord {
-  readonly offset: Offset;
+  readonly position: LogPosition;
   readonly value: Uint8Array | undefined;
 }
 
 /**
  * Table of the latest value of each key of a topic. Records may arrive twice
- * and, between a listing and the log, out of order: the highest offset wins.
+ * and, between a listing and the log, out of order: the last position wins.
  */
 export class KeyedTable {
   private readonly latest = new Map<string, LatestRecord>();
@@ -33,10 +36,10 @@
    */
   apply(records: readonly KeyedRecord[]): KeyedChange[] {
     const changes: KeyedChange[] = [];
-    for (const {key, offset, value} of records) {
+    for (const {key, position, value} of records) {
       const known = this.latest.get(key);
-      if (known !== undefined && known.offset >= offset) continue;
-      this.latest.set(key, {offset, value});
+      if (known && comparePositions(known.position, position) >= 0) continue;
+      this.latest.set(key, {position, value});
       if (value === undefined && known?.value === undefined) continue;
       changes.push({key, value});
     }
@@ -46,21 +49,24 @@
   /**
    * Applies a complete listing. Its pages are read one after the other, so a
    * key that it lacks is removed only if its latest record is older than the
-   * listing.
+   * listing. It is lost if that record is of an earlier era.
    * @param records - records of all pages
    * @param startedAt - end of the topic when the first page was read
    * @returns the changes
    */
   applyListing(
     records: readonly KeyedRecord[],
-    startedAt: Offset,
+    startedAt: LogPosition,
   ): KeyedChange[] {
     const changes = this.apply(records);
     const listed = new Set(records.map(({key}) => key));
-    for (const [key, {offset, value}] of this.latest) {
-      if (listed.has(key) || offset >= startedAt) continue;
+    for (const [key, {position, value}] of this.latest) {
+      if (listed.has(key) || comparePositions(position, startedAt) >= 0)
+        continue;
       this.latest.delete(key);
-      if (value !== undefined) changes.push({key, value: undefined});
+      if (value === undefined) continue;
+      const isLost = position.era < startedAt.era;
+      changes.push({key, value: undefined, ...(isLost ? {isLost} : {})});
     }
     return changes;
   }
--- a/src/direct/relay.test.ts
+++ b/src/direct/relay.test.ts
@@ -1,12 +1,13 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 
-import {offset, vmName} from '../core/index.js';
+import {position} from '../../test/support/positions.js';
+import {vmName} from '../core/index.js';
 import {RelayBuffer, RelaySelector} from './index.js';
 
 const record = (at: number, bytes = 10) => ({
   key: `k${at}`,
-  offset: offset(at),
+  position: position(at),
   value: new Uint8Array(bytes),
 });
 const range = (from: number, to: number) =>
@@ -25,13 +26,15 @@
           const received: number[] = [];
           for (const [i, size] of pages.entries()) {
             const records = range(end, end + size);
-            buffer.append(i, offset(end), records, offset(end + size));
+            buffer.append(i, position(end), records, position(end + size));
             end += size;
             if ((reads[i % reads.length] ?? 0) % 2 === 0) continue;
-            const response = buffer.read(i, offset(nextOffset), {maxAge: 100});
+            const response = buffer.read(i, position(nextOffset), {
+              maxAge: 100,
+            });
             if (response.kind !== 'records') continue;
-            received.push(...response.records.map(one => one.offset));
-            nextOffset = response.next;
+            received.push(...response.records.map(one => one.position.offset));
+            nextOffset = response.next.offset;
           }
           expect(received).toEqual(
             Array.from({length: nextOffset - 3}, (_, i) => 3 + i),
@@ -43,36 +46,68 @@
 
   it('reports no new records only after a recent contact with the store', () => {
     const buffer = new RelayBuffer();
-    expect(buffer.read(0, offset(0), {maxAge: 100})).toMatchObject({
+    expect(buffer.read(0, position(0), {maxAge: 100})).toMatchObject({
       reason: 'not_held',
     });
-    buffer.append(0, offset(5), [], offset(5));
-    expect(buffer.read(100, offset(5), {maxAge: 100})).toEqual({
+    buffer.append(0, position(5), [], position(5));
+    expect(buffer.read(100, position(5), {maxAge: 100})).toEqual({
       kind: 'nothing',
+      era: 0,
       age: 100,
     });
-    expect(buffer.read(101, offset(5), {maxAge: 100})).toMatchObject({
+    expect(buffer.read(101, position(5), {maxAge: 100})).toMatchObject({
       reason: 'stale',
     });
   });
 
+  it('answers a listener of an earlier era with a complete listing only', () => {
+    const limits = {maxAge: 100};
+    const buffer = new RelayBuffer();
+    buffer.append(0, position(5, 1), range(5, 8), position(8, 1));
+    const inEra = (at: number, era: number) => ({
+      ...record(at),
+      position: position(at, era),
+    });
+    const listed = [inEra(6, 2), inEra(2, 2)];
+    buffer.replace(listed, position(7, 2));
+    buffer.append(0, position(7, 2), [inEra(7, 2)], position(8, 2));
+    expect(buffer.read(0, position(8, 1), limits)).toMatchObject({
+      kind: 'records',
+      records: [inEra(2, 2), inEra(6, 2), inEra(7, 2)],
+      next: position(8, 2),
+    });
+    // A listing lacks the keys that were removed before it in the same era.
+    expect(buffer.read(0, position(6, 2), limits)).toMatchObject({
+      reason: 'not_held',
+    });
+    expect(buffer.read(0, position(8, 3), limits)).toMatchObject({
+      reason: 'stale',
+    });
+    buffer.append(0, position(7, 1), range(7, 20), position(20, 1));
+    expect(buffer.read(0, position(8, 2), limits).kind).toBe('nothing');
+    buffer.append(0, position(20, 2), [], position(20, 2));
+    expect(buffer.read(0, position(8, 1), limits)).toMatchObject({
+      reason: 'not_held',
+    });
+  });
+
   it('rejects reads of records that it does not buffer or that are too large', () => {
     const buffer = new RelayBuffer();
-    buffer.append(0, offset(5), range(5, 8), offset(8));
-    expect(buffer.read(0, offset(4), {maxAge: 100})).toMatchObject({
+    buffer.append(0, position(5), range(5, 8), position(8));
+    expect(buffer.read(0, position(4), {maxAge: 100})).toMatchObject({
       reason: 'not_held',
     });
-    buffer.append(0, offset(8), [record(8, 2 ** 19)], offset(9));
-    expect(buffer.read(0, offset(8), {maxAge: 100})).toMatchObject({
+    buffer.append(0, position(8), [record(8, 2 ** 19)], position(9));
+    expect(buffer.read(0, position(8), {maxAge: 100})).toMatchObject({
       reason: 'too_large',
     });
     // A gap between two pages resets the buffer.
-    buffer.append(0, offset(20), range(20, 21), offset(21));
-    expect(buffer.read(0, offset(9), {maxAge: 100})).toMatchObject({
+    buffer.append(0, position(20), range(20, 21), position(21));
+    expect(buffer.read(0, position(9), {maxAge: 100})).toMatchObject({
       reason: 'not_held',
     });
-    buffer.append(0, offset(21), range(21, 9_000), offset(9_000));
-    expect(buffer.read(0, offset(22), {maxAge: 100})).toMatchObject({
+    buffer.append(0, position(21), range(21, 9_000), position(9_000));
+    expect(buffer.read(0, position(22), {maxAge: 100})).toMatchObject({
       reason: 'not_held',
     });
   });
--- a/standins/keyed_log_server.ts
+++ b/standins/keyed_log_server.ts
@@ -9,12 +9,18 @@
 
 const LENGTH_BYTES = 4;
 const HEAD_BYTES = 8;
+const GONE = 410;
+
+/** Copy of a store's topics. */
+export type StoreCopy = ReadonlyMap<string, readonly Entry[]>;
 
 /** Stands in for the platform's store: keyed topics with one partition each. */
 export class KeyedLogServer extends StandinServer {
   /** HTTP status that every request fails with while this is set. */
   failureStatus: number | undefined;
-  private readonly topics = new Map<string, Entry[]>();
+  private topics: ReadonlyMap<string, readonly Entry[]> = new Map();
+  /** Number of this life of the store, sent in all responses. */
+  private era = 1;
   private waiters: (() => void)[] = [];
 
   /**
@@ -38,6 +44,22 @@
     this.append(topic, {key, value});
   }
 
+  /** Returns a copy of all topics, to restore later. */
+  copy(): StoreCopy {
+    return this.topics;
+  }
+
+  /**
+   * Comes back from a copy: what was appended since is lost, and its offsets are
+   * given out again.
+   * @param copy - the copy
+   */
+  restore(copy: StoreCopy): void {
+    this.topics = copy;
+    this.era += 1;
+    this.wakeReaders();
+  }
+
   protected async handle(
     req: IncomingMessage,
     res: ServerResponse,
@@ -45,6 +67,7 @@
     const url = new URL(req.url ?? '/', 'http://standin');
     const topic = url.searchParams.get('Topic') ?? '';
     const records = this.topics.get(topic) ?? [];
+    res.setHeader('Store-Era', this.era);
     if (this.failureStatus !== undefined) {
       res.writeHead(this.failureStatus).end();
       return;
@@ -55,8 +78,11 @@
       case '/api/log-read': {
         const from = Number(url.searchParams.get('From'));
         const wait = Number(url.searchParams.get('WaitMs'));
-        if (from >= records.length) await this.waitForAppend(wait);
-        res.end(encodePage(this.topics.get(topic) ?? [], from));
+        if (from === records.length) await this.waitForAppend(wait);
+        res.setHeader('Store-Era', this.era);
+        const present = this.topics.get(topic) ?? [];
+        if (from > present.length) res.writeHead(GONE).end('{"First":0}');
+        else res.end(encodePage(present, from));
         return;
       }
       case '/api/log-append': {
@@ -75,7 +101,12 @@
   }
 
   private append(topic: string, entry: Entry): void {
-    this.topics.set(topic, [...(this.topics.get(topic) ?? []), entry]);
+    const records = [...(this.topics.get(topic) ?? []), entry];
+    this.topics = new Map(this.topics).set(topic, records);
+    this.wakeReaders();
+  }
+
+  private wakeReaders(): void {
     for (const wake of this.waiters.splice(0)) wake();
   }
 
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -48,7 +48,7 @@
   version,
   vmName,
 } from '../src/core/index.js';
-import type {LogPage, Offset} from '../src/core/index.js';
+import type {LogPage, LogPosition, Offset} from '../src/core/index.js';
 import {EstateTracker} from '../src/daemons/direct/estate_tracker.js';
 import type {Estate} from '../src/daemons/direct/index.js';
 import {RankRegistry} from '../src/daemons/direct/rank_registry.js';
@@ -62,6 +62,7 @@
 import {identity} from '../src/membership/index.js';
 import {Metrics, createLogger} from '../src/observability/index.js';
 import {freePort} from './support/direct_estate.js';
+import {position} from './support/positions.js';
 
 /** Each byte of the nonces in the recorded handshake. */
 const NONCE_BYTE = 7;
@@ -361,7 +362,7 @@
   }
 
   list(topic: string): ResultAsync<KeyedListing, Fault> {
-    const none = {records: [], startedAt: offset(0)};
+    const none = {records: [], startedAt: position(0)};
     return okAsync(this.listings.get(topic) ?? none);
   }
 
@@ -374,9 +375,9 @@
     topic: string,
     key: string,
     value: Uint8Array,
-  ): ResultAsync<Offset, Fault> {
+  ): ResultAsync<LogPosition, Fault> {
     this.puts.push({topic, key, value: Buffer.from(value).toString('utf8')});
-    return okAsync(offset(this.puts.length - 1));
+    return okAsync(position(this.puts.length - 1));
   }
 }
 
@@ -384,10 +385,10 @@
 function listingOf(puts: readonly Omit<RecordedPut, 'topic'>[]): KeyedListing {
   const records = puts.map(({key, value}, i) => ({
     key,
-    offset: offset(i),
+    position: position(i),
     value: Buffer.from(value),
   }));
-  return {records, startedAt: offset(0)};
+  return {records, startedAt: position(0)};
 }
 
 class FixedClock extends Clock {
@@ -506,16 +507,16 @@
   const {relay} = recorded<RecordedStores>('stored_records');
   const params = new URLSearchParams(relay.question.split('?')[1]);
   const topic = params.get('topic') ?? '';
-  const from = offset(Number(params.get('from')));
+  const from = position(Number(params.get('from')));
   const wait = Number(params.get('wait'));
   const timings = new Map([[topic, {bound: 30_000, busySpacing: 12_000}]]);
   const logger = createLogger('error', () => undefined);
   const page: KeyedPage = {
     kind: 'records',
-    next: offset(relay.next),
+    next: position(relay.next),
     records: relay.records.map(({key, offset: at, value}) => ({
       key,
-      offset: offset(at),
+      position: position(at),
       value: value === null ? undefined : Buffer.from(value),
     })),
   };
@@ -563,10 +564,10 @@
       const heard = (await zone.read(topic, from, wait))._unsafeUnwrap();
       if (heard.kind !== 'records') throw new Error('no records were read');
       expect(questions).toEqual([relay.question]);
-      expect(heard.next).toBe(relay.next);
-      const records = heard.records.map(({key, offset: at, value}) => [
+      expect(heard.next).toEqual(position(relay.next));
+      const records = heard.records.map(({key, position: at, value}) => [
         key,
-        at,
+        at.offset,
         value === undefined ? null : Buffer.from(value).toString('utf8'),
       ]);
       expect(records).toEqual(
