Let entries announce themselves again after a loss of the store's records

An entry writes its record once, as it starts. After the store had come back from a copy older than that, an entry that started later did not know the others: it counted fewer entries than there are, and so took a larger share of an upstream's limit and sent crash reports to fewer peers. Running entries dropped the lost records too, since a listing without them looked like their removal.

An entry now announces itself again when its topic is of a later era, and a record that is only lost removes no entry. The test 'does not make entries forget each other' failed before (the new entry knew 1 of 3).

--- a/src/daemons/direct/entry_directory.ts
+++ b/src/daemons/direct/entry_directory.ts
@@ -80,7 +80,9 @@
    * @param changes - the records
    */
   apply(changes: readonly KeyedChange[]): void {
-    for (const {key, value} of changes) {
+    for (const {key, value, isLost} of changes) {
+      // An entry whose record the store has lost announces itself again.
+      if (isLost) continue;
       if (value === undefined) this.entries.delete(key);
       else this.entries.set(key, parseEntry(value));
     }
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -252,15 +252,20 @@
           if (settings.topic !== this.estate.topics.upstreams) return;
           this.upstreams.recordRegistryRecovered(this.clock.now());
         },
-        onRestored: () => {
-          if (settings.topic !== this.estate.topics.upstreams) return;
-          this.upstreams.recordRegistryRecovered(this.clock.now());
-        },
+        onRestored: () => this.onTopicRestored(settings.topic),
       },
       this.logger,
     );
   }
 
+  /** Handles the loss of a topic's last records. */
+  private onTopicRestored(topic: string): void {
+    const {topics} = this.estate;
+    if (topic === topics.upstreams)
+      this.upstreams.recordRegistryRecovered(this.clock.now());
+    if (topic === topics.entries) void this.entries.announce();
+  }
+
   private applyConfiguration(
     change: KeyedChange,
     {source, sinceContact}: UpdateOrigin,
--- a/test/restored_store.test.ts
+++ b/test/restored_store.test.ts
@@ -12,6 +12,9 @@
   socket.write(sealedAnswer(head, 'ok'));
 };
 
+/** Longer than the reads of an internal topic are apart. */
+const PATIENCE = {timeout: 12_000, interval: 50};
+
 const withRoute = (prefix: string) => [...ROUTES, wireRoute(prefix, 'safe')];
 
 describe('a store that comes back from an older copy', () => {
@@ -71,6 +74,27 @@
     }
   });
 
+  it('does not make entries forget each other', async () => {
+    const copy = estate.store.copy();
+    await start(2);
+    const entriesKnownTo = async (entry: number) => {
+      const {body} = await estate.operate('/status', 'GET', entry);
+      return (JSON.parse(body) as {entries: number}).entries;
+    };
+    await vi.waitFor(
+      async () => expect(await entriesKnownTo(0)).toBe(2),
+      PATIENCE,
+    );
+    estate.store.restore(copy);
+    estate.configure(2, ROUTES);
+    await estate.addUpstream(answer);
+    await estate.addEntry();
+    await vi.waitFor(async () => {
+      expect(await entriesKnownTo(0)).toBeGreaterThanOrEqual(2);
+      expect(await entriesKnownTo(2)).toBe(3);
+    }, PATIENCE);
+  }, 30_000);
+
   it('does not hide records behind offsets that were passed before the next read', async () => {
     await start(1);
     const copy = estate.store.copy();
