Number claims by era and offset, so that no two have one number

After the store has come back from an older copy, offsets of the ranks' topic are given out again, and with them the numbers of claims to coordinate a group: the users saw claim 17 of two sidecars, eight ranks that refused the second one's orders, and a third coordinator. Two that live with one number are told apart by no fence, and where engines check none they can mix maps.

A claim's number now begins with the era. Eras are 65,536 numbers apart, more than one topic can lose, so a claim of a later era is above all lost ones, also of sidecars that do not know them.

--- a/src/daemons/direct/rank_registry.ts
+++ b/src/daemons/direct/rank_registry.ts
@@ -4,6 +4,7 @@
 
 import type {KeyedStore} from '../../clients/index.js';
 import {isHostPort} from '../../core/index.js';
+import type {LogPosition} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
 
 const rankRecord = z.object({
@@ -18,6 +19,11 @@
 export type RankRecord = z.output<typeof rankRecord>;
 
 const COORDINATOR = 'coordinator';
+/**
+ * Distance between the claim numbers of two eras of the store: more records
+ * than one topic can lose when the store comes back from an older copy.
+ */
+const CLAIMS_PER_ERA = 2 ** 16;
 
 /** Registry of ranks and coordinator claims in the keyed store. */
 export class RankRegistry {
@@ -48,8 +54,9 @@
 
   /**
    * Claims to coordinate a group, unless the store has a claim that is unknown
-   * to the claiming sidecar. The number of a claim is derived from its offset
-   * in the log, which makes it higher than those of all earlier claims.
+   * to the claiming sidecar. The number of a claim is derived from its position
+   * in the log, which makes it higher than those of all earlier claims, lost
+   * ones too.
    * @param group - the group
    * @param record - record of the claiming sidecar
    * @param knownClaim - newest claim known to the sidecar
@@ -64,12 +71,13 @@
     const listing = await this.store.list(this.topic);
     if (listing.isErr()) return err(listing.error);
     const found = listing.value.records.find(one => one.key === key);
-    if (found !== undefined && found.position.offset + 1 > knownClaim) {
-      return ok({isOwn: false, claim: found.position.offset + 1});
+    const existing = found && claimAt(found.position);
+    if (existing !== undefined && existing > knownClaim) {
+      return ok({isOwn: false, claim: existing});
     }
     const value = Buffer.from(JSON.stringify(record));
     const put = await this.store.put(this.topic, key, value);
-    return put.map(({offset}) => ({isOwn: true, claim: offset + 1}));
+    return put.map(position => ({isOwn: true, claim: claimAt(position)}));
   }
 
   /**
@@ -86,7 +94,7 @@
       const found = records.find(one => one.key === key);
       const record = found?.value && parseRecord(found.value);
       return (
-        record && {claim: found.position.offset + 1, sidecar: record.sidecar}
+        record && {claim: claimAt(found.position), sidecar: record.sidecar}
       );
     });
   }
@@ -139,6 +147,11 @@
   return record && {...record, group: key.slice(0, at), rank: Number(rank)};
 }
 
+/** Returns the number of the claim at a position. */
+function claimAt({era, offset}: LogPosition): number {
+  return era * CLAIMS_PER_ERA + offset + 1;
+}
+
 function parseRecord(value: Uint8Array): RankRecord | undefined {
   try {
     const text = Buffer.from(value).toString('utf8');
