Register ranks again after a loss of the store's records

A sidecar writes the address of its rank once. After the store had come back from an older copy, a coordinator that started later did not find the ranks registered in the lost time, could not give them orders, and the group kept its map; a running one that listed the ranks again forgot addresses that it had. Found by reading; the tests 'register again when the store has lost their records' and 'keeps the addresses of ranks that a restored store has lost' failed before.

A sidecar follows the ranks' topic, as entries do (a read each ten seconds), and writes its record again in a later era; a coordinator adds a listing to what it knows.

--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -23,7 +23,7 @@
 import {EntryDirectory} from './entry_directory.js';
 import type {EntryLocation} from './entry_directory.js';
 import type {Estate, StalenessBounds} from './estate.js';
-import {KeyedFollower} from './keyed_follower.js';
+import {KeyedFollower, internalTopic} from './keyed_follower.js';
 import type {
   FollowerListener,
   FollowerSettings,
@@ -40,13 +40,6 @@
 const UPSTREAMS_SPACING_FRACTION = 0.6;
 /** Registrations change constantly, so reads rarely wait. */
 const UPSTREAMS_WAIT: Millis = SECOND;
-/**
- * Maximum wait of a read of the internal topics, which change when a process
- * starts or the speed of a rank changes.
- */
-const OWN_TOPICS_WAIT: Millis = 10 * SECOND;
-/** Time between reads; the topics change in bursts, as all processes start. */
-const OWN_TOPICS_SPACING: Millis = 3 * SECOND;
 const EXPIRY_INTERVAL: Millis = SECOND / 4;
 
 /** Callbacks of an estate tracker. */
@@ -151,24 +144,14 @@
         },
         changes => this.applyRegistrations(changes),
       ),
-      entries: this.createFollower(
-        {
-          topic: topics.entries,
-          wait: OWN_TOPICS_WAIT,
-          spacing: OWN_TOPICS_SPACING,
-        },
-        changes => this.entries.apply(changes),
+      entries: this.createFollower(internalTopic(topics.entries), changes =>
+        this.entries.apply(changes),
       ),
-      ranks: this.createFollower(
-        {
-          topic: topics.ranks,
-          wait: OWN_TOPICS_WAIT,
-          spacing: OWN_TOPICS_SPACING,
-        },
-        changes => this.applyRanks(changes),
+      ranks: this.createFollower(internalTopic(topics.ranks), changes =>
+        this.applyRanks(changes),
       ),
       quarantines: this.createFollower(
-        {topic: topics.quarantines, wait: OWN_TOPICS_WAIT, spacing: 0},
+        {...internalTopic(topics.quarantines), spacing: 0},
         changes => this.listener.onQuarantines(changes),
       ),
     };
--- a/src/daemons/direct/keyed_follower.ts
+++ b/src/daemons/direct/keyed_follower.ts
@@ -10,6 +10,13 @@
 /** Delay after the first failed read; doubles with each further one. */
 const MIN_RETRY_DELAY: Millis = 100;
 const MAX_RETRY_DELAY: Millis = SECOND / 2;
+/**
+ * Maximum wait of a read of the internal topics, which change when a process
+ * starts or the speed of a rank changes.
+ */
+const INTERNAL_TOPIC_WAIT: Millis = 10 * SECOND;
+/** Time between reads; the topics change in bursts, as all processes start. */
+const INTERNAL_TOPIC_SPACING: Millis = 3 * SECOND;
 
 /** How an update reached a follower. */
 export interface UpdateOrigin {
@@ -41,6 +48,14 @@
   readonly spacing: Millis;
 }
 
+/**
+ * Returns the settings of a follower of an internal topic.
+ * @param topic - the topic
+ */
+export function internalTopic(topic: string): FollowerSettings {
+  return {topic, wait: INTERNAL_TOPIC_WAIT, spacing: INTERNAL_TOPIC_SPACING};
+}
+
 /** Follows a keyed topic: lists it once, then reads new records. */
 export class KeyedFollower {
   private readonly table = new KeyedTable();
--- a/src/daemons/direct/local_rank.ts
+++ b/src/daemons/direct/local_rank.ts
@@ -160,6 +160,11 @@
     return report;
   }
 
+  /** Registers the rank again with its next report: the store lost records. */
+  forgetRegistration(): void {
+    this.registration = undefined;
+  }
+
   /** Returns whether the rank is in a map switch, which may end at any time. */
   private isSwitching(now: Millis): boolean {
     const {pendingLoad, report} = this;
--- a/src/daemons/direct/map_sidecar.ts
+++ b/src/daemons/direct/map_sidecar.ts
@@ -5,6 +5,7 @@
 import {OperatorServer} from '../shared/operator_server.js';
 import {startContext} from '../shared/start_context.js';
 import type {DirectParts, DirectSettings} from './estate.js';
+import {KeyedFollower, internalTopic} from './keyed_follower.js';
 import {MapTask} from './map_task.js';
 import {RankLinks} from './rank_links.js';
 import {RankRegistry} from './rank_registry.js';
@@ -19,6 +20,8 @@
   private readonly task: MapTask;
   private readonly links: RankLinks;
   private readonly operatorServer: OperatorServer;
+  /** Notices that the store has lost this rank's registration. */
+  private readonly registrations: KeyedFollower;
   private readonly port: number;
   private isStopped = false;
 
@@ -59,6 +62,17 @@
       self: {sidecar: hostPort(ip, this.port), engine: address, pace: 1},
       engineAt: at => estate.createRankClient(at),
     });
+    this.registrations = new KeyedFollower(
+      estate.store,
+      internalTopic(estate.topics.ranks),
+      clock,
+      {
+        onChanges: () => undefined,
+        onRecovered: () => undefined,
+        onRestored: () => this.task.post({type: 'registry_restored'}),
+      },
+      context.logger,
+    );
     this.operatorServer = new OperatorServer({
       metrics,
       notReadyReason: () => undefined,
@@ -71,6 +85,7 @@
     const {ip, operatorPort} = this.settings;
     await this.links.listen(ip, this.port);
     await this.operatorServer.listen(ip, operatorPort);
+    this.registrations.start();
     void this.loadProfile();
   }
 
@@ -82,6 +97,7 @@
   /** Stops the sidecar; the rank stays on its current map. */
   async drain(): Promise<void> {
     this.isStopped = true;
+    this.registrations.stop();
     this.task.stop();
     await this.links.close();
     await this.operatorServer.close();
--- a/src/daemons/direct/map_task.ts
+++ b/src/daemons/direct/map_task.ts
@@ -136,6 +136,9 @@
       case 'configured':
         this.planning.configure(message.profile);
         return;
+      case 'registry_restored':
+        this.localRank.forgetRegistration();
+        return;
       case 'claimed':
         return this.onClaimResult(now, message.claim);
       case 'vacant':
--- a/src/daemons/direct/map_task_message.ts
+++ b/src/daemons/direct/map_task_message.ts
@@ -22,6 +22,8 @@
       readonly message: CutoverMessage;
     }
   | {readonly type: 'opened'; readonly link: Link}
+  /** The store has lost records of the ranks. */
+  | {readonly type: 'registry_restored'}
   | {readonly type: 'configured'; readonly profile: ExpertProfile}
   | {readonly type: 'claimed'; readonly claim: ClaimResult | undefined}
   | {readonly type: 'vacant'; readonly ownClaim: number | undefined}
--- a/src/daemons/direct/rank_transport.test.ts
+++ b/src/daemons/direct/rank_transport.test.ts
@@ -56,14 +56,17 @@
     channel: 'beside',
   };
 
-  async function startTransport(engine: RankClient) {
+  const RANK_1 = {sidecar: 'b:1', engine: 'b:2', pace: 1};
+
+  async function startTransport(
+    engine: RankClient,
+    ranks: RankTransportPorts['registry']['ranks'] = async () =>
+      okAsync(new Map([[1, RANK_1]])),
+  ) {
     const answers: (RankReport | undefined)[] = [];
     const ports = {
       engine,
-      registry: {
-        ranks: async () =>
-          okAsync(new Map([[1, {sidecar: 'b:1', engine: 'b:2'}]])),
-      },
+      registry: {ranks},
       links: {dial: () => undefined, sendTo: () => false},
       self: {sidecar: 'a:1', engine: 'a:2'},
       engineAt: () => engine,
@@ -92,6 +95,19 @@
     expect(answers.map(read => read?.armed)).toEqual([7]);
   });
 
+  it('keeps the addresses of ranks that a restored store has lost', async () => {
+    const engine = new LaggingEngine(200);
+    const listings = [[[1, RANK_1] as const], []];
+    const ranks = async () => okAsync(new Map(listings.shift()));
+    const {transport} = await startTransport(engine, ranks);
+    transport.refresh(2_000, report(0, null), () => false);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(listings).toEqual([]);
+    expect(transport.send(2_010, report(0, null), issued)).toBe(true);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(engine.orders).toEqual(['disarm']);
+  });
+
   it('does not retry an order whose report is pending', async () => {
     const engine = new LaggingEngine(200);
     const {transport} = await startTransport(engine);
--- a/src/daemons/direct/rank_transport.ts
+++ b/src/daemons/direct/rank_transport.ts
@@ -217,7 +217,8 @@
       this.logger.warn('ranks_unlisted', {group: own.group, reason});
       return;
     }
-    this.records = ranks.value;
+    // A store that has lost records may lack ranks that are known here.
+    this.records = new Map([...this.records, ...ranks.value]);
     for (const [rank, {sidecar}] of this.records) {
       if (rank !== own.rank) this.ports.links.dial(sidecar);
     }
--- a/test/map_sidecars.test.ts
+++ b/test/map_sidecars.test.ts
@@ -1,4 +1,4 @@
-import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {PlatformEstate} from '../platform/platform_estate.js';
 import {
@@ -14,10 +14,12 @@
   SystemClock,
 } from '../src/observability/index.js';
 import {KeyedLogServer} from '../standins/keyed_log_server.js';
+import type {StoreCopy} from '../standins/keyed_log_server.js';
 import {LockstepRanks} from '../standins/lockstep_rank_server.js';
 import {freePort} from './support/direct_estate.js';
 
 const RANKS = 3;
+const RANK_KEYS = ['g0/0', 'g0/1', 'g0/2'];
 const EXPERTS = 6;
 const PASS_DURATION = 30;
 /** Ratio of the busiest rank to the mean above which the group slows down. */
@@ -43,12 +45,16 @@
   Array.from({length: EXPERTS}, (_, i) => (wanted.includes(i) ? 900 : 60));
 
 describe('sidecars of a group', () => {
-  const store = new KeyedLogServer();
+  let store: KeyedLogServer;
+  let address: string;
+  /** The store before any sidecar has written to it. */
+  let beforeStart: StoreCopy;
   let ranks: LockstepRanks;
   const sidecars: MapSidecar[] = [];
 
   beforeEach(async () => {
-    const address = (await store.listen()).replace('http://', '');
+    store = new KeyedLogServer();
+    address = (await store.listen()).replace('http://', '');
     ranks = new LockstepRanks(
       RANKS,
       EXPERTS,
@@ -77,6 +83,7 @@
         IdleTimeoutMs: 1,
       },
     });
+    beforeStart = store.copy();
     for (const [rank, server] of ranks.servers.entries()) {
       const engine = (await server.listen()).replace('http://', '');
       const port = await freePort();
@@ -140,6 +147,20 @@
     expect(took).toBeLessThan(REBALANCE_TIMEOUT);
   }, 30_000);
 
+  it('register again when the store has lost their records', async () => {
+    await waitUntil(() => ranks.changedAt.size > 1, 12_000);
+    store.restore(beforeStart);
+    const {store: client, topics} = new PlatformEstate(address);
+    await vi.waitFor(
+      async () => {
+        const listing = await client.list(topics.ranks);
+        const keys = listing._unsafeUnwrap().records.map(({key}) => key);
+        expect(keys).toEqual(expect.arrayContaining(RANK_KEYS));
+      },
+      {timeout: 15_000, interval: 100},
+    );
+  }, 30_000);
+
   it('switch the map although a rank does not answer the arm order', async () => {
     ranks.servers[1]!.unansweredOperations.add('arm');
     await waitUntil(() => ranks.changedAt.size > 1, 12_000);
