Restore the quarantines that the store has lost

A quarantine is written once; an entry that started after the loss did not know it, and a quarantine that had been lifted in the lost time was in force again at such an entry.

Entries that know more than a record of the store says write it again after a random part of a second, unless another entry was first. Tests that failed before: 'reaches no upstream through an entry that starts after the store has lost records' (200 in place of 422), 'restores a quarantine that the store has lost, unless another entry does', 'lifts a quarantine again that came back with an older copy'.

--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -77,9 +77,7 @@
         topic: estate.topics.quarantines,
         onAdded: () => this.openExchanges.forEach(one => one.applyQuarantine()),
       },
-      clock,
-      logger,
-      metrics,
+      parts,
     );
     this.retries = new SharedRetryBudget(settings.retryBound, clock.now());
     this.reusableConnections = new UpstreamConnections(clock);
@@ -146,6 +144,7 @@
         onPeers: peers => this.peers.setPeers(peers),
         onPeerMessage: (req, res) => this.handlePeerMessage(req, res),
         onQuarantines: changes => this.quarantine.applyStored(changes),
+        onQuarantinesLost: () => this.quarantine.recordStoreLoss(),
       },
     );
   }
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -58,6 +58,8 @@
   onPeerMessage(req: IncomingMessage, res: ServerResponse): void;
   /** Called with changed quarantines of prompt parts. */
   onQuarantines(changes: readonly KeyedChange[]): void;
+  /** Called when the store has lost the newest quarantines. */
+  onQuarantinesLost(): void;
 }
 
 /** Tracks configuration, upstreams, entries and ranks from the store. */
@@ -247,6 +249,7 @@
     if (topic === topics.upstreams)
       this.upstreams.recordRegistryRecovered(this.clock.now());
     if (topic === topics.entries) void this.entries.announce();
+    if (topic === topics.quarantines) this.listener.onQuarantinesLost();
   }
 
   private applyConfiguration(
--- a/src/daemons/direct/quarantine_keeper.test.ts
+++ b/src/daemons/direct/quarantine_keeper.test.ts
@@ -3,7 +3,7 @@
 
 import {position} from '../../../test/support/positions.js';
 import type {KeyedStore} from '../../clients/index.js';
-import {Clock, incarnation, serviceName} from '../../core/index.js';
+import {Chance, Clock, incarnation, serviceName} from '../../core/index.js';
 import {promptPartId, requestId} from '../../direct/index.js';
 import type {CrashReport} from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
@@ -31,25 +31,64 @@
   beforeEach(() => vi.useFakeTimers());
   afterEach(() => vi.useRealTimers());
 
-  it('stores the last state of a quarantine when the store is back', async () => {
-    let isAway = true;
-    const stored: CrashReport[][] = [];
+  let isAway: boolean;
+  let stored: CrashReport[][];
+  let keeper: QuarantineKeeper;
+
+  beforeEach(() => {
+    isAway = false;
+    stored = [];
     const put: KeyedStore['put'] = (_topic, _key, value) => {
       if (isAway) return errAsync(new Fault('store_unavailable'));
       stored.push(decodeReports(value));
       return okAsync(position(stored.length));
     };
-    const keeper = new QuarantineKeeper(
+    keeper = new QuarantineKeeper(
       {
         store: {put} as KeyedStore,
         channel: new PeerChannel(new FixedClock(), SILENT_LOGGER),
         topic: 'quarantines',
         onAdded: () => undefined,
       },
-      new FixedClock(),
-      SILENT_LOGGER,
-      new Metrics(),
+      {
+        clock: new FixedClock(),
+        chance: new Chance(1),
+        logger: SILENT_LOGGER,
+        metrics: new Metrics(),
+      },
     );
+  });
+  afterEach(() => keeper.stop());
+
+  it('restores a quarantine that the store has lost, unless another entry does', async () => {
+    const key = 'assistant/dead';
+    const value = encodeReports([report(1), report(2)]);
+    keeper.applyStored([{key, value}]);
+    keeper.recordStoreLoss();
+    keeper.applyStored([{key, value: undefined, isLost: true}]);
+    await vi.advanceTimersByTimeAsync(1_100);
+    expect(stored).toEqual([[report(1), report(2)]]);
+    keeper.recordStoreLoss();
+    keeper.applyStored([{key, value}]);
+    await vi.advanceTimersByTimeAsync(1_100);
+    expect(stored).toHaveLength(1);
+  });
+
+  it('lifts a quarantine again that came back with an older copy', async () => {
+    const key = 'assistant/dead';
+    const value = encodeReports([report(1), report(2)]);
+    keeper.applyStored([{key, value}]);
+    keeper.lift(new URLSearchParams({service: 'assistant', part: 'dead'}));
+    await vi.advanceTimersByTimeAsync(1_100);
+    const [lifted] = stored;
+    keeper.recordStoreLoss();
+    keeper.applyStored([{key, value}]);
+    await vi.advanceTimersByTimeAsync(1_100);
+    expect(stored).toEqual([lifted, lifted]);
+  });
+
+  it('stores the last state of a quarantine when the store is back', async () => {
+    isAway = true;
     const value = encodeReports([report(1), report(2)]);
     keeper.applyStored([{key: 'k', value}]);
     const query = new URLSearchParams({service: 'assistant', part: 'dead'});
@@ -65,6 +104,5 @@
     const upstreams = stored[0]!.map(({upstream}) => upstream);
     expect(upstreams).toEqual(['i-3@1', 'i-4@1']);
     expect(stored[0]!.every(({cleared}) => cleared.length === 1)).toBe(true);
-    keeper.stop();
   });
 });
--- a/src/daemons/direct/quarantine_keeper.ts
+++ b/src/daemons/direct/quarantine_keeper.ts
@@ -1,8 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import type {KeyedStore} from '../../clients/index.js';
 import type {Clock, Millis} from '../../core/index.js';
-import {MINUTE, SECOND, serviceName} from '../../core/index.js';
+import {MINUTE, serviceName} from '../../core/index.js';
 import {
   CrashBatch,
   PromptQuarantine,
@@ -19,39 +18,29 @@
   Upstream,
 } from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
-import type {Logger, Metrics} from '../../observability/index.js';
+import type {Logger} from '../../observability/index.js';
+import type {DaemonParts} from '../shared/start_context.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import type {FailedAttempt} from './context.js';
 import type {PeerChannel} from './peer_channel.js';
-import {
-  CrashReportExchange,
-  decodeReports,
-  encodeReports,
-} from './crash_report_exchange.js';
+import {CrashReportExchange, decodeReports} from './crash_report_exchange.js';
+import {QuarantineRecords} from './quarantine_records.js';
+import type {QuarantineTopic} from './quarantine_records.js';
 
 /** Time for which the runs that break off with a crash are collected. */
 const BATCH_TIME: Millis = 20;
 /** Longer than a batch and the time in which bytes may have been in flight. */
 const VERDICT_DELAY: Millis = 150;
-const STORE_RETRY_DELAY: Millis = SECOND;
 const EXPIRY_INTERVAL: Millis = MINUTE;
-/** Limit of the platform's store. */
-const MAX_KEY_BYTES = 255;
-
-/** Removes a key from the store. */
-const NO_VALUE = new Uint8Array(0);
 
 /** Source of evidence in the log. */
 type EvidenceSource =
   'own' | 'answer' | 'alive' | 'peer' | 'store' | 'operator';
 
 /** What a quarantine keeper uses of its entry. */
-export interface QuarantinePorts {
-  readonly store: KeyedStore;
+export interface QuarantinePorts extends QuarantineTopic {
   /** Channel to the other entries. */
   readonly channel: PeerChannel;
-  /** Topic of the quarantines, which outlive the entries. */
-  readonly topic: string;
   /** Called when requests that are not refused yet may have to be. */
   onAdded(): void;
 }
@@ -64,25 +53,24 @@
 export class QuarantineKeeper {
   private readonly quarantine = new PromptQuarantine();
   private readonly batch = new CrashBatch();
+  private readonly clock: Clock;
+  private readonly logger: Logger;
   private readonly exchange: CrashReportExchange;
   private readonly changes;
-  /** Values that are being written to the store, by key. */
-  private readonly unstored = new Map<string, Uint8Array>();
+  private readonly records: QuarantineRecords;
   private readonly expiryTimer: NodeJS.Timeout;
-  private isStopped = false;
 
   /**
    * @param ports - the store and callbacks
-   * @param clock - the clock
-   * @param logger - logs evidence and quarantines
-   * @param metrics - counts them
+   * @param parts - clock, random source, logger and metrics
    */
   constructor(
     private readonly ports: QuarantinePorts,
-    private readonly clock: Clock,
-    private readonly logger: Logger,
-    metrics: Metrics,
+    {clock, chance, logger, metrics}: DaemonParts,
   ) {
+    this.clock = clock;
+    this.logger = logger;
+    this.records = new QuarantineRecords(ports, chance, logger);
     this.exchange = new CrashReportExchange(
       reports => this.receive(reports),
       ports.channel,
@@ -107,7 +95,7 @@
 
   /** Stops permanently. */
   stop(): void {
-    this.isStopped = true;
+    this.records.stop();
     clearInterval(this.expiryTimer);
   }
 
@@ -238,7 +226,10 @@
     for (const {key, value} of changes) {
       if (value === undefined) continue;
       try {
-        this.merge(decodeReports(value), 'store');
+        const stored = decodeReports(value);
+        this.merge(stored, 'store');
+        const known = this.quarantine.versionsOf(stored);
+        this.records.compare(key, stored, known);
       } catch (thrown) {
         const reason = describeError(thrown);
         this.logger.warn('quarantine_unreadable', {key, reason});
@@ -246,13 +237,16 @@
     }
   }
 
+  /** Handles the loss of the store's last records. */
+  recordStoreLoss(): void {
+    this.records.recordLoss(this.quarantine.current);
+  }
+
   /** Removes reports past their retention. */
   private expire(): void {
     const change = this.quarantine.expire(this.clock.wall());
     this.record(change, 'own');
-    for (const quarantine of change.removed) {
-      void this.put(quarantine, NO_VALUE);
-    }
+    for (const quarantine of change.removed) this.records.remove(quarantine);
   }
 
   private async publishBatch(): Promise<void> {
@@ -303,37 +297,9 @@
 
   private store({reports, added, removed}: EvidenceChange): void {
     // What cleared a quarantine has to reach the other entries as well.
-    for (const quarantine of removed) {
-      void this.put(quarantine, encodeReports(reports));
-    }
-    for (const quarantine of added) {
-      void this.put(quarantine, encodeReports(quarantine.reports));
-    }
-  }
-
-  /**
-   * Writes a record, with retries until it is stored. A later value of the same
-   * key replaces one that was not stored yet.
-   */
-  private async put(quarantine: Quarantine, value: Uint8Array): Promise<void> {
-    const {store, topic} = this.ports;
-    const {service, parts} = quarantine;
-    const key = `${service}/${parts.join('+')}`.slice(0, MAX_KEY_BYTES);
-    const isWriting = this.unstored.has(key);
-    this.unstored.set(key, value);
-    if (isWriting) return;
-    while (!this.isStopped) {
-      const latest = this.unstored.get(key) ?? value;
-      const put = await store.put(topic, key, latest);
-      if (put.isErr()) {
-        const {message: reason} = put.error;
-        this.logger.warn('quarantine_not_stored', {key, reason});
-        await new Promise(resolve => setTimeout(resolve, STORE_RETRY_DELAY));
-      } else if (this.unstored.get(key) === latest) {
-        this.unstored.delete(key);
-        return;
-      }
-    }
+    for (const quarantine of removed) this.records.store(quarantine, reports);
+    for (const quarantine of added)
+      this.records.store(quarantine, quarantine.reports);
   }
 
   private record(change: EvidenceChange, source: EvidenceSource): void {
--- a/src/direct/crash_batch.ts
+++ b/src/direct/crash_batch.ts
@@ -1,5 +1,5 @@
 import type {Incarnation, Millis} from '../core/index.js';
-import type {CrashReport} from './prompt_quarantine.js';
+import type {CrashReport} from './crash_report.js';
 
 /** Time within which runs broke off together. */
 const BREAK_WINDOW: Millis = 50;
--- a/src/direct/crash_signature.test.ts
+++ b/src/direct/crash_signature.test.ts
@@ -3,7 +3,7 @@
 import {AttemptProgress} from './attempt_progress.js';
 import {CrashBatch} from './crash_batch.js';
 import {isCrashAtStart} from './crash_signature.js';
-import type {CrashReport} from './prompt_quarantine.js';
+import type {CrashReport} from './crash_report.js';
 import {incarnation, serviceName} from '../core/index.js';
 import {promptPartId, requestId} from './types.js';
 
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -2,6 +2,8 @@
 export * from './attempt_policy.js';
 export * from './attempt_progress.js';
 export * from './crash_batch.js';
+export {coversReports} from './crash_report.js';
+export type {CrashReport} from './crash_report.js';
 export * from './crash_signature.js';
 export * from './dialect.js';
 export * from './event_frames.js';
--- a/src/direct/prompt_quarantine.test.ts
+++ b/src/direct/prompt_quarantine.test.ts
@@ -3,7 +3,7 @@
 
 import {HOUR, incarnation, serviceName} from '../core/index.js';
 import {PromptQuarantine} from './prompt_quarantine.js';
-import type {CrashReport} from './prompt_quarantine.js';
+import type {CrashReport} from './crash_report.js';
 import {promptPartId, requestId} from './types.js';
 
 const SERVICE = serviceName('assistant');
--- a/src/direct/prompt_quarantine.ts
+++ b/src/direct/prompt_quarantine.ts
@@ -1,5 +1,7 @@
 import type {Incarnation, Millis, ServiceName} from '../core/index.js';
 import {HOUR} from '../core/index.js';
+import {reportId} from './crash_report.js';
+import type {CrashReport} from './crash_report.js';
 import type {PromptPartId, RequestId} from './types.js';
 
 /** Crashes that convict a part on which no answer was ever seen. */
@@ -23,21 +25,6 @@
 /** Maximum number of parts with known answers; the least recent go first. */
 const MAX_KNOWN_PARTS = 20_000;
 
-/** An upstream's crash as it began to answer a request, seen by one entry. */
-export interface CrashReport {
-  readonly service: ServiceName;
-  readonly upstream: Incarnation;
-  readonly request: RequestId;
-  /** Wall-clock time of the crash, Unix ms. */
-  readonly at: number;
-  /** Parts that may have caused it: the new ones, or all if none is new. */
-  readonly suspects: readonly PromptPartId[];
-  /** Whether answers on all suspects were seen before. */
-  readonly isKnown: boolean;
-  /** Suspects on which an answer was seen after the report, or that were lifted. */
-  readonly cleared: readonly PromptPartId[];
-}
-
 /** Parts that crash upstreams; requests that contain all of them are refused. */
 export interface Quarantine {
   readonly service: ServiceName;
@@ -242,6 +229,17 @@
     );
   }
 
+  /**
+   * Returns this entry's versions of reports; unknown ones as they are.
+   * @param reports - the reports
+   */
+  versionsOf(reports: readonly CrashReport[]): readonly CrashReport[] {
+    return reports.map(report => {
+      const id = reportId(report.upstream, report.request);
+      return this.reports.get(id) ?? report;
+    });
+  }
+
   /**
    * Removes the reports past their retention.
    * @param wallTime - current wall-clock time, Unix ms
@@ -342,9 +340,6 @@
   }
 }
 
-const reportId = (upstream: Incarnation, request: RequestId) =>
-  `${upstream} ${request}`;
-
 const NO_CHANGE: EvidenceChange = {reports: [], added: [], removed: []};
 
 function keyOf(service: ServiceName, ...parts: PromptPartId[]): string {
--- a/test/prompt_part_crashes.test.ts
+++ b/test/prompt_part_crashes.test.ts
@@ -113,6 +113,24 @@
     }
   }, 20_000);
 
+  it('reaches no upstream through an entry that starts after the store has lost records', async () => {
+    const empty = estate.store.copy();
+    await startEstate();
+    await sendDeadly(12);
+    const crashesBefore = crashes;
+    estate.store.restore(empty);
+    estate.configure(3, [wireRoute('/plan/', 'streaming')]);
+    await estate.addUpstream(stream);
+    // Entries that know the quarantine restore it within about a second.
+    await pause(2_500);
+    await estate.addEntry();
+    await estate.waitUntilReady();
+    await pause(500);
+    const refused = await ask([COMMON, DEADLY], ENTRIES, ENTRIES + 1);
+    expect(refused.status).toBe(422);
+    expect(crashes).toBe(crashesBefore);
+  }, 30_000);
+
   it('reaches no more upstreams while the store is away', async () => {
     await startEstate();
     estate.store.failureStatus = 503;
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -481,6 +481,7 @@
         onPeers: () => undefined,
         onPeerMessage: () => undefined,
         onQuarantines: () => undefined,
+        onQuarantinesLost: () => undefined,
       },
     );
     await view.start();
