Look for lost registrations by one short read each ten seconds

A sidecar needs to know of a loss only when another one takes over, so it reads without a wait, ten seconds apart.

--- a/src/daemons/direct/keyed_follower.ts
+++ b/src/daemons/direct/keyed_follower.ts
@@ -160,6 +160,7 @@
   ): void {
     const before = this.next;
     this.next = startedAt;
+    this.spacing = this.settings.spacing;
     this.reportRecovery();
     const changes = this.table.applyListing(records, startedAt);
     if (before !== undefined) {
--- a/src/daemons/direct/map_sidecar.ts
+++ b/src/daemons/direct/map_sidecar.ts
@@ -5,7 +5,7 @@
 import {OperatorServer} from '../shared/operator_server.js';
 import {startContext} from '../shared/start_context.js';
 import type {DirectParts, DirectSettings} from './estate.js';
-import {KeyedFollower, internalTopic} from './keyed_follower.js';
+import {KeyedFollower} from './keyed_follower.js';
 import {MapTask} from './map_task.js';
 import {RankLinks} from './rank_links.js';
 import {RankRegistry} from './rank_registry.js';
@@ -14,6 +14,11 @@
 
 /** Interval at which a sidecar retries to read its configuration. */
 const PROFILE_RETRY_INTERVAL: Millis = SECOND;
+/**
+ * Interval of the reads that notice a loss of registrations, which are needed
+ * only when another sidecar takes over. They don't wait for new records.
+ */
+const REGISTRATION_CHECK_INTERVAL: Millis = 10 * SECOND;
 
 /** Sidecar process of a rank; the sidecars manage their group's expert map. */
 export class MapSidecar {
@@ -64,7 +69,11 @@
     });
     this.registrations = new KeyedFollower(
       estate.store,
-      internalTopic(estate.topics.ranks),
+      {
+        topic: estate.topics.ranks,
+        wait: 0,
+        spacing: REGISTRATION_CHECK_INTERVAL,
+      },
       clock,
       {
         onChanges: () => undefined,
