Quarantine requests without a prompt that crash upstreams

Cause: only parts of a prompt can be convicted. A request without any was tried again at the next upstream and sent on each time it came back. Nor did a connection that ends before the response count as a crash.

Fix: a request without a prompt is known by a hash of its method, path, organisation and body, which takes the place of its parts. A lost connection is reported as a crash only if the upstream refuses connections 50 ms later, so lost answers and reset connections do not convict. Three crashes convict: two attempts of a request beside a deadly one may both lose their upstream. Retries of such requests are not held back, since most are innocent.

--- a/src/daemons/direct/admitted_request.ts
+++ b/src/daemons/direct/admitted_request.ts
@@ -1,5 +1,10 @@
 import type {Millis, OrganisationName, ServiceName} from '../../core/index.js';
-import type {HeaderLines, RequestMetadata, Route} from '../../direct/index.js';
+import type {
+  HeaderLines,
+  PromptPartId,
+  RequestMetadata,
+  Route,
+} from '../../direct/index.js';
 
 /** Time before the caller's timeout at which the final response is due. */
 const RESPONSE_MARGIN: Millis = 25;
@@ -7,6 +12,8 @@
 /** A request that passed authorization and routing. */
 export interface AdmittedRequest {
   readonly metadata: RequestMetadata;
+  /** The same in all repeats of the request; undefined if it has a prompt. */
+  readonly fingerprint: PromptPartId | undefined;
   readonly route: Route;
   readonly service: ServiceName;
   readonly organisation: OrganisationName | undefined;
--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -126,10 +126,10 @@
         this.fail('too many interim responses');
     });
     this.req.on('response', res => this.onResponse(res));
-    this.req.on('error', err => this.fail(describeError(err)));
+    this.req.on('error', err => this.fail(describeError(err), true));
     this.req.on('close', () => {
       // A response that has begun reports its own end.
-      if (this.res === undefined) this.fail('connection closed');
+      if (this.res === undefined) this.fail('connection closed', true);
     });
     this.req.end(outbound.body);
   }
@@ -194,8 +194,8 @@
       this.isFinished = true;
       this.listener.onEnd();
     });
-    res.on('error', err => this.fail(describeError(err)));
-    res.on('close', () => this.fail('response truncated'));
+    res.on('error', err => this.fail(describeError(err), true));
+    res.on('close', () => this.fail('response truncated', true));
   }
 
   /**
@@ -208,11 +208,11 @@
     return metadata.id === undefined && !this.req.reusedSocket;
   }
 
-  private fail(detail: string): void {
+  private fail(detail: string, isClosed = false): void {
     if (this.isFinished) return;
     this.cancel();
     const failure: AttemptFailure = this.isConnected
-      ? {kind: 'may_have_run', reason: detail}
+      ? {kind: 'may_have_run', reason: detail, isClosed}
       : {kind: 'not_run', reason: 'unreachable'};
     this.listener.onFailure(failure);
   }
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -4,6 +4,7 @@
 import {SECOND, hostPort} from '../../core/index.js';
 import {
   SharedRetryBudget,
+  requestFingerprint,
   retryAfter,
   pickService,
 } from '../../direct/index.js';
@@ -295,8 +296,13 @@
       return;
     }
     const {route, organisation, priority} = decision;
+    const {method = 'GET', url: path = '/'} = req;
     const request: AdmittedRequest = {
       metadata,
+      fingerprint:
+        metadata.ownPart === undefined
+          ? requestFingerprint({method, path, organisation, body})
+          : undefined,
       route,
       service: pickService(route, this.parts.chance),
       organisation,
@@ -309,7 +315,8 @@
     const quarantine = this.quarantine.match(request);
     if (quarantine !== undefined) {
       const parts = quarantine.parts.join(',');
-      reply.sendError(new Fault('prompt_quarantined', `prompt part ${parts}`));
+      const detail = request.fingerprint ? parts : `prompt part ${parts}`;
+      reply.sendError(new Fault('prompt_quarantined', detail));
       this.recordRejected(metadata.id, 'prompt_quarantined', arrivedAt, {
         parts,
         age_ms: ageOf(quarantine, this.clock.wall()),
--- a/src/daemons/direct/quarantine_keeper.ts
+++ b/src/daemons/direct/quarantine_keeper.ts
@@ -6,6 +6,7 @@
   CrashBatch,
   PromptQuarantine,
   isBrokenOff,
+  isConnectionLost,
   isCrashAtStart,
   promptPartId,
 } from '../../direct/index.js';
@@ -13,8 +14,8 @@
   CrashReport,
   EvidenceChange,
   KeyedChange,
+  PromptPartId,
   Quarantine,
-  RequestMetadata,
   Upstream,
 } from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
@@ -22,6 +23,7 @@
 import type {DaemonParts} from '../shared/start_context.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import type {FailedAttempt} from './context.js';
+import {acceptsConnections} from './connect_probe.js';
 import type {PeerChannel} from './peer_channel.js';
 import {CrashReportExchange, decodeReports} from './crash_report_exchange.js';
 import {QuarantineRecords} from './quarantine_records.js';
@@ -31,6 +33,10 @@
 const BATCH_TIME: Millis = 20;
 /** Longer than a batch and the time in which bytes may have been in flight. */
 const VERDICT_DELAY: Millis = 150;
+/** Time after which a crashed process no longer accepts connections. */
+const PROBE_DELAY: Millis = 50;
+/** Longer than a connection takes between two zones, shorter than a restart. */
+const PROBE_TIMEOUT: Millis = 400;
 const EXPIRY_INTERVAL: Millis = MINUTE;
 
 /** Source of evidence in the log. */
@@ -118,8 +124,8 @@
    * Returns the quarantine that a request falls under, if any.
    * @param request - the request
    */
-  match({service, metadata}: AdmittedRequest): Quarantine | undefined {
-    return this.quarantine.match(service, partsOf(metadata));
+  match(request: AdmittedRequest): Quarantine | undefined {
+    return this.quarantine.match(request.service, partsOf(request));
   }
 
   /**
@@ -136,11 +142,16 @@
   ): boolean {
     const {service, metadata} = request;
     const {id} = metadata;
-    const parts = partsOf(metadata);
+    const parts = partsOf(request);
     if (failure.kind !== 'may_have_run') return false;
     const {incarnation} = upstream;
     if (isBrokenOff(now, progress, failure))
       this.batch.recordBroken(now, incarnation);
+    if (request.fingerprint !== undefined) {
+      if (isConnectionLost(progress, failure))
+        void this.verifyCrash(request, upstream);
+      return false;
+    }
     const isCrash = isCrashAtStart(now, progress, failure);
     if (!isCrash || parts.length === 0 || id === undefined) return false;
     const crash = {service, upstream: incarnation, request: id};
@@ -175,9 +186,8 @@
    * Records that the run of a request has progressed or ended well.
    * @param request - the request
    */
-  recordAnswer({service, metadata}: AdmittedRequest): void {
-    const {sharedParts, ownPart} = metadata;
-    if (partsOf(metadata).length === 0) return;
+  recordAnswer({service, metadata, fingerprint}: AdmittedRequest): void {
+    const {sharedParts, ownPart = fingerprint} = metadata;
     const change = this.quarantine.recordAnswer(
       this.clock.wall(),
       service,
@@ -249,6 +259,32 @@
     for (const quarantine of change.removed) this.records.remove(quarantine);
   }
 
+  /**
+   * Reports the crash of an upstream under a request without a prompt, unless
+   * the upstream is found to be alive: it may only have lost the connection.
+   */
+  private async verifyCrash(
+    request: AdmittedRequest,
+    {incarnation, registration: {address}}: Upstream,
+  ): Promise<void> {
+    const {service, metadata} = request;
+    const {id} = metadata;
+    if (id === undefined) return;
+    const at = this.clock.wall();
+    await new Promise(resolve => setTimeout(resolve, PROBE_DELAY));
+    if (await acceptsConnections(address, PROBE_TIMEOUT)) {
+      this.changes.inc({change: 'dismissed'});
+      this.logger.info('crash_dismissed', {
+        ...{id, service, upstream: incarnation},
+        reason: 'the upstream accepts connections',
+      });
+      return;
+    }
+    const crash = {service, upstream: incarnation, request: id};
+    const report = this.quarantine.report(at, crash, partsOf(request));
+    await this.spread(this.quarantine.merge(at, [report]), 'own');
+  }
+
   private async publishBatch(): Promise<void> {
     const {reports, isDiscarded} = this.batch.take();
     const [first] = reports;
@@ -347,8 +383,13 @@
   return Math.round(wallTime - Math.max(...reports.map(({at}) => at)));
 }
 
-const partsOf = ({sharedParts, ownPart}: RequestMetadata) =>
-  ownPart === undefined ? sharedParts : [...sharedParts, ownPart];
+/** Returns what a request may be quarantined for. */
+function partsOf({
+  fingerprint,
+  metadata: {sharedParts, ownPart = fingerprint},
+}: AdmittedRequest): readonly PromptPartId[] {
+  return ownPart === undefined ? sharedParts : [...sharedParts, ownPart];
+}
 
 const crashesOf = ({reports}: Quarantine) =>
   reports.map(({upstream, at}) => `${upstream}@${new Date(at).toISOString()}`);
--- a/src/direct/attempt_policy.ts
+++ b/src/direct/attempt_policy.ts
@@ -6,7 +6,12 @@
   /** Nothing was sent, or the upstream reports that the request did not run. */
   | {readonly kind: 'not_run'; readonly reason: NotRunReason}
   /** The request may have run, or may still be running. */
-  | {readonly kind: 'may_have_run'; readonly reason: string}
+  | {
+      readonly kind: 'may_have_run';
+      readonly reason: string;
+      /** Whether the connection ended, rather than this entry's patience. */
+      readonly isClosed?: boolean;
+    }
   /** The upstream ran the request and responded with an error. */
   | {readonly kind: 'failed_answer'; readonly status: number};
 
--- a/src/direct/crash_signature.ts
+++ b/src/direct/crash_signature.ts
@@ -29,6 +29,20 @@
   );
 }
 
+/**
+ * Returns whether the connection of a run ended before the run made progress,
+ * as it does when its upstream crashes.
+ * @param progress - progress of the run
+ * @param failure - how the attempt ended
+ */
+export function isConnectionLost(
+  progress: AttemptProgress,
+  failure: AttemptFailure,
+): boolean {
+  const isClosed = failure.kind === 'may_have_run' && failure.isClosed === true;
+  return isClosed && !hasProgressed(progress);
+}
+
 /**
  * Returns whether a run has progressed far enough to clear its prompt.
  * @param progress - progress of the run
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -16,6 +16,7 @@
 export * from './shared_retry_budget.js';
 export * from './read_plan.js';
 export * from './relay_buffer.js';
+export * from './request_fingerprint.js';
 export * from './route_table.js';
 export * from './concurrency_limiter.js';
 export * from './stream_limiter.js';
--- a/src/direct/prompt_quarantine.ts
+++ b/src/direct/prompt_quarantine.ts
@@ -2,12 +2,18 @@
 import {HOUR} from '../core/index.js';
 import {reportId} from './crash_report.js';
 import type {CrashReport} from './crash_report.js';
+import {isRequestFingerprint} from './request_fingerprint.js';
 import type {PromptPartId, RequestId} from './types.js';
 
 /** Crashes that convict a part on which no answer was ever seen. */
 const CRASHES_OF_NEW_PART = 2;
 /** Crashes in a row that convict a part with earlier answers. */
 const CRASHES_OF_KNOWN_PART = 4;
+/**
+ * Crashes in a row that convict a request without a prompt: requests beside a
+ * deadly one may lose their upstream twice, as each is sent to two.
+ */
+const CRASHES_OF_REQUEST = 3;
 /** Crashes closer to each other may have one cause, such as a network fault. */
 const MIN_CRASH_SEPARATION: Millis = 50;
 /**
@@ -354,15 +360,27 @@
   const upstreams = new Set<Incarnation>();
   let lastAt = -Infinity;
   let evidence = 0;
-  for (const {upstream, at, isKnown} of reports) {
-    if (upstreams.has(upstream) || at - lastAt < MIN_CRASH_SEPARATION) continue;
+  for (const report of reports) {
+    const {upstream, at} = report;
+    // Its upstreams were found dead, so a network fault is no explanation.
+    const isSeparate =
+      isOfRequest(report) || at - lastAt >= MIN_CRASH_SEPARATION;
+    if (upstreams.has(upstream) || !isSeparate) continue;
     upstreams.add(upstream);
     lastAt = at;
-    evidence += 1 / (isKnown ? CRASHES_OF_KNOWN_PART : CRASHES_OF_NEW_PART);
+    evidence += 1 / crashesToConvict(report);
   }
   return evidence >= 1;
 }
 
+function crashesToConvict(report: CrashReport): number {
+  if (isOfRequest(report)) return CRASHES_OF_REQUEST;
+  return report.isKnown ? CRASHES_OF_KNOWN_PART : CRASHES_OF_NEW_PART;
+}
+
+const isOfRequest = ({suspects}: CrashReport) =>
+  suspects.some(isRequestFingerprint);
+
 /** Returns the suspects that no report tells apart. */
 function commonSuspects(reports: readonly CrashReport[]): PromptPartId[] {
   const [first, ...others] = reports.map(openSuspects);
