Tell all users of the store of a loss, whatever call learns of it

An entry whose first listing came after the loss had nothing to compare, and did not announce itself again. After an outage the internal topics are read from peers five seconds apart, so the loss of the quarantines was noticed at 21.0 s though the store was back at 16 s.

The client of the store now tells once of each loss; entries, ranks and quarantines are written again then, and followers read at once.

--- a/src/clients/keyed_store.ts
+++ b/src/clients/keyed_store.ts
@@ -37,6 +37,22 @@
 
 /** Store of compacted topics, which retain the newest record of each key. */
 export abstract class KeyedStore {
+  private readonly lossListeners: (() => void)[] = [];
+
+  /**
+   * Registers a callback for the moments at which this process learns that the
+   * store has lost the last records of all topics.
+   * @param listener - the callback
+   */
+  onRecordsLost(listener: () => void): void {
+    this.lossListeners.push(listener);
+  }
+
+  /** Calls the callbacks of `onRecordsLost`. */
+  protected reportRecordsLost(): void {
+    for (const listener of this.lossListeners) listener();
+  }
+
   /**
    * Lists the newest record of each key.
    * @param topic - the topic
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -164,6 +164,10 @@
     await this.store.listen(this.location.relay);
     for (const follower of Object.values(this.followers)) follower.start();
     this.timer = setInterval(() => this.expire(), EXPIRY_INTERVAL);
+    this.store.onRecordsLost(() => {
+      void this.entries.announce();
+      this.listener.onQuarantinesLost();
+    });
     void this.entries.announce();
   }
 
@@ -237,21 +241,15 @@
           if (settings.topic !== this.estate.topics.upstreams) return;
           this.upstreams.recordRegistryRecovered(this.clock.now());
         },
-        onRestored: () => this.onTopicRestored(settings.topic),
+        onRestored: () => {
+          if (settings.topic !== this.estate.topics.upstreams) return;
+          this.upstreams.recordRegistryRecovered(this.clock.now());
+        },
       },
       this.logger,
     );
   }
 
-  /** Handles the loss of a topic's last records. */
-  private onTopicRestored(topic: string): void {
-    const {topics} = this.estate;
-    if (topic === topics.upstreams)
-      this.upstreams.recordRegistryRecovered(this.clock.now());
-    if (topic === topics.entries) void this.entries.announce();
-    if (topic === topics.quarantines) this.listener.onQuarantinesLost();
-  }
-
   private applyConfiguration(
     change: KeyedChange,
     {source, sinceContact}: UpdateOrigin,
--- a/src/daemons/direct/keyed_follower.test.ts
+++ b/src/daemons/direct/keyed_follower.test.ts
@@ -35,7 +35,39 @@
   }
 }
 
+/** A store that can lose its records. */
+class LosingStore extends QuietStore {
+  lose(): void {
+    this.reportRecordsLost();
+  }
+}
+
 describe('KeyedFollower', () => {
+  it('reads at once when records are lost, not after its spacing', async () => {
+    const store = new LosingStore();
+    const follower = new KeyedFollower(
+      store,
+      {topic: 't', wait: 0, spacing: WAIT},
+      new SystemClock(),
+      {
+        onChanges: () => undefined,
+        onRecovered: () => undefined,
+        onRestored: () => undefined,
+      },
+      SILENT_LOGGER,
+    );
+    follower.start();
+    await vi.advanceTimersByTimeAsync(100);
+    expect(store.waits).toHaveLength(0);
+    store.lose();
+    await vi.advanceTimersByTimeAsync(100);
+    expect(store.waits).toHaveLength(1);
+    follower.stop();
+    store.lose();
+    await vi.advanceTimersByTimeAsync(3 * WAIT);
+    expect(store.waits).toHaveLength(1);
+  });
+
   beforeEach(() => void vi.useFakeTimers());
   afterEach(() => void vi.useRealTimers());
 
--- a/src/daemons/direct/keyed_follower.ts
+++ b/src/daemons/direct/keyed_follower.ts
@@ -35,7 +35,7 @@
   onChanges(changes: readonly KeyedChange[], origin: UpdateOrigin): void;
   /** Called when the store responds after an outage, before the changes. */
   onRecovered(downtime: Millis): void;
-  /** Called when the store has lost records, before the changes. */
+  /** Called when the topic has lost records, before the changes. */
   onRestored(): void;
 }
 
@@ -88,6 +88,7 @@
 
   /** Starts following the topic. */
   start(): void {
+    this.store.onRecordsLost(() => this.pollNow());
     void this.poll();
   }
 
@@ -102,7 +103,15 @@
     return this.lastContactAt;
   }
 
+  /** Polls without the delay between two reads, unless a read is in progress. */
+  private pollNow(): void {
+    if (this.isStopped || this.timer === undefined) return;
+    clearTimeout(this.timer);
+    void this.poll();
+  }
+
   private async poll(): Promise<void> {
+    this.timer = undefined;
     const startedAt = this.clock.now();
     const fault = await this.readOnce();
     if (this.isStopped) return;
--- a/src/daemons/direct/map_sidecar.ts
+++ b/src/daemons/direct/map_sidecar.ts
@@ -78,7 +78,7 @@
       {
         onChanges: () => undefined,
         onRecovered: () => undefined,
-        onRestored: () => this.task.post({type: 'registry_restored'}),
+        onRestored: () => undefined,
       },
       context.logger,
     );
@@ -94,6 +94,8 @@
     const {ip, operatorPort} = this.settings;
     await this.links.listen(ip, this.port);
     await this.operatorServer.listen(ip, operatorPort);
+    const {store} = this.parts.estate;
+    store.onRecordsLost(() => this.task.post({type: 'registry_restored'}));
     this.registrations.start();
     void this.loadProfile();
   }
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -122,6 +122,10 @@
     this.selector.setEntries(entries, isInZone);
   }
 
+  override onRecordsLost(listener: () => void): void {
+    this.store.onRecordsLost(listener);
+  }
+
   list(topic: string): ResultAsync<KeyedListing, Fault> {
     return this.store.list(topic).map(listing => {
       const {records, startedAt} = listing;
