--- a/src/configuration/log_follower.test.ts
+++ b/src/configuration/log_follower.test.ts
@@ -128,6 +128,17 @@
     expect(follower.history.folded).toMatchObject({version: 5, foldedTo: 9});
   });
 
+  it('folds what follows after the log has come back from an older copy', () => {
+    const log = [publicationOf(0, A, 'p1'), publicationOf(1, B, 'p2'), {}];
+    const {follower} = followPages(pageAt(0, ...log));
+    expect(follower.history.folded.version).toBe(2);
+    follower.applyPage({...pageAt(1), earliest: offset(0)});
+    expect(follower.position).toBe(1);
+    const third = publicationOf(2, A, 'p3');
+    follower.applyPage({...pageAt(1, third), earliest: offset(0)});
+    expect(follower.history.folded.version).toBe(3);
+  });
+
   it('rereads records that were read but not folded', () => {
     const {follower} = followPages(pageAt(7, {}, {}, {}));
     expect(follower.position).toBe(10);
