Take a reset answer as broken off in the record of the cases

The parser calls an answer without a length complete even if its connection was reset. No case had counted one: the record of the kill shows no reset.

--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -212,6 +212,8 @@
       if (seen.isOver) return;
       seen.isOver = true;
       seen.error = error;
+      // A reset ends no answer in order, whatever the parser makes of it.
+      if (error !== undefined) seen.isComplete = false;
       seen.body = chunks.join('');
       done(seen);
     };
