Show a pass with two maps in a group whose engines check no tokens

review/3/run.sh: an order to arm gets no answer and is carried out 5 s later, the sidecar that gave it is killed, the group is idle meanwhile.

--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -81,47 +81,68 @@
     appendFileSync(this.file, `${line}\n`);
   }
 
-  /** Starts an entry and waits until it says that it is ready. */
-  async startEntry(name, zone, store) {
-    const ports = await freePorts(5);
-    const [callers, readiness, operator, first, last] = ports;
-    const settings = {
+  /** Starts a program of the deploy file with its settings. */
+  async start(role, name, heapMb, settings) {
+    const [operatorPort, first, last] = await freePorts(3);
+    const boot = join(this.folder, `${name}.json`);
+    const whole = {
       vm: name,
-      availabilityZone: zone,
       ip: HOST,
-      callers: `${HOST}:${callers}`,
-      readiness: `${HOST}:${readiness}`,
       internalPorts: [first, last],
-      upstream: null,
-      upstreamService: null,
-      operatorPort: operator,
-      store,
+      operatorPort,
       retryRatio: 0.2,
       retryWindowS: 10,
       retrySlack: 88,
       graceS: 8,
       configurationAppliesMs: 2_000,
       upstreamLeavesMs: 2_000,
+      ...settings,
     };
-    const boot = join(this.folder, `${name}.json`);
-    writeFileSync(boot, JSON.stringify(settings));
-    const entry = {name, zone, callers, readiness, log: ''};
-    entry.process = spawn(
+    writeFileSync(boot, JSON.stringify(whole));
+    const started = {name, log: ''};
+    started.process = spawn(
       process.execPath,
-      ['--max-old-space-size=128', 'target/bundle/main.js', 'entry'],
+      [`--max-old-space-size=${heapMb}`, 'target/bundle/main.js', role],
       {
         env: {PATH: process.env['PATH'], BAOBABSPAN_BOOT: boot},
         stdio: ['ignore', 'pipe', 'pipe'],
       },
     );
-    this.started.push(entry.process);
-    const keep = chunk => (entry.log += chunk.toString());
-    entry.process.stdout.on('data', keep);
-    entry.process.stderr.on('data', keep);
-    entry.process.on('exit', (code, signal) => {
-      entry.ended = {code, signal};
-      this.record(`entry ${name} ended: code ${code}, signal ${signal}`);
+    this.started.push(started.process);
+    const keep = chunk => (started.log += chunk.toString());
+    started.process.stdout.on('data', keep);
+    started.process.stderr.on('data', keep);
+    started.process.on('exit', (code, signal) => {
+      started.ended = {code, signal};
+      this.record(`${role} ${name} ended: code ${code}, signal ${signal}`);
+    });
+    return started;
+  }
+
+  /** Starts the sidecar of a rank. */
+  startSidecar(name, zone, store, upstream, service) {
+    return this.start('sidecar', name, 96, {
+      availabilityZone: zone,
+      callers: null,
+      readiness: null,
+      upstream,
+      upstreamService: service,
+      store,
+    });
+  }
+
+  /** Starts an entry and waits until it says that it is ready. */
+  async startEntry(name, zone, store) {
+    const [callers, readiness] = await freePorts(2);
+    const entry = await this.start('entry', name, 128, {
+      availabilityZone: zone,
+      callers: `${HOST}:${callers}`,
+      readiness: `${HOST}:${readiness}`,
+      upstream: null,
+      upstreamService: null,
+      store,
     });
+    Object.assign(entry, {zone, callers, readiness});
     for (let i = 0; i < 150; i++) {
       await sleep(100);
       if (entry.ended) break;
