Reject response heads that HTTP does not allow

Cause: the parser accepts any three digits as a status, and names such as "X " or "" in header lines. They reached ServerResponse.writeHead, which throws out of an event handler. Statuses below 100 ended the process; 600 to 999 were passed on.

Fix: Attempt checks the head of each final response once, where it enters, against the grammar of RFC 9110; a malformed one fails the attempt like bytes that are no response, so that the request is retried or answered 502. The sidecar of the product's own form has the same check; there undici already refused all but statuses above 599.

--- /dev/null
+++ b/src/core/http_fields.ts
@@ -0,0 +1,38 @@
+/** Header lines of a message; names keep their original case. */
+export type HeaderLines = readonly (readonly [name: string, value: string])[];
+
+const FIELD_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+/** Octets as Latin-1 text, without control characters other than tabs. */
+const FIELD_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
+
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
+const MAX_SUCCESS_STATUS = 299;
+
+/**
+ * Returns the first malformed header line, as text for a log line. HTTP parsers
+ * let some of them pass, and HTTP writers throw when given one.
+ * @param lines - the header lines
+ */
+export function malformedField(lines: HeaderLines): string | undefined {
+  const line = lines.find(
+    ([name, value]) => !FIELD_NAME.test(name) || !FIELD_VALUE.test(value),
+  );
+  return line && JSON.stringify(`${line[0]}:`);
+}
+
+/**
+ * Returns whether a status may be that of a final response.
+ * @param status - the status
+ */
+export function isFinalStatus(status: number): boolean {
+  return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+}
+
+/**
+ * Returns whether a final response is a success.
+ * @param status - its status
+ */
+export function isSuccessStatus(status: number): boolean {
+  return status >= MIN_FINAL_STATUS && status <= MAX_SUCCESS_STATUS;
+}
--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -5,6 +5,7 @@
   OutgoingHttpHeaders,
 } from 'node:http';
 
+import {isFinalStatus, malformedField} from '../../core/index.js';
 import type {Millis} from '../../core/index.js';
 import type {
   ResponseMetadata,
@@ -171,6 +172,11 @@
     if (this.isFinished) return;
     const status = res.statusCode ?? 0;
     const headers = headerPairs(res.rawHeaders);
+    const defect = headDefect(status, headers);
+    if (defect !== undefined) {
+      this.fail(defect);
+      return;
+    }
     const metadata = this.dialect.readResponse(status, headers);
     if (!this.isOwnResponse(metadata)) {
       this.fail('response to another request');
@@ -218,6 +224,13 @@
   }
 }
 
+/** Returns why a response head is malformed, although the parser accepts it. */
+function headDefect(status: number, headers: HeaderLines): string | undefined {
+  if (!isFinalStatus(status)) return `response with status ${status}`;
+  const line = malformedField(headers);
+  return line && `response with malformed header ${line}`;
+}
+
 /**
  * Splits an address into host and port.
  * @param address - `host:port`
--- a/src/daemons/sidecar/upstream_request.test.ts
+++ b/src/daemons/sidecar/upstream_request.test.ts
@@ -76,6 +76,19 @@
     },
   );
 
+  // The entry that is given such a head throws as it writes it to the caller.
+  it.each([
+    ['status 000', headOf('000 OK', '')],
+    ['status 042', headOf('042 OK', '')],
+    ['status 600', headOf('600 OK', '')],
+    ['a space before a colon', headOf('200 OK', 'X : a\r\n')],
+    ['a line without a name', headOf('200 OK', ': a\r\n')],
+  ])('fails for a head with %s', async (_name, head) => {
+    const answer = await answerOf(head + event(1));
+    expect(answer.head).toBeUndefined();
+    expect(['', 'complete', 'unreachable']).not.toContain(answer.end);
+  });
+
   it('does not continue a stream with an error', async () => {
     const bytes =
       headOf('500 Error', 'Baobabspan-Resumed-From: 1\r\n') + event(2);
--- a/src/daemons/sidecar/upstream_request.ts
+++ b/src/daemons/sidecar/upstream_request.ts
@@ -3,6 +3,7 @@
 
 import {CALLER_SERVICE_HEADER} from '../../calls/index.js';
 import type {AnswerHead, AnswerPiece, CallMessage} from '../../calls/index.js';
+import {isFinalStatus, malformedField} from '../../core/index.js';
 import {EventFramer} from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
 import {EventSplitter} from './event_splitter.js';
@@ -109,6 +110,9 @@
     headers: raw,
   }: Dispatcher.ResponseData) {
     const headers = flattenHeaders(raw);
+    if (!isFinalStatus(status)) throw new Error(`response status ${status}`);
+    const line = malformedField(Object.entries(headers));
+    if (line !== undefined) throw new Error(`malformed header ${line}`);
     const type = headers['content-type'] ?? '';
     // An error is no part of the stream that it would continue.
     const isSuccess = status >= 200 && status < 300;
--- a/src/direct/dialect.ts
+++ b/src/direct/dialect.ts
@@ -1,9 +1,8 @@
-import type {Millis, OrganisationName} from '../core/index.js';
+import type {HeaderLines, Millis, OrganisationName} from '../core/index.js';
 import type {PromptPartId, RequestId, UpstreamId} from './types.js';
 import type {RequestRate} from './upstream_limits.js';
 
-/** Header lines of a message; names keep their original case. */
-export type HeaderLines = readonly (readonly [name: string, value: string])[];
+export type {HeaderLines} from '../core/index.js';
 
 /** Metadata from the headers of a caller's request. */
 export interface RequestMetadata {
--- /dev/null
+++ b/test/malformed_heads.test.ts
@@ -0,0 +1,93 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {
+  chunk,
+  DirectEstate,
+  event,
+  requestIdOf,
+  ROUTES,
+  sealedAnswer,
+} from './support/direct_estate.js';
+import type {Script} from './support/direct_estate.js';
+
+let estate: DirectEstate;
+const uncaught: unknown[] = [];
+const record = (thrown: unknown) => uncaught.push(thrown);
+
+beforeEach(async () => {
+  uncaught.length = 0;
+  process.on('uncaughtException', record);
+  process.on('unhandledRejection', record);
+  estate = new DirectEstate();
+  await estate.start();
+});
+afterEach(async () => {
+  await estate.close();
+  process.off('uncaughtException', record);
+  process.off('unhandledRejection', record);
+});
+
+const PATHS = ['/load/1', '/sheet/1', '/plan/1'];
+
+async function withUpstreams(...scripts: Script[]): Promise<void> {
+  for (const script of scripts) await estate.addUpstream(script);
+  estate.configure(3, ROUTES);
+  await estate.waitUntilReady();
+}
+
+/** Returns a sealed answer with a status line and one more header line. */
+const answerWith =
+  (statusLine: string, line = '', framing: 'length' | 'chunks' = 'length') =>
+  (head: string) => {
+    const [framingLine, body] =
+      framing === 'length'
+        ? [`Content-Length: ${event(1).length}`, event(1)]
+        : ['Transfer-Encoding: chunked', `${chunk(event(1))}0\r\n\r\n`];
+    return (
+      `${statusLine}\r\nRequest-Id: ${requestIdOf(head)}\r\n` +
+      `Response-Seal: s\r\n${line}${framingLine}\r\n\r\n${body}`
+    );
+  };
+
+// A flipped bit in a status line ended the entry and all that it carried (LOST).
+describe('an upstream whose response has a malformed head', () => {
+  const heads: [string, (head: string) => string][] = [
+    ['status 000', answerWith('HTTP/1.1 000 OK')],
+    ['status 042 in chunks', answerWith('HTTP/1.1 042 OK', '', 'chunks')],
+    ['status 099', answerWith('HTTP/1.1 099 OK')],
+    ['status 600', answerWith('HTTP/1.1 600 OK')],
+    ['status 999', answerWith('HTTP/1.1 999 OK')],
+    ['a space before a colon', answerWith('HTTP/1.1 200 OK', 'X : a\r\n')],
+    ['a line without a name', answerWith('HTTP/1.1 200 OK', ': a\r\n')],
+  ];
+
+  it.each(
+    PATHS.flatMap(path => heads.map(([name, bytes]) => ({name, path, bytes}))),
+  )('with $name on $path fails that request alone', async ({path, bytes}) => {
+    await withUpstreams(({head, socket}) => {
+      if (head.includes('X-Sound')) {
+        setTimeout(() => socket.write(sealedAnswer(head, event(1))), 100);
+      } else socket.write(bytes(head));
+    });
+    const sound = estate.call(path, {'X-Sound': '1'});
+    const answer = await estate.call(path).catch(() => undefined);
+    expect(answer?.status).toBe(502);
+    expect(await sound).toMatchObject({status: 200, isWhole: true});
+    expect(uncaught).toEqual([]);
+  });
+
+  it('is tried no more by a request that another upstream can run', async () => {
+    let isFirst = true;
+    const script: Script = ({head, socket}) => {
+      socket.write(
+        isFirst
+          ? answerWith('HTTP/1.1 000 OK')(head)
+          : sealedAnswer(head, 'done'),
+      );
+      isFirst = false;
+    };
+    await withUpstreams(script, script);
+    const answer = await estate.call('/sheet/1', {}, 'GET');
+    expect(answer).toMatchObject({status: 200, body: 'done', isWhole: true});
+  });
+});
