Answer requests with malformed header lines with 400

Cause: the parser accepts these names, and the request to the upstream is created with them, which throws.

Fix: FrontServer checks the header lines of each request before its body is read, answers 400 and closes the connection, as RFC 9112 asks of servers.

--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -3,12 +3,12 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 
 import type {Clock, Millis} from '../../core/index.js';
-import {SECOND} from '../../core/index.js';
+import {SECOND, malformedField} from '../../core/index.js';
 import type {EdgeLimits, HeaderDialect} from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
 import type {Logger} from '../../observability/index.js';
 import {deferContinue, readBody} from '../shared/request_body.js';
-import {splitAddress} from './attempt.js';
+import {headerPairs, splitAddress} from './attempt.js';
 import {ResponseWriter} from './response_writer.js';
 
 /** Limits until the first configuration. */
@@ -137,6 +137,14 @@
       reply.sendError(new Fault('headers_too_large'));
       return;
     }
+    const line = malformedField(headerPairs(req.rawHeaders));
+    if (line !== undefined) {
+      this.logger.debug('malformed_request', {line});
+      // Whoever accepts such a line may read another framing from it.
+      res.shouldKeepAlive = false;
+      reply.sendError(new Fault('bad_request', `malformed header ${line}`));
+      return;
+    }
     const body = await readBody(req, this.limits.maxBodyBytes);
     if (body.isErr()) {
       if (body.error.reason === 'caller_gone') res.destroy();
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -367,6 +367,11 @@
     });
   }
 
+  /** Address of the first entry for callers. */
+  get callersAddress(): string {
+    return this.entries[0]!.callers;
+  }
+
   private headersOf(request: number): Record<string, string> {
     return {
       Host: 'vans.example',
