Check the names that become header values where they enter

Cause: the value of a registration was checked, its key was not; names were put into header lines as they came.

Fix: a key that is not UTF-8, is empty or holds control characters names no upstream (registration_ignored); an organisation's name with control characters makes a configuration unreadable like any other wrong field. Other letters are sent as UTF-8 octets, and the culprit that a response names is decoded the same way.

--- a/src/core/http_fields.ts
+++ b/src/core/http_fields.ts
@@ -5,6 +5,9 @@
 /** Octets as Latin-1 text, without control characters other than tabs. */
 const FIELD_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
 
+/** Text without control characters and without surrounding white space. */
+const HEADER_TEXT = /^(?!\s)[^\p{Cc}]*(?<!\s)$/u;
+
 const MIN_FINAL_STATUS = 200;
 const MAX_STATUS = 599;
 const MAX_SUCCESS_STATUS = 299;
@@ -21,6 +24,34 @@
   return line && JSON.stringify(`${line[0]}:`);
 }
 
+/**
+ * Returns whether a text can be sent as a header value, see `toFieldValue`.
+ * @param text - the text
+ */
+export function isHeaderText(text: string): boolean {
+  return HEADER_TEXT.test(text);
+}
+
+/**
+ * Encodes a text as a header value. Header values are octets, and HTTP writers
+ * take them as Latin-1 text: other letters are sent as UTF-8.
+ * @param text - the text
+ */
+export function toFieldValue(text: string): string {
+  return Array.from(new TextEncoder().encode(text), octet =>
+    String.fromCharCode(octet),
+  ).join('');
+}
+
+/**
+ * Decodes a header value that `toFieldValue` encoded.
+ * @param value - the value, octets as Latin-1 text
+ */
+export function fromFieldValue(value: string): string {
+  const octets = Uint8Array.from(value, letter => letter.charCodeAt(0));
+  return new TextDecoder().decode(octets);
+}
+
 /**
  * Returns whether a status may be that of a final response.
  * @param status - the status
--- a/test/odd_registrations.test.ts
+++ b/test/odd_registrations.test.ts
@@ -83,3 +83,53 @@
     20_000,
   );
 });
+
+// The key becomes the id in a header: one that cannot be sent ended each entry, again
+// after each start (LOST).
+describe('a registration whose key', () => {
+  it.each<[string, string]>([
+    ['is not UTF-8', '\ufffd\ufffd'],
+    ['has a line break', 'i-1\r\nTenant: other'],
+    ['has a control character', 'i\u0000'],
+    ['is empty', ''],
+    ['is white space', ' '],
+    ['has letters beyond Latin-1', 'сервер'],
+  ])('%s disturbs nothing', async (_name, key) => {
+    await estate.addUpstream(({head, socket}) => {
+      setTimeout(() => socket.write(sealedAnswer(head, 'done')), 50);
+    });
+    estate.configure(1, ROUTES);
+    estate.store.putBytes(
+      'keyed.servers',
+      key,
+      Buffer.from(registration('"Sequence":2')),
+    );
+    await estate.waitUntilReady();
+    const answers = await Promise.all(
+      Array.from({length: 12}, () => estate.call('/load/1')),
+    );
+    expect(answers.map(answer => answer.status)).toEqual(
+      Array.from({length: 12}, () => 200),
+    );
+    expect(uncaught).toEqual([]);
+  });
+});
+
+// The entry ended at the first request of such an organisation (LOST).
+describe('an organisation whose name has letters beyond', () => {
+  it.each([
+    ['ASCII', 'Café'],
+    ['Latin-1', 'Мама Ntilie'],
+  ])('%s reaches the upstream in UTF-8', async (_name, organisation) => {
+    await estate.addUpstream(({head, socket}) =>
+      socket.write(sealedAnswer(head, 'done')),
+    );
+    estate.configure(1, ROUTES, organisation);
+    await estate.waitUntilReady();
+    expect((await estate.call('/load/1')).status).toBe(200);
+    const [head = ''] = estate.upstreams[0]!.received;
+    const sent = Buffer.from(head, 'latin1').toString('utf8');
+    expect(sent).toContain(`Tenant: ${organisation}\r\n`);
+    expect(uncaught).toEqual([]);
+  });
+});
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -279,14 +279,19 @@
    * Stores a configuration.
    * @param version - version of the configuration
    * @param routes - routes in the platform's format
+   * @param organisation - name of the callers' organisation
    */
-  configure(version: number, routes: readonly object[]): void {
+  configure(
+    version: number,
+    routes: readonly object[],
+    organisation = 'depot',
+  ): void {
     this.store.put('keyed.op', 'config', {
       Version: version,
       Routes: routes,
       Services: [{Name: 'app', MaxConnections: 8}],
       Limits: LIMITS,
-      Tenants: [{Name: 'depot', ApiKeys: ['k1']}],
+      Tenants: [{Name: organisation, ApiKeys: ['k1']}],
     });
   }
 
