Contain the exceptions of one request or record

Callers lost their requests whenever any other request, response or record made the process throw: nothing stood between one message and the process.

Cause: callbacks of sockets, timers and promises ran without a boundary, so that an exception of one became an uncaught exception of all.

Fix: Containment runs a unit of work; its exception is logged with the request's id (exception_contained), counted by kind and ends that unit alone. Units are each callback of a request (RequestContainment), each step of a queued request, each record, each message of a peer, and timers. A request that fails so releases its slots, resets its connection, and is answered 503 (internal_not_run) if nothing was sent, else 500. Answers are handed to their callers before what follows them is recorded.

--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -64,6 +64,11 @@
   readonly isFramed: boolean;
 }
 
+/** Response that was received completely. */
+export interface WholeResponse extends ResponseHead {
+  readonly body: Buffer;
+}
+
 /** Callbacks of an attempt; none follows `onEnd` or `onFailure`. */
 export interface AttemptListener {
   /** Called with the response head. */
--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -9,8 +9,10 @@
   Route,
   Upstream,
 } from '../../direct/index.js';
+import type {Containment} from '../../observability/index.js';
 import type {AdmittedRequest} from './admitted_request.js';
-import type {DispatchState, Dispatcher} from './dispatcher.js';
+import type {DispatchState} from './dispatch_request.js';
+import type {Dispatcher} from './dispatcher.js';
 import type {QuarantineKeeper} from './quarantine_keeper.js';
 import type {RequestLog} from './request_log.js';
 import type {UpstreamConnections} from './upstream_connections.js';
@@ -48,6 +50,7 @@
   readonly retries: SharedRetryBudget;
   readonly quarantine: QuarantineKeeper;
   readonly log: RequestLog;
+  readonly containment: Containment;
 
   /** Returns whether callers' connections close after their response. */
   isDraining(): boolean;
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -17,12 +17,14 @@
 } from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
-import type {Fields, Logger} from '../../observability/index.js';
+import {Containment} from '../../observability/index.js';
+import type {Fields, Logger, Metrics} from '../../observability/index.js';
 import {OperatorServer} from '../shared/operator_server.js';
 import type {DirectContext} from './context.js';
 import {Dispatcher} from './dispatcher.js';
 import type {DirectParts, DirectSettings} from './estate.js';
 import {EstateTracker} from './estate_tracker.js';
+import type {EstateListener} from './estate_tracker.js';
 import {Exchange} from './exchange.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import {FrontServer} from './front_server.js';
@@ -44,6 +46,7 @@
   readonly retries: SharedRetryBudget;
   readonly quarantine: QuarantineKeeper;
   readonly log: RequestLog;
+  readonly containment: Containment;
   private readonly peers: PeerChannel;
   private readonly limits: LimitKeeper;
   private readonly estate: EstateTracker;
@@ -69,6 +72,7 @@
     this.clock = clock;
     this.dialect = estate.dialect;
     this.logger = logger;
+    this.containment = new Containment(logger, metrics);
     this.log = new RequestLog(clock, logger, metrics);
     this.peers = new PeerChannel(clock, logger);
     this.quarantine = new QuarantineKeeper(
@@ -96,6 +100,7 @@
       settings.availabilityZone,
       parts.chance,
       logger,
+      this.containment,
     );
     this.limits = new LimitKeeper(
       this.dispatcher.limits,
@@ -104,8 +109,12 @@
       logger,
       metrics,
     );
-    this.front = new FrontServer(clock, this.dialect, logger, request =>
-      this.serve(request),
+    this.front = new FrontServer(
+      clock,
+      this.dialect,
+      logger,
+      this.containment,
+      request => this.serve(request),
     );
     this.shutdown = new Shutdown(this.front, clock, logger);
     const operatorView = {
@@ -129,24 +138,7 @@
       clock,
       logger,
       metrics,
-      {
-        onConfiguration: ({version, limits}) => {
-          this.front.setLimits(limits);
-          metrics.versionInForce.set(version);
-        },
-        onUpstreamRemoved: () => {
-          const {upstreams} = this.estate;
-          const {loads, limits} = this.dispatcher;
-          loads.prune(incarnation => upstreams.has(incarnation));
-          limits.prune(incarnation => upstreams.has(incarnation));
-        },
-        onEntryCount: count => this.retries.setEntryCount(count),
-        onShare: share => this.dispatcher.limits.setShare(share),
-        onPeers: peers => this.peers.setPeers(peers),
-        onPeerMessage: (req, res) => this.handlePeerMessage(req, res),
-        onQuarantines: changes => this.quarantine.applyStored(changes),
-        onQuarantinesLost: () => this.quarantine.recordStoreLoss(),
-      },
+      this.estateListener(metrics),
     );
   }
 
@@ -161,7 +153,10 @@
     await this.operators.listen(ip, operatorPort);
     if (callers !== undefined) await this.front.listen(callers);
     this.timer = setInterval(
-      () => this.dispatcher.dispatchQueued(this.clock.now()),
+      () =>
+        this.containment.run('timer', {}, () =>
+          this.dispatcher.dispatchQueued(this.clock.now()),
+        ),
       QUEUE_CHECK_INTERVAL,
     );
   }
@@ -216,6 +211,33 @@
     if (backOff !== undefined) this.recordBackoff(upstream, backOff);
   }
 
+  private estateListener(metrics: Metrics): EstateListener {
+    return {
+      onConfiguration: ({version, limits}) => {
+        this.front.setLimits(limits);
+        metrics.versionInForce.set(version);
+      },
+      onUpstreamRemoved: () => {
+        const {upstreams} = this.estate;
+        const {loads, limits} = this.dispatcher;
+        loads.prune(incarnation => upstreams.has(incarnation));
+        limits.prune(incarnation => upstreams.has(incarnation));
+      },
+      onEntryCount: count => this.retries.setEntryCount(count),
+      onShare: share => this.dispatcher.limits.setShare(share),
+      onPeers: peers => this.peers.setPeers(peers),
+      onPeerMessage: (req, res) =>
+        this.containment.run(
+          'peer_message',
+          {url: req.url},
+          () => this.handlePeerMessage(req, res),
+          () => res.destroy(),
+        ),
+      onQuarantines: changes => this.quarantine.applyStored(changes),
+      onQuarantinesLost: () => this.quarantine.recordStoreLoss(),
+    };
+  }
+
   private handlePeerMessage(req: IncomingMessage, res: ServerResponse): void {
     if (req.url === LIMITS_PATH) void this.limits.handleMessage(req, res);
     else this.quarantine.handleMessage(req, res);
@@ -363,14 +385,7 @@
       promptQuarantine: this.quarantine.status,
       upstreams: this.estate.upstreams
         .all()
-        .map(({registration, incarnation}) => ({
-          id: registration.id,
-          service: registration.service,
-          address: registration.address,
-          suspended: this.dispatcher.loads.isSuspended(now, incarnation),
-          limit: this.dispatcher.limits.rateOf(incarnation),
-          ...this.dispatcher.loads.loadOf(incarnation),
-        })),
+        .map(upstream => this.dispatcher.statusOf(now, upstream)),
     };
   }
 }
--- a/src/daemons/direct/dispatcher.test.ts
+++ b/src/daemons/direct/dispatcher.test.ts
@@ -3,9 +3,13 @@
 import {testRegistration} from '../../../test/support/direct_samples.js';
 import {Chance, availabilityZone, serviceName} from '../../core/index.js';
 import {UpstreamTable} from '../../direct/index.js';
-import {SILENT_LOGGER} from '../../observability/index.js';
+import {
+  Containment,
+  Metrics,
+  SILENT_LOGGER,
+} from '../../observability/index.js';
+import type {DispatchRequest} from './dispatch_request.js';
 import {Dispatcher} from './dispatcher.js';
-import type {DispatchRequest} from './dispatcher.js';
 
 const ASSISTANT = serviceName('assistant');
 const TARGET = 400;
@@ -24,6 +28,7 @@
     availabilityZone('a'),
     new Chance(1),
     SILENT_LOGGER,
+    new Containment(SILENT_LOGGER, new Metrics()),
   );
   const log: string[] = [];
   const request = (name: string, arrivedAt: number): DispatchRequest => ({
--- a/src/daemons/direct/dispatcher.ts
+++ b/src/daemons/direct/dispatcher.ts
@@ -1,9 +1,4 @@
-import type {
-  AvailabilityZone,
-  Chance,
-  Millis,
-  ServiceName,
-} from '../../core/index.js';
+import type {AvailabilityZone, Chance, Millis} from '../../core/index.js';
 import {
   LeastLoadedGroupPolicy,
   ExpectedWaitPolicy,
@@ -15,55 +10,14 @@
   PendingQueue,
   UpstreamLimits,
 } from '../../direct/index.js';
+import type {GroupKey, PlacementPolicy, Upstream} from '../../direct/index.js';
+import type {Containment, Logger} from '../../observability/index.js';
 import type {
-  GroupKey,
-  PlacementPolicy,
-  RankInfo,
-  Upstream,
-  PendingRequest,
-} from '../../direct/index.js';
-import type {Logger} from '../../observability/index.js';
-
-/** A request to send to an upstream. */
-export interface DispatchRequest extends PendingRequest {
-  readonly service: ServiceName;
-  readonly promptTokens: number;
-  /** Upstreams that it was already sent to. */
-  readonly triedIncarnations: ReadonlySet<string>;
-  /** Time to its start that the route aims for. */
-  readonly target: Millis;
-  /** Whether it may be queued. */
-  readonly mayWait: boolean;
-  /** Spends retry budget if it is a retry; returns whether it may be sent. */
-  trySpend(now: Millis): boolean;
-  /** Sends it to an upstream. */
-  send(now: Millis, upstream: Upstream, group: GroupKey): void;
-  /** Rejects it. */
-  reject(cause: DispatchRejection, state: DispatchState): void;
-}
-
-/** Why a dispatcher rejects a request. */
-export type DispatchRejection = 'group_down' | 'overloaded' | 'no_upstream';
-
-/** What a dispatcher knows as it rejects a request. */
-export interface DispatchState {
-  readonly reason: Unplaced;
-  /** Number of queued requests. */
-  readonly queueLength: number;
-  /** Time for which its group has been down; 0 if it is available. */
-  readonly downtime: Millis;
-  /** Earliest time of a retry, if it is known. */
-  readonly notBefore?: Millis | undefined;
-}
-
-/** Registered upstreams and their groups, as a dispatcher queries them. */
-export interface UpstreamDirectory extends RankInfo {
-  /** Returns the number of entries of the estate, including this one. */
-  entryCount(): number;
-  upstreamsOf(service: ServiceName): readonly Upstream[];
-  /** Returns whether a service's upstreams run model engines. */
-  hasEngines(service: ServiceName): boolean;
-}
+  DispatchRejection,
+  DispatchRequest,
+  Unplaced,
+  UpstreamDirectory,
+} from './dispatch_request.js';
 
 /** Balances the requests of an entry and queues those beyond the capacity. */
 export class Dispatcher {
@@ -82,12 +36,14 @@
    * @param zone - zone of this entry
    * @param chance - random source for ties
    * @param logger - logs availability changes of groups
+   * @param containment - contains exceptions to their request
    */
   constructor(
     private readonly directory: UpstreamDirectory,
     zone: AvailabilityZone,
     private readonly chance: Chance,
     private readonly logger: Logger,
+    private readonly containment: Containment,
   ) {
     this.plainPolicy = new ExpectedWaitPolicy(this.loads, zone);
     this.rankPolicy = new LeastLoadedGroupPolicy(this.loads, zone, directory);
@@ -109,6 +65,22 @@
     return {waiting: this.queue.length, groups};
   }
 
+  /**
+   * Returns the fields of an upstream in `/status`.
+   * @param now - current time
+   * @param upstream - the upstream
+   */
+  statusOf(now: Millis, {registration, incarnation}: Upstream): object {
+    return {
+      id: registration.id,
+      service: registration.service,
+      address: registration.address,
+      suspended: this.loads.isSuspended(now, incarnation),
+      limit: this.limits.rateOf(incarnation),
+      ...this.loads.loadOf(incarnation),
+    };
+  }
+
   /**
    * Sends, queues or rejects a request.
    * @param now - current time
@@ -142,20 +114,24 @@
    */
   dispatchQueued(now: Millis): void {
     for (const req of this.queue.shedExpired(now)) {
-      const chosen = this.chooseUpstream(now, req);
-      this.reject(now, req, typeof chosen === 'object' ? 'full' : chosen);
+      this.contain(req, () => {
+        const chosen = this.chooseUpstream(now, req);
+        this.reject(now, req, typeof chosen === 'object' ? 'full' : chosen);
+      });
     }
     const skipped: DispatchRequest[] = [];
     while (this.queue.length > 0 && skipped.length < MAX_SKIPPED) {
       const req = this.queue.peek(now);
       if (req === undefined) break;
-      const chosen = this.chooseUpstream(now, req);
       this.queue.remove(req);
-      if (typeof chosen === 'object') {
-        this.queue.recordSent(now);
-        this.dispatch(now, req, chosen);
-      } else if (this.waits(now, req, chosen)) skipped.push(req);
-      else this.reject(now, req, chosen);
+      this.contain(req, () => {
+        const chosen = this.chooseUpstream(now, req);
+        if (typeof chosen === 'object') {
+          this.queue.recordSent(now);
+          this.dispatch(now, req, chosen);
+        } else if (this.waits(now, req, chosen)) skipped.push(req);
+        else this.reject(now, req, chosen);
+      });
     }
     for (const req of skipped) this.queue.enqueue(req);
   }
@@ -229,6 +205,14 @@
     this.logger.warn('group_fell', {group, upstream: id, culprit});
   }
 
+  /** Runs a step of a queued request, which another request may have caused. */
+  private contain(req: DispatchRequest, work: () => void): void {
+    this.containment.run('queue', {service: req.service}, work, () => {
+      const queueLength = this.queue.length;
+      req.reject('overloaded', {reason: 'full', queueLength, downtime: 0});
+    });
+  }
+
   private dispatch(
     now: Millis,
     req: DispatchRequest,
@@ -362,19 +346,6 @@
   }
 }
 
-/** Why a request cannot be placed on an upstream now. */
-type Unplaced =
-  /** No upstream is left that it was not sent to. */
-  | 'none'
-  /** The groups of all upstreams are down. */
-  | 'down'
-  /** All upstreams requested a backoff. */
-  | 'backed_off'
-  /** The limits that the upstreams name leave no request for this entry now. */
-  | 'limited'
-  /** The limits of all groups are reached. */
-  | 'full';
-
 const REJECTIONS = {
   none: 'no_upstream',
   down: 'group_down',
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -19,6 +19,7 @@
   Upstream,
   UpstreamChange,
 } from '../../direct/index.js';
+import {Containment} from '../../observability/index.js';
 import type {Logger, Metrics} from '../../observability/index.js';
 import {EntryDirectory} from './entry_directory.js';
 import type {EntryLocation} from './entry_directory.js';
@@ -78,6 +79,7 @@
   private readonly entries: EntryDirectory;
   private readonly store: ZoneStore;
   private readonly updateDelay;
+  private readonly containment: Containment;
   private hasUpstreams = false;
   private timer: NodeJS.Timeout | undefined;
 
@@ -100,6 +102,7 @@
     private readonly listener: EstateListener,
   ) {
     const {topics} = estate;
+    this.containment = new Containment(logger, metrics);
     this.updateDelay = metrics.histogram(
       'baobabspan_update_delay_bound_seconds',
       'Time between an update of a topic and the contact before it',
@@ -136,7 +139,9 @@
           spacing: 0,
         },
         (changes, origin) =>
-          changes.forEach(change => this.applyConfiguration(change, origin)),
+          this.forEachRecord(changes, change =>
+            this.applyConfiguration(change, origin),
+          ),
       ),
       upstreams: this.createFollower(
         {
@@ -163,7 +168,10 @@
   async start(): Promise<void> {
     await this.store.listen(this.location.relay);
     for (const follower of Object.values(this.followers)) follower.start();
-    this.timer = setInterval(() => this.expire(), EXPIRY_INTERVAL);
+    this.timer = setInterval(
+      () => this.containment.run('timer', {}, () => this.expire()),
+      EXPIRY_INTERVAL,
+    );
     this.store.onRecordsLost(() => {
       void this.entries.announce();
       this.listener.onQuarantinesLost();
@@ -281,8 +289,11 @@
   private applyRegistrations(changes: readonly KeyedChange[]): void {
     this.hasUpstreams = true;
     const now = this.clock.now();
-    const kinds = changes.map(change => this.applyRegistration(now, change));
-    if (kinds.includes('left')) this.listener.onUpstreamRemoved();
+    let hasLeft = false;
+    this.forEachRecord(changes, change => {
+      if (this.applyRegistration(now, change) === 'left') hasLeft = true;
+    });
+    if (hasLeft) this.listener.onUpstreamRemoved();
   }
 
   private applyRegistration(now: Millis, record: KeyedChange): UpstreamChange {
@@ -309,15 +320,26 @@
   }
 
   private applyRanks(changes: readonly KeyedChange[]): void {
-    for (const {key, value} of changes) {
+    this.forEachRecord(changes, ({key, value}) => {
       const place = parseRegisteredRank(key, value);
-      if (place === undefined) continue;
+      if (place === undefined) return;
       const {engine, group, rank, pace} = place;
       const before = this.ranks.get(engine)?.pace ?? 1;
       this.ranks.set(engine, place);
       if (before !== pace) {
         this.logger.info('rank_pace', {group, rank, engine, before, pace});
       }
+    });
+  }
+
+  /** Applies records; an exception of one ends that record alone. */
+  private forEachRecord(
+    changes: readonly KeyedChange[],
+    apply: (change: KeyedChange) => void,
+  ): void {
+    for (const change of changes) {
+      const {key} = change;
+      this.containment.run('record', {key}, () => apply(change));
     }
   }
 
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -20,10 +20,11 @@
 import type {AdmittedRequest} from './admitted_request.js';
 import {AttemptAccount} from './attempt_account.js';
 import {Attempt, attemptRequest} from './attempt.js';
-import type {ResponseHead} from './attempt.js';
+import type {ResponseHead, WholeResponse} from './attempt.js';
 import type {DirectContext} from './context.js';
-import type {DispatchRequest, DispatchState} from './dispatcher.js';
-import {ResponseBuffer} from './response_buffer.js';
+import type {DispatchRequest, DispatchState} from './dispatch_request.js';
+import {RequestContainment} from './request_containment.js';
+import {ResponseForwarder} from './response_forwarder.js';
 import {ResponseWriter} from './response_writer.js';
 
 /** Handles a caller's request from its admission to its final response. */
@@ -31,6 +32,7 @@
   private readonly response: ResponseWriter;
   private readonly deadlineAt: Millis;
   private readonly delivery: StreamDelivery;
+  private readonly forwarder: ResponseForwarder;
   private readonly triedIncarnations = new Set<string>();
   private attempt: Attempt | undefined;
   private pending: DispatchRequest | undefined;
@@ -42,15 +44,13 @@
   private sends = 0;
   private mayHaveRun = false;
   private head: ResponseHead | undefined;
-  private body = new ResponseBuffer();
-  /** Whether the response to the caller has begun as a stream. */
-  private isStreaming = false;
-  private failedResponse: (ResponseHead & {readonly body: Buffer}) | undefined;
+  private failedResponse: WholeResponse | undefined;
   private isFinished = false;
   private cause: RejectionCause = 'busy';
   /** State of the dispatcher when it rejected the request. */
   private rejectedIn: DispatchState | undefined;
   private readonly timer: NodeJS.Timeout;
+  private readonly containment: RequestContainment;
 
   /**
    * @param context - shared state of the entry's requests
@@ -72,20 +72,46 @@
     );
     this.deadlineAt = deadlineOf(request);
     this.delivery = new StreamDelivery(metadata.resumedAfter, arrivedAt);
+    this.forwarder = new ResponseForwarder(
+      this.response,
+      this.delivery,
+      request.route.repeat === 'stream',
+    );
     this.submittedAt = arrivedAt;
-    res.on('close', () => this.onCallerClosed());
+    this.containment = new RequestContainment(
+      context.containment,
+      metadata.id,
+      [
+        () => this.cancelAttempt(),
+        () => this.recordOutcome('neutral'),
+        () => this.giveUp('internal', 'internal_not_run'),
+        () => this.finish('internal', 0),
+      ],
+    );
+    const {containment} = this;
+    res.on(
+      'close',
+      containment.wrap(() => this.onCallerClosed()),
+    );
     const remaining = this.deadlineAt - context.clock.now();
-    this.timer = setTimeout(() => this.onDeadline(), Math.max(0, remaining));
+    this.timer = setTimeout(
+      containment.wrap(() => this.onDeadline()),
+      Math.max(0, remaining),
+    );
     context.retries.recordRequest(arrivedAt, request.service);
   }
 
   /** Starts to serve the request; its end may come at once. */
   start(): void {
-    this.requestUpstream();
+    this.containment.run(() => this.requestUpstream());
   }
 
   /** Refuses the request if its prompt was quarantined before it began to run. */
   applyQuarantine(): void {
+    this.containment.run(() => this.endIfQuarantined());
+  }
+
+  private endIfQuarantined(): void {
     const {account} = this;
     const isRunning = account?.isOpen === true && account.progress.hasStarted;
     if (this.isFinished || isRunning) return;
@@ -94,13 +120,9 @@
     this.respondError('prompt_quarantined');
   }
 
-  private get isStream(): boolean {
-    return this.request.route.repeat === 'stream';
-  }
-
   /** Submits the request to the dispatcher for an untried upstream. */
   private requestUpstream(): void {
-    const {request, context} = this;
+    const {request, context, containment} = this;
     const {route, arrivedAt} = request;
     const abandonedAt = this.delivery.lastDeliveryAt + route.silencePatience;
     this.pending = {
@@ -111,28 +133,30 @@
       target: route.latencyTarget,
       targetAt: arrivedAt + route.latencyTarget,
       expiresAt: Math.min(abandonedAt, this.deadlineAt),
-      mayWait: this.isStream,
+      mayWait: route.repeat === 'stream',
       trySpend: now =>
         this.sends === 0 || context.retries.trySpend(now, request.service),
-      send: (now, upstream, group) => this.send(now, upstream, group),
-      reject: (cause, state) => {
+      send: containment.wrap((now: Millis, upstream, group) =>
+        this.send(now, upstream, group),
+      ),
+      reject: containment.wrap((cause, state) => {
         this.cause = cause === 'group_down' ? cause : 'busy';
         this.rejectedIn = state;
         this.respondFinal(cause);
-      },
+      }),
     };
     this.submittedAt = context.clock.now();
     context.dispatcher.submit(this.submittedAt, this.pending);
   }
 
   private send(now: Millis, upstream: Upstream, group: GroupKey): void {
-    const {request, context} = this;
+    const {request, context, containment} = this;
+    this.attempt = undefined;
     this.account = new AttemptAccount(now, context, request, upstream, group);
     this.queueTime += now - this.submittedAt;
     this.triedIncarnations.add(upstream.incarnation);
     this.head = undefined;
-    this.body = new ResponseBuffer();
-    this.delivery.startRun();
+    this.forwarder.startRun();
     const lines = context.dialect.toUpstream(request.headers, {
       timeLeft: this.deadlineAt - now,
       expectedUpstream: upstream.registration.id,
@@ -145,10 +169,12 @@
       context.connectionsFor(request.route),
       context.dialect,
       {
-        onHead: (head, metadata) => this.onHead(head, metadata),
-        onData: chunk => this.onData(chunk),
-        onEnd: () => this.onEnd(),
-        onFailure: failure => this.onFailure(failure),
+        onHead: containment.wrap((head, metadata) =>
+          this.onHead(head, metadata),
+        ),
+        onData: containment.wrap(chunk => this.onData(chunk)),
+        onEnd: containment.wrap(() => this.onEnd()),
+        onFailure: containment.wrap(failure => this.onFailure(failure)),
       },
     );
   }
@@ -189,65 +215,38 @@
       this.abortAttempt({kind: 'failed_answer', status});
       return;
     }
-    this.head = head;
     if (isSuccess) this.account.recordStart(this.context.clock.now());
-    if (!isSuccess || !this.isStream || this.response.isStarted) return;
-    this.response.sendHead(head);
-    this.isStreaming = true;
+    this.head = head;
+    this.forwarder.begin(head);
   }
 
   private onData(chunk: Buffer): void {
-    const isSuccess = this.head !== undefined && this.head.status < 300;
-    if (this.isStream && isSuccess) {
-      this.forwardEvents(chunk);
-      const {defect} = this.delivery;
-      if (defect === undefined) return;
-      this.abortAttempt({kind: 'may_have_run', reason: defect});
-      return;
-    }
-    if (!this.body.add(chunk) || this.head === undefined) return;
-    if (!this.response.isStarted) this.response.sendHead(this.head);
-    this.write(this.body.take());
-  }
-
-  private forwardEvents(chunk: Buffer): void {
     const now = this.context.clock.now();
-    const events = this.delivery.push(now, chunk);
+    const events = this.forwarder.push(now, chunk, this.attempt);
+    if (!this.forwarder.isEventStream) return;
     this.account?.recordEvents(now, events?.count ?? 0, events?.gap);
-    if (events !== undefined) this.write(events.bytes);
-  }
-
-  private write(bytes: Buffer): void {
-    if (this.response.write(bytes)) return;
-    const {attempt} = this;
-    attempt?.pause();
-    this.response.onDrain(() => attempt?.resume());
+    const {defect} = this.delivery;
+    if (defect === undefined) return;
+    this.abortAttempt({kind: 'may_have_run', reason: defect});
   }
 
   private onEnd(): void {
-    const {head} = this;
+    const {head, forwarder} = this;
     if (head === undefined) return;
-    const {status} = head;
-    if (status < 300 && this.isStream && this.delivery.isWithinEvent) {
+    if (forwarder.isEventStream && this.delivery.isWithinEvent) {
       this.onFailure({kind: 'may_have_run', reason: 'ended within an event'});
       return;
     }
-    const body = this.body.take();
+    const body = forwarder.takeBody();
+    const {status} = head;
     if (status >= 500 && !this.response.isStarted) {
       this.failedResponse = {...head, body};
       this.onFailure({kind: 'failed_answer', status});
       return;
     }
+    forwarder.end(head, body);
     this.recordOutcome(status >= 500 ? 'bad' : 'good');
     if (status < 300) this.context.quarantine.recordAnswer(this.request);
-    if (this.isStream && status < 300) {
-      const {rest} = this.delivery;
-      if (rest.length > 0) this.response.write(rest);
-      this.response.end();
-    } else if (this.response.isStarted) {
-      if (body.length > 0) this.response.write(body);
-      this.response.end();
-    } else this.response.sendWhole(head, body);
     this.finish('answered', status);
   }
 
@@ -284,24 +283,26 @@
       else quarantine.awaitVerdict(request, upstream, this.applyVerdict);
       return;
     }
-    const isGroupDown =
-      failure.kind === 'not_run' && failure.reason === 'group_down';
-    if (isGroupDown) this.cause = 'group_down';
-    this.respondFinal(isGroupDown ? 'group_down' : 'overloaded');
+    const reason = failure.kind === 'not_run' ? failure.reason : undefined;
+    if (reason === 'group_down') this.cause = reason;
+    this.respondFinal(reason === 'group_down' ? reason : 'overloaded');
   }
 
   /** Retries a request that may have crashed its upstream if it has not. */
   private readonly applyVerdict = (isSuspected: boolean): void => {
     if (this.isFinished) return;
-    if (isSuspected) this.respondFinal('overloaded');
-    else this.requestUpstream();
+    this.containment.run(() => {
+      if (isSuspected) this.respondFinal('overloaded');
+      else this.requestUpstream();
+    });
   };
 
   /** Whether the answer of another upstream can follow what the caller has. */
   private get canContinue(): boolean {
     if (!this.response.isStarted) return true;
     const {resumable} = this.request.route;
-    return this.isStreaming && (resumable || this.delivery.delivered === 0);
+    const {hasStreamBegun} = this.forwarder;
+    return hasStreamBegun && (resumable || this.delivery.delivered === 0);
   }
 
   /**
@@ -310,16 +311,15 @@
    */
   private respondFinal(rejection: ErrorName): void {
     if (this.response.isStarted) this.respondError('upstream_lost');
-    else if (this.failedResponse !== undefined) this.forwardFailedResponse();
+    else if (this.failedResponse !== undefined)
+      this.forwardFailedResponse(this.failedResponse);
     else if (this.mayHaveRun) this.respondError('upstream_failed');
     else this.respondError(rejection);
   }
 
-  private forwardFailedResponse(): void {
-    const {failedResponse} = this;
-    if (failedResponse === undefined) return;
-    this.response.sendWhole(failedResponse, failedResponse.body);
-    this.finish('upstream_error', failedResponse.status);
+  private forwardFailedResponse(failed: WholeResponse): void {
+    this.response.sendWhole(failed, failed.body);
+    this.finish('upstream_error', failed.status);
   }
 
   private respondError(reason: ErrorName): void {
@@ -334,7 +334,7 @@
 
   /** Ends the request because this process stops. */
   shutDown(): void {
-    this.giveUp('shut_down', 'draining');
+    this.containment.run(() => this.giveUp('shut_down', 'draining'));
   }
 
   /** Ends the request at the deadline of the caller or its route. */
@@ -372,7 +372,8 @@
     if (account === undefined) return;
     const now = context.clock.now();
     const elapsed = (delivery.firstDeliveryAt ?? now) - account.progress.sentAt;
-    const isTelling = outcome === 'good' && !this.isStream;
+    const isTelling =
+      outcome === 'good' && this.request.route.repeat !== 'stream';
     account.close(now, outcome, isTelling ? elapsed : undefined);
   }
 
@@ -382,6 +383,7 @@
     clearTimeout(this.timer);
     if (this.pending !== undefined)
       this.context.dispatcher.withdraw(this.pending);
+    this.onFinished();
     this.context.log.recordFinished(this.request, {
       outcome,
       status,
@@ -393,6 +395,5 @@
       queueTime: this.queueTime,
       deliveredEvents: this.delivery.delivered,
     });
-    this.onFinished();
   }
 }
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -6,7 +6,7 @@
 import {SECOND, malformedField} from '../../core/index.js';
 import type {EdgeLimits, HeaderDialect} from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
-import type {Logger} from '../../observability/index.js';
+import type {Containment, Logger} from '../../observability/index.js';
 import {deferContinue, readBody} from '../shared/request_body.js';
 import {headerPairs, splitAddress} from './attempt.js';
 import {ResponseWriter} from './response_writer.js';
@@ -46,12 +46,14 @@
    * @param clock - the clock
    * @param dialect - header format of rejections
    * @param logger - logs unreadable requests
+   * @param containment - contains exceptions to their request
    * @param serve - called with each request that was read completely
    */
   constructor(
     private readonly clock: Clock,
     private readonly dialect: HeaderDialect,
     private readonly logger: Logger,
+    private readonly containment: Containment,
     private readonly serve: (request: BufferedRequest) => void,
   ) {
     this.server = createServer(
@@ -61,12 +63,12 @@
         noDelay: true,
         requireHostHeader: false,
       },
-      (req, res) => void this.handle(req, res),
+      (req, res) => void this.handleContained(req, res),
     );
     this.server.maxHeadersCount = 0;
     this.server.on('checkContinue', (req, res) => {
       deferContinue(req, res);
-      void this.handle(req, res);
+      void this.handleContained(req, res);
     });
     this.server.on('clientError', (err, socket) => {
       this.logger.debug('unreadable_request', {err: err.message});
@@ -117,6 +119,22 @@
     this.server.close();
   }
 
+  private async handleContained(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    await this.containment.runAsync(
+      'request',
+      {url: req.url},
+      () => this.handle(req, res),
+      () => {
+        // Exchanges contain their own exceptions, so nothing was sent yet.
+        const reply = new ResponseWriter(res, this.dialect, () => true);
+        reply.sendError(new Fault('internal_not_run'), SECOND);
+      },
+    );
+  }
+
   private async handle(
     req: IncomingMessage,
     res: ServerResponse,
--- a/src/daemons/direct/keyed_follower.ts
+++ b/src/daemons/direct/keyed_follower.ts
@@ -3,6 +3,7 @@
 import {SECOND} from '../../core/index.js';
 import {KeyedTable} from '../../direct/index.js';
 import type {KeyedChange} from '../../direct/index.js';
+import {asFault} from '../../errors/index.js';
 import type {Fault} from '../../errors/index.js';
 import type {Logger} from '../../observability/index.js';
 import {DependencyHealth} from './dependency_health.js';
@@ -113,7 +114,10 @@
   private async poll(): Promise<void> {
     this.timer = undefined;
     const startedAt = this.clock.now();
-    const fault = await this.readOnce();
+    // Nothing may end the following of a topic: its records would stay unread.
+    const fault = await this.readOnce().catch((thrown: unknown) =>
+      asFault(thrown, 'internal'),
+    );
     if (this.isStopped) return;
     if (fault === undefined) this.recordSuccess();
     else this.recordFailure(fault);
--- /dev/null
+++ b/src/daemons/direct/response_forwarder.ts
@@ -0,0 +1,108 @@
+import type {Millis} from '../../core/index.js';
+import type {DeliverableEvents, StreamDelivery} from '../../direct/index.js';
+import type {ResponseHead} from './attempt.js';
+import {ResponseBuffer} from './response_buffer.js';
+import type {ResponseWriter} from './response_writer.js';
+
+/** Pauses and resumes the upstream, as the caller's connection fills. */
+export interface ResponseSource {
+  pause(): void;
+  resume(): void;
+}
+
+/** Forwards the responses of a request's upstreams to its caller. */
+export class ResponseForwarder {
+  private head: ResponseHead | undefined;
+  private body = new ResponseBuffer();
+  private isStreaming = false;
+
+  /**
+   * @param writer - writes the response to the caller
+   * @param delivery - events that the caller has received
+   * @param isStream - whether successes are event streams
+   */
+  constructor(
+    private readonly writer: ResponseWriter,
+    private readonly delivery: StreamDelivery,
+    private readonly isStream: boolean,
+  ) {}
+
+  /** Whether the caller receives events of a stream. */
+  get hasStreamBegun(): boolean {
+    return this.isStreaming;
+  }
+
+  /** Whether the current response is forwarded event by event. */
+  get isEventStream(): boolean {
+    return this.isStream && this.head !== undefined && this.head.status < 300;
+  }
+
+  /** Drops what is buffered of a failed response, before the next attempt. */
+  startRun(): void {
+    this.head = undefined;
+    this.body = new ResponseBuffer();
+    this.delivery.startRun();
+  }
+
+  /**
+   * Begins a response.
+   * @param head - its head
+   */
+  begin(head: ResponseHead): void {
+    this.head = head;
+    const isSuccess = head.status >= 200 && head.status < 300;
+    if (!isSuccess || !this.isStream || this.writer.isStarted) return;
+    this.writer.sendHead(head);
+    this.isStreaming = true;
+  }
+
+  /**
+   * Forwards or buffers a chunk of the body.
+   * @param now - current time
+   * @param chunk - the chunk
+   * @param source - the upstream
+   * @returns the events that it completes, if the response is a stream of them
+   */
+  push(
+    now: Millis,
+    chunk: Buffer,
+    source: ResponseSource | undefined,
+  ): DeliverableEvents | undefined {
+    if (this.isEventStream) {
+      const events = this.delivery.push(now, chunk);
+      if (events !== undefined) this.write(events.bytes, source);
+      return events;
+    }
+    if (!this.body.add(chunk) || this.head === undefined) return undefined;
+    if (!this.writer.isStarted) this.writer.sendHead(this.head);
+    this.write(this.body.take(), source);
+    return undefined;
+  }
+
+  /** Removes and returns the buffered part of the body. */
+  takeBody(): Buffer {
+    return this.body.take();
+  }
+
+  /**
+   * Ends a complete response.
+   * @param head - its head
+   * @param body - its body, or the part that was not forwarded yet
+   */
+  end(head: ResponseHead, body: Buffer): void {
+    const {writer} = this;
+    const rest = this.isEventStream ? this.delivery.rest : body;
+    if (!writer.isStarted) {
+      writer.sendWhole(head, rest);
+      return;
+    }
+    if (rest.length > 0) writer.write(rest);
+    writer.end();
+  }
+
+  private write(bytes: Buffer, source: ResponseSource | undefined): void {
+    if (this.writer.write(bytes)) return;
+    source?.pause();
+    this.writer.onDrain(() => source?.resume());
+  }
+}
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -241,6 +241,11 @@
     'The command line or the settings are invalid.',
     'See --help.',
   ),
+  internal_not_run: entry(
+    503,
+    'This process hit an unexpected error before it sent the request on.',
+    'Send the request again; report it together with the log line.',
+  ),
   internal: entry(
     500,
     'This process hit an unexpected error.',
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -1,5 +1,6 @@
 /** Logging, metrics and the system clock. */
 export * from './bounded_writer.js';
 export * from './clock.js';
+export * from './containment.js';
 export * from './logger.js';
 export * from './metrics.js';
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -52,6 +52,13 @@
     ['kind'],
   );
 
+  /** Exceptions that ended one unit of work, by its kind. */
+  readonly containedExceptions = this.counter(
+    'baobabspan_contained_exceptions_total',
+    'Exceptions that ended one unit of work, by its kind',
+    ['kind'],
+  );
+
   /** Version of the configuration in force in this process. */
   readonly versionInForce = this.gauge(
     'baobabspan_version_in_force',
--- a/test/support/entry_replay.ts
+++ b/test/support/entry_replay.ts
@@ -6,11 +6,15 @@
   serviceName,
 } from '../../src/core/index.js';
 import type {Millis} from '../../src/core/index.js';
+import type {DispatchRequest} from '../../src/daemons/direct/dispatch_request.js';
 import {Dispatcher} from '../../src/daemons/direct/dispatcher.js';
-import type {DispatchRequest} from '../../src/daemons/direct/dispatcher.js';
 import {retryAfter} from '../../src/direct/index.js';
 import type {RejectionCause, Upstream} from '../../src/direct/index.js';
-import {SILENT_LOGGER} from '../../src/observability/index.js';
+import {
+  Containment,
+  Metrics,
+  SILENT_LOGGER,
+} from '../../src/observability/index.js';
 import {testRegistration} from './direct_samples.js';
 import {
   SteppingGroup,
@@ -108,7 +112,14 @@
     const zone = availabilityZone('a');
     this.dispatchers = Array.from(
       {length: entries},
-      () => new Dispatcher(directory, zone, this.chance, SILENT_LOGGER),
+      () =>
+        new Dispatcher(
+          directory,
+          zone,
+          this.chance,
+          SILENT_LOGGER,
+          new Containment(SILENT_LOGGER, new Metrics()),
+        ),
     );
   }
 
