Never send a body without the head of an upstream

Cause: onHead took 200 to 299 for a success, onData and onEnd everything below 300, so events were written though no head had been; Node then sends a 200.

Fix: isSuccessStatus is the only definition; ResponseForwarder decides once, with the head, whether events are forwarded; and the writers of both forms of deployment refuse to write a body before a head, which fails that request alone.

--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
+import {isSuccessStatus} from '../../core/index.js';
 import type {Millis} from '../../core/index.js';
 import {
   StreamDelivery,
@@ -66,17 +67,15 @@
     res: ServerResponse,
     private readonly onFinished: () => void,
   ) {
-    const {metadata, arrivedAt} = request;
+    const {metadata, arrivedAt, route} = request;
     this.response = new ResponseWriter(res, context.dialect, () =>
       context.isDraining(),
     );
     this.deadlineAt = deadlineOf(request);
     this.delivery = new StreamDelivery(metadata.resumedAfter, arrivedAt);
-    this.forwarder = new ResponseForwarder(
-      this.response,
-      this.delivery,
-      request.route.repeat === 'stream',
-    );
+    const isStream = route.repeat === 'stream';
+    const {response, delivery} = this;
+    this.forwarder = new ResponseForwarder(response, delivery, isStream);
     this.submittedAt = arrivedAt;
     this.containment = new RequestContainment(
       context.containment,
@@ -203,7 +202,7 @@
       });
       return;
     }
-    const isSuccess = status >= 200 && status < 300;
+    const isSuccess = isSuccessStatus(status);
     if (isSuccess && !metadata.isSealed) {
       this.abortAttempt({
         kind: 'may_have_run',
@@ -246,7 +245,8 @@
     }
     forwarder.end(head, body);
     this.recordOutcome(status >= 500 ? 'bad' : 'good');
-    if (status < 300) this.context.quarantine.recordAnswer(this.request);
+    if (isSuccessStatus(status))
+      this.context.quarantine.recordAnswer(this.request);
     this.finish('answered', status);
   }
 
--- a/src/daemons/direct/response_forwarder.ts
+++ b/src/daemons/direct/response_forwarder.ts
@@ -1,3 +1,4 @@
+import {isSuccessStatus} from '../../core/index.js';
 import type {Millis} from '../../core/index.js';
 import type {DeliverableEvents, StreamDelivery} from '../../direct/index.js';
 import type {ResponseHead} from './attempt.js';
@@ -14,6 +15,7 @@
 export class ResponseForwarder {
   private head: ResponseHead | undefined;
   private body = new ResponseBuffer();
+  private isEvents = false;
   private isStreaming = false;
 
   /**
@@ -34,12 +36,13 @@
 
   /** Whether the current response is forwarded event by event. */
   get isEventStream(): boolean {
-    return this.isStream && this.head !== undefined && this.head.status < 300;
+    return this.isEvents;
   }
 
   /** Drops what is buffered of a failed response, before the next attempt. */
   startRun(): void {
     this.head = undefined;
+    this.isEvents = false;
     this.body = new ResponseBuffer();
     this.delivery.startRun();
   }
@@ -50,8 +53,8 @@
    */
   begin(head: ResponseHead): void {
     this.head = head;
-    const isSuccess = head.status >= 200 && head.status < 300;
-    if (!isSuccess || !this.isStream || this.writer.isStarted) return;
+    this.isEvents = this.isStream && isSuccessStatus(head.status);
+    if (!this.isEvents || this.writer.isStarted) return;
     this.writer.sendHead(head);
     this.isStreaming = true;
   }
--- a/src/daemons/direct/response_writer.ts
+++ b/src/daemons/direct/response_writer.ts
@@ -55,8 +55,10 @@
    * Writes a chunk of the body.
    * @param bytes - the chunk
    * @returns whether more may be written without waiting for a drain
+   * @throws {Error} if no head was sent: Node would send a 200 of its own
    */
   write(bytes: Buffer): boolean {
+    this.assertStarted();
     return this.res.write(bytes);
   }
 
@@ -68,8 +70,12 @@
     this.res.once('drain', listener);
   }
 
-  /** Ends a complete response. */
+  /**
+   * Ends a complete response.
+   * @throws {Error} if no head was sent
+   */
   end(): void {
+    this.assertStarted();
     this.res.end();
   }
 
@@ -119,6 +125,10 @@
     this.res.end(body);
   }
 
+  private assertStarted(): void {
+    if (!this.isStarted) throw new Error('body without a response head');
+  }
+
   private writeResponse(head: ResponseHead, length: HeaderLines): void {
     const {status, headers, isFramed} = head;
     this.isFramed = isFramed;
--- a/src/daemons/entry/answer_writer.ts
+++ b/src/daemons/entry/answer_writer.ts
@@ -58,8 +58,10 @@
    * Writes a chunk of the answer.
    * @param bytes - the chunk
    * @returns false if the caller should drain before the next chunk
+   * @throws {Error} if no head was sent: Node would send a 200 of its own
    */
   writeBody(bytes: Uint8Array): boolean {
+    if (!this.res.headersSent) throw new Error('body without an answer head');
     this.timer?.recordChunk();
     return this.res.write(bytes);
   }
--- a/src/daemons/sidecar/upstream_request.ts
+++ b/src/daemons/sidecar/upstream_request.ts
@@ -3,7 +3,11 @@
 
 import {CALLER_SERVICE_HEADER} from '../../calls/index.js';
 import type {AnswerHead, AnswerPiece, CallMessage} from '../../calls/index.js';
-import {isFinalStatus, malformedField} from '../../core/index.js';
+import {
+  isFinalStatus,
+  isSuccessStatus,
+  malformedField,
+} from '../../core/index.js';
 import {EventFramer} from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
 import {EventSplitter} from './event_splitter.js';
@@ -115,7 +119,7 @@
     if (line !== undefined) throw new Error(`malformed header ${line}`);
     const type = headers['content-type'] ?? '';
     // An error is no part of the stream that it would continue.
-    const isSuccess = status >= 200 && status < 300;
+    const isSuccess = isSuccessStatus(status);
     const isResumable = this.call.idempotent && isSuccess && isStream(type);
     if (!isResumable) return {status, headers, firstEvent: undefined};
     const resumed = headers[RESUMED_FROM_HEADER];
