Send event streams to callers in chunks

Cause: such a stream was delimited by the entry's connection as it was by the upstream's, and the system closes the connections of a killed process in order. The entry can reset a stream that it aborts, a killed one cannot.

Fix: event streams are sent in chunks whatever delimits them upstream; the last chunk is only sent once the upstream has ended the stream between two events. Callers of HTTP/1.0 take no chunks; for them nothing changes.

Ruled out: chunks or a length for plain bodies as well. The test 'adds no length to an answer without one' stands as it was.

--- a/src/daemons/direct/response_forwarder.ts
+++ b/src/daemons/direct/response_forwarder.ts
@@ -55,7 +55,7 @@
     this.head = head;
     this.isEvents = this.isStream && isSuccessStatus(head.status);
     if (!this.isEvents || this.writer.isStarted) return;
-    this.writer.sendHead(head);
+    this.writer.sendStreamHead(head);
     this.isStreaming = true;
   }
 
--- a/src/daemons/direct/response_writer.ts
+++ b/src/daemons/direct/response_writer.ts
@@ -11,7 +11,8 @@
 
 /** Writes the response to one caller. */
 export class ResponseWriter {
-  private isFramed = true;
+  /** Whether a caller can tell an aborted response from a complete one. */
+  private isDelimited = true;
 
   /**
    * @param res - the HTTP response
@@ -38,16 +39,29 @@
     const length: HeaderLines = head.isFramed
       ? [['Content-Length', `${body.length}`]]
       : [];
-    this.writeResponse(head, length);
+    this.writeResponse(head, length, head.isFramed);
     this.res.end(body);
   }
 
   /**
-   * Sends the head of a response whose body follows in chunks.
+   * Sends the head of a response whose body follows in parts.
    * @param head - its head
    */
   sendHead(head: ResponseHead): void {
-    this.writeResponse(head, []);
+    this.writeResponse(head, [], head.isFramed);
+    this.res.flushHeaders();
+  }
+
+  /**
+   * Sends the head of an event stream. It is sent in chunks even if the upstream
+   * delimits it by its connection: if this process is killed, the system closes
+   * its connections in order, and a stream cut between two events would look
+   * complete. Callers of HTTP/1.0 take no chunks.
+   * @param head - its head
+   */
+  sendStreamHead(head: ResponseHead): void {
+    const takesChunks = this.res.req.httpVersion !== '1.0';
+    this.writeResponse(head, [], head.isFramed || takesChunks);
     this.res.flushHeaders();
   }
 
@@ -86,7 +100,7 @@
    */
   abort(): void {
     setImmediate(() => {
-      if (!this.isFramed) this.res.socket?.resetAndDestroy();
+      if (!this.isDelimited) this.res.socket?.resetAndDestroy();
       this.res.destroy();
     });
   }
@@ -129,10 +143,13 @@
     if (!this.isStarted) throw new Error('body without a response head');
   }
 
-  private writeResponse(head: ResponseHead, length: HeaderLines): void {
-    const {status, headers, isFramed} = head;
-    this.isFramed = isFramed;
-    if (!isFramed) {
+  private writeResponse(
+    {status, headers}: ResponseHead,
+    length: HeaderLines,
+    isDelimited: boolean,
+  ): void {
+    this.isDelimited = isDelimited;
+    if (!isDelimited) {
       // It may be truncated: don't add the terminator that it lacks.
       this.res.shouldKeepAlive = false;
       this.res.removeHeader('transfer-encoding');
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -372,11 +372,27 @@
     });
   }
 
+  /** `host:port` of the store. */
+  get addressOfStore(): string {
+    return this.storeAddress;
+  }
+
   /** Address of the first entry for callers. */
   get callersAddress(): string {
     return this.entries[0]!.callers;
   }
 
+  /**
+   * Sends a POST request to an address.
+   * @param address - `host:port` of an entry
+   * @param path - request path
+   */
+  callAt(address: string, path: string): Promise<Answer> {
+    this.requestCount += 1;
+    const headers = this.headersOf(this.requestCount);
+    return this.send(address, path, 'POST', headers);
+  }
+
   private headersOf(request: number): Record<string, string> {
     return {
       Host: 'vans.example',
--- /dev/null
+++ b/test/support/entry_process.ts
@@ -0,0 +1,125 @@
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+
+import {hostPort} from '../../src/core/index.js';
+import {freePort} from './direct_estate.js';
+import {parseLogLine} from './processes.js';
+import type {LogLine} from './processes.js';
+
+const MAIN = fileURLToPath(
+  new URL('../../dist/platform/main.js', import.meta.url),
+);
+const HOST = '127.0.0.1';
+
+/** Ports of an entry process. */
+export interface EntryPorts {
+  readonly callers: number;
+  readonly readiness: number;
+  readonly operators: number;
+  readonly internal: number;
+}
+
+/** Returns ports that were free when they were checked. */
+export async function freePorts(): Promise<EntryPorts> {
+  return {
+    callers: await freePort(),
+    readiness: await freePort(),
+    operators: await freePort(),
+    internal: await freePort(),
+  };
+}
+
+/** An entry of the users' platform as a process of its own. */
+export class EntryProcess {
+  readonly lines: LogLine[] = [];
+  readonly child: ChildProcess;
+  private readonly folder = mkdtempSync(join(tmpdir(), 'baobabspan-'));
+
+  /**
+   * Starts the process.
+   * @param store - `host:port` of the store
+   * @param ports - its ports
+   * @param graceS - time from SIGTERM to its end, seconds
+   */
+  constructor(
+    store: string,
+    readonly ports: EntryPorts,
+    graceS = 5,
+  ) {
+    const boot = join(this.folder, 'boot.json');
+    const settings = {
+      vm: `front-${ports.callers}`,
+      availabilityZone: 'a',
+      ip: HOST,
+      callers: this.callers,
+      readiness: hostPort(HOST, ports.readiness),
+      internalPorts: [ports.internal, ports.internal],
+      operatorPort: ports.operators,
+      store,
+      retryRatio: 1,
+      retryWindowS: 10,
+      retrySlack: 1_000,
+      graceS,
+      configurationAppliesMs: 2_000,
+      upstreamLeavesMs: 2_000,
+    };
+    writeFileSync(boot, JSON.stringify(settings));
+    this.child = spawn(process.execPath, [MAIN, 'entry'], {
+      env: {...process.env, BAOBABSPAN_BOOT: boot},
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    createInterface({input: this.child.stdout!}).on('line', line => {
+      this.lines.push(parseLogLine(line));
+    });
+  }
+
+  /** `host:port` for callers. */
+  get callers(): string {
+    return hostPort(HOST, this.ports.callers);
+  }
+
+  /** Whether the process has ended. */
+  get hasEnded(): boolean {
+    return this.child.exitCode !== null || this.child.signalCode !== null;
+  }
+
+  /**
+   * Returns whether the log has a line of an event.
+   * @param event - the event
+   */
+  hasLogged(event: string): boolean {
+    return this.lines.some(line => line['event'] === event);
+  }
+
+  /**
+   * Sends a signal and waits for the end of the process.
+   * @param signal - the signal
+   */
+  async end(signal: NodeJS.Signals): Promise<void> {
+    if (!this.hasEnded) {
+      const exit = once(this.child, 'exit');
+      this.child.kill(signal);
+      await exit;
+    }
+    rmSync(this.folder, {recursive: true, force: true});
+  }
+
+  /**
+   * Returns whether the balancer may send requests to the entry.
+   * @param ms - time to wait for the response
+   */
+  async isReady(ms = 900): Promise<boolean> {
+    const {readiness} = this.ports;
+    const url = `http://${hostPort(HOST, readiness)}/api/readiness`;
+    const res = await fetch(url, {signal: AbortSignal.timeout(ms)}).catch(
+      () => undefined,
+    );
+    return res?.ok === true;
+  }
+}
