Outlive the reader of the log

Cause: the stream's error event had no listener, so it became an uncaught exception.

Fix: BoundedWriter drops its lines once the output reports an error.

--- a/src/observability/bounded_writer.test.ts
+++ b/src/observability/bounded_writer.test.ts
@@ -28,6 +28,16 @@
 }
 
 describe('BoundedWriter', () => {
+  // The process ended as the reader of its log went away (FAULT).
+  it('drops lines once nothing reads the output', () => {
+    const sink = new Sink();
+    const writer = new BoundedWriter(sink, new FakeClock());
+    writer.write('before');
+    expect(() => sink.emit('error', new Error('EPIPE'))).not.toThrow();
+    writer.write('after');
+    expect(sink.text).toBe('before\n');
+  });
+
   it('drops lines beyond its rate and reports their number', () => {
     const clock = new FakeClock();
     const sink = new Sink();
--- a/src/observability/bounded_writer.ts
+++ b/src/observability/bounded_writer.ts
@@ -16,6 +16,8 @@
   private tokens = BURST_LINES;
   private refilledAt: Millis;
   private dropped = 0;
+  /** Whether nothing reads the output any more, for example a closed pipe. */
+  private isClosed = false;
 
   /**
    * @param out - output stream
@@ -26,6 +28,10 @@
     private readonly clock: Clock,
   ) {
     this.refilledAt = clock.now();
+    // Without a listener the error would end the process with its requests.
+    out.on('error', () => {
+      this.isClosed = true;
+    });
   }
 
   /**
@@ -37,7 +43,7 @@
     const earned = ((now - this.refilledAt) / SECOND) * LINES_PER_SECOND;
     this.tokens = Math.min(BURST_LINES, this.tokens + earned);
     this.refilledAt = now;
-    if (this.tokens < 1 || this.out.writableNeedDrain) {
+    if (this.tokens < 1 || this.out.writableNeedDrain || this.isClosed) {
       this.dropped += 1;
       return;
     }
