Bound the bodies of the store, peers and engines

Other operators saw a machine run out of memory over an answer without end. For callers' requests the buffers are bounded and tested; here the calls of the product itself were not: responses of the store, of other entries, of engines and, in the product's own form, of the log and the VM list were read to their end, or until their timeout.

Cause: arrayBuffer() and text() have no limit.

--- a/src/clients/http_json.ts
+++ b/src/clients/http_json.ts
@@ -6,6 +6,7 @@
 import type {Millis} from '../core/index.js';
 import {asFault} from '../errors/index.js';
 import type {ErrorName, Fault} from '../errors/index.js';
+import {MAX_PAGE_BYTES, readBounded} from './bounded_body.js';
 
 /** One request to a JSON service. */
 export interface JsonRequest<T extends z.ZodType> {
@@ -41,9 +42,9 @@
     },
     signal: AbortSignal.timeout(timeout),
   }).then(async res => {
-    const received = await res.body.text();
+    const received = await readBounded(res.body, MAX_PAGE_BYTES);
     if (res.statusCode !== 200) throw new Error(`HTTP ${res.statusCode}`);
-    return schema.parse(JSON.parse(received));
+    return schema.parse(JSON.parse(received.toString('utf8')));
   });
   return ResultAsync.fromPromise(answer, thrown => asFault(thrown, failure));
 }
--- a/src/clients/index.ts
+++ b/src/clients/index.ts
@@ -1,4 +1,5 @@
 /** Clients of the platform's services and of the rank engines. */
+export * from './bounded_body.js';
 export * from './log_client.js';
 export * from './text_compression.js';
 export * from './vm_list_client.js';
--- a/src/clients/log_client.ts
+++ b/src/clients/log_client.ts
@@ -6,6 +6,7 @@
 import {offset} from '../core/index.js';
 import type {LogPage, LogRecord, Millis, Offset} from '../core/index.js';
 import {Fault, asFault} from '../errors/index.js';
+import {MAX_PAGE_BYTES, readBounded} from './bounded_body.js';
 
 export type {LogPage, LogRecord};
 
@@ -94,9 +95,9 @@
         this.closing.signal,
       ]),
     }).then(async res => {
-      const text = await res.body.text();
+      const bytes = await readBounded(res.body, MAX_PAGE_BYTES);
       if (res.statusCode !== 200) throw new Error(`HTTP ${res.statusCode}`);
-      return schema.parse(JSON.parse(text));
+      return schema.parse(JSON.parse(bytes.toString('utf8')));
     });
     return ResultAsync.fromPromise(answer, thrown =>
       asFault(thrown, 'log_unavailable'),
--- a/src/clients/vm_list_client.ts
+++ b/src/clients/vm_list_client.ts
@@ -7,6 +7,7 @@
 import {asFault} from '../errors/index.js';
 import {listedVm} from '../membership/index.js';
 import type {ListedVm} from '../membership/index.js';
+import {MAX_PAGE_BYTES, readBounded} from './bounded_body.js';
 
 /** A copy of the list. */
 export interface VmListing {
@@ -35,8 +36,8 @@
     const answer = request(`${this.url}/vms`, {
       signal: AbortSignal.timeout(ANSWER_TIMEOUT),
     }).then(async res => {
-      const body = await res.body.json();
-      return readVms(list.parse(body).vms);
+      const bytes = await readBounded(res.body, MAX_PAGE_BYTES);
+      return readVms(list.parse(JSON.parse(bytes.toString('utf8'))).vms);
     });
     return ResultAsync.fromPromise(answer, thrown =>
       asFault(thrown, 'log_unavailable'),
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -88,15 +88,11 @@
       ],
     );
     const {containment} = this;
-    res.on(
-      'close',
-      containment.wrap(() => this.onCallerClosed()),
-    );
+    const onClose = containment.wrap(() => this.onCallerClosed());
+    res.on('close', onClose);
     const remaining = this.deadlineAt - context.clock.now();
-    this.timer = setTimeout(
-      containment.wrap(() => this.onDeadline()),
-      Math.max(0, remaining),
-    );
+    const onDeadline = containment.wrap(() => this.onDeadline());
+    this.timer = setTimeout(onDeadline, Math.max(0, remaining));
     context.retries.recordRequest(arrivedAt, request.service);
   }
 
--- a/src/daemons/direct/peer_channel.ts
+++ b/src/daemons/direct/peer_channel.ts
@@ -1,6 +1,6 @@
 import {Agent, request} from 'undici';
 
-import {withTimeout} from '../../clients/index.js';
+import {readBounded, withTimeout} from '../../clients/index.js';
 import type {Clock, Millis} from '../../core/index.js';
 import {describeError} from '../../errors/index.js';
 import type {Logger} from '../../observability/index.js';
@@ -8,6 +8,8 @@
 
 /** A peer that does not respond for this long misses the message. */
 const RESPONSE_TIMEOUT: Millis = 400;
+/** Size limit of a response; a batch of reports takes some kilobytes. */
+const MAX_RESPONSE_BYTES = 2 ** 20;
 const OK = 200;
 
 /** Channel for messages to all other entries. */
@@ -78,7 +80,7 @@
           dispatcher: this.agent,
           signal,
         });
-        const bytes = Buffer.from(await res.body.arrayBuffer());
+        const bytes = await readBounded(res.body, MAX_RESPONSE_BYTES);
         if (res.statusCode !== OK) {
           throw new Error(`responded with status ${res.statusCode}`);
         }
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -6,7 +6,12 @@
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 
-import {KeyedStore, withTimeout} from '../../clients/index.js';
+import {
+  KeyedStore,
+  MAX_PAGE_BYTES,
+  readBounded,
+  withTimeout,
+} from '../../clients/index.js';
 import type {KeyedListing, KeyedPage} from '../../clients/index.js';
 import type {Clock, LogPosition, Millis, VmName} from '../../core/index.js';
 import {era, offset} from '../../core/index.js';
@@ -258,7 +263,7 @@
         dispatcher: this.agent,
         signal,
       });
-      const body = Buffer.from(await res.body.arrayBuffer());
+      const body = await readBounded(res.body, MAX_PAGE_BYTES);
       const {statusCode: status, headers} = res;
       const age = Number(headers[AGE_HEADER] ?? Infinity);
       const its = era(Number(headers[ERA_HEADER] ?? 0));
--- a/test/endless_bytes.test.ts
+++ b/test/endless_bytes.test.ts
@@ -1,3 +1,8 @@
+import {once} from 'node:events';
+import {readFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+
 import fc from 'fast-check';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
@@ -8,6 +13,9 @@
   sealedAnswer,
 } from './support/direct_estate.js';
 import type {Script} from './support/direct_estate.js';
+import {PlatformStore} from '../platform/store_client.js';
+import {PlatformRankClient} from '../platform/rank_client.js';
+import {EntryProcess, freePorts} from './support/entry_process.js';
 
 const FILLER = 'x'.repeat(16 * 2 ** 10);
 /** Half of the smallest VM's memory; the caller and the upstream run in it too. */
@@ -185,3 +193,78 @@
     );
   }, 60_000);
 });
+
+function peakMemory(pid: number): number {
+  const text = readFileSync(`/proc/${pid}/status`, 'utf8');
+  return Number(/VmHWM:\s+(\d+) kB/.exec(text)?.[1]) * 2 ** 10;
+}
+
+// A process that runs out of memory ends with the requests of all callers (LOST).
+describe('many endless answers at once', () => {
+  const CALLERS = 300;
+  const UPSTREAMS = 6;
+
+  it.each(['chunks', 'a body without length'])(
+    'of %s leave the memory of the process bounded',
+    async kind => {
+      const [, script] = endlessAnswers.find(([name]) => name === kind)!;
+      for (let i = 0; i < UPSTREAMS; i++) await estate.addUpstream(script);
+      estate.configure(3, ROUTES);
+      const entry = new EntryProcess(estate.addressOfStore, await freePorts());
+      try {
+        await expect.poll(() => entry.isReady(), {timeout: 15_000}).toBe(true);
+        const before = peakMemory(entry.child.pid!);
+        await Promise.all(
+          Array.from({length: CALLERS}, (_, i) =>
+            estate
+              .callAt(entry.callers, i % 2 === 0 ? '/load/1' : '/sheet/1')
+              .catch(() => undefined),
+          ),
+        );
+        expect(entry.hasEnded).toBe(false);
+        const growth = peakMemory(entry.child.pid!) - before;
+        expect(growth).toBeLessThan(MAX_MEMORY_GROWTH_BYTES);
+      } finally {
+        await entry.end('SIGKILL');
+      }
+    },
+    60_000,
+  );
+});
+
+// The store and the engines may hand out endless bytes like any upstream.
+describe('an endless answer of', () => {
+  async function endlessServer(head: string): Promise<string> {
+    const server = createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.write(head);
+        const pour = () => {
+          while (!socket.destroyed && socket.write(FILLER));
+          if (!socket.destroyed) socket.once('drain', () => setImmediate(pour));
+        };
+        pour();
+      });
+    });
+    server.unref();
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  }
+
+  it.each([
+    ['without a length', 'HTTP/1.1 200 OK\r\n\r\n'],
+    [
+      'with a long length',
+      'HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n',
+    ],
+  ])('the store or an engine %s fails the call early', async (_name, head) => {
+    const address = await endlessServer(head);
+    const listing = await new PlatformStore(address).list('keyed.op');
+    expect(listing._unsafeUnwrapErr().message).toMatch(/body of more than/);
+    const report = new PlatformRankClient(address).report();
+    expect((await report)._unsafeUnwrapErr().message).toMatch(
+      /body of more than/,
+    );
+  });
+});
--- a/test/support/entry_process.ts
+++ b/test/support/entry_process.ts
@@ -39,6 +39,7 @@
 export class EntryProcess {
   readonly lines: LogLine[] = [];
   readonly child: ChildProcess;
+  private readonly startedAt = performance.now();
   private readonly folder = mkdtempSync(join(tmpdir(), 'baobabspan-'));
 
   /**
@@ -70,10 +71,14 @@
       upstreamLeavesMs: 2_000,
     };
     writeFileSync(boot, JSON.stringify(settings));
-    this.child = spawn(process.execPath, [MAIN, 'entry'], {
-      env: {...process.env, BAOBABSPAN_BOOT: boot},
-      stdio: ['ignore', 'pipe', 'inherit'],
-    });
+    this.child = spawn(
+      process.execPath,
+      ['--max-old-space-size=128', MAIN, 'entry'],
+      {
+        env: {...process.env, BAOBABSPAN_BOOT: boot},
+        stdio: ['ignore', 'pipe', 'inherit'],
+      },
+    );
     createInterface({input: this.child.stdout!}).on('line', line => {
       this.lines.push(parseLogLine(line));
     });
@@ -84,6 +89,11 @@
     return hostPort(HOST, this.ports.callers);
   }
 
+  /** Time since the process was started. */
+  get ageMs(): number {
+    return performance.now() - this.startedAt;
+  }
+
   /** Whether the process has ended. */
   get hasEnded(): boolean {
     return this.child.exitCode !== null || this.child.signalCode !== null;
