--- a/test/contained_exceptions.test.ts
+++ b/test/contained_exceptions.test.ts
@@ -4,15 +4,12 @@
 import {PlatformEstate} from '../platform/platform_estate.js';
 import {LoadTracker} from '../src/direct/index.js';
 import {DirectEstate, ROUTES, sealedAnswer} from './support/direct_estate.js';
+import {recordUncaught} from './support/uncaught.js';
 
 let estate: DirectEstate;
-const uncaught: unknown[] = [];
-const record = (thrown: unknown) => uncaught.push(thrown);
+const uncaught = recordUncaught();
 
 beforeEach(async () => {
-  uncaught.length = 0;
-  process.on('uncaughtException', record);
-  process.on('unhandledRejection', record);
   estate = new DirectEstate();
   await estate.start();
   await estate.addUpstream(({head, socket}) => {
@@ -24,8 +21,6 @@
 afterEach(async () => {
   vi.restoreAllMocks();
   await estate.close();
-  process.off('uncaughtException', record);
-  process.off('unhandledRejection', record);
 });
 
 const statusOf = async () =>
--- a/test/malformed_heads.test.ts
+++ b/test/malformed_heads.test.ts
@@ -11,22 +11,17 @@
   sealedAnswer,
 } from './support/direct_estate.js';
 import type {Script} from './support/direct_estate.js';
+import {recordUncaught} from './support/uncaught.js';
 
 let estate: DirectEstate;
-const uncaught: unknown[] = [];
-const record = (thrown: unknown) => uncaught.push(thrown);
+const uncaught = recordUncaught();
 
 beforeEach(async () => {
-  uncaught.length = 0;
-  process.on('uncaughtException', record);
-  process.on('unhandledRejection', record);
   estate = new DirectEstate();
   await estate.start();
 });
 afterEach(async () => {
   await estate.close();
-  process.off('uncaughtException', record);
-  process.off('unhandledRejection', record);
 });
 
 const PATHS = ['/load/1', '/sheet/1', '/plan/1'];
--- a/test/odd_registrations.test.ts
+++ b/test/odd_registrations.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {DirectEstate, ROUTES, sealedAnswer} from './support/direct_estate.js';
+import {recordUncaught} from './support/uncaught.js';
 
 const NESTED = `${'{"a":'.repeat(200_000)}1${'}'.repeat(200_000)}`;
 
@@ -9,20 +10,14 @@
   `"State":"ready","Sequence":1,"born":5,${fields}}`;
 
 let estate: DirectEstate;
-const uncaught: unknown[] = [];
-const record = (thrown: unknown) => uncaught.push(thrown);
+const uncaught = recordUncaught();
 
 beforeEach(async () => {
-  uncaught.length = 0;
-  process.on('uncaughtException', record);
-  process.on('unhandledRejection', record);
   estate = new DirectEstate();
   await estate.start();
 });
 afterEach(async () => {
   await estate.close();
-  process.off('uncaughtException', record);
-  process.off('unhandledRejection', record);
 });
 
 // Another writer's entry must neither end the process nor stop its reading.
