Test reloads during the start without a guess at the time of Node's boot

Traced to the harness: it sent SIGHUP from 200 ms after the start on, when Node may not have run any code yet on a busy machine; no program can catch a signal by then.

The soak now asks the kernel whether the process catches the signal. What the fixed time tested has a case of its own that depends on no time: an entry that waits for its settings in a pipe gets SIGHUP.

--- a/test/entry_process.test.ts
+++ b/test/entry_process.test.ts
@@ -1,5 +1,9 @@
+import {execFileSync, spawn} from 'node:child_process';
 import {once} from 'node:events';
+import {constants, mkdtempSync, openSync, rmSync} from 'node:fs';
 import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
@@ -11,7 +15,7 @@
   ROUTES,
   sealedAnswer,
 } from './support/direct_estate.js';
-import {EntryProcess, freePorts} from './support/entry_process.js';
+import {EntryProcess, MAIN, freePorts} from './support/entry_process.js';
 import type {EntryPorts} from './support/entry_process.js';
 
 let estate: DirectEstate;
@@ -152,3 +156,34 @@
     await expectServes(entry);
   });
 });
+
+// The signal's default action ended a process that had not read its settings yet (FAULT).
+it('an entry survives a reload while it reads its settings', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'baobabspan-'));
+  const fifo = join(folder, 'boot.json');
+  execFileSync('mkfifo', [fifo]);
+  const child = spawn(process.execPath, [MAIN, 'entry'], {
+    env: {...process.env, BAOBABSPAN_BOOT: fifo},
+    stdio: 'ignore',
+  });
+  const {O_WRONLY, O_NONBLOCK} = constants;
+  // Fails until the process has opened the other end, and waits for its settings.
+  await expect
+    .poll(
+      () => {
+        try {
+          return openSync(fifo, O_WRONLY | O_NONBLOCK) > 0;
+        } catch {
+          return false;
+        }
+      },
+      {timeout: 15_000},
+    )
+    .toBe(true);
+  child.kill('SIGHUP');
+  await pause(300);
+  expect(child.signalCode).toBeNull();
+  child.kill('SIGKILL');
+  await once(child, 'exit');
+  rmSync(folder, {recursive: true});
+});
--- a/test/entry_soak.test.ts
+++ b/test/entry_soak.test.ts
@@ -19,8 +19,6 @@
 const LENGTH_MS = 14_000;
 const ENTRIES = 3;
 const CLIENTS = 24;
-/** Time in which Node starts to run the program. */
-const BOOT_MS = 200;
 /** Grace of the entries: some restarts overlap it, so their ports are taken. */
 const GRACE_S = 5;
 
@@ -152,8 +150,8 @@
         const at = Math.floor(chance.fraction() * ENTRIES);
         const entry = entries[at]!;
         if (chance.fraction() < 0.5) {
-          // Node itself has to be up to catch a signal.
-          if (entry.ageMs >= BOOT_MS) entry.child.kill('SIGHUP');
+          // While Node itself boots, no program can catch a signal.
+          if (entry.catchesReload()) entry.child.kill('SIGHUP');
           continue;
         }
         if (!(await entry.isReady())) continue;
--- a/test/support/entry_process.ts
+++ b/test/support/entry_process.ts
@@ -1,7 +1,7 @@
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {createInterface} from 'node:readline';
@@ -12,10 +12,13 @@
 import {parseLogLine} from './processes.js';
 import type {LogLine} from './processes.js';
 
-const MAIN = fileURLToPath(
+/** The program, as `npm run build` leaves it. */
+export const MAIN = fileURLToPath(
   new URL('../../dist/platform/main.js', import.meta.url),
 );
 const HOST = '127.0.0.1';
+/** Bit of signal 1 in a signal mask of the kernel. */
+const SIGHUP_BIT = 1n;
 
 /** Ports of an entry process. */
 export interface EntryPorts {
@@ -39,7 +42,6 @@
 export class EntryProcess {
   readonly lines: LogLine[] = [];
   readonly child: ChildProcess;
-  private readonly startedAt = performance.now();
   private readonly folder = mkdtempSync(join(tmpdir(), 'baobabspan-'));
 
   /**
@@ -89,9 +91,11 @@
     return hostPort(HOST, this.ports.callers);
   }
 
-  /** Time since the process was started. */
-  get ageMs(): number {
-    return performance.now() - this.startedAt;
+  /** Returns whether the process has a handler for the reload signal. */
+  catchesReload(): boolean {
+    const status = readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
+    const mask = /SigCgt:\s*([0-9a-f]+)/.exec(status)?.[1] ?? '0';
+    return (BigInt(`0x${mask}`) & SIGHUP_BIT) !== 0n;
   }
 
   /** Whether the process has ended. */
