Reject malformed header lines at the edge of the product's own form

Fix: guardRequest applies the check that the direct form has.

Evidence: two new cases of http_edge.test.ts failed before and pass now, 58 of 58.

--- a/src/daemons/entry/http_edge.test.ts
+++ b/src/daemons/entry/http_edge.test.ts
@@ -224,6 +224,19 @@
       400,
       'bad_request',
     ],
+    // These two got no answer of the edge (LOST).
+    [
+      'a space before the colon of any header',
+      lines(GET_SHEET, HOST, TOKEN, 'X : a'),
+      400,
+      'bad_request',
+    ],
+    [
+      'a header without a name',
+      lines(GET_SHEET, HOST, TOKEN, ': a'),
+      400,
+      'bad_request',
+    ],
     [
       'a bare line feed',
       `${GET_SHEET}\n${HOST}\n${TOKEN}\n\n`,
--- a/src/daemons/entry/request_guard.ts
+++ b/src/daemons/entry/request_guard.ts
@@ -3,6 +3,7 @@
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 
+import {headerPairs, malformedField} from '../../core/index.js';
 import {Fault} from '../../errors/index.js';
 
 /** Limits within those of links: a request above them would close its link. */
@@ -43,6 +44,8 @@
 function checkHeaders(req: IncomingMessage): Result<void, Fault> {
   const {rawHeaders} = req;
   if (rawHeaders.length > 2 * MAX_HEADERS) return reject('headers: too many');
+  const line = malformedField(headerPairs(rawHeaders));
+  if (line !== undefined) return reject(`headers: ${line} is malformed`);
   const seen = new Set<string>();
   for (let i = 0; i < rawHeaders.length; i += 2) {
     const name = rawHeaders[i]?.toLowerCase() ?? '';
