Do not take an exception of a record for an outage of the store

Found in reading the change: let the follower treat an exception of what it calls like a failed read. The store then counted as unavailable and, with the next read, as recovered, after which upstreams that unregister stay listed for 2 s; the log said that the store was lost.

Fix: the callback of each topic runs in its own containment, like single records; the follower's catch is only the last resort.

Evidence: 'is not taken for an outage of the store' failed before (one failure recorded) and passes now, 10 of 10 in the file.

--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -244,10 +244,13 @@
       this.clock,
       {
         onChanges: (changes, origin) => {
-          onChanges(changes, origin);
+          const {topic} = settings;
+          // The store must not be taken for the cause of an exception here.
+          this.containment.run('record', {topic}, () =>
+            onChanges(changes, origin),
+          );
           const {sinceContact} = origin;
           if (sinceContact === undefined) return;
-          const {topic} = settings;
           this.updateDelay.observe({topic}, sinceContact / SECOND);
         },
         onRecovered: () => {
--- a/test/contained_exceptions.test.ts
+++ b/test/contained_exceptions.test.ts
@@ -2,6 +2,8 @@
 
 import {PlatformDialect} from '../platform/headers.js';
 import {PlatformEstate} from '../platform/platform_estate.js';
+import {DependencyHealth} from '../src/daemons/direct/dependency_health.js';
+import {EntryDirectory} from '../src/daemons/direct/entry_directory.js';
 import {LoadTracker} from '../src/direct/index.js';
 import {DirectEstate, ROUTES, sealedAnswer} from './support/direct_estate.js';
 import {recordUncaught} from './support/uncaught.js';
@@ -92,6 +94,21 @@
 });
 
 describe('an exception of one record', () => {
+  // It was taken for an outage of the store, after which lapsed upstreams stay listed.
+  it('is not taken for an outage of the store', async () => {
+    const recordFailure = vi.spyOn(DependencyHealth.prototype, 'recordFailure');
+    const apply = vi
+      .spyOn(EntryDirectory.prototype, 'apply')
+      .mockImplementationOnce(() => {
+        throw new Error('unexpected');
+      });
+    estate.store.put('keyed.baobabspan-entries', 'entry-9', {});
+    await vi.waitFor(() => expect(apply).toHaveBeenCalled(), {timeout: 8_000});
+    await estate.call('/load/1');
+    expect(recordFailure).not.toHaveBeenCalled();
+    expect(uncaught).toEqual([]);
+  });
+
   it('does not keep later records from being read', async () => {
     vi.spyOn(
       PlatformEstate.prototype,
