--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -44,7 +44,6 @@
   /** Number of upstreams that the request was sent to. */
   private sends = 0;
   private mayHaveRun = false;
-  private head: ResponseHead | undefined;
   private failedResponse: WholeResponse | undefined;
   private isFinished = false;
   private cause: RejectionCause = 'busy';
@@ -150,7 +149,6 @@
     this.account = new AttemptAccount(now, context, request, upstream, group);
     this.queueTime += now - this.submittedAt;
     this.triedIncarnations.add(upstream.incarnation);
-    this.head = undefined;
     this.forwarder.startRun();
     const lines = context.dialect.toUpstream(request.headers, {
       timeLeft: this.deadlineAt - now,
@@ -211,7 +209,6 @@
       return;
     }
     if (isSuccess) this.account.recordStart(this.context.clock.now());
-    this.head = head;
     this.forwarder.begin(head);
   }
 
@@ -226,7 +223,8 @@
   }
 
   private onEnd(): void {
-    const {head, forwarder} = this;
+    const {forwarder} = this;
+    const {head} = forwarder;
     if (head === undefined) return;
     if (forwarder.isEventStream && this.delivery.isWithinEvent) {
       this.onFailure({kind: 'may_have_run', reason: 'ended within an event'});
--- a/src/daemons/direct/response_forwarder.ts
+++ b/src/daemons/direct/response_forwarder.ts
@@ -13,7 +13,7 @@
 
 /** Forwards the responses of a request's upstreams to its caller. */
 export class ResponseForwarder {
-  private head: ResponseHead | undefined;
+  private currentHead: ResponseHead | undefined;
   private body = new ResponseBuffer();
   private isEvents = false;
   private isStreaming = false;
@@ -29,6 +29,11 @@
     private readonly isStream: boolean,
   ) {}
 
+  /** Head of the current response; undefined until it has come. */
+  get head(): ResponseHead | undefined {
+    return this.currentHead;
+  }
+
   /** Whether the caller receives events of a stream. */
   get hasStreamBegun(): boolean {
     return this.isStreaming;
@@ -41,7 +46,7 @@
 
   /** Drops what is buffered of a failed response, before the next attempt. */
   startRun(): void {
-    this.head = undefined;
+    this.currentHead = undefined;
     this.isEvents = false;
     this.body = new ResponseBuffer();
     this.delivery.startRun();
@@ -52,7 +57,7 @@
    * @param head - its head
    */
   begin(head: ResponseHead): void {
-    this.head = head;
+    this.currentHead = head;
     this.isEvents = this.isStream && isSuccessStatus(head.status);
     if (!this.isEvents || this.writer.isStarted) return;
     this.writer.sendStreamHead(head);
@@ -76,8 +81,9 @@
       if (events !== undefined) this.write(events.bytes, source);
       return events;
     }
-    if (!this.body.add(chunk) || this.head === undefined) return undefined;
-    if (!this.writer.isStarted) this.writer.sendHead(this.head);
+    const {head} = this;
+    if (!this.body.add(chunk) || head === undefined) return undefined;
+    if (!this.writer.isStarted) this.writer.sendHead(head);
     this.write(this.body.take(), source);
     return undefined;
   }
--- a/test/entry_process.test.ts
+++ b/test/entry_process.test.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {constants, mkdtempSync, openSync, rmSync} from 'node:fs';
 import {createServer} from 'node:net';
+import type {Server} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 
@@ -15,9 +16,14 @@
   ROUTES,
   sealedAnswer,
 } from './support/direct_estate.js';
+import type {Script} from './support/direct_estate.js';
 import {EntryProcess, MAIN, freePorts} from './support/entry_process.js';
 import type {EntryPorts} from './support/entry_process.js';
 
+/** Answers each request at once. */
+const DONE: Script = ({head, socket}) =>
+  socket.write(sealedAnswer(head, 'done'));
+
 let estate: DirectEstate;
 const processes: EntryProcess[] = [];
 
@@ -31,6 +37,14 @@
   await estate.close();
 });
 
+/** Listens on a port in the place of the entry that will need it. */
+async function holdPort(port: number): Promise<Server> {
+  const holder = createServer(socket => socket.destroy());
+  holder.listen(port, '127.0.0.1');
+  await once(holder, 'listening');
+  return holder;
+}
+
 function startEntry(ports: EntryPorts): EntryProcess {
   const entry = new EntryProcess(estate.addressOfStore, ports);
   processes.push(entry);
@@ -82,13 +96,9 @@
   it.each<keyof EntryPorts>(['callers', 'readiness'])(
     'waits until its %s port is free, and is not ready before',
     async name => {
-      await estate.addUpstream(({head, socket}) =>
-        socket.write(sealedAnswer(head, 'done')),
-      );
+      await estate.addUpstream(DONE);
       const ports = await freePorts();
-      const holder = createServer(socket => socket.destroy());
-      holder.listen(ports[name], '127.0.0.1');
-      await once(holder, 'listening');
+      const holder = await holdPort(ports[name]);
       const entry = startEntry(ports);
       await expect
         .poll(() => entry.hasLogged('port_taken'), {timeout: 15_000})
@@ -106,13 +116,9 @@
   it.each<keyof EntryPorts>(['operators', 'internal'])(
     'serves requests without its %s port',
     async name => {
-      await estate.addUpstream(({head, socket}) =>
-        socket.write(sealedAnswer(head, 'done')),
-      );
+      await estate.addUpstream(DONE);
       const ports = await freePorts();
-      const holder = createServer(socket => socket.destroy());
-      holder.listen(ports[name], '127.0.0.1');
-      await once(holder, 'listening');
+      const holder = await holdPort(ports[name]);
       const entry = startEntry(ports);
       await expect.poll(() => entry.isReady(), {timeout: 15_000}).toBe(true);
       const answer = await estate.callAt(entry.callers, '/load/1');
@@ -139,18 +145,14 @@
   }
 
   it('has lost its reader goes on', async () => {
-    await estate.addUpstream(({head, socket}) =>
-      socket.write(sealedAnswer(head, 'done')),
-    );
+    await estate.addUpstream(DONE);
     const entry = await startReadyEntry();
     entry.child.stdout!.destroy();
     await expectServes(entry);
   });
 
   it('is not read is not blocked by it', async () => {
-    await estate.addUpstream(({head, socket}) =>
-      socket.write(sealedAnswer(head, 'done')),
-    );
+    await estate.addUpstream(DONE);
     const entry = await startReadyEntry();
     entry.child.stdout!.pause();
     await expectServes(entry);
