Reset HTTP/1.0 callers whose response breaks off

When it was aborted because its upstream had broken off, the connection was closed in order, as at the end of a complete response (ORDER, MIXED).

Cause: whether the abort needs a reset was decided by the upstream's framing, though it is the caller that has to tell the two apart.

Fix: ResponseWriter asks whether the caller takes chunks.

--- a/src/daemons/direct/response_writer.ts
+++ b/src/daemons/direct/response_writer.ts
@@ -48,7 +48,7 @@
    * @param head - its head
    */
   sendHead(head: ResponseHead): void {
-    this.writeResponse(head, [], head.isFramed);
+    this.writeResponse(head, [], head.isFramed && this.takesChunks);
     this.res.flushHeaders();
   }
 
@@ -56,12 +56,11 @@
    * Sends the head of an event stream. It is sent in chunks even if the upstream
    * delimits it by its connection: if this process is killed, the system closes
    * its connections in order, and a stream cut between two events would look
-   * complete. Callers of HTTP/1.0 take no chunks.
+   * complete.
    * @param head - its head
    */
   sendStreamHead(head: ResponseHead): void {
-    const takesChunks = this.res.req.httpVersion !== '1.0';
-    this.writeResponse(head, [], head.isFramed || takesChunks);
+    this.writeResponse(head, [], this.takesChunks);
     this.res.flushHeaders();
   }
 
@@ -139,6 +138,11 @@
     this.res.end(body);
   }
 
+  /** Callers of HTTP/1.0 take no chunks. */
+  private get takesChunks(): boolean {
+    return this.res.req.httpVersion !== '1.0';
+  }
+
   private assertStarted(): void {
     if (!this.isStarted) throw new Error('body without a response head');
   }
--- a/test/broken_answers.test.ts
+++ b/test/broken_answers.test.ts
@@ -7,6 +7,7 @@
   requestIdOf,
   ROUTES,
   sealedAnswer,
+  sendRaw,
   wireRoute,
 } from './support/direct_estate.js';
 import type {Script} from './support/direct_estate.js';
@@ -241,3 +242,31 @@
     },
   );
 });
+
+// A caller of HTTP/1.0 gets neither chunks nor a length: its aborted responses ended in
+// order, as complete ones do (ORDER, MIXED).
+describe('A caller of HTTP/1.0', () => {
+  const LARGE = 'x'.repeat(1.5 * 2 ** 20);
+
+  it.each([
+    ['a stream', '/plan/1', event(1)],
+    ['a large body', '/sheet/1', LARGE],
+  ])('sees a reset when %s breaks off', async (_name, path, part) => {
+    const once = ['/plan/', '/sheet/'].map((prefix, i) =>
+      wireRoute(prefix, i === 0 ? 'streaming' : 'safe', {MaxAttempts: 1}),
+    );
+    await estate.addUpstream(({head, socket}) => {
+      socket.write(headOf(head) + chunk(part));
+      setTimeout(() => socket.resetAndDestroy(), 100);
+    });
+    estate.configure(3, once);
+    await estate.waitUntilReady();
+    const answer = await sendRaw(
+      estate.callersAddress,
+      `POST ${path} HTTP/1.0\r\nHost: vans.example\r\nRequest-Id: r1\r\n` +
+        'Authorization: Bearer k1\r\nContent-Length: 4\r\n\r\nload',
+    );
+    expect(answer.text).toMatch(/^HTTP\/1\.1 200 /);
+    expect(answer.isReset).toBe(true);
+  });
+});
--- a/test/malformed_heads.test.ts
+++ b/test/malformed_heads.test.ts
@@ -1,5 +1,3 @@
-import {connect} from 'node:net';
-
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {
@@ -9,6 +7,7 @@
   requestIdOf,
   ROUTES,
   sealedAnswer,
+  sendRaw,
 } from './support/direct_estate.js';
 import type {Script} from './support/direct_estate.js';
 import {recordUncaught} from './support/uncaught.js';
@@ -91,19 +90,6 @@
 
 // One request of any caller with a valid key ended the entry (LOST).
 describe('a caller whose request has a malformed header line', () => {
-  /** Sends raw bytes and returns what comes back until the connection ends. */
-  function sendRaw(bytes: string): Promise<string> {
-    const [host, port] = estate.callersAddress.split(':');
-    return new Promise(resolve => {
-      const socket = connect(Number(port), host);
-      let text = '';
-      socket.on('data', data => (text += data.toString('latin1')));
-      socket.on('error', () => resolve(text));
-      socket.on('close', () => resolve(text));
-      socket.write(bytes, 'latin1');
-    });
-  }
-
   it.each([
     ['a space before a colon', 'X : a'],
     ['no name', ': a'],
@@ -114,10 +100,11 @@
     });
     const sound = estate.call('/load/1');
     const answer = await sendRaw(
+      estate.callersAddress,
       'POST /load/1 HTTP/1.1\r\nHost: vans.example\r\nRequest-Id: odd\r\n' +
         `Authorization: Bearer k1\r\n${line}\r\nContent-Length: 4\r\n\r\nload`,
     );
-    expect(answer).toMatch(/^HTTP\/1\.1 400 /);
+    expect(answer.text).toMatch(/^HTTP\/1\.1 400 /);
     expect(await sound).toMatchObject({status: 200, isWhole: true});
     const received = estate.upstreams.flatMap(one => one.received);
     expect(received.filter(head => head.includes(': odd'))).toEqual([]);
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {request} from 'node:http';
-import {createServer} from 'node:net';
+import {connect, createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
 
 import {PlatformEstate} from '../../platform/platform_estate.js';
@@ -128,6 +128,30 @@
 export const chunk = (text: string) =>
   `${text.length.toString(16)}\r\n${text}\r\n`;
 
+/** What a caller saw of a response on a connection of its own. */
+export interface RawAnswer {
+  readonly text: string;
+  /** Whether the connection was reset in place of closed in order. */
+  readonly isReset: boolean;
+}
+
+/**
+ * Sends raw bytes and returns what comes back until the connection ends.
+ * @param address - `host:port`
+ * @param bytes - the request, octets as Latin-1 text
+ */
+export function sendRaw(address: string, bytes: string): Promise<RawAnswer> {
+  const [host, port] = address.split(':');
+  return new Promise(resolve => {
+    const socket = connect(Number(port), host);
+    let [text, isReset] = ['', false];
+    socket.on('data', data => (text += data.toString('latin1')));
+    socket.on('error', () => (isReset = true));
+    socket.on('close', () => resolve({text, isReset}));
+    socket.write(bytes, 'latin1');
+  });
+}
+
 /** Waits for a time in ms. */
 export const pause = (ms: number) =>
   new Promise(resolve => setTimeout(resolve, ms));
