Log and count requests that are refused as they are read

Found in reading the change: on-call could not get from a request's id to its cause when it was refused for its header lines, its header size or its body size: the first was logged at debug level, the others not at all, and none was counted.

Fix: FrontServer uses RequestLog.recordRejected as the entry does behind it. The name of a malformed line is shown up to 40 letters, since callers choose it.

--- a/src/core/http_fields.ts
+++ b/src/core/http_fields.ts
@@ -8,6 +8,9 @@
 /** Text without control characters and without surrounding white space. */
 const HEADER_TEXT = /^(?!\s)[^\p{Cc}]*(?<!\s)$/u;
 
+/** Letters of a malformed name that a log line or an error shows. */
+const MAX_SHOWN_LETTERS = 40;
+
 const MIN_FINAL_STATUS = 200;
 const MAX_STATUS = 599;
 const MAX_SUCCESS_STATUS = 299;
@@ -25,7 +28,7 @@
 }
 
 /**
- * Returns the first malformed header line, as text for a log line. HTTP parsers
+ * Returns the quoted name of the first malformed header line. HTTP parsers
  * let some of them pass, and HTTP writers throw when given one.
  * @param lines - the header lines
  */
@@ -33,7 +36,7 @@
   const line = lines.find(
     ([name, value]) => !FIELD_NAME.test(name) || !FIELD_VALUE.test(value),
   );
-  return line && JSON.stringify(`${line[0]}:`);
+  return line && JSON.stringify(line[0].slice(0, MAX_SHOWN_LETTERS));
 }
 
 /**
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -113,6 +113,7 @@
       clock,
       this.dialect,
       logger,
+      this.log,
       this.containment,
       request => this.serve(request),
     );
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -13,6 +13,7 @@
 import type {Containment, Logger} from '../../observability/index.js';
 import {deferContinue, readBody} from '../shared/request_body.js';
 import {splitAddress} from './attempt.js';
+import type {RequestLog} from './request_log.js';
 import {ResponseWriter} from './response_writer.js';
 
 /** Limits until the first configuration. */
@@ -51,6 +52,7 @@
    * @param clock - the clock
    * @param dialect - header format of rejections
    * @param logger - logs unreadable requests
+   * @param log - logs and counts rejected requests
    * @param containment - contains exceptions to their request
    * @param serve - called with each request that was read completely
    */
@@ -58,6 +60,7 @@
     private readonly clock: Clock,
     private readonly dialect: HeaderDialect,
     private readonly logger: Logger,
+    private readonly log: RequestLog,
     private readonly containment: Containment,
     private readonly serve: (request: BufferedRequest) => void,
   ) {
@@ -156,23 +159,28 @@
       this.logger.debug('answer_not_taken', {err: err.message});
     });
     const reply = new ResponseWriter(res, this.dialect, () => this.isClosing);
+    const headers = headerPairs(req.rawHeaders);
+    const reject = (fault: Fault) => {
+      const {reason, detail} = fault;
+      const {id} = this.dialect.readRequest(headers);
+      this.log.recordRejected(id, reason, arrivedAt, {detail});
+      reply.sendError(fault);
+    };
     if (headerBytes(req) > this.limits.maxHeaderBytes) {
-      reply.sendError(new Fault('headers_too_large'));
+      reject(new Fault('headers_too_large'));
       return;
     }
-    const headers = headerPairs(req.rawHeaders);
     const line = malformedField(headers);
     if (line !== undefined) {
-      this.logger.debug('malformed_request', {line});
       // Whoever accepts such a line may read another framing from it.
       res.shouldKeepAlive = false;
-      reply.sendError(new Fault('bad_request', `malformed header ${line}`));
+      reject(new Fault('bad_request', `malformed header ${line}`));
       return;
     }
     const body = await readBody(req, this.limits.maxBodyBytes);
     if (body.isErr()) {
       if (body.error.reason === 'caller_gone') res.destroy();
-      else reply.sendError(body.error);
+      else reject(body.error);
       return;
     }
     const {value} = body;
--- a/test/malformed_heads.test.ts
+++ b/test/malformed_heads.test.ts
@@ -111,3 +111,25 @@
     expect(uncaught).toEqual([]);
   });
 });
+
+// On-call found neither a line nor a count of a request that was refused before it was
+// admitted.
+describe('a request that is refused as it is read', () => {
+  const head = (lines: string) =>
+    'POST /load/1 HTTP/1.1\r\nHost: vans.example\r\nRequest-Id: odd\r\n' +
+    `Connection: close\r\n${lines}\r\n\r\n`;
+
+  it.each([
+    ['bad_request', 400, 'X : a\r\nContent-Length: 0'],
+    ['headers_too_large', 431, `X: ${'a'.repeat(20_000)}`],
+    ['body_too_large', 413, 'Content-Length: 70000'],
+  ])('is counted as %s', async (reason, status, lines) => {
+    await withUpstreams(() => undefined);
+    const answer = await sendRaw(estate.callersAddress, head(lines));
+    expect(answer.text).toMatch(new RegExp(`^HTTP/1\\.1 ${status} `));
+    const {body} = await estate.operate('/metrics');
+    expect(body).toContain(
+      `baobabspan_refusals_total{reason="${reason}",service=""} 1`,
+    );
+  });
+});
