--- /dev/null
+++ b/src/daemons/direct/bind_when_free.test.ts
@@ -0,0 +1,43 @@
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+
+import {expect, it} from 'vitest';
+
+import {acceptLinks} from '../../links/index.js';
+import {SILENT_LOGGER} from '../../observability/index.js';
+import {bindWhenFree} from './bind_when_free.js';
+
+// A sidecar whose port was taken as it started ended with code 1 (FAULT).
+it('binds the links of a sidecar once their port is free', async () => {
+  const holder = createServer().listen(0, '127.0.0.1');
+  await once(holder, 'listening');
+  const {port} = holder.address() as AddressInfo;
+  let attempts = 0;
+  let address = '';
+  const binding = bindWhenFree(`127.0.0.1:${port}`, SILENT_LOGGER, async () => {
+    attempts += 1;
+    if (attempts === 3) holder.close();
+    const server = await acceptLinks(
+      '127.0.0.1',
+      port,
+      () => {
+        throw new Error('no connections here');
+      },
+      {message: () => {}, open: () => {}, closed: () => {}},
+    );
+    address = server.address;
+    await server.close();
+  });
+  await binding;
+  expect(attempts).toBeGreaterThanOrEqual(3);
+  expect(address).toBe(`127.0.0.1:${port}`);
+});
+
+it('reports other errors at once', async () => {
+  const bind = () =>
+    Promise.reject(Object.assign(new Error('denied'), {code: 'EACCES'}));
+  await expect(
+    bindWhenFree('127.0.0.1:80', SILENT_LOGGER, bind),
+  ).rejects.toThrow('denied');
+});
