End a body without a length at the next response on its connection

Event streams got the second head as an event.

Cause: a body without a length ends with its connection, so every byte up to the close counted as body. The id that tells an extra response apart was only checked where a response was expected, not within a body.

Fix: UnframedBody searches such bodies for a response head that the dialect recognises as an upstream's (request id, seal or not-run mark). The body ends there. It is whole if the second response repeats it: same request and status, and its length (then it is delivered at once) or, at its end, the same content; contents are compared by digest, so large bodies need no copy. Otherwise nobody knows where the body ended: the attempt has failed and may have run, so safe routes and resumable streams go to another upstream, others get a 502, or a reset where part was forwarded. Bytes that may begin a head are held back, 16 KiB at most. A body that ends with five bytes or more of a head that is cut fails as well: it can't be told from a repeat that breaks off.

Why it works: a repeated head names its request by protocol, and none of its bytes is released before its blank line or a syntax error (property tests over chunk boundaries). Text of responses without such a head passes unchanged.

On call: extra_response lines and a counter, body_bytes and framing in the request and attempt_failed lines.

--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -7,9 +7,11 @@
 
 import {headerPairs, isFinalStatus, malformedField} from '../../core/index.js';
 import type {Millis} from '../../core/index.js';
+import {UnframedBody} from '../../direct/index.js';
 import type {
   ResponseMetadata,
   AttemptFailure,
+  ExtraResponse,
   HeaderDialect,
   HeaderLines,
   Upstream,
@@ -23,6 +25,8 @@
 
 /** Size limit of a response head, enforced by the parser. */
 const MAX_HEAD_BYTES = 16 * 2 ** 10;
+/** Statuses of responses that never have a body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 /** Interim responses before the final one; more would never end. */
 const MAX_INTERIM_RESPONSES = 16;
 
@@ -56,12 +60,20 @@
   return {method, path, headers: [...lines, ...length], body, id: metadata.id};
 }
 
+/** How the end of a body is found; `close` is the end of its connection. */
+export type BodyFraming = 'none' | 'length' | 'chunks' | 'close';
+
 /** Head of an upstream's response. */
 export interface ResponseHead {
   readonly status: number;
   readonly headers: HeaderLines;
-  /** Whether its length is delimited; if not, it ends with its connection. */
-  readonly isFramed: boolean;
+  readonly framing: BodyFraming;
+}
+
+/** What an attempt has received of its response's body. */
+export interface ReceivedBody {
+  readonly framing: BodyFraming;
+  readonly bytes: number;
 }
 
 /** Response that was received completely. */
@@ -75,6 +87,8 @@
   onHead(head: ResponseHead, metadata: ResponseMetadata): void;
   /** Called with each chunk of the body, unless paused. */
   onData(chunk: Buffer): void;
+  /** Called when another response was found within the body; the end follows. */
+  onExtraResponse(extra: ExtraResponse): void;
   /** Called when the response is complete. */
   onEnd(): void;
   /** Called when no complete response will follow. */
@@ -87,6 +101,10 @@
   private res: IncomingMessage | undefined;
   private isConnected = false;
   private isFinished = false;
+  private framing: BodyFraming | undefined;
+  private bodyBytes = 0;
+  /** Body of a response without a length. */
+  private unframed: UnframedBody | undefined;
   private readonly connectTimer: NodeJS.Timeout;
 
   /**
@@ -145,6 +163,12 @@
     return this.isConnected;
   }
 
+  /** What was received of the response's body; undefined before its head. */
+  get receivedBody(): ReceivedBody | undefined {
+    const {framing, bodyBytes: bytes} = this;
+    return framing && {framing, bytes};
+  }
+
   /**
    * Aborts the attempt without further callbacks. The request may still be
    * queued on an unread connection or a stalled path: an orderly close would
@@ -188,27 +212,63 @@
       return;
     }
     this.res = res;
-    const isFramed =
-      res.headers['content-length'] !== undefined ||
-      res.headers['transfer-encoding'] !== undefined;
-    this.listener.onHead({status, headers, isFramed}, metadata);
+    const framing = framingOf(res, this.outbound.method);
+    this.framing = framing;
+    if (framing === 'close') {
+      const identity = {status, id: this.outbound.id};
+      this.unframed = new UnframedBody(this.dialect, identity);
+    }
+    this.listener.onHead({status, headers, framing}, metadata);
     if (this.isFinished) return;
-    res.on('data', (chunk: Buffer) => {
-      if (!this.isFinished) this.listener.onData(chunk);
-    });
-    res.on('end', () => {
-      if (this.isFinished) return;
-      if (!res.complete) {
-        this.fail('response truncated');
-        return;
-      }
-      this.isFinished = true;
-      this.listener.onEnd();
-    });
+    res.on('data', (chunk: Buffer) => this.onData(chunk));
+    res.on('end', () => this.onEnd(res.complete));
     res.on('error', err => this.fail(describeError(err), true));
     res.on('close', () => this.fail('response truncated', true));
   }
 
+  private onData(chunk: Buffer): void {
+    if (this.isFinished) return;
+    this.deliver(this.unframed?.push(chunk) ?? chunk);
+    if (this.unframed !== undefined) this.endUnframed(this.unframed);
+  }
+
+  private onEnd(isComplete: boolean): void {
+    if (this.isFinished) return;
+    if (!isComplete) {
+      this.fail('response truncated');
+      return;
+    }
+    if (this.unframed === undefined) {
+      this.isFinished = true;
+      this.listener.onEnd();
+      return;
+    }
+    this.deliver(this.unframed.close());
+    this.endUnframed(this.unframed);
+  }
+
+  private deliver(body: Buffer): void {
+    if (body.length === 0) return;
+    this.bodyBytes += body.length;
+    this.listener.onData(body);
+  }
+
+  /** Ends the attempt once the state of the body is known. */
+  private endUnframed({state, extra}: UnframedBody): void {
+    if (this.isFinished || state === 'open') return;
+    if (state === 'ambiguous') {
+      this.fail('another response within the body');
+      return;
+    }
+    this.isFinished = true;
+    if (extra !== undefined) {
+      // Whatever else the connection carries belongs to no request.
+      this.cancel();
+      this.listener.onExtraResponse(extra);
+    }
+    this.listener.onEnd();
+  }
+
   /**
    * Returns whether a response belongs to this request. On a reused connection it
    * may be a late or repeated response to an earlier one, even without an id.
@@ -222,6 +282,8 @@
   private fail(detail: string, isClosed = false): void {
     if (this.isFinished) return;
     this.cancel();
+    const extra = this.unframed?.extra;
+    if (extra !== undefined) this.listener.onExtraResponse(extra);
     const failure: AttemptFailure = this.isConnected
       ? {kind: 'may_have_run', reason: detail, isClosed}
       : {kind: 'not_run', reason: 'unreachable'};
@@ -229,6 +291,16 @@
   }
 }
 
+function framingOf(
+  {headers, statusCode = 0}: IncomingMessage,
+  method: string,
+): BodyFraming {
+  if (headers['transfer-encoding'] !== undefined) return 'chunks';
+  if (headers['content-length'] !== undefined) return 'length';
+  const hasBody = method !== 'HEAD' && !BODILESS_STATUSES.has(statusCode);
+  return hasBody ? 'close' : 'none';
+}
+
 /** Returns why a response head is malformed, although the parser accepts it. */
 function headDefect(status: number, headers: HeaderLines): string | undefined {
   if (!isFinalStatus(status)) return `response with status ${status}`;
--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -11,6 +11,7 @@
 } from '../../direct/index.js';
 import type {Containment} from '../../observability/index.js';
 import type {AdmittedRequest} from './admitted_request.js';
+import type {ReceivedBody} from './attempt.js';
 import type {DispatchState} from './dispatch_request.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {QuarantineKeeper} from './quarantine_keeper.js';
@@ -33,6 +34,8 @@
   readonly queueTime: Millis;
   /** Number of stream events delivered to the caller. */
   readonly deliveredEvents: number;
+  /** Body of the latest attempt's response, if one began. */
+  readonly body: ReceivedBody | undefined;
 }
 
 /** An attempt that has failed. */
@@ -40,6 +43,8 @@
   readonly upstream: Upstream;
   readonly progress: AttemptProgress;
   readonly failure: AttemptFailure;
+  /** Body of its response, if one began. */
+  readonly body?: ReceivedBody | undefined;
 }
 
 /** State and services that the requests of an entry share. */
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -166,6 +166,9 @@
           this.onHead(head, metadata),
         ),
         onData: containment.wrap(chunk => this.onData(chunk)),
+        onExtraResponse: containment.wrap(extra =>
+          context.log.recordExtraResponse(request, upstream, extra),
+        ),
         onEnd: containment.wrap(() => this.onEnd()),
         onFailure: containment.wrap(failure => this.onFailure(failure)),
       },
@@ -257,7 +260,8 @@
       failure.kind === 'not_run' && failure.reason === 'unreachable';
     this.recordOutcome(healthOutcomeOf(failure));
     const {upstream, progress} = account;
-    const attempt = {upstream, progress, failure};
+    const body = this.attempt?.receivedBody;
+    const attempt = {upstream, progress, failure, body};
     context.log.recordFailure(now, request, attempt);
     const isSuspect = context.quarantine.recordFailure(now, request, attempt);
     if (!isUnsent) this.sends += 1;
@@ -388,6 +392,7 @@
       firstByteAt: this.delivery.firstDeliveryAt,
       queueTime: this.queueTime,
       deliveredEvents: this.delivery.delivered,
+      body: this.attempt?.receivedBody,
     });
   }
 }
--- a/src/daemons/direct/request_log.ts
+++ b/src/daemons/direct/request_log.ts
@@ -1,6 +1,6 @@
 import type {Clock, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
-import type {RequestId} from '../../direct/index.js';
+import type {ExtraResponse, RequestId, Upstream} from '../../direct/index.js';
 import type {ErrorName} from '../../errors/index.js';
 import type {Fields, Logger, Metrics} from '../../observability/index.js';
 import type {AdmittedRequest} from './admitted_request.js';
@@ -9,6 +9,7 @@
 /** Logs and counts what becomes of requests and their attempts. */
 export class RequestLog {
   private readonly attemptFailures;
+  private readonly extraResponses;
 
   /**
    * @param clock - the clock
@@ -25,6 +26,11 @@
       'Attempts at an upstream without a whole good answer, by reason',
       ['reason', 'service'],
     );
+    this.extraResponses = metrics.counter(
+      'baobabspan_extra_responses_total',
+      'Responses found within the body of another one, by result',
+      ['result', 'service'],
+    );
   }
 
   /**
@@ -36,7 +42,7 @@
   recordFailure(
     now: Millis,
     {metadata, service}: AdmittedRequest,
-    {upstream, progress, failure}: FailedAttempt,
+    {upstream, progress, failure, body}: FailedAttempt,
   ): void {
     this.attemptFailures.inc({
       reason: failure.kind === 'not_run' ? failure.reason : failure.kind,
@@ -54,10 +60,35 @@
       started: progress.hasStarted,
       events: progress.events,
       idle_ms: idle && Math.round(idle),
+      body_bytes: body?.bytes,
+      framing: body?.framing,
       parts: metadata.sharedParts.join(',') || undefined,
     });
   }
 
+  /**
+   * Records that an upstream sent another response within the body of one.
+   * @param request - the request of the body
+   * @param upstream - the upstream
+   * @param extra - the other response
+   */
+  recordExtraResponse(
+    {metadata, service}: AdmittedRequest,
+    {registration}: Upstream,
+    extra: ExtraResponse,
+  ): void {
+    const result = extra.isBodyWhole ? 'cut_off' : 'attempt_failed';
+    this.extraResponses.inc({result, service});
+    this.logger.warn('extra_response', {
+      id: metadata.id,
+      upstream: registration.id,
+      result,
+      extra_id: extra.id,
+      extra_status: extra.status,
+      body_bytes: extra.bodyBytes,
+    });
+  }
+
   /**
    * Records the result of a request.
    * @param request - the request
@@ -91,6 +122,8 @@
       outcome: result.outcome,
       status: result.status,
       events: result.deliveredEvents,
+      body_bytes: result.body?.bytes,
+      framing: result.body?.framing,
       first_ms: since(result.firstByteAt),
       waited_ms: Math.round(result.queueTime),
       ms: since(now),
--- a/src/daemons/direct/response_writer.ts
+++ b/src/daemons/direct/response_writer.ts
@@ -36,10 +36,11 @@
    * @param body - its complete body
    */
   sendWhole(head: ResponseHead, body: Buffer): void {
-    const length: HeaderLines = head.isFramed
+    const isFramed = hasFraming(head);
+    const length: HeaderLines = isFramed
       ? [['Content-Length', `${body.length}`]]
       : [];
-    this.writeResponse(head, length, head.isFramed);
+    this.writeResponse(head, length, isFramed);
     this.res.end(body);
   }
 
@@ -48,7 +49,7 @@
    * @param head - its head
    */
   sendHead(head: ResponseHead): void {
-    this.writeResponse(head, [], head.isFramed && this.takesChunks);
+    this.writeResponse(head, [], hasFraming(head) && this.takesChunks);
     this.res.flushHeaders();
   }
 
@@ -167,3 +168,7 @@
     this.res.writeHead(status, lines.flat() as never);
   }
 }
+
+function hasFraming({framing}: ResponseHead): boolean {
+  return framing === 'length' || framing === 'chunks';
+}
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -7,6 +7,7 @@
 export * from './crash_signature.js';
 export * from './dialect.js';
 export * from './event_frames.js';
+export * from './unframed_body.js';
 export * from './stream_delivery.js';
 export * from './group_circuit_breaker.js';
 export * from './keyed_table.js';
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {request} from 'node:http';
+import type {ClientRequest} from 'node:http';
 import {connect, createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
 
@@ -152,6 +153,20 @@
   });
 }
 
+/**
+ * Registers a listener for a reset that Node reports as an orderly end, since it
+ * arrived together with the last bytes: the connection has no peer any more.
+ * @param req - a request on a connection of its own
+ * @param listener - called before the response ends
+ */
+export function onReset(req: ClientRequest, listener: () => void): void {
+  req.on('socket', socket =>
+    socket.prependListener('end', () => {
+      if (socket.remoteAddress === undefined) listener();
+    }),
+  );
+}
+
 /** Waits for a time in ms. */
 export const pause = (ms: number) =>
   new Promise(resolve => setTimeout(resolve, ms));
@@ -461,6 +476,7 @@
       // Node reports a body without length as complete even after a reset.
       let isReset = false;
       let hasBegun = false;
+      onReset(req, () => (isReset = true));
       req.on('error', err => {
         isReset = true;
         // After the head the promise resolves with `isWhole` false instead.
