Fail responses without a length whose last bytes come with a reset

Callers got a truncated body as a complete 200 when an upstream without a length reset its connection and its last bytes had not been read yet (MIXED): a process that is busy or reads slowly gets both at once, one that is idle reads them apart.

Cause: libuv reports a partial read followed by a hang-up as the end of the connection, whatever ended it. A body without a length ends with its connection, so the reset counted as its end.

Fix: at the end of such a response, before the parser sees it, the attempt asks for the address of its peer. The system has none after a reset, and still has one after an orderly end. Such an attempt fails as a truncated one does.

--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -17,6 +17,7 @@
   Upstream,
 } from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
+import {wasReset} from '../shared/reset_aware_socket.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import type {UpstreamConnections} from './upstream_connections.js';
 
@@ -217,6 +218,11 @@
     if (framing === 'close') {
       const identity = {status, id: this.outbound.id};
       this.unframed = new UnframedBody(this.dialect, identity);
+      const {socket} = res;
+      // Before the parser takes this end for that of the body.
+      socket.prependListener('end', () => {
+        if (wasReset(socket)) this.fail('connection reset', true);
+      });
     }
     this.listener.onHead({status, headers, framing}, metadata);
     if (this.isFinished) return;
--- a/test/broken_answers.test.ts
+++ b/test/broken_answers.test.ts
@@ -270,3 +270,47 @@
     expect(answer.isReset).toBe(true);
   });
 });
+
+// Node reports a reset that arrives together with the last bytes as an orderly end.
+describe('An answer without a length whose last bytes come with a reset', () => {
+  const LARGE = 'x'.repeat(1.5 * 2 ** 20);
+  const cut =
+    (part: string, delay: number): Script =>
+    ({head, socket}) => {
+      socket.write(headOf(head, '') + part.slice(0, -3));
+      setTimeout(() => {
+        socket.write(part.slice(-3));
+        socket.resetAndDestroy();
+      }, delay);
+    };
+
+  it.each([0, 5, 20])('is not complete, %d ms after its head', async delay => {
+    await withUpstreams(cut('the first half', delay));
+    for (const path of ['/load/1', '/sheet/1'])
+      expect((await estate.call(path)).status).toBe(502);
+  });
+
+  it('is tried again on a safe route', async () => {
+    const script = inTurn(cut('the first half', 5), ({head, socket}) =>
+      socket.write(sealedAnswer(head, 'the whole')),
+    );
+    await withUpstreams(script, script);
+    const answer = await estate.call('/sheet/1');
+    expect(answer).toMatchObject({status: 200, body: 'the whole'});
+  });
+
+  it('is not complete if it is too large to be buffered', async () => {
+    await withUpstreams(cut(LARGE, 20));
+    expect((await estate.call('/load/1')).isWhole).toBe(false);
+  });
+
+  it('goes on at another upstream if it is a stream', async () => {
+    const script = inTurn(cut(event(1), 5), ({head, socket}) =>
+      socket.write(sealedAnswer(head, event(2) + event(3))),
+    );
+    await withUpstreams(script, script);
+    const answer = await estate.call('/plan/1');
+    expect(answer.body).toBe(event(1) + event(2) + event(3));
+    expect(answer.isWhole).toBe(true);
+  });
+});
