Fail a sidecar's answer without a length whose connection is reset

Node reports a reset that comes with the last bytes as an orderly end. undici takes the system's error for a reset as the end of such a body as well.

Fix: the sidecar connects with ResetAwareSocket, which ends with an error of its own in both cases, so undici fails the answer. TLS connections are made by undici as before, a truncated one lacks its close_notify. Timeout and TCP options are undici's defaults.

--- a/src/daemons/sidecar/upstream_request.test.ts
+++ b/src/daemons/sidecar/upstream_request.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {createServer} from 'node:net';
-import type {AddressInfo, Server} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
 
 import {afterEach, describe, expect, it} from 'vitest';
 
@@ -32,10 +32,18 @@
   `HTTP/1.1 ${status}\r\nContent-Type: text/event-stream\r\n${more}\r\n`;
 
 /** Sends a call to an upstream that writes the bytes and closes. */
-async function answerOf(bytes: string, change: Partial<CallMessage> = {}) {
+function answerOf(bytes: string, change: Partial<CallMessage> = {}) {
+  return resultOf(socket => socket.end(bytes), change);
+}
+
+/** Sends a call to an upstream that answers with a script. */
+async function resultOf(
+  script: (socket: Socket) => void,
+  change: Partial<CallMessage> = {},
+) {
   const server = createServer(socket => {
     socket.on('error', () => undefined);
-    socket.once('data', () => socket.end(bytes));
+    socket.once('data', () => script(socket));
   });
   servers.push(server);
   server.listen(0, '127.0.0.1');
@@ -96,6 +104,22 @@
     expect(head?.firstEvent).toBeUndefined();
   });
 
+  it.each([
+    ['with its last bytes', 0],
+    ['later', 30],
+  ])(
+    'fails for an answer without a length that is reset %s',
+    async (_name, delay) => {
+      const {end, body} = await resultOf(socket => {
+        socket.write(headOf('200 OK', '') + event(1));
+        if (delay === 0) socket.resetAndDestroy();
+        else setTimeout(() => socket.resetAndDestroy(), delay);
+      });
+      expect(body).toBe(event(1));
+      expect(['', 'complete', 'unreachable']).not.toContain(end);
+    },
+  );
+
   it('fails for a head that breaks off at any byte', async () => {
     const head = headOf('200 OK', 'Content-Length: 4\r\n');
     for (let cut = 1; cut < head.length; cut += 5) {
--- a/src/daemons/sidecar/upstream_request.ts
+++ b/src/daemons/sidecar/upstream_request.ts
@@ -1,15 +1,18 @@
-import {Agent, request} from 'undici';
+import {Agent, buildConnector, errors, request} from 'undici';
 import type {Dispatcher} from 'undici';
 
 import {CALLER_SERVICE_HEADER} from '../../calls/index.js';
 import type {AnswerHead, AnswerPiece, CallMessage} from '../../calls/index.js';
 import {
+  SECOND,
   isFinalStatus,
   isSuccessStatus,
   malformedField,
 } from '../../core/index.js';
+import type {Millis} from '../../core/index.js';
 import {EventFramer} from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
+import {ResetAwareSocket} from '../shared/reset_aware_socket.js';
 import {EventSplitter} from './event_splitter.js';
 
 /** Request header: continue the same stream after this many events. */
@@ -39,7 +42,39 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+const DEFAULT_PORT = 80;
 const MAX_CONNECTIONS = 256;
+const CONNECT_TIMEOUT: Millis = 10 * SECOND;
+/** Idle time before TCP keep-alive probes. */
+const KEEP_ALIVE_PROBE_DELAY: Millis = 60 * SECOND;
+
+const connectTls = buildConnector({});
+
+/** Connects so that a reset is told apart from the end of a body. */
+const connect: buildConnector.connector = (options, callback) => {
+  if (options.protocol === 'https:') {
+    connectTls(options, callback);
+    return;
+  }
+  const socket = new ResetAwareSocket();
+  const {hostname: host, port} = options;
+  const timer = setTimeout(() => {
+    socket.destroy(new errors.ConnectTimeoutError('connect timeout'));
+  }, CONNECT_TIMEOUT);
+  const onError = (err: Error) => {
+    clearTimeout(timer);
+    callback(err, null);
+  };
+  socket.once('error', onError);
+  socket.once('connect', () => {
+    clearTimeout(timer);
+    socket.off('error', onError);
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true, KEEP_ALIVE_PROBE_DELAY);
+    callback(null, socket);
+  });
+  socket.connect({host, port: Number(port || DEFAULT_PORT)});
+};
 
 /** Creates the undici dispatcher shared by all requests to one upstream. */
 export function createUpstreamAgent(): Agent {
@@ -48,6 +83,7 @@
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
+    connect,
   });
 }
 
