Test that responses within a body are counted

test/repeated_answers.test.ts reads baobabspan_extra_responses_total at the operators' port for a body that was cut off and for an attempt that failed.

--- a/test/repeated_answers.test.ts
+++ b/test/repeated_answers.test.ts
@@ -359,6 +359,20 @@
   );
 });
 
+describe('A response within the body of another', () => {
+  it.each<[string, Second]>([
+    ['cut_off', identical],
+    ['attempt_failed', AMBIGUOUS[0]![1]],
+  ])('is counted as %s', async (result, second) => {
+    await withUpstreams(answer(textOf(800), second, 0));
+    await call('/load/1');
+    const {body} = await estate.operate('/metrics');
+    expect(body).toContain(
+      `baobabspan_extra_responses_total{result="${result}",service="app"} 1`,
+    );
+  });
+});
+
 describe('An answer that has no body', () => {
   it('leaves its connection to the next request', async () => {
     await withUpstreams(({head, socket}) =>
