Count a retry until a window after it can no longer arrive

Upstreams that had read nothing for a while got more retries in a window than the bound: those sent while they stood still arrived together with the later ones.

Cause: a retry counted from the time at which it was sent, so entries had sent a new window's worth as the former ones were still unread.

'counts a retry until a window after its attempt has ended' covers the time itself.

Fix: a retry is open from its charge to the head of a good response or the end of its attempt, which come after its arrival, and counts for a window from then on. All retries that arrive in a window are thus counted at the charge of the last of them. Not covered: an attempt that was reset, whose bytes a suspended upstream on a plain socket still reads as it wakes.

Cost: retries at upstreams that do not respond hold their part of the budget until the entry gives them up.

--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -129,7 +129,8 @@
       expiresAt: Math.min(abandonedAt, this.deadlineAt),
       mayWait: route.repeat === 'stream',
       trySpend: now =>
-        this.sends === 0 || context.retries.trySpend(now, request.service),
+        this.sends === 0 ||
+        context.retries.trySpend(now, request.service, request),
       send: containment.wrap((now: Millis, upstream, group) =>
         this.send(now, upstream, group),
       ),
@@ -375,10 +376,11 @@
     if (this.isFinished) return;
     this.isFinished = true;
     clearTimeout(this.timer);
-    if (this.pending !== undefined)
-      this.context.dispatcher.withdraw(this.pending);
+    const {context, request} = this;
+    if (this.pending !== undefined) context.dispatcher.withdraw(this.pending);
+    context.retries.settle(context.clock.now(), request.service, request);
     this.onFinished();
-    this.context.log.recordFinished(this.request, {
+    context.log.recordFinished(request, {
       outcome,
       status,
       retryAfter,
--- a/src/direct/shared_retry_budget.test.ts
+++ b/src/direct/shared_retry_budget.test.ts
@@ -6,6 +6,14 @@
 
 const ASSISTANT = serviceName('assistant');
 
+/** Spends a retry whose attempt ends at once. */
+function spend(budget: SharedRetryBudget, now: Millis): boolean {
+  const request = {};
+  const isSpent = budget.trySpend(now, ASSISTANT, request);
+  budget.settle(now, ASSISTANT, request);
+  return isSpent;
+}
+
 describe('SharedRetryBudget', () => {
   const bound = {ratio: 0.2, slack: 88, window: 10_000};
 
@@ -30,7 +38,7 @@
       budget.recordRequest(now, ASSISTANT);
       requests.push(now);
       for (let i = 0; i < 3; i++) {
-        if (budget.trySpend(now, ASSISTANT)) retries.push(now);
+        if (spend(budget, now)) retries.push(now);
       }
     }
     const within = (times: number[], from: number) =>
@@ -46,7 +54,21 @@
     const budget = new SharedRetryBudget(bound);
     budget.startServing(-20_000);
     let spent = 0;
-    while (budget.trySpend(0, ASSISTANT)) spent += 1;
+    while (spend(budget, 0)) spent += 1;
     expect(spent).toBeLessThanOrEqual(88 / 64);
   });
+
+  it('counts a retry until a window after its attempt has ended', () => {
+    const budget = new SharedRetryBudget({...bound, slack: 1.2, ratio: 0});
+    budget.setEntryCount(1);
+    budget.startServing(0);
+    budget.join(0, 'restarted');
+    const request = {};
+    expect(budget.trySpend(20_000, ASSISTANT, request)).toBe(true);
+    expect(spend(budget, 60_000)).toBe(false);
+    budget.settle(61_000, ASSISTANT, request);
+    budget.settle(62_000, ASSISTANT, request);
+    expect(spend(budget, 70_999)).toBe(false);
+    expect(spend(budget, 71_001)).toBe(true);
+  });
 });
--- a/src/direct/shared_retry_budget.ts
+++ b/src/direct/shared_retry_budget.ts
@@ -33,7 +33,10 @@
 
 interface ServiceWindow {
   readonly requests: Millis[];
-  readonly retries: Millis[];
+  /** Retries that may still arrive at their upstream. */
+  readonly openRetries: Set<object>;
+  /** Times at which the others were known to have arrived or failed. */
+  readonly settledRetries: Millis[];
 }
 
 /**
@@ -43,7 +46,9 @@
  * start and since all others count its entry: no window holds the shares of two
  * processes of an entry, or more shares than the smallest divisor. Until then
  * it uses the fraction of the bound that others leave, as its callers' former
- * entry may have spent what their earlier requests earned.
+ * entry may have spent what their earlier requests earned. A retry counts until
+ * a window after its attempt has shown that it arrived or failed: upstreams that
+ * read late get no more in a window than others.
  */
 export class SharedRetryBudget {
   private readonly windows = new Map<ServiceName, ServiceWindow>();
@@ -100,15 +105,28 @@
    * Consumes one retry if the budget allows it.
    * @param now - current time
    * @param service - the service
+   * @param request - the request, whose attempts follow each other
    * @returns whether the retry may be sent
    */
-  trySpend(now: Millis, service: ServiceName): boolean {
-    const {requests, retries} = this.windowOf(now, service);
-    if (retries.length + 1 > this.allowance(now, requests.length)) return false;
-    retries.push(now);
+  trySpend(now: Millis, service: ServiceName, request: object): boolean {
+    const {requests, openRetries, settledRetries} = this.windowOf(now, service);
+    const retries = openRetries.size + settledRetries.length;
+    if (retries + 1 > this.allowance(now, requests.length)) return false;
+    openRetries.add(request);
     return true;
   }
 
+  /**
+   * Records that a request's retry, if there is one, has arrived or will not.
+   * @param now - current time
+   * @param service - the service
+   * @param request - the request
+   */
+  settle(now: Millis, service: ServiceName, request: object): void {
+    const counted = this.windows.get(service);
+    if (counted?.openRetries.delete(request)) counted.settledRetries.push(now);
+  }
+
   /** Returns the retries allowed within the window that ends now. */
   private allowance(now: Millis, requests: number): number {
     const {bound, entryCount, servingSince = now, membership} = this;
@@ -140,12 +158,12 @@
   private windowOf(now: Millis, service: ServiceName): ServiceWindow {
     let counted = this.windows.get(service);
     if (counted === undefined) {
-      counted = {requests: [], retries: []};
+      counted = {requests: [], openRetries: new Set(), settledRetries: []};
       this.windows.set(service, counted);
     }
     const from = now - this.bound.window;
     dropBefore(counted.requests, from);
-    dropBefore(counted.retries, from);
+    dropBefore(counted.settledRetries, from);
     return counted;
   }
 }
--- a/src/direct/shared_retry_budget_estate.test.ts
+++ b/src/direct/shared_retry_budget_estate.test.ts
@@ -124,4 +124,17 @@
     });
     expect(load).toBeLessThanOrEqual(1);
   });
+
+  it('stay within the bound when retries wait at suspended upstreams', () => {
+    const {load} = largestLoad({
+      rate: 40,
+      suspendedUntil: now => {
+        const phase = (now - WARM_UP) % (13 * SECOND);
+        return phase < 9 * SECOND || phase >= 10.4 * SECOND
+          ? undefined
+          : now - phase + 10.4 * SECOND;
+      },
+    });
+    expect(load).toBeLessThanOrEqual(1);
+  });
 });
--- a/test/support/retry_budget_simulation.ts
+++ b/test/support/retry_budget_simulation.ts
@@ -198,8 +198,9 @@
         this.pending.push(attempt);
         continue;
       }
+      entry.budget.settle(now, SERVICE, request);
       if (attempts >= scenario.maxAttempts) continue;
-      if (!entry.budget.trySpend(now, SERVICE)) continue;
+      if (!entry.budget.trySpend(now, SERVICE, request)) continue;
       const wakesAt = scenario.suspendedUntil?.(now);
       this.arrivals.push(wakesAt ?? now);
       const endsAt =
