Divide the retry slack by more entries while they cannot be read

Upstreams could get more retries than the bound when entries were added while others had lost the store.

Cause: an entry that could not read the directory divided the slack by its last count for as long as that lasted, and the added entries used shares besides.

Not reproduced with processes.

Fix: the budget takes the count together with the time of its last read, and counts as many entries again once that is 20 s old. Added entries wait as long before they use a share, so the others have either read of them or halved theirs; the sum holds while the estate does not double unread.

Cost: half of the fixed slack in outages of the store of over 20 s.

--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -84,7 +84,10 @@
       },
       parts,
     );
-    this.retries = new SharedRetryBudget(settings.retryBound);
+    this.retries = new SharedRetryBudget(
+      settings.retryBound,
+      () => this.estate.knownEntries,
+    );
     this.reusableConnections = new UpstreamConnections(clock);
     this.singleUseConnections = new UpstreamConnections(clock, {
       keepAlive: false,
@@ -219,7 +222,6 @@
         loads.prune(incarnation => upstreams.has(incarnation));
         limits.prune(incarnation => upstreams.has(incarnation));
       },
-      onEntryCount: count => this.retries.setEntryCount(count),
       onJoined: history => {
         this.retries.join(this.clock.now(), history);
         this.logger.info('joined', {history});
--- a/src/daemons/direct/entry_directory.test.ts
+++ b/src/daemons/direct/entry_directory.test.ts
@@ -38,7 +38,6 @@
     new SystemClock(),
     SILENT_LOGGER,
     {
-      onEntryCount: () => undefined,
       onJoined: history => histories.push(history),
       onShare: () => undefined,
       onPeers: () => undefined,
--- a/src/daemons/direct/entry_directory.ts
+++ b/src/daemons/direct/entry_directory.ts
@@ -39,8 +39,6 @@
 
 /** Callbacks of an entry directory. */
 export interface EntryDirectoryListener {
-  /** Called with the number of entries that may be running. */
-  onEntryCount(count: number): void;
   /** Called once, when the other entries can read of this one. */
   onJoined(history: EntryHistory): void;
   /** Called with the position of this entry in the common order of names. */
@@ -111,7 +109,6 @@
     this.hadRecord ??= this.entries.has(vm);
     const {startedAt} = this;
     this.entries.set(vm, {startedAt, availabilityZone, relay});
-    this.listener.onEntryCount(this.entries.size);
     const names = [...this.entries.keys()].sort();
     this.listener.onShare({index: names.indexOf(vm), count: names.length});
     const readers: RelayEntry[] = [];
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -16,6 +16,7 @@
   EntryShare,
   GroupKey,
   KeyedChange,
+  KnownEntries,
   TopicTiming,
   Upstream,
   UpstreamChange,
@@ -51,8 +52,6 @@
   onConfiguration(configuration: DirectConfiguration): void;
   /** Called when an upstream accepts no new requests. */
   onUpstreamRemoved(): void;
-  /** Called with the number of entries that may be running. */
-  onEntryCount(count: number): void;
   /** Called once, when the other entries can read of this one. */
   onJoined(history: EntryHistory): void;
   /** Called with the position of this entry among all entries. */
@@ -127,7 +126,6 @@
       clock,
       logger,
       {
-        onEntryCount: count => listener.onEntryCount(count),
         onJoined: history => listener.onJoined(history),
         onShare: share => listener.onShare(share),
         onPeers: peers => listener.onPeers(peers),
@@ -207,6 +205,11 @@
     return this.entries.count;
   }
 
+  /** Entries that may be running, with the time of their last read. */
+  get knownEntries(): KnownEntries {
+    return {count: this.entryCount, readAt: this.followers.entries.lastContact};
+  }
+
   /**
    * Returns the group of an upstream; its service if the group is unknown.
    * @param upstream - the upstream
--- a/src/direct/shared_retry_budget.test.ts
+++ b/src/direct/shared_retry_budget.test.ts
@@ -20,8 +20,8 @@
   it('keeps all entries within the bound in every window, including restarts', () => {
     // Six entries whose clients retry at once; one entry is killed every 3 s.
     const create = (startedAt: Millis) => {
-      const budget = new SharedRetryBudget(bound);
-      budget.setEntryCount(6);
+      const readAt = Infinity;
+      const budget = new SharedRetryBudget(bound, () => ({count: 6, readAt}));
       budget.startServing(startedAt);
       budget.join(startedAt, 'restarted');
       return budget;
@@ -51,7 +51,8 @@
   });
 
   it('assumes many entries until the number is known', () => {
-    const budget = new SharedRetryBudget(bound);
+    const unknown = {count: 1, readAt: undefined};
+    const budget = new SharedRetryBudget(bound, () => unknown);
     budget.startServing(-20_000);
     let spent = 0;
     while (spend(budget, 0)) spent += 1;
@@ -59,8 +60,9 @@
   });
 
   it('counts a retry until a window after its attempt has ended', () => {
-    const budget = new SharedRetryBudget({...bound, slack: 1.2, ratio: 0});
-    budget.setEntryCount(1);
+    const one = {count: 1, readAt: Infinity};
+    const least = {...bound, slack: 1.2, ratio: 0};
+    const budget = new SharedRetryBudget(least, () => one);
     budget.startServing(0);
     budget.join(0, 'restarted');
     const request = {};
@@ -71,4 +73,21 @@
     expect(spend(budget, 70_999)).toBe(false);
     expect(spend(budget, 71_001)).toBe(true);
   });
+
+  it('allows for as many entries again while it cannot read of them', () => {
+    const known = {count: 2, readAt: 0};
+    const fixed = {...bound, ratio: 0};
+    const budget = new SharedRetryBudget(fixed, () => known);
+    budget.startServing(0);
+    budget.join(0, 'restarted');
+    const spendAll = (now: Millis) => {
+      let spent = 0;
+      while (spend(budget, now)) spent += 1;
+      return spent;
+    };
+    expect(spendAll(20_000)).toBe(39);
+    expect(spendAll(30_001)).toBe(19);
+    known.readAt = 40_000;
+    expect(spendAll(40_002)).toBe(39);
+  });
 });
--- a/src/direct/shared_retry_budget.ts
+++ b/src/direct/shared_retry_budget.ts
@@ -12,6 +12,8 @@
 const DELIVERY_TIME: Millis = SECOND;
 /** Time after which all entries that read the directory know of a new one. */
 const LEARNING_TIME: Millis = INTERNAL_TIMING.bound;
+/** Assumed growth of an estate whose entries cannot be read. */
+const UNREAD_GROWTH = 2;
 
 /** Bound on the retries of all entries together, in any window. */
 export interface RetryBound {
@@ -31,6 +33,14 @@
   /** Entries that use their shares may not count it yet. */
   | 'added';
 
+/** Entries that share the bound, as this one knows them. */
+export interface KnownEntries {
+  /** Upper bound of the running entries. */
+  readonly count: number;
+  /** Time of the last read of them; undefined before the first. */
+  readonly readAt: Millis | undefined;
+}
+
 interface ServiceWindow {
   readonly requests: Millis[];
   /** Retries that may still arrive at their upstream. */
@@ -44,20 +54,26 @@
  * of the estate's fixed slack, so that the sum stays within the bound without
  * coordination. A process uses its share once a window has passed since its
  * start and since all others count its entry: no window holds the shares of two
- * processes of an entry, or more shares than the smallest divisor. Until then
- * it uses the fraction of the bound that others leave, as its callers' former
- * entry may have spent what their earlier requests earned. A retry counts until
+ * processes of an entry, or more shares than the smallest divisor. An entry that
+ * cannot read of the others allows for as many again. Until it uses its share,
+ * a process has the fraction of the bound that others leave, as its callers'
+ * former entry may have spent what their earlier requests earned. A retry counts until
  * a window after its attempt has shown that it arrived or failed: upstreams that
  * read late get no more in a window than others.
  */
 export class SharedRetryBudget {
   private readonly windows = new Map<ServiceName, ServiceWindow>();
-  private entryCount = DEFAULT_ENTRY_COUNT;
   private servingSince: Millis | undefined;
   private membership: {since: Millis; history: EntryHistory} | undefined;
 
-  /** @param bound - the bound of all entries */
-  constructor(private bound: RetryBound) {}
+  /**
+   * @param bound - the bound of all entries
+   * @param knownEntries - returns the entries that share it
+   */
+  constructor(
+    private bound: RetryBound,
+    private readonly knownEntries: () => KnownEntries,
+  ) {}
 
   /**
    * Replaces the bound.
@@ -67,14 +83,6 @@
     this.bound = bound;
   }
 
-  /**
-   * Sets the number of entries that share the bound.
-   * @param count - upper bound of the running entries
-   */
-  setEntryCount(count: number): void {
-    this.entryCount = Math.max(1, count);
-  }
-
   /**
    * Records that requests are accepted, so no former process of the entry runs.
    * @param now - current time
@@ -129,7 +137,8 @@
 
   /** Returns the retries allowed within the window that ends now. */
   private allowance(now: Millis, requests: number): number {
-    const {bound, entryCount, servingSince = now, membership} = this;
+    const {bound, servingSince = now, membership} = this;
+    const entryCount = this.divisor(now);
     const earned = bound.ratio * requests;
     const share = bound.slack / entryCount;
     if (now >= this.shareUsableAt) return (earned + share) * USABLE_FRACTION;
@@ -144,6 +153,13 @@
     return Math.min(withLeast, (earned + growing) * RESERVE_FRACTION);
   }
 
+  /** Returns an upper bound of the entries that use a share. */
+  private divisor(now: Millis): number {
+    const {count, readAt} = this.knownEntries();
+    if (readAt === undefined) return Math.max(count, DEFAULT_ENTRY_COUNT);
+    return now - readAt > LEARNING_TIME ? UNREAD_GROWTH * count : count;
+  }
+
   private get shareUsableAt(): Millis {
     const {bound, servingSince, membership} = this;
     if (servingSince === undefined || membership === undefined) return Infinity;
--- a/src/direct/shared_retry_budget_estate.test.ts
+++ b/src/direct/shared_retry_budget_estate.test.ts
@@ -137,4 +137,14 @@
     });
     expect(load).toBeLessThanOrEqual(1);
   });
+
+  it('stay within the bound when entries are added that others cannot read of', () => {
+    const {load} = largestLoad({rate: 40}, () => (now, simulation) => {
+      if (now !== WARM_UP - 5 * SECOND) return;
+      for (let i = 0; i < 4; i++)
+        simulation.cut(`entry-${i}`, WARM_UP + 60 * SECOND);
+      for (let i = 0; i < 3; i++) simulation.start(`added-${i}`, 300);
+    });
+    expect(load).toBeLessThanOrEqual(1);
+  });
 });
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -477,7 +477,6 @@
         onConfiguration: () => undefined,
         onUpstreamRemoved: () => undefined,
         onJoined: () => undefined,
-        onEntryCount: () => undefined,
         onShare: () => undefined,
         onPeers: () => undefined,
         onPeerMessage: () => undefined,
--- a/test/support/retry_budget_simulation.ts
+++ b/test/support/retry_budget_simulation.ts
@@ -92,12 +92,12 @@
   start(name: string, within: Millis): void {
     const startedAt = this.now + this.chance.between(0, within);
     this.starts.set(name, startedAt);
-    const directory = {count: 64, readAt: undefined};
+    const directory = {count: 1, readAt: undefined};
     this.entries.set(name, {
       name,
       startedAt,
       directory,
-      budget: new SharedRetryBudget(this.bound),
+      budget: new SharedRetryBudget(this.bound, () => directory),
       pausedUntil: startedAt,
       cutUntil: 0,
       announceAt: undefined,
@@ -164,7 +164,6 @@
     }
     entry.directory.readAt = now;
     entry.directory.count = new Set([...directory.keys(), entry.name]).size;
-    entry.budget.setEntryCount(entry.directory.count);
     entry.nextReadAt = now + chance.between(3_000, 7_000);
   }
 
