Log and count what a retry was charged to, or why it was refused

On-call could not tell from a request's id why it was not retried, nor after a breach of the bound which entry had spent what: a refused retry looked like any full group, and the number of entries and the share were not logged with it.

RetryAccounting wraps the budget: retry_spent and retry_refused have the id and what the decision depended on, retry_share tells changes of the divisor and phase, joined how the entry's place began, and baobabspan_retry_decisions_total counts by result and service.

--- a/src/daemons/direct/attempt_account.ts
+++ b/src/daemons/direct/attempt_account.ts
@@ -41,7 +41,7 @@
   recordStart(now: Millis): void {
     const {context, group, progress, request} = this;
     if (this.isEnded || !progress.recordStart(now)) return;
-    context.retries.settle(now, request.service, request);
+    context.retries.settle(now, request);
     const {latencyTarget} = request.route;
     const {sentAt} = progress;
     context.dispatcher.recordStarted(now, group, sentAt, latencyTarget);
@@ -76,7 +76,7 @@
     if (this.isEnded) return;
     this.isEnded = true;
     const {context, group, progress, request, upstream} = this;
-    context.retries.settle(now, request.service, request);
+    context.retries.settle(now, request);
     const {promptTokens: size} = request.metadata;
     const {loads} = context.dispatcher;
     loads.recordEnded(now, upstream.incarnation, size, outcome, latency);
--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -5,7 +5,6 @@
   AttemptProgress,
   HeaderDialect,
   RejectionCause,
-  SharedRetryBudget,
   Route,
   Upstream,
 } from '../../direct/index.js';
@@ -15,6 +14,7 @@
 import type {Dispatcher} from './dispatcher.js';
 import type {QuarantineKeeper} from './quarantine_keeper.js';
 import type {RequestLog} from './request_log.js';
+import type {RetryAccounting} from './retry_accounting.js';
 import type {UpstreamConnections} from './upstream_connections.js';
 
 /** Result of a request. */
@@ -47,7 +47,7 @@
   readonly clock: Clock;
   readonly dialect: HeaderDialect;
   readonly dispatcher: Dispatcher;
-  readonly retries: SharedRetryBudget;
+  readonly retries: RetryAccounting;
   readonly quarantine: QuarantineKeeper;
   readonly log: RequestLog;
   readonly containment: Containment;
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -3,7 +3,6 @@
 import type {Clock, Millis, ServiceName} from '../../core/index.js';
 import {SECOND, hostPort} from '../../core/index.js';
 import {
-  SharedRetryBudget,
   requestFingerprint,
   retryAfter,
   pickService,
@@ -35,6 +34,7 @@
 import {QuarantineKeeper, ageOf} from './quarantine_keeper.js';
 import {RequestLog} from './request_log.js';
 import {ResponseWriter} from './response_writer.js';
+import {RetryAccounting} from './retry_accounting.js';
 import {Shutdown} from './shutdown.js';
 import {UpstreamConnections} from './upstream_connections.js';
 
@@ -43,7 +43,7 @@
   readonly clock: Clock;
   readonly dialect;
   readonly dispatcher: Dispatcher;
-  readonly retries: SharedRetryBudget;
+  readonly retries: RetryAccounting;
   readonly quarantine: QuarantineKeeper;
   readonly log: RequestLog;
   readonly containment: Containment;
@@ -84,9 +84,11 @@
       },
       parts,
     );
-    this.retries = new SharedRetryBudget(
+    this.retries = new RetryAccounting(
       settings.retryBound,
       () => this.estate.knownEntries,
+      logger,
+      metrics,
     );
     this.reusableConnections = new UpstreamConnections(clock);
     this.singleUseConnections = new UpstreamConnections(clock, {
@@ -222,10 +224,7 @@
         loads.prune(incarnation => upstreams.has(incarnation));
         limits.prune(incarnation => upstreams.has(incarnation));
       },
-      onJoined: history => {
-        this.retries.join(this.clock.now(), history);
-        this.logger.info('joined', {history});
-      },
+      onJoined: history => this.retries.join(this.clock.now(), history),
       onShare: share => this.dispatcher.limits.setShare(share),
       onPeers: peers => this.peers.setPeers(peers),
       onPeerMessage: (req, res) =>
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -129,8 +129,7 @@
       expiresAt: Math.min(abandonedAt, this.deadlineAt),
       mayWait: route.repeat === 'stream',
       trySpend: now =>
-        this.sends === 0 ||
-        context.retries.trySpend(now, request.service, request),
+        this.sends === 0 || context.retries.trySpend(now, request),
       send: containment.wrap((now: Millis, upstream, group) =>
         this.send(now, upstream, group),
       ),
@@ -378,7 +377,7 @@
     clearTimeout(this.timer);
     const {context, request} = this;
     if (this.pending !== undefined) context.dispatcher.withdraw(this.pending);
-    context.retries.settle(context.clock.now(), request.service, request);
+    context.retries.settle(context.clock.now(), request);
     this.onFinished();
     context.log.recordFinished(request, {
       outcome,
--- a/src/direct/shared_retry_budget.ts
+++ b/src/direct/shared_retry_budget.ts
@@ -41,6 +41,26 @@
   readonly readAt: Millis | undefined;
 }
 
+/** What a decision on a retry depends on. */
+export interface RetryBudgetState {
+  /** Callers' requests in the window. */
+  readonly requests: number;
+  /** Retries in the window, including open ones. */
+  readonly retries: number;
+  /** Retries that may still arrive. */
+  readonly openRetries: number;
+  /** Retries allowed in the window. */
+  readonly allowance: number;
+  /** Part of the fixed slack in it. */
+  readonly share: number;
+  /** Divisor of the fixed slack. */
+  readonly entryCount: number;
+  /** `reserve`: first window; `ratio`: others may not count it; `share`. */
+  readonly phase: 'reserve' | 'ratio' | 'share';
+  /** Time since the process began to serve; undefined before. */
+  readonly age: Millis | undefined;
+}
+
 interface ServiceWindow {
   readonly requests: Millis[];
   /** Retries that may still arrive at their upstream. */
@@ -117,10 +137,9 @@
    * @returns whether the retry may be sent
    */
   trySpend(now: Millis, service: ServiceName, request: object): boolean {
-    const {requests, openRetries, settledRetries} = this.windowOf(now, service);
-    const retries = openRetries.size + settledRetries.length;
-    if (retries + 1 > this.allowance(now, requests.length)) return false;
-    openRetries.add(request);
+    const {retries, allowance} = this.stateOf(now, service);
+    if (retries + 1 > allowance) return false;
+    this.windowOf(now, service).openRetries.add(request);
     return true;
   }
 
@@ -135,22 +154,40 @@
     if (counted?.openRetries.delete(request)) counted.settledRetries.push(now);
   }
 
-  /** Returns the retries allowed within the window that ends now. */
-  private allowance(now: Millis, requests: number): number {
-    const {bound, servingSince = now, membership} = this;
-    const entryCount = this.divisor(now);
-    const earned = bound.ratio * requests;
+  /**
+   * Returns what a decision on a retry depends on.
+   * @param now - current time
+   * @param service - the service
+   */
+  stateOf(now: Millis, service: ServiceName): RetryBudgetState {
+    const {requests, openRetries, settledRetries} = this.windowOf(now, service);
+    const {bound, servingSince} = this;
+    const age = servingSince === undefined ? undefined : now - servingSince;
+    const counted = {
+      requests: requests.length,
+      retries: openRetries.size + settledRetries.length,
+      openRetries: openRetries.size,
+      entryCount: this.divisor(now),
+      age,
+    };
+    const {entryCount} = counted;
+    const earned = bound.ratio * requests.length;
     const share = bound.slack / entryCount;
-    if (now >= this.shareUsableAt) return (earned + share) * USABLE_FRACTION;
+    if (now >= this.shareUsableAt) {
+      const allowance = (earned + share) * USABLE_FRACTION;
+      return {...counted, phase: 'share', share, allowance};
+    }
     const least = bound.slack / Math.max(entryCount, DEFAULT_ENTRY_COUNT);
     const withLeast = (earned + least) * USABLE_FRACTION;
-    const isFirstStart = membership?.history === 'first_start';
-    const elapsed = now - servingSince;
+    const isFirstStart = this.membership?.history === 'first_start';
+    const elapsed = age ?? 0;
     if (isFirstStart || elapsed >= bound.window + DELIVERY_TIME) {
-      return withLeast;
+      return {...counted, phase: 'ratio', share: least, allowance: withLeast};
     }
     const growing = share * Math.min(1, elapsed / bound.window);
-    return Math.min(withLeast, (earned + growing) * RESERVE_FRACTION);
+    const reserve = (earned + growing) * RESERVE_FRACTION;
+    const allowance = Math.min(withLeast, reserve);
+    return {...counted, phase: 'reserve', share: growing, allowance};
   }
 
   /** Returns an upper bound of the entries that use a share. */
--- a/test/retry_budget.test.ts
+++ b/test/retry_budget.test.ts
@@ -110,6 +110,8 @@
     await pause(sentAt + WINDOW_MS - 400 - performance.now());
     await sendToAll();
     expectWithinBound();
+    const refused = entries.map(entry => entry.hasLogged('retry_refused'));
+    expect(refused).toEqual(entries.map(() => true));
   });
 
   it('stay within the bound when they are killed in series', async () => {
