--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -3,7 +3,6 @@
 import type {Clock, Millis, ServiceName} from '../../core/index.js';
 import {SECOND, hostPort} from '../../core/index.js';
 import {
-  SharedRetryBudget,
   requestFingerprint,
   retryAfter,
   pickService,
@@ -35,6 +34,7 @@
 import {QuarantineKeeper, ageOf} from './quarantine_keeper.js';
 import {RequestLog} from './request_log.js';
 import {ResponseWriter} from './response_writer.js';
+import {RetryAccounting} from './retry_accounting.js';
 import {Shutdown} from './shutdown.js';
 import {UpstreamConnections} from './upstream_connections.js';
 
@@ -43,7 +43,7 @@
   readonly clock: Clock;
   readonly dialect;
   readonly dispatcher: Dispatcher;
-  readonly retries: SharedRetryBudget;
+  readonly retries: RetryAccounting;
   readonly quarantine: QuarantineKeeper;
   readonly log: RequestLog;
   readonly containment: Containment;
@@ -84,7 +84,12 @@
       },
       parts,
     );
-    this.retries = new SharedRetryBudget(settings.retryBound, clock.now());
+    this.retries = new RetryAccounting(
+      settings.retryBound,
+      () => this.estate.knownEntries,
+      logger,
+      metrics,
+    );
     this.reusableConnections = new UpstreamConnections(clock);
     this.singleUseConnections = new UpstreamConnections(clock, {
       keepAlive: false,
@@ -147,6 +152,7 @@
   async start(): Promise<void> {
     this.estate.start();
     await bindEntryPorts(this.settings, this, this.containment, this.logger);
+    this.retries.startServing(this.clock.now());
     this.timer = setInterval(
       () =>
         this.containment.run('timer', {}, () =>
@@ -218,7 +224,7 @@
         loads.prune(incarnation => upstreams.has(incarnation));
         limits.prune(incarnation => upstreams.has(incarnation));
       },
-      onEntryCount: count => this.retries.setEntryCount(count),
+      onJoined: history => this.retries.join(this.clock.now(), history),
       onShare: share => this.dispatcher.limits.setShare(share),
       onPeers: peers => this.peers.setPeers(peers),
       onPeerMessage: (req, res) =>
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -12,9 +12,11 @@
 } from '../../direct/index.js';
 import type {
   DirectConfiguration,
+  EntryHistory,
   EntryShare,
   GroupKey,
   KeyedChange,
+  KnownEntries,
   TopicTiming,
   Upstream,
   UpstreamChange,
@@ -50,8 +52,8 @@
   onConfiguration(configuration: DirectConfiguration): void;
   /** Called when an upstream accepts no new requests. */
   onUpstreamRemoved(): void;
-  /** Called with the number of entries that may be running. */
-  onEntryCount(count: number): void;
+  /** Called once, when the other entries can read of this one. */
+  onJoined(history: EntryHistory): void;
   /** Called with the position of this entry among all entries. */
   onShare(share: EntryShare): void;
   /** Called with the `host:port` of each other entry. */
@@ -124,7 +126,7 @@
       clock,
       logger,
       {
-        onEntryCount: count => listener.onEntryCount(count),
+        onJoined: history => listener.onJoined(history),
         onShare: share => listener.onShare(share),
         onPeers: peers => listener.onPeers(peers),
         onReaders: (readers, isInZone) =>
@@ -203,6 +205,11 @@
     return this.entries.count;
   }
 
+  /** Entries that may be running, with the time of their last read. */
+  get knownEntries(): KnownEntries {
+    return {count: this.entryCount, readAt: this.followers.entries.lastContact};
+  }
+
   /**
    * Returns the group of an upstream; its service if the group is unknown.
    * @param upstream - the upstream
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -476,7 +476,7 @@
       {
         onConfiguration: () => undefined,
         onUpstreamRemoved: () => undefined,
-        onEntryCount: () => undefined,
+        onJoined: () => undefined,
         onShare: () => undefined,
         onPeers: () => undefined,
         onPeerMessage: () => undefined,
