Write nothing into a response that is under way

Cause: the handler of unreadable messages knew nothing of the responses on the connection, and Node tells only the response that holds the connection that its caller has left.

CallerConnection tracks the responses of a connection in order. An unreadable message is answered at once if none is open, through its own response if its head was read, and otherwise not at all: the open responses are sent, then the connection ends. A caller that half-closes amid a response without a length gets a reset; the orderly end made it look complete. CONNECT counts as unreadable; Node closed the connection.

These refusals are logged and counted like others.

--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -8,13 +8,15 @@
   EdgeLimits,
   HeaderDialect,
   HeaderLines,
+  RequestId,
 } from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
 import type {Containment, Logger} from '../../observability/index.js';
+import {CallerConnections} from '../shared/caller_connections.js';
 import {deferContinue, readBody} from '../shared/request_body.js';
 import {splitAddress} from './attempt.js';
 import type {RequestLog} from './request_log.js';
-import {ResponseWriter} from './response_writer.js';
+import {ResponseWriter, formatError} from './response_writer.js';
 
 /** Limits until the first configuration. */
 const DEFAULT_LIMITS: EdgeLimits = {
@@ -27,6 +29,8 @@
 const PARSER_HEADER_BYTES = 128 * 2 ** 10;
 /** Interval at which the server checks for callers that are too slow. */
 const TIMEOUT_CHECK_INTERVAL: Millis = SECOND;
+/** Number of open requests that the line of an unreadable one names. */
+const MAX_LOGGED_IDS = 8;
 /** Accept queue length; callers retry connections beyond it after a second. */
 const LISTEN_BACKLOG = 1_024;
 
@@ -45,13 +49,14 @@
 export class FrontServer {
   private readonly server: Server;
   private limits = DEFAULT_LIMITS;
+  private readonly connections: CallerConnections;
   private isClosing = false;
   private openCount = 0;
 
   /**
    * @param clock - the clock
    * @param dialect - header format of rejections
-   * @param logger - logs unreadable requests
+   * @param logger - logs failed responses
    * @param log - logs and counts rejected requests
    * @param containment - contains exceptions to their request
    * @param serve - called with each request that was read completely
@@ -78,10 +83,13 @@
       deferContinue(req, res);
       void this.handleContained(req, res);
     });
-    this.server.on('clientError', (err, socket) => {
-      this.logger.debug('unreadable_request', {err: err.message});
-      if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\n\r\n');
-      else socket.destroy();
+    this.connections = new CallerConnections(this.server, {
+      formatError,
+      onUnreadable: ({reason, detail}, open) => {
+        const ids = open.slice(0, MAX_LOGGED_IDS).map(req => this.idOf(req));
+        const fields = {detail, open: open.length, open_ids: ids.join(',')};
+        log.recordRejected(undefined, reason, clock.now(), fields);
+      },
     });
     this.setLimits(DEFAULT_LIMITS);
   }
@@ -127,6 +135,10 @@
     this.server.close();
   }
 
+  private idOf(req: IncomingMessage): RequestId | undefined {
+    return this.dialect.readRequest(headerPairs(req.rawHeaders)).id;
+  }
+
   private async handleContained(
     req: IncomingMessage,
     res: ServerResponse,
@@ -147,6 +159,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
+    if (!this.connections.accept(req, res)) return;
     const arrivedAt = this.clock.now();
     this.openCount += 1;
     let isCounted = true;
--- a/src/daemons/direct/response_writer.ts
+++ b/src/daemons/direct/response_writer.ts
@@ -1,9 +1,14 @@
+import {STATUS_CODES} from 'node:http';
 import type {ServerResponse} from 'node:http';
 
 import type {Millis} from '../../core/index.js';
 import type {HeaderDialect, HeaderLines} from '../../direct/index.js';
 import {ERRORS} from '../../errors/index.js';
 import type {Fault} from '../../errors/index.js';
+import {
+  abortResponse,
+  markDelimitedByClose,
+} from '../shared/response_framing.js';
 import type {ResponseHead} from './attempt.js';
 
 /** Statuses that mean that the request has not run and will not. */
@@ -11,9 +16,6 @@
 
 /** Writes the response to one caller. */
 export class ResponseWriter {
-  /** Whether a caller can tell an aborted response from a complete one. */
-  private isDelimited = true;
-
   /**
    * @param res - the HTTP response
    * @param dialect - header format
@@ -94,14 +96,9 @@
 
   /**
    * Aborts an incomplete response, after the bytes written in this turn are sent.
-   * If it is delimited by the end of its connection, only a reset distinguishes
-   * the abort from a regular end.
    */
   abort(): void {
-    setImmediate(() => {
-      if (!this.isDelimited) this.res.socket?.resetAndDestroy();
-      this.res.destroy();
-    });
+    setImmediate(() => abortResponse(this.res));
   }
 
   /**
@@ -114,27 +111,14 @@
       this.abort();
       return;
     }
-    const {status, reason, hint} = fault;
-    const body = Buffer.from(
-      JSON.stringify({
-        type: 'about:blank',
-        title: ERRORS[reason].message,
-        status,
-        detail: fault.message,
-        reason,
-        hint,
-      }),
-    );
+    const {status} = fault;
+    const body = errorBody(fault);
     const isNotRun = NOT_RUN_STATUSES.has(status);
     const retryAfterLine =
       retryAfter !== undefined && isNotRun
         ? this.dialect.retryAfter(retryAfter)
         : [];
-    this.writeHead(status, [
-      ['Content-Type', 'application/problem+json'],
-      ['Content-Length', `${body.length}`],
-      ...retryAfterLine,
-    ]);
+    this.writeHead(status, [...errorLines(body), ...retryAfterLine]);
     this.res.end(body);
   }
 
@@ -152,8 +136,8 @@
     length: HeaderLines,
     isDelimited: boolean,
   ): void {
-    this.isDelimited = isDelimited;
     if (!isDelimited) {
+      markDelimitedByClose(this.res);
       // It may be truncated: don't add the terminator that it lacks.
       this.res.shouldKeepAlive = false;
       this.res.removeHeader('transfer-encoding');
@@ -167,3 +151,37 @@
     this.res.writeHead(status, lines.flat() as never);
   }
 }
+
+/**
+ * Returns an error response of this process that closes its connection.
+ * @param fault - the error
+ */
+export function formatError(fault: Fault): string {
+  const {status} = fault;
+  const body = errorBody(fault);
+  const lines = [...errorLines(body), ['Connection', 'close']]
+    .map(line => line.join(': '))
+    .join('\r\n');
+  const statusLine = `HTTP/1.1 ${status} ${STATUS_CODES[status]}`;
+  return `${statusLine}\r\n${lines}\r\n\r\n${body.toString()}`;
+}
+
+function errorBody({status, reason, message, hint}: Fault): Buffer {
+  return Buffer.from(
+    JSON.stringify({
+      type: 'about:blank',
+      title: ERRORS[reason].message,
+      status,
+      detail: message,
+      reason,
+      hint,
+    }),
+  );
+}
+
+function errorLines(body: Buffer): HeaderLines {
+  return [
+    ['Content-Type', 'application/problem+json'],
+    ['Content-Length', `${body.length}`],
+  ];
+}
--- /dev/null
+++ b/src/daemons/shared/caller_connection.ts
@@ -0,0 +1,139 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+import type {Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+import type {Fault} from '../../errors/index.js';
+import {failBody, isReadingBody} from './request_body.js';
+import {abortResponse} from './response_framing.js';
+import {actionAfterUnreadable} from './unreadable_message.js';
+import type {UnreadableAction} from './unreadable_message.js';
+
+/**
+ * Time without bytes from the caller after which a connection that was ended is
+ * closed. Closing it while the caller sends resets it, which drops the part of the
+ * last response that is still in the system's buffers.
+ */
+const LINGER_IDLE_TIMEOUT: Millis = 2 * SECOND;
+const MAX_LINGER_TIME: Millis = 30 * SECOND;
+
+/** A connection of a caller, with the responses that are open on it. */
+export class CallerConnection {
+  private readonly responses = new Set<ServerResponse>();
+  private latest: IncomingMessage | undefined;
+  /** Whether no further request is served. */
+  private isClosing = false;
+  private isLingering = false;
+
+  /** @param socket - the connection */
+  constructor(private readonly socket: Socket) {
+    // Node destroys the connection after its last response.
+    socket.destroySoon = () => this.end();
+    // Before Node's own listener, which sends a FIN: no reset can follow it.
+    socket.prependListener('end', () => this.onCallerLeft());
+    socket.once('close', () => this.onClosed());
+  }
+
+  /** The responses that were not sent completely, in order. */
+  get open(): readonly ServerResponse[] {
+    return [...this.responses];
+  }
+
+  /**
+   * Registers a request whose head was read.
+   * @param req - the request
+   * @param res - its response
+   * @returns whether it is to be served
+   */
+  accept(req: IncomingMessage, res: ServerResponse): boolean {
+    if (this.isClosing) {
+      req.resume();
+      return false;
+    }
+    this.latest = req;
+    this.responses.add(res);
+    res.once('finish', () => this.remove(res));
+    res.once('close', () => this.remove(res));
+    return true;
+  }
+
+  /**
+   * Handles a message that is unreadable.
+   * @param fault - why it is unreadable
+   * @returns what was decided
+   */
+  onUnreadable(fault: Fault): UnreadableAction {
+    const {latest, open} = this;
+    const isWithinBody = latest?.complete === false;
+    const action = actionAfterUnreadable({
+      isClosing: this.isClosing,
+      isReadingBody: isWithinBody && isReadingBody(latest),
+      isAnswered: isWithinBody && !isReadingBody(latest),
+      openResponses: open.length,
+    });
+    if (action === 'ignore') return action;
+    this.isClosing = true;
+    const last = open.at(-1);
+    if (last?.headersSent === false) last.shouldKeepAlive = false;
+    if (action === 'respond_in_order' && latest !== undefined)
+      failBody(latest, fault);
+    if (action === 'close_after_open' && last === undefined) this.end();
+    return action;
+  }
+
+  /** Takes the place of the server's parser, which a CONNECT has detached. */
+  onDetached(): void {
+    const {socket} = this;
+    socket.on('error', () => socket.destroy());
+    socket.on('drain', () => this.open[0]?.emit('drain'));
+    socket.on('timeout', () => this.onTimeout());
+    socket.resume();
+  }
+
+  /**
+   * Ends the connection and discards what its caller still sends.
+   * @param bytes - last bytes to send
+   */
+  end(bytes = ''): void {
+    if (this.isLingering) return;
+    this.isClosing = true;
+    this.isLingering = true;
+    const {socket} = this;
+    socket.end(bytes);
+    socket.setTimeout(LINGER_IDLE_TIMEOUT);
+    const timer = setTimeout(() => socket.destroy(), MAX_LINGER_TIME).unref();
+    socket.once('close', () => clearTimeout(timer));
+  }
+
+  /** Handles a connection without traffic for the time that was set. */
+  onTimeout(): void {
+    if (this.responses.size === 0) this.socket.destroy();
+  }
+
+  /** A caller that half-closes its connection is taken to have left. */
+  private onCallerLeft(): void {
+    const [first] = this.responses;
+    if (first === undefined) return;
+    this.isClosing = true;
+    if (first.writableEnded) this.closeWaiting();
+    else abortResponse(first);
+  }
+
+  private onClosed(): void {
+    this.closeWaiting();
+  }
+
+  /** Closes responses behind the first; Node closes none that waits for its turn. */
+  private closeWaiting(): void {
+    for (const res of this.responses) {
+      if (res.socket !== null) continue;
+      res.destroy();
+      res.emit('close');
+    }
+  }
+
+  private remove(res: ServerResponse): void {
+    if (!this.responses.delete(res)) return;
+    if (this.responses.size === 0 && this.isClosing) this.end();
+  }
+}
--- /dev/null
+++ b/src/daemons/shared/caller_connections.ts
@@ -0,0 +1,77 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Duplex} from 'node:stream';
+import type {Socket} from 'node:net';
+
+import {Fault} from '../../errors/index.js';
+import {CallerConnection} from './caller_connection.js';
+import {unreadableReason} from './unreadable_message.js';
+
+/** What a server for callers does on behalf of its connections. */
+export interface CallerEvents {
+  /** Returns a complete response that closes its connection. */
+  formatError(fault: Fault): string;
+  /**
+   * Called for a message that is unreadable and has no response of its own.
+   * @param fault - why it is unreadable
+   * @param open - requests whose responses are still open on its connection
+   */
+  onUnreadable(fault: Fault, open: readonly IncomingMessage[]): void;
+}
+
+/** Connections of a server for callers, with their open responses. */
+export class CallerConnections {
+  private readonly connections = new Map<Duplex, CallerConnection>();
+
+  /**
+   * @param server - server without listeners for `clientError` and `timeout`
+   * @param events - callbacks
+   */
+  constructor(
+    server: Server,
+    private readonly events: CallerEvents,
+  ) {
+    server.on('connection', (socket: Socket) => this.add(socket));
+    server.on('timeout', (socket: Socket) =>
+      this.connections.get(socket)?.onTimeout(),
+    );
+    server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
+      this.onError(err, socket),
+    );
+    server.on('connect', (_req, socket) => {
+      this.connections.get(socket)?.onDetached();
+      this.onUnreadable(new Fault('bad_request', 'CONNECT'), socket);
+    });
+  }
+
+  /**
+   * Registers a request whose head was read. Its response emits `close` once it
+   * has left the process or its caller is gone, also behind other responses.
+   * @param req - the request
+   * @param res - its response
+   * @returns whether it is to be served; false on a connection that is closing
+   */
+  accept(req: IncomingMessage, res: ServerResponse): boolean {
+    return this.connections.get(req.socket)?.accept(req, res) === true;
+  }
+
+  private add(socket: Socket): void {
+    this.connections.set(socket, new CallerConnection(socket));
+    socket.once('close', () => this.connections.delete(socket));
+  }
+
+  private onError(err: NodeJS.ErrnoException, socket: Duplex): void {
+    const reason = unreadableReason(err.code);
+    if (reason === undefined) socket.destroy();
+    else this.onUnreadable(new Fault(reason, err.code), socket);
+  }
+
+  private onUnreadable(fault: Fault, socket: Duplex): void {
+    const connection = this.connections.get(socket);
+    if (connection === undefined) return;
+    const open = connection.open.map(({req}) => req);
+    const action = connection.onUnreadable(fault);
+    const hasNoResponse = action === 'respond' || action === 'close_after_open';
+    if (hasNoResponse) this.events.onUnreadable(fault, open);
+    if (action === 'respond') connection.end(this.events.formatError(fault));
+  }
+}
--- a/src/daemons/shared/request_body.ts
+++ b/src/daemons/shared/request_body.ts
@@ -7,6 +7,8 @@
 
 /** Requests whose callers wait for `100 Continue` to send the body. */
 const pendingContinues = new WeakMap<IncomingMessage, ServerResponse>();
+/** Fails the read of each body that is being read. */
+const pendingBodies = new WeakMap<IncomingMessage, (fault: Fault) => void>();
 
 /**
  * Defers `100 Continue` until the body is read.
@@ -17,12 +19,29 @@
   pendingContinues.set(req, res);
 }
 
+/**
+ * Returns whether the body of a request is being read.
+ * @param req - the request
+ */
+export function isReadingBody(req: IncomingMessage): boolean {
+  return pendingBodies.has(req);
+}
+
+/**
+ * Fails the read of a body whose rest is unreadable.
+ * @param req - the request
+ * @param fault - what the reader receives
+ */
+export function failBody(req: IncomingMessage, fault: Fault): void {
+  pendingBodies.get(req)?.(fault);
+}
+
 /**
  * Reads the body of a request. The server discards a rejected body, so that
  * the caller still receives the error response.
  * @param req - the request
  * @param limit - maximum size of the body, bytes
- * @returns the body, or `body_too_large` or `caller_gone`
+ * @returns the body, or `body_too_large`, `caller_gone` or the fault of `failBody`
  */
 export function readBody(
   req: IncomingMessage,
@@ -35,6 +54,10 @@
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let length = 0;
+    const finish = (result: Result<Buffer, Fault>) => {
+      pendingBodies.delete(req);
+      resolve(result);
+    };
     const onData = (chunk: Buffer) => {
       length += chunk.length;
       if (length <= limit) {
@@ -43,11 +66,12 @@
       }
       req.off('data', onData);
       chunks.length = 0;
-      resolve(tooLarge);
+      finish(tooLarge);
     };
+    pendingBodies.set(req, fault => finish(err(fault)));
     req.on('data', onData);
-    req.once('end', () => resolve(ok(Buffer.concat(chunks))));
-    req.once('close', () => resolve(err(new Fault('caller_gone'))));
-    req.once('error', () => resolve(err(new Fault('caller_gone'))));
+    req.once('end', () => finish(ok(Buffer.concat(chunks))));
+    req.once('close', () => finish(err(new Fault('caller_gone'))));
+    req.once('error', () => finish(err(new Fault('caller_gone'))));
   });
 }
