Complete open answers of the own form before an unreadable message closes them

An answer under way was lost when its caller sent anything unreadable behind it: the edge destroyed the connection (LOST). Pipelined calls whose caller had left ran on, and an aborted answer to a caller of HTTP/1.0 ended in order and looked complete (MIXED).

The edge uses CallerConnections like the other form; aborted answers go through abortResponse. A message that got its response before its body was read is not counted a second time.

--- a/src/daemons/entry/answer_writer.ts
+++ b/src/daemons/entry/answer_writer.ts
@@ -6,6 +6,10 @@
 import {ERRORS} from '../../errors/index.js';
 import type {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
+import {
+  abortResponse,
+  markDelimitedByClose,
+} from '../shared/response_framing.js';
 import type {AnswerTimer} from './answer_timer.js';
 
 const DEFAULT_RETRY_AFTER: Millis = SECOND;
@@ -52,6 +56,10 @@
     this.res.setHeader('baobabspan-outcome', 'done');
     this.res.setHeader('baobabspan-call-id', this.callId);
     this.res.flushHeaders();
+    const hasLength = this.res.hasHeader('content-length');
+    // Callers of HTTP/1.0 take no chunks.
+    if (this.res.req.httpVersion === '1.0' && !hasLength)
+      markDelimitedByClose(this.res);
   }
 
   /**
@@ -69,12 +77,15 @@
   /** Ends a complete answer. */
   end(): void {
     this.res.end();
-    const timer = setTimeout(() => this.res.destroy(), SLOW_READER_TIMEOUT);
+    const timer = setTimeout(
+      () => abortResponse(this.res),
+      SLOW_READER_TIMEOUT,
+    );
     this.res.once('close', () => clearTimeout(timer));
   }
 
   /**
-   * Aborts an incomplete answer by destroying the connection, after an error
+   * Aborts an incomplete answer by cutting its connection, after an error
    * event if the answer is an event stream.
    * @param outcome - outcome of the call
    */
@@ -83,13 +94,13 @@
     // A caller that does not read would never receive the event.
     const isRead = !this.res.writableNeedDrain;
     if (!type.startsWith('text/event-stream') || !isRead) {
-      this.res.destroy();
+      abortResponse(this.res);
       return;
     }
     const error = {type: `urn:baobabspan:error:${reason}`, reason};
     const data = JSON.stringify({error: {...error, outcome: kind}});
     const event = `event: error\ndata: ${data}\n\n`;
-    this.res.write(event, () => this.res.destroy());
+    this.res.write(event, () => abortResponse(this.res));
   }
 
   /**
@@ -118,7 +129,7 @@
     const {status, message, hint} = ERRORS[reason];
     const {res} = this;
     if (res.headersSent) {
-      res.destroy();
+      abortResponse(res);
       return;
     }
     const retryAfter = retryAfterMs > 0 ? retryAfterMs : DEFAULT_RETRY_AFTER;
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -3,7 +3,6 @@
 import {STATUS_CODES, createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import type {Duplex} from 'node:stream';
 
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
@@ -13,8 +12,8 @@
 import {SECOND, callId, hostPort} from '../../core/index.js';
 import type {CallId} from '../../core/index.js';
 import {ERRORS, Fault, asFault, describeError} from '../../errors/index.js';
+import {CallerConnections} from '../shared/caller_connections.js';
 import type {DaemonContext} from '../shared/context.js';
-import type {ErrorName} from '../../errors/index.js';
 import {AnswerTimer} from './answer_timer.js';
 import {AnswerWriter} from './answer_writer.js';
 import {answerKeyRequest, isKeyRequest} from './key_issuer.js';
@@ -33,11 +32,8 @@
 };
 const MAX_HEADER_BYTES = 32 * 2 ** 10;
 
-/** Reason for each error code of the HTTP parser; default `bad_request`. */
-const PARSER_ERROR_REASONS: Readonly<Record<string, ErrorName>> = {
-  HPE_HEADER_OVERFLOW: 'headers_too_large',
-  ERR_HTTP_REQUEST_TIMEOUT: 'request_timeout',
-};
+/** Number of open calls that the line of an unreadable message names. */
+const MAX_LOGGED_IDS = 8;
 
 /** Services of the entry that the edge uses. */
 export interface EdgeServices {
@@ -59,8 +55,8 @@
 /** The HTTP server for callers. */
 export class HttpEdge {
   private readonly server: Server;
-  /** The latest response on each connection. */
-  private readonly latestResponses = new WeakMap<Duplex, ServerResponse>();
+  private readonly connections: CallerConnections;
+  private readonly callIds = new WeakMap<IncomingMessage, CallId>();
 
   /**
    * @param context - state shared by the daemon's tasks
@@ -89,9 +85,10 @@
       deferContinue(req, res);
       this.handleRequest(req, res);
     });
-    this.server.on('clientError', (err, socket) =>
-      this.onClientError(err, socket),
-    );
+    this.connections = new CallerConnections(this.server, {
+      formatError,
+      onUnreadable: (fault, open) => this.recordUnreadable(fault, open),
+    });
   }
 
   /**
@@ -116,9 +113,10 @@
 
   /** Serves a request; an exception fails this request alone. */
   private handleRequest(req: IncomingMessage, res: ServerResponse): void {
+    if (!this.connections.accept(req, res)) return;
     const id = this.createCallId();
     const writer = new AnswerWriter(res, id);
-    this.latestResponses.set(req.socket, res);
+    this.callIds.set(req, id);
     this.serve(req, res, writer, id).catch(thrown => {
       const reason = 'internal';
       this.context.logger.error('edge_fault', {
@@ -131,37 +129,14 @@
     });
   }
 
-  /** Answers input that is not a valid HTTP request, and closes. */
-  private onClientError(err: NodeJS.ErrnoException, socket: Duplex): void {
-    const latestResponse = this.latestResponses.get(socket);
-    if (latestResponse?.writableFinished === true) {
-      socket.end();
-      return;
-    }
-    // The previous request may be running: nothing may look like its answer.
-    const mayRun =
-      latestResponse !== undefined &&
-      (latestResponse.req.complete || latestResponse.headersSent);
-    if (mayRun || !socket.writable || err.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
-    const reason = PARSER_ERROR_REASONS[err.code ?? ''] ?? 'bad_request';
+  private recordUnreadable(
+    {reason, detail}: Fault,
+    open: readonly IncomingMessage[],
+  ): void {
     this.context.metrics.refusals.inc({reason, service: ''});
-    const {status, message, hint} = ERRORS[reason];
-    const type = `urn:baobabspan:error:${reason}`;
-    const problem = {type, title: message, status, reason, hint};
-    const body = `${JSON.stringify({...problem, outcome: 'not-run'})}\n`;
-    const head = [
-      `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
-      'content-type: application/problem+json',
-      'baobabspan-outcome: not-run',
-      'retry-after: 1',
-      'connection: close',
-      `content-length: ${Buffer.byteLength(body)}`,
-    ];
-    socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
-    setTimeout(() => socket.destroy(), SECOND).unref();
+    const ids = open.slice(0, MAX_LOGGED_IDS).map(req => this.callIds.get(req));
+    const fields = {detail, open: open.length, open_ids: ids.join(',')};
+    this.context.logger.info('refused', {reason, ...fields});
   }
 
   private async serve(
@@ -183,7 +158,7 @@
     if (admitted.isErr()) return this.reject(req, res, writer, admitted.error);
     const call = admitted.value;
     const onEnd = () => this.limits.release(call);
-    if (!res.closed) {
+    if (!res.destroyed) {
       const {clock, metrics} = this.context;
       writer.setTimer(
         new AnswerTimer(clock, metrics, call.service, receivedAt),
@@ -247,3 +222,20 @@
     return callId(`${incarnation}/${randomBytes(8).toString('hex')}`);
   }
 }
+
+/** Returns the rejection of a message that is not a readable request. */
+function formatError({reason, status, message, hint}: Fault): string {
+  const type = `urn:baobabspan:error:${reason}`;
+  const {message: title} = ERRORS[reason];
+  const problem = {type, title, status, detail: message, reason, hint};
+  const body = `${JSON.stringify({...problem, outcome: 'not-run'})}\n`;
+  const head = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+    'content-type: application/problem+json',
+    'baobabspan-outcome: not-run',
+    'retry-after: 1',
+    'connection: close',
+    `content-length: ${Buffer.byteLength(body)}`,
+  ];
+  return `${head.join('\r\n')}\r\n\r\n${body}`;
+}
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -77,7 +77,7 @@
     if (last?.headersSent === false) last.shouldKeepAlive = false;
     if (action === 'respond_in_order' && latest !== undefined)
       failBody(latest, fault);
-    if (action === 'close_after_open' && last === undefined) this.end();
+    if (action === 'close_after_own' && last === undefined) this.end();
     return action;
   }
 
--- a/src/daemons/shared/unreadable_message.ts
+++ b/src/daemons/shared/unreadable_message.ts
@@ -17,11 +17,16 @@
  *
  * - `respond`: with an error response at once;
  * - `respond_in_order`: with the message's own response, after those before it;
+ * - `close_after_own`: after the response that it got before its body was read;
  * - `close_after_open`: without a response, after the open ones;
  * - `ignore`: it is closing already.
  */
 export type UnreadableAction =
-  'respond' | 'respond_in_order' | 'close_after_open' | 'ignore';
+  | 'respond'
+  | 'respond_in_order'
+  | 'close_after_own'
+  | 'close_after_open'
+  | 'ignore';
 
 /**
  * Decides how an unreadable message ends its connection. Nothing may be written
@@ -33,8 +38,8 @@
 ): UnreadableAction {
   if (state.isClosing) return 'ignore';
   if (state.isReadingBody) return 'respond_in_order';
-  if (state.isAnswered || state.openResponses > 0) return 'close_after_open';
-  return 'respond';
+  if (state.isAnswered) return 'close_after_own';
+  return state.openResponses > 0 ? 'close_after_open' : 'respond';
 }
 
 /**
