Count a response as open until the system has taken all of it

A request counted as finished with res.end(), so the drain saw none open. And Server.closeIdleConnections, which the drain calls from 3 s on, takes a connection for idle whose response was ended but not sent, and destroys it.

A response is now open until 'finish', or until its connection is gone. The drain waits for these up to the grace, closes only connections without one, and at its end cuts what is unsent: with a reset where the connection delimits the response. event=response_cut has the id, the reason and the unsent bytes; the counter is baobabspan_responses_cut_total.

--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -278,14 +278,7 @@
     return retryAfter(cause, timeLeft, this.parts.chance, earliest);
   }
 
-  private serve({
-    req,
-    res,
-    headers,
-    body,
-    arrivedAt,
-    onFinished,
-  }: BufferedRequest): void {
+  private serve({req, res, headers, body, arrivedAt}: BufferedRequest): void {
     const reply = new ResponseWriter(res, this.dialect, () =>
       this.isDraining(),
     );
@@ -340,10 +333,9 @@
       });
       return;
     }
-    const exchange = new Exchange(this, request, req, res, () => {
-      this.openExchanges.delete(exchange);
-      onFinished();
-    });
+    const exchange = new Exchange(this, request, req, res, () =>
+      this.openExchanges.delete(exchange),
+    );
     this.openExchanges.add(exchange);
     exchange.start();
   }
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -41,8 +41,6 @@
   readonly headers: HeaderLines;
   readonly body: Buffer;
   readonly arrivedAt: Millis;
-  /** Must be called at the end of its response. */
-  readonly onFinished: () => void;
 }
 
 /** HTTP server for callers. */
@@ -51,7 +49,6 @@
   private limits = DEFAULT_LIMITS;
   private readonly connections: CallerConnections;
   private isClosing = false;
-  private openCount = 0;
 
   /**
    * @param clock - the clock
@@ -90,13 +87,15 @@
         const fields = {detail, open: open.length, open_ids: ids.join(',')};
         log.recordRejected(undefined, reason, clock.now(), fields);
       },
+      onCut: ({req, reason, unsentBytes}) =>
+        log.recordCut(this.idOf(req), reason, unsentBytes),
     });
     this.setLimits(DEFAULT_LIMITS);
   }
 
-  /** Number of requests being read or responded to. */
+  /** Number of requests that are being read or were not responded to completely. */
   get openRequests(): number {
-    return this.openCount;
+    return this.connections.openResponses;
   }
 
   /**
@@ -125,14 +124,14 @@
     this.isClosing = true;
   }
 
-  /** Closes connections without a pending request. */
+  /** Closes connections without a request or an unsent response. */
   closeIdle(): void {
-    this.server.closeIdleConnections();
+    this.connections.closeIdle();
   }
 
-  /** Stops listening; open connections continue. */
-  stopListening(): void {
-    this.server.close();
+  /** Cuts the responses that were not sent completely. */
+  cutOpen(): void {
+    this.connections.cutOpen();
   }
 
   private idOf(req: IncomingMessage): RequestId | undefined {
@@ -161,13 +160,6 @@
   ): Promise<void> {
     if (!this.connections.accept(req, res)) return;
     const arrivedAt = this.clock.now();
-    this.openCount += 1;
-    let isCounted = true;
-    const onFinished = () => {
-      if (isCounted) this.openCount -= 1;
-      isCounted = false;
-    };
-    res.once('close', onFinished);
     res.on('error', err => {
       this.logger.debug('answer_not_taken', {err: err.message});
     });
@@ -197,7 +189,7 @@
       return;
     }
     const {value} = body;
-    this.serve({req, res, headers, body: value, arrivedAt, onFinished});
+    this.serve({req, res, headers, body: value, arrivedAt});
   }
 }
 
--- a/src/daemons/direct/request_log.ts
+++ b/src/daemons/direct/request_log.ts
@@ -3,6 +3,7 @@
 import type {RequestId} from '../../direct/index.js';
 import type {ErrorName} from '../../errors/index.js';
 import type {Fields, Logger, Metrics} from '../../observability/index.js';
+import type {CutReason} from '../shared/caller_connection.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import type {ExchangeResult, FailedAttempt} from './context.js';
 
@@ -118,4 +119,19 @@
     const ms = Math.round(this.clock.now() - arrivedAt);
     this.logger.info('refused', {id, reason, ms, ...fields});
   }
+
+  /**
+   * Records a complete response that was cut before all of it was sent.
+   * @param id - id of the request
+   * @param reason - why it was cut
+   * @param unsentBytes - bytes that have not left the process
+   */
+  recordCut(
+    id: RequestId | undefined,
+    reason: CutReason,
+    unsentBytes: number,
+  ): void {
+    this.metrics.cutResponses.inc({reason});
+    this.logger.info('response_cut', {id, reason, unsent_bytes: unsentBytes});
+  }
 }
--- a/src/daemons/direct/shutdown.ts
+++ b/src/daemons/direct/shutdown.ts
@@ -60,7 +60,8 @@
   }
 
   /**
-   * Finishes the accepted requests; ends within the grace period.
+   * Finishes the accepted requests and sends their responses; ends within the
+   * grace period.
    * @param grace - time until the process is killed
    * @param open - the accepted requests that have not ended
    */
@@ -82,5 +83,6 @@
     this.logger.warn('cutting', {open: open.size});
     for (const request of [...open]) request.shutDown();
     await new Promise(resolve => setTimeout(resolve, FLUSH_TIME));
+    this.front.cutOpen();
   }
 }
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -12,6 +12,7 @@
 import {SECOND, callId, hostPort} from '../../core/index.js';
 import type {CallId} from '../../core/index.js';
 import {ERRORS, Fault, asFault, describeError} from '../../errors/index.js';
+import type {CutResponse} from '../shared/caller_connection.js';
 import {CallerConnections} from '../shared/caller_connections.js';
 import type {DaemonContext} from '../shared/context.js';
 import {AnswerTimer} from './answer_timer.js';
@@ -88,6 +89,7 @@
     this.connections = new CallerConnections(this.server, {
       formatError,
       onUnreadable: (fault, open) => this.recordUnreadable(fault, open),
+      onCut: cut => this.recordCut(cut),
     });
   }
 
@@ -139,6 +141,15 @@
     this.context.logger.info('refused', {reason, ...fields});
   }
 
+  private recordCut({req, reason, unsentBytes}: CutResponse): void {
+    this.context.metrics.cutResponses.inc({reason});
+    this.context.logger.info('response_cut', {
+      call: this.callIds.get(req),
+      reason,
+      unsent_bytes: unsentBytes,
+    });
+  }
+
   private async serve(
     req: IncomingMessage,
     res: ServerResponse,
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -17,16 +17,36 @@
 const LINGER_IDLE_TIMEOUT: Millis = 2 * SECOND;
 const MAX_LINGER_TIME: Millis = 30 * SECOND;
 
+/** Why a response was cut: its caller left, or the process ends. */
+export type CutReason = 'caller_gone' | 'shutdown';
+
+/** A response that was cut before all of it was sent. */
+export interface CutResponse {
+  readonly req: IncomingMessage;
+  readonly reason: CutReason;
+  /** Bytes that have not left the process. */
+  readonly unsentBytes: number;
+}
+
 /** A connection of a caller, with the responses that are open on it. */
 export class CallerConnection {
   private readonly responses = new Set<ServerResponse>();
   private latest: IncomingMessage | undefined;
+  /** Bytes read at the end of the latest request; undefined before it. */
+  private bytesAtRequestEnd: number | undefined;
   /** Whether no further request is served. */
   private isClosing = false;
   private isLingering = false;
+  private isCut = false;
 
-  /** @param socket - the connection */
-  constructor(private readonly socket: Socket) {
+  /**
+   * @param socket - the connection
+   * @param onCut - called for responses that are cut
+   */
+  constructor(
+    private readonly socket: Socket,
+    private readonly onCut: (cut: CutResponse) => void,
+  ) {
     // Node destroys the connection after its last response.
     socket.destroySoon = () => this.end();
     // Before Node's own listener, which sends a FIN: no reset can follow it.
@@ -52,6 +72,7 @@
     }
     this.latest = req;
     this.responses.add(res);
+    req.once('end', () => (this.bytesAtRequestEnd = this.socket.bytesRead));
     res.once('finish', () => this.remove(res));
     res.once('close', () => this.remove(res));
     return true;
@@ -105,11 +126,29 @@
     socket.once('close', () => clearTimeout(timer));
   }
 
+  /** Closes the connection if no request and no response is under way. */
+  closeIfIdle(): void {
+    const isWithinRequest = this.socket.bytesRead !== this.bytesAtRequestEnd;
+    if (isWithinRequest || this.isLingering || this.responses.size > 0) return;
+    this.socket.destroy();
+  }
+
   /** Handles a connection without traffic for the time that was set. */
   onTimeout(): void {
     if (this.responses.size === 0) this.socket.destroy();
   }
 
+  /**
+   * Cuts the responses that were not sent completely.
+   * @param reason - why
+   */
+  cut(reason: CutReason): void {
+    const [first] = this.responses;
+    if (first === undefined) return;
+    this.recordCut(reason);
+    abortResponse(first);
+  }
+
   /** A caller that half-closes its connection is taken to have left. */
   private onCallerLeft(): void {
     const [first] = this.responses;
@@ -120,6 +159,7 @@
   }
 
   private onClosed(): void {
+    this.recordCut('caller_gone');
     this.closeWaiting();
   }
 
@@ -132,6 +172,16 @@
     }
   }
 
+  /** Records the complete responses that were not sent to their end. */
+  private recordCut(reason: CutReason): void {
+    if (this.isCut) return;
+    this.isCut = true;
+    for (const res of this.responses) {
+      if (!res.writableEnded) continue;
+      this.onCut({req: res.req, reason, unsentBytes: res.writableLength});
+    }
+  }
+
   private remove(res: ServerResponse): void {
     if (!this.responses.delete(res)) return;
     if (this.responses.size === 0 && this.isClosing) this.end();
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -4,6 +4,7 @@
 
 import {Fault} from '../../errors/index.js';
 import {CallerConnection} from './caller_connection.js';
+import type {CutResponse} from './caller_connection.js';
 import {unreadableReason} from './unreadable_message.js';
 
 /** What a server for callers does on behalf of its connections. */
@@ -16,6 +17,8 @@
    * @param open - requests whose responses are still open on its connection
    */
   onUnreadable(fault: Fault, open: readonly IncomingMessage[]): void;
+  /** Called for a response that is cut before all of it was sent. */
+  onCut(cut: CutResponse): void;
 }
 
 /** Connections of a server for callers, with their open responses. */
@@ -43,6 +46,13 @@
     });
   }
 
+  /** Number of responses that were not sent completely. */
+  get openResponses(): number {
+    let count = 0;
+    for (const {open} of this.connections.values()) count += open.length;
+    return count;
+  }
+
   /**
    * Registers a request whose head was read. Its response emits `close` once it
    * has left the process or its caller is gone, also behind other responses.
@@ -54,8 +64,23 @@
     return this.connections.get(req.socket)?.accept(req, res) === true;
   }
 
+  /** Closes connections without a request or an unsent response. */
+  closeIdle(): void {
+    for (const connection of this.connections.values())
+      connection.closeIfIdle();
+  }
+
+  /** Cuts the responses that were not sent completely, as the process ends. */
+  cutOpen(): void {
+    for (const connection of [...this.connections.values()])
+      connection.cut('shutdown');
+  }
+
   private add(socket: Socket): void {
-    this.connections.set(socket, new CallerConnection(socket));
+    const connection = new CallerConnection(socket, cut =>
+      this.events.onCut(cut),
+    );
+    this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
   }
 
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -10,6 +10,13 @@
 export class Metrics {
   readonly registry = new Registry();
 
+  /** Complete responses that were cut, by reason. */
+  readonly cutResponses = this.counter(
+    'baobabspan_responses_cut_total',
+    'Complete responses that were cut before all of their bytes were sent, by reason',
+    ['reason'],
+  );
+
   /** Rejected requests, by reason and service. */
   readonly refusals = this.counter(
     'baobabspan_refusals_total',
