--- a/src/daemons/direct/attempt_account.ts
+++ b/src/daemons/direct/attempt_account.ts
@@ -70,14 +70,16 @@
    * Closes the account.
    * @param now - current time
    * @param outcome - outcome for the upstream's health
-   * @param latency - time to the response, if it tells of the upstream's speed
    */
-  close(now: Millis, outcome: HealthOutcome, latency?: Millis): void {
+  close(now: Millis, outcome: HealthOutcome): void {
     if (this.isEnded) return;
     this.isEnded = true;
     const {context, group, progress, request, upstream} = this;
     context.retries.settle(now, request);
     const {promptTokens: size} = request.metadata;
+    // The duration of a stream depends on its length, not on its upstream's speed.
+    const isTelling = outcome === 'good' && request.route.repeat !== 'stream';
+    const latency = isTelling ? now - progress.sentAt : undefined;
     const {loads} = context.dispatcher;
     loads.recordEnded(now, upstream.incarnation, size, outcome, latency);
     context.dispatcher.recordEnded(now, group, progress.hasStarted);
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -371,13 +371,7 @@
 
   /** Records the outcome of the current attempt. */
   private recordOutcome(outcome: HealthOutcome): void {
-    const {account, context, delivery} = this;
-    if (account === undefined) return;
-    const now = context.clock.now();
-    const elapsed = (delivery.firstDeliveryAt ?? now) - account.progress.sentAt;
-    const isTelling =
-      outcome === 'good' && this.request.route.repeat !== 'stream';
-    account.close(now, outcome, isTelling ? elapsed : undefined);
+    this.account?.close(this.context.clock.now(), outcome);
   }
 
   private finish(outcome: string, status: number, retryAfter?: Millis): void {
