Play answers, callers and faults of all kinds in the soak of entries

Real machines showed MIXED, BUDGET and LOST, which the soak could not see: its upstreams answered in one piece with a length, and its callers read at once.

A seed now decides a mix of answers (framing, size, pieces, resets, second and late answers, failing runs), callers (slow, stalled, pipelining, early or broken next requests, half-closed, leaving, HTTP/1.0), faults of entries, store and upstreams, and limits. Restarts under kept connections stay in all themes, reloads in five of eight.

--- /dev/null
+++ b/test/support/soak/records.ts
@@ -0,0 +1,163 @@
+import type {Chance} from '../../../src/core/index.js';
+import {CALLER_DEADLINE_MS, KINDS, SLOW_DEADLINE_MS} from './routes.js';
+import type {Kind} from './routes.js';
+
+/** How a body says where it ends. */
+export type Framing = 'length' | 'chunks' | 'close';
+
+/** One arrival of a request at an upstream. */
+export interface Run {
+  /** Value of `Response-Seal`. */
+  readonly seal: string;
+  readonly upstream: string;
+  readonly arrivedAt: number;
+  /** `Deadline-Ms` as the upstream received it. */
+  readonly deadlineMs: number;
+  /** Id of the first event, for streams. */
+  readonly firstEvent: number;
+  /** Status that the upstream gave; 0 while it has given none. */
+  status: number;
+  /** Whether the request ran; false after `Not-Executed`. */
+  hasRun: boolean;
+  /** Whether the upstream broke off, or sent what belongs to no request. */
+  isUnsound: boolean;
+  /** Time at which the upstream had given its answer, or its connection closed. */
+  endedAt: number | undefined;
+}
+
+/** What the caller saw of its request. */
+export interface Seen {
+  readonly status: number;
+  readonly seal: string | undefined;
+  readonly framing: Framing | undefined;
+  readonly body: Buffer;
+  /** Whether the caller takes the response for complete. */
+  readonly isWhole: boolean;
+  /** How the connection ended, if it did before the response was complete. */
+  readonly end: 'none' | 'closed' | 'reset' | 'left';
+  readonly at: number;
+}
+
+/** A request of a caller, from its first byte on. */
+export class RequestRecord {
+  readonly runs: Run[] = [];
+  seen: Seen | undefined;
+  /** Time of its first byte, and of its last. */
+  begunAt = 0;
+  sentAt = 0;
+  /** Number of the entry slot that it was sent to. */
+  slot = 0;
+  /** Time at which the caller closed its connection, or its sending half. */
+  leftAt: number | undefined;
+  /** Whether the answer before it announced the end of the connection. */
+  crossesClose = false;
+
+  /**
+   * @param id - its `Request-Id`
+   * @param kind - retry class
+   * @param caller - kind of caller
+   * @param framing - framing of its answer at the upstream
+   * @param bytes - length of the body of its answer; events of a stream
+   * @param isOld - whether it is sent in HTTP/1.0
+   */
+  constructor(
+    readonly id: string,
+    readonly kind: Kind,
+    readonly caller: string,
+    readonly framing: Framing,
+    readonly bytes: number,
+    readonly isOld: boolean,
+  ) {}
+
+  /** Path on its route. */
+  get path(): string {
+    return `${KINDS[this.kind].prefix}${this.id}?q=1`;
+  }
+
+  /** Body of the request. */
+  get content(): string {
+    return `load of ${this.id};`.repeat(3);
+  }
+
+  /** Whether its answers are event streams. */
+  get isStream(): boolean {
+    return KINDS[this.kind].isStream;
+  }
+
+  /** Whether it may run once at most. */
+  get isOnce(): boolean {
+    return KINDS[this.kind].isOnce;
+  }
+
+  /** Whether its caller reads slowly, or not at all for a time. */
+  get readsSlowly(): boolean {
+    return ['slow', 'slow_pipelines', 'stalled'].includes(this.caller);
+  }
+
+  /** Time that its caller waits, ms. */
+  get deadlineMs(): number {
+    return this.readsSlowly ? SLOW_DEADLINE_MS : CALLER_DEADLINE_MS;
+  }
+
+  /** Time at which its caller gives up. */
+  get deadlineAt(): number {
+    return this.sentAt + this.deadlineMs;
+  }
+
+  /** The request in the wire format. */
+  get bytesToSend(): string {
+    return (
+      `POST ${this.path} HTTP/1.${this.isOld ? 0 : 1}\r\nHost: vans.example\r\n` +
+      `Request-Id: ${this.id}\r\nAuthorization: Bearer k1\r\n` +
+      `Deadline-Ms: ${this.deadlineMs}\r\n` +
+      `Content-Length: ${this.content.length}\r\n\r\n${this.content}`
+    );
+  }
+}
+
+const NOISE_BYTES = 10 * 2 ** 20;
+let noise: Buffer | undefined;
+
+/**
+ * Returns the whole body of a run: its seal, then bytes that depend on it.
+ * @param seal - seal of the run
+ * @param length - length in bytes
+ */
+export function bodyOf(seal: string, length: number): Buffer {
+  noise ??= Buffer.from(
+    Array.from({length: NOISE_BYTES / 16}, (_, i) =>
+      `${(i * 2_654_435_761) % 1e15}`.padEnd(15, '.').concat('\n'),
+    ).join(''),
+  );
+  const mark = Buffer.from(`${seal}\n`);
+  const from =
+    16 * (mark.reduce((sum, byte) => (sum * 31 + byte) % 9_973, 7) % 4_096);
+  const rest = Math.max(0, length - mark.length);
+  return Buffer.concat([mark, noise.subarray(from, from + rest)]);
+}
+
+/**
+ * Returns an event of a run's stream.
+ * @param seal - seal of the run
+ * @param number - id of the event
+ */
+export const eventOf = (seal: string, number: number) =>
+  `id: ${number}\ndata: ${seal} ${number}\n\n`;
+
+/** Weights of the kinds of one property. */
+export type Weights<T extends string> = Readonly<Partial<Record<T, number>>>;
+
+/**
+ * Draws a kind.
+ * @param chance - the seed's generator
+ * @param weights - weight of each kind
+ */
+export function draw<T extends string>(chance: Chance, weights: Weights<T>): T {
+  const kinds = Object.entries(weights) as [T, number][];
+  let at = chance.fraction() * kinds.reduce((sum, [, one]) => sum + one, 0);
+  for (const [kind, weight] of kinds) {
+    at -= weight;
+    if (at < 0) return kind;
+  }
+  return kinds[0]![0];
+}
--- /dev/null
+++ b/test/support/soak/soak_upstream.ts
@@ -0,0 +1,282 @@
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+
+import type {Chance} from '../../../src/core/index.js';
+import {requestIdOf} from '../direct_estate.js';
+import {bodyOf, draw, eventOf} from './records.js';
+import type {RequestRecord, Run} from './records.js';
+import type {Mix, RunEnding} from './mix.js';
+
+/** Longest work before an answer, ms. */
+const MAX_WORK_MS = 250;
+/** Longest pause between two pieces of an answer, ms. */
+const MAX_GAP_MS = 60;
+const MAX_PIECES = 6;
+/** Longest time until a late second answer, ms. */
+const MAX_LATENESS_MS = 120;
+
+/** What an upstream asks and tells the soak. */
+export interface UpstreamHost {
+  readonly mix: Mix;
+  readonly chance: Chance;
+  /** Whether runs end in the ways of the mix, or whole. */
+  readonly isFailing: boolean;
+  find(id: string): RequestRecord | undefined;
+  flag(rule: string, id: string, detail: string): void;
+}
+
+/** A connection to an upstream. */
+class UpstreamConnection {
+  private input = '';
+  private isBusy = false;
+  private run: Run | undefined;
+  /** Whether bytes that belong to no request were sent on this connection. */
+  private isStained = false;
+  /** Bytes that come before the next answer on this connection. */
+  private owed = '';
+
+  constructor(
+    private readonly name: string,
+    private readonly host: UpstreamHost,
+    private readonly socket: Socket,
+  ) {
+    socket.on('error', () => undefined);
+    socket.on('data', bytes => {
+      this.input += bytes.toString('latin1');
+      this.readRequest();
+    });
+    socket.on('close', () => this.end());
+  }
+
+  /** Records that the upstream itself ends the connection. */
+  breakOff(): void {
+    if (this.run !== undefined) this.run.isUnsound = true;
+    this.socket.resetAndDestroy();
+  }
+
+  private end(): void {
+    if (this.run !== undefined) this.run.endedAt ??= performance.now();
+    this.run = undefined;
+  }
+
+  private readRequest(): void {
+    if (this.isBusy) return;
+    const end = this.input.indexOf('\r\n\r\n');
+    if (end === -1) return;
+    const head = this.input.slice(0, end);
+    const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? '0');
+    if (this.input.length < end + 4 + length) return;
+    const body = this.input.slice(end + 4, end + 4 + length);
+    this.input = this.input.slice(end + 4 + length);
+    const id = requestIdOf(head);
+    const record = this.host.find(id);
+    if (record === undefined) {
+      this.host.flag('UNASKED', id, head.split('\r\n', 1)[0]!);
+      this.socket.resetAndDestroy();
+      return;
+    }
+    const line = `POST ${record.path} HTTP/1.1`;
+    if (!head.startsWith(line) || body !== record.content) {
+      this.host.flag('UNASKED', id, `${head.split('\r\n', 1)[0]!} ${body}`);
+    }
+    this.isBusy = true;
+    void this.answer(record, head);
+  }
+
+  private async answer(record: RequestRecord, head: string): Promise<void> {
+    const {chance, mix} = this.host;
+    const ending = this.host.isFailing ? draw(chance, mix.endings) : 'whole';
+    const last = Number(/last-event-id: (\d+)/i.exec(head)?.[1] ?? '0');
+    const run: Run = {
+      seal: `${record.id}.${this.name}.${record.runs.length}`,
+      upstream: this.name,
+      arrivedAt: performance.now(),
+      deadlineMs: Number(/deadline-ms: (\d+)/i.exec(head)?.[1] ?? '0'),
+      firstEvent: last + 1,
+      status: 0,
+      hasRun: ending !== 'refusal',
+      isUnsound:
+        this.isStained ||
+        ending === 'reset' ||
+        ending === 'closed' ||
+        (record.framing === 'close' && ending.startsWith('twice')),
+      endedAt: undefined,
+    };
+    record.runs.push(run);
+    this.run = run;
+    if (this.owed !== '') {
+      run.isUnsound = true;
+      this.isStained = true;
+      this.socket.write(this.owed, 'latin1');
+      this.owed = '';
+    }
+    await pause(chance.between(0, ending === 'refusal' ? 5 : MAX_WORK_MS));
+    if (this.socket.destroyed) return;
+    const isOver = await this.writeAnswer(record, run, ending);
+    run.endedAt ??= performance.now();
+    this.run = undefined;
+    this.isBusy = false;
+    if (!isOver) this.readRequest();
+  }
+
+  /** Returns whether the connection is over. */
+  private async writeAnswer(
+    record: RequestRecord,
+    run: Run,
+    ending: RunEnding,
+  ): Promise<boolean> {
+    const {chance} = this.host;
+    const failure = FAILURES[ending];
+    if (failure !== undefined) {
+      run.status = Number(failure.slice(0, 3));
+      this.socket.write(this.failureOf(record, run, failure));
+      return false;
+    }
+    run.status = 200;
+    const pieces = this.piecesOf(record, run);
+    // An orderly close amid a body without a length is its end, to any reader.
+    const isCut = ending === 'reset' || ending === 'closed';
+    const kept = isCut
+      ? pieces.slice(0, chance.between(0, pieces.length - 1))
+      : pieces;
+    for (const piece of kept) {
+      this.socket.write(piece);
+      if (pieces.length > 1) await pause(chance.between(0, MAX_GAP_MS));
+      if (this.socket.destroyed) return true;
+    }
+    if (isCut) {
+      const isOrderly = ending === 'closed' && record.framing !== 'close';
+      if (isOrderly) this.socket.end();
+      else this.socket.resetAndDestroy();
+      return true;
+    }
+    run.endedAt = performance.now();
+    const again = () => {
+      const second = {...run, seal: `${run.seal}x`};
+      return Buffer.concat(this.piecesOf(record, second));
+    };
+    this.isStained ||= ending === 'twice' || ending === 'twice_late';
+    if (ending === 'twice') this.socket.write(again());
+    if (ending === 'twice_late') {
+      await pause(chance.between(5, MAX_LATENESS_MS));
+      if (!this.socket.destroyed) this.socket.write(again());
+    }
+    if (record.framing === 'close') {
+      this.socket.end();
+      return true;
+    }
+    if (ending === 'twice_next') this.owed = again().toString('latin1');
+    return false;
+  }
+
+  private failureOf(record: RequestRecord, run: Run, status: string): string {
+    const body = `failed ${run.seal}`;
+    const refusal = run.hasRun ? '' : 'Not-Executed: 1\r\n';
+    return (
+      `HTTP/1.1 ${status}\r\nRequest-Id: ${record.id}\r\n${refusal}` +
+      `Response-Seal: ${run.seal}\r\n` +
+      `Content-Length: ${body.length}\r\n\r\n${body}`
+    );
+  }
+
+  /** Returns the answer in the pieces in which it is written. */
+  private piecesOf(record: RequestRecord, run: Run): Buffer[] {
+    const {chance} = this.host;
+    const {framing} = record;
+    const parts: Buffer[] = [];
+    if (record.isStream) {
+      for (let i = run.firstEvent; i <= record.bytes; i++) {
+        parts.push(Buffer.from(eventOf(run.seal, i)));
+      }
+    } else {
+      const body = bodyOf(run.seal, record.bytes);
+      const size = Math.ceil(body.length / chance.between(1, MAX_PIECES));
+      for (let i = 0; i < body.length; i += size) {
+        parts.push(body.subarray(i, i + size));
+      }
+    }
+    const total = parts.reduce((sum, part) => sum + part.length, 0);
+    const lines = {
+      length: `Content-Length: ${total}`,
+      chunks: 'Transfer-Encoding: chunked',
+      close: 'Connection: close',
+    };
+    const head = Buffer.from(
+      `HTTP/1.1 200 OK\r\nRequest-Id: ${record.id}\r\n` +
+        `Response-Seal: ${run.seal}\r\n${lines[framing]}\r\n\r\n`,
+    );
+    if (framing === 'chunks') {
+      return [head, ...parts.map(chunkOf), Buffer.from('0\r\n\r\n')];
+    }
+    const [first = Buffer.alloc(0), ...rest] = parts;
+    return [Buffer.concat([head, first]), ...rest];
+  }
+}
+
+const FAILURES: Readonly<Partial<Record<RunEnding, string>>> = {
+  error: '500 Failed',
+  busy: '503 Busy',
+  refusal: '503 Full',
+};
+
+const chunkOf = (part: Buffer) =>
+  Buffer.concat([
+    Buffer.from(`${part.length.toString(16)}\r\n`),
+    part,
+    Buffer.from('\r\n'),
+  ]);
+
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Upstream of the soak, which answers in the ways of its seed's mix. */
+export class SoakUpstream {
+  private readonly server: Server;
+  private readonly connections = new Map<Socket, UpstreamConnection>();
+  private isPaused = false;
+  /** Times at which it read nothing, from and to. */
+  readonly pauses: [number, number][] = [];
+
+  /**
+   * @param name - its id
+   * @param host - the soak
+   */
+  constructor(
+    readonly name: string,
+    host: UpstreamHost,
+  ) {
+    this.server = createServer(socket => {
+      this.connections.set(socket, new UpstreamConnection(name, host, socket));
+      if (this.isPaused) socket.pause();
+      socket.on('close', () => this.connections.delete(socket));
+    });
+  }
+
+  /** Starts listening and returns `host:port`. */
+  async listen(): Promise<string> {
+    this.server.listen(0, '127.0.0.1');
+    await once(this.server, 'listening');
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /**
+   * Reads nothing for a time.
+   * @param ms - the time
+   */
+  async pauseReading(ms: number): Promise<void> {
+    const span: [number, number] = [performance.now(), Infinity];
+    this.pauses.push(span);
+    this.isPaused = true;
+    for (const socket of this.connections.keys()) socket.pause();
+    await pause(ms);
+    this.isPaused = false;
+    for (const socket of this.connections.keys()) socket.resume();
+    span[1] = performance.now();
+  }
+
+  /** Resets its connections and stops listening. */
+  close(): void {
+    for (const connection of this.connections.values()) connection.breakOff();
+    this.server.close();
+  }
+}
