--- a/test/support/entry_process.ts
+++ b/test/support/entry_process.ts
@@ -28,6 +28,28 @@
   readonly internal: number;
 }
 
+/** Settings of an entry process that most tests leave alone. */
+export interface EntryOptions {
+  /** Bound of the retries: share of the requests. */
+  readonly retryRatio: number;
+  /** Bound of the retries: fixed part in a window. */
+  readonly retrySlack: number;
+  /** Bound of the retries: length of the window, seconds. */
+  readonly retryWindowS: number;
+  /** Heap limit, MB. */
+  readonly heapMb: number;
+}
+
+/** With a bound of the retries that no test reaches. */
+const DEFAULT_OPTIONS: EntryOptions = {
+  retryRatio: 1_000,
+  retrySlack: 1_000,
+  retryWindowS: 10,
+  heapMb: 128,
+};
+/** Last lines of the standard error that are kept, for a process that fails. */
+const KEPT_ERROR_LINES = 40;
+
 /** Returns ports that were free when they were checked. */
 export async function freePorts(): Promise<EntryPorts> {
   return {
@@ -38,23 +60,11 @@
   };
 }
 
-/** Bound of the estate's retries, as the settings file has it. */
-export interface RetrySettings {
-  readonly retryRatio: number;
-  readonly retryWindowS: number;
-  readonly retrySlack: number;
-}
-
-/** A bound that no test reaches. */
-const AMPLE_RETRIES: RetrySettings = {
-  retryRatio: 1_000,
-  retryWindowS: 10,
-  retrySlack: 1_000,
-};
-
 /** An entry of the users' platform as a process of its own. */
 export class EntryProcess {
   readonly lines: LogLine[] = [];
+  /** Last lines of the standard error. */
+  readonly errorLines: string[] = [];
   readonly child: ChildProcess;
   private readonly folder = mkdtempSync(join(tmpdir(), 'baobabspan-'));
 
@@ -63,14 +73,18 @@
    * @param store - `host:port` of the store
    * @param ports - its ports
    * @param graceS - time from SIGTERM to its end, seconds
-   * @param retries - bound of the estate's retries
+   * @param options - settings that differ from the defaults
    */
   constructor(
     store: string,
     readonly ports: EntryPorts,
     graceS = 5,
-    retries = AMPLE_RETRIES,
+    options: Partial<EntryOptions> = {},
   ) {
+    const {retryRatio, retrySlack, retryWindowS, heapMb} = {
+      ...DEFAULT_OPTIONS,
+      ...options,
+    };
     const boot = join(this.folder, 'boot.json');
     const settings = {
       vm: `front-${ports.callers}`,
@@ -81,7 +95,9 @@
       internalPorts: [ports.internal, ports.internal],
       operatorPort: ports.operators,
       store,
-      ...retries,
+      retryRatio,
+      retryWindowS,
+      retrySlack,
       graceS,
       configurationAppliesMs: 2_000,
       upstreamLeavesMs: 2_000,
@@ -89,12 +105,16 @@
     writeFileSync(boot, JSON.stringify(settings));
     this.child = spawn(
       process.execPath,
-      ['--max-old-space-size=128', MAIN, 'entry'],
+      [`--max-old-space-size=${heapMb}`, MAIN, 'entry'],
       {
         env: {...process.env, BAOBABSPAN_BOOT: boot},
-        stdio: ['ignore', 'pipe', 'inherit'],
+        stdio: ['ignore', 'pipe', 'pipe'],
       },
     );
+    createInterface({input: this.child.stderr!}).on('line', line => {
+      this.errorLines.push(line);
+      if (this.errorLines.length > KEPT_ERROR_LINES) this.errorLines.shift();
+    });
     createInterface({input: this.child.stdout!}).on('line', line => {
       this.lines.push(parseLogLine(line));
     });
