Send ended answers before the edge of the own form closes

A caller that had not read the rest of its answer lost it as the edge closed, after a stop or at the end of a drain; to a caller of HTTP/1.0 the part looked complete (LOST, MIXED).

Cause: Server.close destroys connections whose response was ended but not sent, as closeIdleConnections does.

The edge waits up to a second for open responses, cuts what is left with a reset where the connection delimits it, logs response_cut, and then closes. The drain of the entry already waited for 'close' of each call's response.

--- a/src/daemons/entry/http_edge.test.ts
+++ b/src/daemons/entry/http_edge.test.ts
@@ -610,6 +610,48 @@
     await expectStillServing();
   });
 
+  describe('as it closes beside a caller that does not read', () => {
+    /** Ends an answer that is larger than the buffers of the system. */
+    const connectSlowCaller = async (protocol: string) => {
+      answer = writer => {
+        writer.writeHead(200, {});
+        writer.writeBody(Buffer.alloc(LARGE_BYTES, '~'));
+        writer.end();
+      };
+      const client = connectCaller();
+      client.socket.pause();
+      const request = get('/services/depot/sheets/7');
+      client.socket.write(request.replace('HTTP/1.1', protocol));
+      await until(() => startedCalls.length === 1);
+      return client;
+    };
+    const LARGE_BYTES = 32 * 2 ** 20;
+
+    // Its connection was closed as idle (LOST).
+    it('sends an answer whole that is read in time', async () => {
+      const client = await connectSlowCaller('HTTP/1.1');
+      const closed = edge.close();
+      client.socket.resume();
+      await closed;
+      await until(() => client.isClosed);
+      expect(client.text.split('~').length - 1).toBe(LARGE_BYTES);
+      expect(client.text.endsWith('0\r\n\r\n')).toBe(true);
+    });
+
+    // The cut answer ended in order and looked complete (MIXED).
+    it('resets one that the connection delimits', async () => {
+      const client = await connectSlowCaller('HTTP/1.0');
+      await edge.close();
+      const err = await new Promise(resolve =>
+        client.socket.write('x', resolve),
+      );
+      expect(err).toBeInstanceOf(Error);
+      expect(await metrics.registry.metrics()).toContain(
+        'responses_cut_total{reason="shutdown"} 1',
+      );
+    });
+  });
+
   it('applies backpressure to a slow reader, then aborts', async () => {
     let writable = true;
     answer = writer => {
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -10,7 +10,7 @@
 import type {CallRequest} from '../../calls/index.js';
 import {MAX_BODY_BYTES} from '../../configuration/index.js';
 import {SECOND, callId, hostPort} from '../../core/index.js';
-import type {CallId} from '../../core/index.js';
+import type {CallId, Millis} from '../../core/index.js';
 import {ERRORS, Fault, asFault, describeError} from '../../errors/index.js';
 import type {CutResponse} from '../shared/caller_connection.js';
 import {CallerConnections} from '../shared/caller_connections.js';
@@ -31,6 +31,8 @@
   requestTimeout: 60 * SECOND,
   connectionsCheckingInterval: SECOND,
 };
+/** Time in which callers may read the rest of their answers as the edge closes. */
+const FLUSH_TIMEOUT: Millis = SECOND;
 const MAX_HEADER_BYTES = 32 * 2 ** 10;
 
 /** Number of open calls that the line of an unreadable message names. */
@@ -105,11 +107,12 @@
     return hostPort(host, (this.server.address() as AddressInfo).port);
   }
 
-  /** Closes the listener and the remaining connections. */
+  /** Sends what is left of ended answers for a short time, then closes. */
   async close(): Promise<void> {
+    await this.connections.flush(FLUSH_TIMEOUT);
+    this.connections.cutOpen();
     const closed = new Promise(done => this.server.close(done));
-    this.server.closeIdleConnections();
-    setTimeout(() => this.server.closeAllConnections(), SECOND).unref();
+    this.server.closeAllConnections();
     await closed;
   }
 
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -2,11 +2,15 @@
 import type {Duplex} from 'node:stream';
 import type {Socket} from 'node:net';
 
+import type {Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
 import {Fault} from '../../errors/index.js';
 import {CallerConnection} from './caller_connection.js';
 import type {CutResponse} from './caller_connection.js';
 import {unreadableReason} from './unreadable_message.js';
 
+const CHECK_INTERVAL: Millis = SECOND / 20;
+
 /** What a server for callers does on behalf of its connections. */
 export interface CallerEvents {
   /** Returns a complete response that closes its connection. */
@@ -70,6 +74,17 @@
       connection.closeIfIdle();
   }
 
+  /**
+   * Waits until all responses were sent.
+   * @param timeout - maximum time to wait
+   */
+  async flush(timeout: Millis): Promise<void> {
+    for (let waited = 0; waited < timeout; waited += CHECK_INTERVAL) {
+      if (this.openResponses === 0) return;
+      await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL));
+    }
+  }
+
   /** Cuts the responses that were not sent completely, as the process ends. */
   cutOpen(): void {
     for (const connection of [...this.connections.values()])
