Pass a pipelined request on once the responses before it were sent

Cause: pipelined requests were passed on at once. When an answer before theirs closed the connection (no length, an abort, a drain), their answers had nowhere to go.

Fix, in both forms: a request waits until the responses before its own were sent. If the connection ends with one of them it is not passed on, which its caller may conclude from the close. One whose deadline has passed by its turn is rejected.

The test of the own form that waited for three pipelined calls to start at once now asks for one after the other, and that none starts once the caller has left.

Cost: pipelined requests no longer run at the same time.

--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -92,15 +92,17 @@
     const {containment} = this;
     const onClose = containment.wrap(() => this.onCallerClosed());
     res.on('close', onClose);
-    const remaining = this.deadlineAt - context.clock.now();
     const onDeadline = containment.wrap(() => this.onDeadline());
-    this.timer = setTimeout(onDeadline, Math.max(0, remaining));
+    this.timer = setTimeout(onDeadline, this.deadlineAt - context.clock.now());
     context.retries.recordRequest(arrivedAt, request.service);
   }
 
   /** Starts to serve the request; its end may come at once. */
   start(): void {
-    this.containment.run(() => this.requestUpstream());
+    const isExpired = this.context.clock.now() >= this.deadlineAt;
+    this.containment.run(() =>
+      isExpired ? this.onDeadline() : this.requestUpstream(),
+    );
   }
 
   /** Refuses the request if its prompt was quarantined before it began to run. */
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -189,6 +189,13 @@
       return;
     }
     const {value} = body;
+    if (!(await this.connections.turnOf(req, res))) {
+      const {id} = this.dialect.readRequest(headers);
+      this.log.recordRejected(id, 'caller_gone', arrivedAt, {
+        detail: 'the connection ended with an earlier response',
+      });
+      return;
+    }
     this.serve({req, res, headers, body: value, arrivedAt});
   }
 }
--- a/src/daemons/entry/http_edge.test.ts
+++ b/src/daemons/entry/http_edge.test.ts
@@ -437,13 +437,20 @@
     },
   );
 
-  it('ends pipelined calls whose caller disconnects', async () => {
-    answer = writer => writer.writeHead(200, {});
+  it('starts pipelined calls in turn, and none whose caller has left', async () => {
+    answer = writer => {
+      writer.writeHead(200, {});
+      if (startedCalls.length < 3) setTimeout(() => writer.end(), 50);
+    };
     const client = connectCaller();
-    client.socket.write(get('/services/depot/sheets/7').repeat(3));
+    client.socket.write(get('/services/depot/sheets/7').repeat(4));
+    await until(() => startedCalls.length === 2);
+    expect(endedCalls).toBe(1);
     await until(() => startedCalls.length === 3);
     client.socket.destroy();
     await until(() => endedCalls === 3);
+    await new Promise(resolve => setTimeout(resolve, 100));
+    expect(startedCalls).toHaveLength(3);
   });
 
   // The cut answer ended in order and looked complete (MIXED).
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -213,6 +213,8 @@
     const organisation = identified.value;
     const body = await readBody(req, MAX_BODY_BYTES);
     if (body.isErr()) return err(body.error);
+    if (!(await this.connections.turnOf(req, res)))
+      return err(new Fault('caller_gone'));
     const resolved = resolveRequest(req, body.value, inForce);
     if (resolved.isErr()) return err(resolved.error);
     if (body.value.length > resolved.value.service.limits.body) {
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -31,6 +31,11 @@
 /** A connection of a caller, with the responses that are open on it. */
 export class CallerConnection {
   private readonly responses = new Set<ServerResponse>();
+  /** Requests that wait for the responses before theirs. */
+  private readonly waiting = new Map<
+    ServerResponse,
+    (isTurn: boolean) => void
+  >();
   private latest: IncomingMessage | undefined;
   /** Bytes read at the end of the latest request; undefined before it. */
   private bytesAtRequestEnd: number | undefined;
@@ -78,6 +83,19 @@
     return true;
   }
 
+  /**
+   * Waits until the responses before one were sent. A request that was passed on
+   * earlier would be lost if one of them closes the connection.
+   * @param res - the response
+   * @returns whether it can be sent
+   */
+  async turnOf(res: ServerResponse): Promise<boolean> {
+    const [first] = this.responses;
+    if (first === res) return true;
+    if (!this.responses.has(res)) return false;
+    return new Promise(resolve => this.waiting.set(res, resolve));
+  }
+
   /**
    * Handles a message that is unreadable.
    * @param fault - why it is unreadable
@@ -121,6 +139,7 @@
     this.isLingering = true;
     const {socket} = this;
     socket.end(bytes);
+    this.closeWaiting();
     socket.setTimeout(LINGER_IDLE_TIMEOUT);
     const timer = setTimeout(() => socket.destroy(), MAX_LINGER_TIME).unref();
     socket.once('close', () => clearTimeout(timer));
@@ -166,7 +185,7 @@
   /** Closes responses behind the first; Node closes none that waits for its turn. */
   private closeWaiting(): void {
     for (const res of this.responses) {
-      if (res.socket !== null) continue;
+      if (res.socket !== null || res.writableFinished) continue;
       res.destroy();
       res.emit('close');
     }
@@ -184,6 +203,14 @@
 
   private remove(res: ServerResponse): void {
     if (!this.responses.delete(res)) return;
-    if (this.responses.size === 0 && this.isClosing) this.end();
+    this.resolveTurn(res, false);
+    const [next] = this.responses;
+    if (next !== undefined) this.resolveTurn(next, true);
+    else if (this.isClosing) this.end();
+  }
+
+  private resolveTurn(res: ServerResponse, isTurn: boolean): void {
+    this.waiting.get(res)?.(isTurn);
+    this.waiting.delete(res);
   }
 }
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -68,6 +68,16 @@
     return this.connections.get(req.socket)?.accept(req, res) === true;
   }
 
+  /**
+   * Waits until a response is the first on its connection.
+   * @param req - its request, which was accepted
+   * @param res - the response
+   * @returns whether it can be sent; false if the connection ends before
+   */
+  async turnOf(req: IncomingMessage, res: ServerResponse): Promise<boolean> {
+    return (await this.connections.get(req.socket)?.turnOf(res)) === true;
+  }
+
   /** Closes connections without a request or an unsent response. */
   closeIdle(): void {
     for (const connection of this.connections.values())
--- a/test/caller_connections.test.ts
+++ b/test/caller_connections.test.ts
@@ -240,6 +240,42 @@
   });
 });
 
+// Pipelined requests ran at upstreams, and their answers were lost behind one that closed
+// the connection (LOST).
+describe('a request behind a response', () => {
+  const received = () =>
+    estate.upstreams.flatMap(one => one.received.map(requestIdOf));
+
+  it.each<[string, Script, number]>([
+    ['closes the connection', slowly(300, 'close'), 200],
+    [
+      'breaks off',
+      ({head, socket}) => {
+        socket.write(sealedAnswer(head, BODY).slice(0, -9));
+        setTimeout(() => socket.resetAndDestroy(), 300);
+      },
+      200,
+    ],
+  ])('that %s does not run', async (_name, script, status) => {
+    const caller = await connectCaller(script);
+    caller.send(get('/load/1', 'r1'), get('/load/2', 'r2'));
+    await caller.closed;
+    expect(caller.statuses).toEqual([status]);
+    expect(received()).toEqual(['r1']);
+  });
+
+  it('runs once its caller has the response, and not after its deadline', async () => {
+    const caller = await connectCaller(later(600));
+    const late = get('/load/2', 'r2').replace('11000', '500');
+    caller.send(get('/load/1', 'r1'), late, get('/load/3', 'r3'));
+    await pause(300);
+    expect(received()).toEqual(['r1']);
+    await expect.poll(() => caller.statuses, {timeout: 5_000}).toHaveLength(3);
+    expect(caller.statuses).toEqual([200, 503, 200]);
+    expect(received()).toEqual(['r1', 'r3']);
+  });
+});
+
 describe('a message that is unreadable by itself', () => {
   it.each([
     ['bad_request', 400, NO_REQUEST],
