Find the end of a body with an odd transfer coding as that of one without a length

Cause: a response with any Transfer-Encoding counted as one in chunks. If its last coding is not 'chunked', its connection delimits the body, so neither a reset nor another response within it was noticed.

Evidence: eight cases of repeated_answers.test.ts ('An answer with the transfer coding'), failed before, pass now.

--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -28,6 +28,8 @@
 const MAX_HEAD_BYTES = 16 * 2 ** 10;
 /** Statuses of responses that never have a body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+/** Transfer codings that delimit a body; after others its connection does. */
+const CHUNKED_LAST = /(?:^|,)[ \t]*chunked[ \t]*$/i;
 /** Interim responses before the final one; more would never end. */
 const MAX_INTERIM_RESPONSES = 16;
 
@@ -301,7 +303,7 @@
   {headers, statusCode = 0}: IncomingMessage,
   method: string,
 ): BodyFraming {
-  if (headers['transfer-encoding'] !== undefined) return 'chunks';
+  if (CHUNKED_LAST.test(headers['transfer-encoding'] ?? '')) return 'chunks';
   if (headers['content-length'] !== undefined) return 'length';
   const hasBody = method !== 'HEAD' && !BODILESS_STATUSES.has(statusCode);
   return hasBody ? 'close' : 'none';
--- a/test/repeated_answers.test.ts
+++ b/test/repeated_answers.test.ts
@@ -267,6 +267,35 @@
   });
 });
 
+// Only a last coding `chunked` delimits a body.
+describe.each(['identity', 'gzip', 'chunked, gzip', ''])(
+  "An answer with the transfer coding '%s'",
+  coding => {
+    const body = textOf(800);
+    const codedHead = (id: string) =>
+      openHead(id, '200 OK', `Transfer-Encoding: ${coding}\r\n`);
+
+    it('that its upstream repeats reaches its caller once', async () => {
+      await withUpstreams(one => {
+        const id = requestIdOf(one.head);
+        void writeParts(one, [codedHead(id) + body, identical(id, body)], 40);
+      });
+      expect(await call('/load/1')).toMatchObject({
+        ...{status: 200, isWhole: true},
+        body,
+      });
+    });
+
+    it('is not complete if its connection is reset', async () => {
+      await withUpstreams(({head, socket}) => {
+        const part = codedHead(requestIdOf(head)) + body;
+        socket.write(part, () => socket.resetAndDestroy());
+      });
+      expect(await call('/load/1')).toMatchObject({status: 502});
+    });
+  },
+);
+
 describe('An answer without a length whose repeat', () => {
   const body = textOf(800);
 
