--- a/test/endless_bytes.test.ts
+++ b/test/endless_bytes.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {readFileSync} from 'node:fs';
-import {createServer} from 'node:net';
+import {connect, createServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
 
 import fc from 'fast-check';
@@ -263,6 +263,28 @@
     }
     await expect.poll(() => estate.bufferedBytes, {timeout: 500}).toBe(0);
   });
+
+  it.each<[string, (head: string) => string]>([
+    ['a whole response', head => sealedAnswer(head, FILLER)],
+    ['a response without an end', part],
+  ])('is returned after %s behind another one', async (_name, answer) => {
+    const upstream = await estate.addUpstream(({head, socket}) => {
+      if (head.includes('/load/2')) socket.write(answer(head));
+    });
+    estate.configure(3, ROUTES);
+    await estate.waitUntilReady();
+    const [host, port] = estate.callersAddress.split(':');
+    const caller = connect(Number(port), host);
+    const requestOf = (number: number) =>
+      `GET /load/${number} HTTP/1.1\r\nHost: vans.example\r\n` +
+      `Request-Id: r${number}\r\nAuthorization: Bearer k1\r\n\r\n`;
+    caller.write(requestOf(1) + requestOf(2));
+    await expect.poll(() => estate.bufferedBytes).toBeGreaterThan(0);
+    caller.destroy();
+    await expect.poll(() => estate.bufferedBytes, {timeout: 500}).toBe(0);
+    const open = () => upstream.openConnections;
+    await expect.poll(open, {timeout: 500}).toBe(0);
+  });
 });
 
 // The store and the engines may hand out endless bytes like any upstream.
