Answer pipelined requests before a drain closes their connection

The connection now closes after the last response that is open on it.

A response also counted as sent when its connection broke: Node emits 'finish' for what a broken connection drops.

--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -1,3 +1,5 @@
+import type {ServerResponse} from 'node:http';
+
 import type {Clock, Millis} from '../../core/index.js';
 import type {
   ResponseMetadata,
@@ -60,8 +62,8 @@
   /** Bytes that the buffered responses may hold together. */
   readonly buffers: BufferBudget;
 
-  /** Returns whether callers' connections close after their response. */
-  isDraining(): boolean;
+  /** Returns whether the connection of a response closes after it. */
+  closesAfter(res: ServerResponse): boolean;
 
   /** Returns the connection pool for requests of a route. */
   connectionsFor(route: Route): UpstreamConnections;
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -189,8 +189,8 @@
     await Promise.resolve();
   }
 
-  isDraining(): boolean {
-    return this.shutdown.isDraining;
+  closesAfter(res: ServerResponse): boolean {
+    return this.front.closesAfter(res);
   }
 
   connectionsFor({repeat}: Route): UpstreamConnections {
@@ -288,7 +288,7 @@
 
   private serve({req, res, headers, body, arrivedAt}: BufferedRequest): void {
     const reply = new ResponseWriter(res, this.dialect, () =>
-      this.isDraining(),
+      this.closesAfter(res),
     );
     const metadata = this.dialect.readRequest(headers);
     const now = this.clock.now();
@@ -366,7 +366,7 @@
   }
 
   private notReady(): string | undefined {
-    return this.isDraining() ? 'draining' : this.estate.notReadyReason;
+    return this.shutdown.isDraining ? 'draining' : this.estate.notReadyReason;
   }
 
   private status(): object {
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -68,7 +68,7 @@
   ) {
     const {metadata, arrivedAt, route} = request;
     this.response = new ResponseWriter(res, context.dialect, () =>
-      context.isDraining(),
+      context.closesAfter(res),
     );
     this.deadlineAt = deadlineOf(request);
     this.delivery = new StreamDelivery(metadata.resumedAfter, arrivedAt);
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -119,7 +119,7 @@
     await once(this.server, 'listening');
   }
 
-  /** Closes connections after their next response. */
+  /** Closes connections after the responses that are open on them. */
   closeAfterResponses(): void {
     this.isClosing = true;
   }
@@ -134,6 +134,15 @@
     this.connections.cutOpen();
   }
 
+  /**
+   * Returns whether the connection of a response closes after it, since this
+   * process stops. Requests that were read behind it are answered before.
+   * @param res - the response
+   */
+  closesAfter(res: ServerResponse): boolean {
+    return this.isClosing && this.connections.isLast(res);
+  }
+
   private idOf(req: IncomingMessage): RequestId | undefined {
     return this.dialect.readRequest(headerPairs(req.rawHeaders)).id;
   }
@@ -163,7 +172,9 @@
     res.on('error', err => {
       this.logger.debug('answer_not_taken', {err: err.message});
     });
-    const reply = new ResponseWriter(res, this.dialect, () => this.isClosing);
+    const reply = new ResponseWriter(res, this.dialect, () =>
+      this.closesAfter(res),
+    );
     const headers = headerPairs(req.rawHeaders);
     const reject = (fault: Fault) => {
       const {reason, detail} = fault;
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -78,7 +78,12 @@
     this.latest = req;
     this.responses.add(res);
     req.once('end', () => (this.bytesAtRequestEnd = this.socket.bytesRead));
-    res.once('finish', () => this.remove(res));
+    res.once('finish', () => {
+      // Node also emits it for what a broken connection drops.
+      const {destroyed, errored} = this.socket;
+      if (destroyed || errored !== null) this.recordCut('caller_gone');
+      else this.remove(res);
+    });
     res.once('close', () => this.remove(res));
     return true;
   }
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -68,6 +68,14 @@
     return this.connections.get(req.socket)?.accept(req, res) === true;
   }
 
+  /**
+   * Returns whether no accepted request follows on the connection of a response.
+   * @param res - the response
+   */
+  isLast(res: ServerResponse): boolean {
+    return this.connections.get(res.req.socket)?.open.at(-1) === res;
+  }
+
   /**
    * Waits until a response is the first on its connection.
    * @param req - its request, which was accepted
--- a/test/caller_connections.test.ts
+++ b/test/caller_connections.test.ts
@@ -264,6 +264,17 @@
     expect(received()).toEqual(['r1']);
   });
 
+  it('is answered before its connection closes if the entry drains', async () => {
+    const caller = await connectCaller(later(400));
+    caller.send(...['r1', 'r2', 'r3'].map(id => get('/load/1', id)));
+    await expect.poll(received).toEqual(['r1']);
+    const drained = estate.drain();
+    await caller.closed;
+    expect(caller.statuses).toEqual([200, 200, 200]);
+    expect(caller.text.match(/connection: close/gi)).toHaveLength(1);
+    await drained;
+  });
+
   it('runs once its caller has the response, and not after its deadline', async () => {
     const caller = await connectCaller(later(600));
     const late = get('/load/2', 'r2').replace('11000', '500');
