Bound the memory of all buffered responses of an entry together

Cause: sampled process.memoryUsage and the buffers every 20 ms over the 300 requests. Up to 200 responses are open at once, and each buffers up to 1 MiB: 69 and 78 MB were buffered at the peak, array buffers came to 119 and 155 MB with the copies of Buffer.concat and uncollected chunks, the heap was steady at 55 to 65 MB, and the write queues of the sockets held less than 0.5 MB. Nothing bounded the buffers of all requests together.

A body counts until its caller has received it or has left, so that callers that read slowly and failed responses that are kept are bounded too.

The new tests of the budget's return fail without the release when the response closes.

--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -12,6 +12,7 @@
 import type {Containment} from '../../observability/index.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import type {DispatchState} from './dispatch_request.js';
+import type {BufferBudget} from './buffer_budget.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {QuarantineKeeper} from './quarantine_keeper.js';
 import type {RequestLog} from './request_log.js';
@@ -51,6 +52,8 @@
   readonly quarantine: QuarantineKeeper;
   readonly log: RequestLog;
   readonly containment: Containment;
+  /** Bytes that the buffered responses may hold together. */
+  readonly buffers: BufferBudget;
 
   /** Returns whether callers' connections close after their response. */
   isDraining(): boolean;
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -20,6 +20,7 @@
 import {Containment} from '../../observability/index.js';
 import type {Fields, Logger, Metrics} from '../../observability/index.js';
 import {OperatorServer} from '../shared/operator_server.js';
+import {BufferBudget} from './buffer_budget.js';
 import type {DirectContext} from './context.js';
 import {Dispatcher} from './dispatcher.js';
 import type {DirectParts, DirectSettings} from './estate.js';
@@ -47,6 +48,7 @@
   readonly quarantine: QuarantineKeeper;
   readonly log: RequestLog;
   readonly containment: Containment;
+  readonly buffers = new BufferBudget();
   private readonly peers: PeerChannel;
   private readonly limits: LimitKeeper;
   private readonly estate: EstateTracker;
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -72,9 +72,12 @@
     );
     this.deadlineAt = deadlineOf(request);
     this.delivery = new StreamDelivery(metadata.resumedAfter, arrivedAt);
-    const isStream = route.repeat === 'stream';
-    const {response, delivery} = this;
-    this.forwarder = new ResponseForwarder(response, delivery, isStream);
+    this.forwarder = new ResponseForwarder(
+      this.response,
+      this.delivery,
+      route.repeat === 'stream',
+      context.buffers,
+    );
     this.submittedAt = arrivedAt;
     this.containment = new RequestContainment(
       context.containment,
--- a/src/daemons/direct/response_forwarder.ts
+++ b/src/daemons/direct/response_forwarder.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '../../core/index.js';
 import type {DeliverableEvents, StreamDelivery} from '../../direct/index.js';
 import type {ResponseHead} from './attempt.js';
+import type {BufferBudget} from './buffer_budget.js';
 import {ResponseBuffer} from './response_buffer.js';
 import type {ResponseWriter} from './response_writer.js';
 
@@ -14,7 +15,7 @@
 /** Forwards the responses of a request's upstreams to its caller. */
 export class ResponseForwarder {
   private currentHead: ResponseHead | undefined;
-  private body = new ResponseBuffer();
+  private readonly body: ResponseBuffer;
   private isEvents = false;
   private isStreaming = false;
 
@@ -22,12 +23,20 @@
    * @param writer - writes the response to the caller
    * @param delivery - events that the caller has received
    * @param isStream - whether successes are event streams
+   * @param budget - bytes that all buffered responses may hold
    */
   constructor(
     private readonly writer: ResponseWriter,
     private readonly delivery: StreamDelivery,
     private readonly isStream: boolean,
-  ) {}
+    budget: BufferBudget,
+  ) {
+    this.body = new ResponseBuffer(budget);
+    writer.onClose(() => {
+      this.body.clear();
+      this.body.release();
+    });
+  }
 
   /** Head of the current response; undefined until it has come. */
   get head(): ResponseHead | undefined {
@@ -48,7 +57,7 @@
   startRun(): void {
     this.currentHead = undefined;
     this.isEvents = false;
-    this.body = new ResponseBuffer();
+    this.body.clear();
     this.delivery.startRun();
   }
 
@@ -110,8 +119,14 @@
   }
 
   private write(bytes: Buffer, source: ResponseSource | undefined): void {
-    if (this.writer.write(bytes)) return;
+    if (this.writer.write(bytes)) {
+      this.body.release();
+      return;
+    }
     source?.pause();
-    this.writer.onDrain(() => source?.resume());
+    this.writer.onDrain(() => {
+      this.body.release();
+      source?.resume();
+    });
   }
 }
--- a/src/daemons/direct/response_writer.ts
+++ b/src/daemons/direct/response_writer.ts
@@ -83,6 +83,15 @@
     this.res.once('drain', listener);
   }
 
+  /**
+   * Registers a listener for the end of the response: it was sent completely, or
+   * its connection closed.
+   * @param listener - called once
+   */
+  onClose(listener: () => void): void {
+    this.res.once('close', listener);
+  }
+
   /**
    * Ends a complete response.
    * @throws {Error} if no head was sent
--- a/test/endless_bytes.test.ts
+++ b/test/endless_bytes.test.ts
@@ -232,6 +232,39 @@
   );
 });
 
+describe('the buffer budget', () => {
+  const part = (head: string) =>
+    openAnswer(head, `Content-Length: 9000\r\n\r\n${'x'.repeat(4_000)}`);
+
+  it.each<[string, Script]>([
+    [
+      'a whole response',
+      ({head, socket}) => socket.write(sealedAnswer(head, FILLER)),
+    ],
+    ['a response without an end', ({head, socket}) => socket.write(part(head))],
+    ['a truncated response', ({head, socket}) => socket.end(part(head))],
+    [
+      'a failed response',
+      ({head, socket}) =>
+        socket.write(sealedAnswer(head, FILLER, '500 Failed')),
+    ],
+  ])('is returned after %s', async (_name, script) => {
+    await estate.addUpstream(script);
+    await estate.addUpstream(script);
+    estate.configure(3, ROUTES);
+    await estate.waitUntilReady();
+    for (const [path, method] of [
+      ['/load/1', 'POST'],
+      ['/sheet/1', 'GET'],
+    ] as const) {
+      await estate
+        .call(path, {'Deadline-Ms': '300'}, method)
+        .catch(() => undefined);
+    }
+    await expect.poll(() => estate.bufferedBytes, {timeout: 500}).toBe(0);
+  });
+});
+
 // The store and the engines may hand out endless bytes like any upstream.
 describe('an endless answer of', () => {
   async function endlessServer(head: string): Promise<string> {
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -396,6 +396,12 @@
     });
   }
 
+  /** Bytes of responses that the entries buffer. */
+  get bufferedBytes(): number {
+    const used = this.entries.map(({daemon}) => daemon.buffers.usedBytes);
+    return used.reduce((sum, bytes) => sum + bytes, 0);
+  }
+
   /** `host:port` of the store. */
   get addressOfStore(): string {
     return this.storeAddress;
