Poll a recovering log within the organisation's limit in its test

Cause: the test. After the outage it repeated its request without a pause until the log was available again: 541 to 1,019 requests a second for 0.3 to 1.2 s in 12 measured runs, where the organisation has 500 a second at both entries together. The entry reads the log again after a backoff of up to 2 s; when that takes longer, the burst of one second is used up and the limiter refuses, as it should. No tokens are lost by the outage: the bucket counts the test's own requests.

Fix: `until`, which pauses 20 ms between requests (at most 50 a second). What is asserted stays the same: any reason but log_unavailable ends the loop and has to match the golden file.

--- a/test/calls.test.ts
+++ b/test/calls.test.ts
@@ -67,10 +67,12 @@
     const known = await estate.postLoading('b2', keyHeader('k2'));
     const issued = await estate.postLoading('b3-plain');
     await estate.setFaults({down: false});
-    let after = await estate.postLoading('b3', keyHeader('k3'));
-    while (after.reason === 'log_unavailable') {
+    let after = rejected;
+    // The pauses of `until` keep within the organisation's requests per second.
+    await until(async () => {
       after = await estate.postLoading('b3', keyHeader('k3'));
-    }
+      return after.reason !== 'log_unavailable';
+    });
     await expectGolden('log_outage', [
       ['the log is down; POST /loadings b3, key k3', rejected],
       ['a repeat of k2, whose claim is known', known],
