Freeze a replaced daemon only once its estate counts it

Cause: the test. The case before it marks the sidecar as leaving in the VM list and replaces it; this one freezes the replacement at once. The case passed when the VM list, polled once a second, was read before the other daemons had the new version, and failed when it was not.

Fix: the test freezes the sidecar once the entry that `publish` asks no longer lists it as leaving. What is asserted stays the same.

--- a/test/control_processes.test.ts
+++ b/test/control_processes.test.ts
@@ -30,6 +30,13 @@
     return code;
   }
 
+  /** Returns what an entry knows of a daemon. */
+  async function memberAt(entry: Daemon, {vm}: Daemon) {
+    const status = await estate.status(entry);
+    const members = status['members'] as {vm: string; leaving: boolean}[];
+    return members.find(known => known.vm === vm.vm);
+  }
+
   /** Returns arguments that publish the example with a unique comment. */
   async function publication(base: number): Promise<string[]> {
     const file = join(folder, `${base}.yaml`);
@@ -108,7 +115,6 @@
 
   it('notifies every entry of a leaving VM, also without the VM list', async () => {
     const leaving = estate.sidecar(SECOND, MODEL);
-    const {vm} = leaving.vm;
     estate.proxies.get(THIRD)?.cut();
     const listed = estate.daemons.map(({vm}) =>
       vm === leaving.vm ? {...vm, state: 'leaving'} : vm,
@@ -117,9 +123,8 @@
     await request(`${estate.platformUrl}/vms`, {method: 'PUT', body});
     for (const zone of ZONES) {
       await until(async () => {
-        const status = await estate.status(estate.entry(zone));
-        const members = status['members'] as {vm: string; leaving: boolean}[];
-        return members.some(known => known.vm === vm && known.leaving);
+        const known = await memberAt(estate.entry(zone), leaving);
+        return known?.leaving === true;
       });
     }
     estate.proxies.get(THIRD)?.heal();
@@ -130,6 +135,11 @@
   it('fails while a daemon lags, and can be retried', async () => {
     const frozen = estate.sidecar(SECOND, MODEL);
     const entry = estate.entry(FIRST);
+    // A member that is listed as leaving is not waited for.
+    await until(async () => {
+      const known = await memberAt(entry, frozen);
+      return known?.leaving === false;
+    });
     frozen.process.child.kill('SIGSTOP');
     const args = [
       ...(await publication(version)),
