Don't take a rank's second response for that of the next order or report

Seen: a rank that answers a call twice, the second time late on the kept connection, had the second response taken for that of the next call. A refused order counted as accepted, and a report from before an arming as one from after it.

Cause: the calls shared kept connections and echo no id. undici closes a connection on which something arrives while it is idle, not one on which a call is open. Most decisions use reports; three use an outcome: a rank counts as fenced, a release as done, and a refusal cancels. Clean-up also relies on what the report after an order does not say.

A second response at once was dropped before as well.

Why it works: orders have connections of their own. On one that has carried a call, the outcome counts only if the report after it on the same connection is a report: if an earlier response was taken for the order's, the order's own one comes next. A report equal to the one before byte for byte is read again; a second response repeats it. A report of an earlier pass, epoch or start on one connection closes it. A hold sent directly has no report after it and goes over a new connection.

Not covered: two second responses in a row, one that repeats a report older than the last, within one pass, and a poll that is one report late within one pass (it shows no fact that was not true in the same switch).

A dropped connection is logged and counted. An order that finds all four connections to a rank in use is unanswered; it waited before.

--- a/src/clients/rank_client.ts
+++ b/src/clients/rank_client.ts
@@ -1,5 +1,6 @@
 import type {ResultAsync} from 'neverthrow';
 
+import type {Millis} from '../core/index.js';
 import type {
   CutoverOrder,
   OrderOutcome,
@@ -15,6 +16,13 @@
   readonly counts: readonly number[];
 }
 
+/** Outcome of an order, and what the rank reports after it. */
+export interface OrderEffect {
+  readonly outcome: OrderOutcome;
+  /** Undefined if the rank did not report. */
+  readonly report: RankReport | undefined;
+}
+
 /** Client of the engine of one rank of a lock-step group. */
 export abstract class RankClient {
   /** Reads the engine's report; undefined if it is in no group. */
@@ -37,4 +45,19 @@
     token: number,
     epoch: number,
   ): Promise<OrderOutcome>;
+
+  /**
+   * Sends an order and reads the report that shows its effect. An outcome that
+   * may belong to an earlier call is `unanswered`.
+   * @param order - the order
+   * @param token - fencing token of the sender
+   * @param epoch - epoch of the group that the order is meant for
+   * @param lag - time until reports show the effect
+   */
+  abstract sendOrderAndReport(
+    order: CutoverOrder,
+    token: number,
+    epoch: number,
+    lag: Millis,
+  ): Promise<OrderEffect>;
 }
--- a/src/daemons/direct/estate.ts
+++ b/src/daemons/direct/estate.ts
@@ -86,8 +86,13 @@
   /**
    * Creates a client of a rank's engine.
    * @param address - `host:port` of the engine
+   * @param onDropped - called when a connection is dropped since its responses
+   * are out of step with its calls
    */
-  abstract createRankClient(address: string): RankClient;
+  abstract createRankClient(
+    address: string,
+    onDropped?: (reason: string) => void,
+  ): RankClient;
 }
 
 /** Dependencies of a process of the direct deployment. */
--- a/src/daemons/direct/local_rank.ts
+++ b/src/daemons/direct/local_rank.ts
@@ -160,6 +160,14 @@
     return report;
   }
 
+  /**
+   * Records a report that was read after an order.
+   * @param report - the report
+   */
+  recordOrderReport(report: RankReport): void {
+    this.recordReport(this.clock.now(), report);
+  }
+
   /** Registers the rank again with its next report: the store lost records. */
   forgetRegistration(): void {
     this.registration = undefined;
--- a/src/daemons/direct/map_sidecar.ts
+++ b/src/daemons/direct/map_sidecar.ts
@@ -56,7 +56,18 @@
       (from, message) => this.task.post({type: 'link', from, message}),
       link => this.task.post({type: 'opened', link}),
     );
-    const engine = estate.createRankClient(address);
+    const droppedConnections = metrics.counter(
+      'baobabspan_rank_connections_dropped_total',
+      'Connections to ranks dropped for unexpected responses, by reason',
+      ['reason'],
+    );
+    const createRankClient = (rank: string) =>
+      estate.createRankClient(rank, reason => {
+        droppedConnections.inc({reason});
+        const {logger} = context;
+        logger.warn('rank_connection_dropped', {address: rank, reason});
+      });
+    const engine = createRankClient(address);
     this.task = new MapTask(context, {
       reader: new RankReader(
         engine,
@@ -66,7 +77,7 @@
       registry: new RankRegistry(estate.store, estate.topics.ranks),
       links: this.links,
       self: {sidecar: hostPort(ip, this.port), engine: address, pace: 1},
-      engineAt: at => estate.createRankClient(at),
+      engineAt: createRankClient,
     });
     this.registrations = new KeyedFollower(
       estate.store,
--- a/src/daemons/direct/map_task.test.ts
+++ b/src/daemons/direct/map_task.test.ts
@@ -43,6 +43,11 @@
   async sendOrder(_order: CutoverOrder) {
     return 'accepted' as const;
   }
+
+  async sendOrderAndReport(order: CutoverOrder) {
+    const outcome = await this.sendOrder(order);
+    return {outcome, report: (await this.report())._unsafeUnwrap()};
+  }
 }
 
 let task: MapTask | undefined;
--- a/src/daemons/direct/rank_follower.test.ts
+++ b/src/daemons/direct/rank_follower.test.ts
@@ -36,6 +36,11 @@
     if (order.kind === 'prepare') this.maps.push(order.experts);
     return 'accepted' as const;
   }
+
+  async sendOrderAndReport(order: CutoverOrder) {
+    const outcome = await this.sendOrder(order);
+    return {outcome, report: (await this.report())._unsafeUnwrap()};
+  }
 }
 
 const lists = (seed: number): number[][][] =>
@@ -51,6 +56,7 @@
       lastReport: testReport(1),
       expectLoad: () => undefined,
       readReport: async () => testReport(1),
+      recordOrderReport: () => undefined,
     } as unknown as LocalRank;
     const link = {
       send: (message: CutoverMessage) => acks.push(message) > 0,
--- a/src/daemons/direct/rank_follower.ts
+++ b/src/daemons/direct/rank_follower.ts
@@ -1,11 +1,10 @@
-import type {RankClient} from '../../clients/index.js';
+import type {OrderEffect, RankClient} from '../../clients/index.js';
 import type {Millis} from '../../core/index.js';
 import {applyListChanges, countCopies} from '../../expert_groups/index.js';
 import type {
   CutoverMessage,
   CutoverOrder,
   MapPatch,
-  OrderOutcome,
   SuccessionTimer,
 } from '../../expert_groups/index.js';
 import type {Link} from '../../links/index.js';
@@ -94,11 +93,13 @@
     if (message.type === 'cutover_look') {
       this.localRank.expectLoad(now, message);
     }
-    const outcome: OrderOutcome =
+    const {outcome, report} =
       message.type === 'cutover_look'
-        ? message.outcome
+        ? {
+            outcome: message.outcome,
+            report: await this.localRank.readReport(),
+          }
         : await this.applyOrder(now, message);
-    const report = await this.localRank.readReport();
     from.send({
       type: 'cutover_ack',
       group,
@@ -107,24 +108,37 @@
       epoch,
       order: order.kind === 'prepare' ? {...order, experts: []} : order,
       outcome,
-      report,
+      report: report ?? null,
     });
   }
 
   /** Sends an order to the engine, unless its map is unknown. */
-  private async applyOrder(now: Millis, message: Order): Promise<OrderOutcome> {
+  private async applyOrder(now: Millis, message: Order): Promise<OrderEffect> {
     const {order, patch, token, epoch, rank} = message;
-    if (order.kind !== 'prepare')
-      return this.engine.sendOrder(order, token, epoch);
+    if (order.kind !== 'prepare') return this.send(order, token, epoch);
     const {map} = order;
     const experts = patch ? this.applyPatch(map, patch) : order.experts;
-    if (experts === undefined) return 'not_given';
+    if (experts === undefined) {
+      const report = (await this.localRank.readReport()) ?? undefined;
+      return {outcome: 'not_given', report};
+    }
     const before = this.lastPrepared ?? this.initialMap();
     const copies = before ? countCopies(before.experts, experts, rank) : 0;
     this.localRank.expectLoad(now, message, copies * this.copyTime());
     this.lastPrepared = {map, experts};
     const whole: CutoverOrder = {kind: 'prepare', map, experts};
-    return this.engine.sendOrder(whole, token, epoch);
+    return this.send(whole, token, epoch);
+  }
+
+  private async send(
+    order: CutoverOrder,
+    token: number,
+    epoch: number,
+  ): Promise<OrderEffect> {
+    const effect = await this.engine.sendOrderAndReport(order, token, epoch, 0);
+    if (effect.report !== undefined)
+      this.localRank.recordOrderReport(effect.report);
+    return effect;
   }
 
   /**
--- a/src/daemons/direct/rank_transport.test.ts
+++ b/src/daemons/direct/rank_transport.test.ts
@@ -42,6 +42,17 @@
     this.orders.push(order.kind);
     return 'accepted' as const;
   }
+
+  async sendOrderAndReport(
+    order: IssuedOrder['order'],
+    _token: number,
+    _epoch: number,
+    lag: number,
+  ) {
+    const outcome = await this.sendOrder(order);
+    if (lag > 0) await new Promise(resolve => setTimeout(resolve, lag));
+    return {outcome, report: (await this.report())._unsafeUnwrap()};
+  }
 }
 
 describe('RankReach', () => {
--- a/src/daemons/direct/rank_transport.ts
+++ b/src/daemons/direct/rank_transport.ts
@@ -268,10 +268,13 @@
     lag: Millis = 0,
   ): Promise<void> {
     const {order, token, epoch} = issued;
-    const outcome = await engine.sendOrder(order, token, epoch);
-    if (lag > 0) await new Promise(resolve => setTimeout(resolve, lag));
-    const read = await engine.report();
-    this.events.answered(issued, outcome, read.isOk() ? read.value : undefined);
+    const {outcome, report} = await engine.sendOrderAndReport(
+      order,
+      token,
+      epoch,
+      lag,
+    );
+    this.events.answered(issued, outcome, report);
   }
 
   private engineOf({engine}: RankRecord): RankClient {
--- a/src/expert_groups/cutover/rank_reports.ts
+++ b/src/expert_groups/cutover/rank_reports.ts
@@ -27,7 +27,7 @@
    */
   update(now: Millis, report: RankReport): boolean {
     const before = this.latest.get(report.rank)?.report;
-    if (before !== undefined && isOlder(report, before)) return false;
+    if (before !== undefined && isOlderReport(report, before)) return false;
     if (before?.epoch !== report.epoch) this.windowStart = undefined;
     this.latest.set(report.rank, {report, receivedAt: now});
     this.updatePassTime(now, report.step);
@@ -101,8 +101,12 @@
   }
 }
 
-/** Returns whether a report precedes another one of the same rank. */
-function isOlder(report: RankReport, other: RankReport): boolean {
+/**
+ * Returns whether a report precedes another one of the same rank.
+ * @param report - the report
+ * @param other - the other one
+ */
+export function isOlderReport(report: RankReport, other: RankReport): boolean {
   if (report.bornAt !== other.bornAt) return report.bornAt < other.bornAt;
   if (report.epoch !== other.epoch) return report.epoch < other.epoch;
   return report.step < other.step;
