Don't number a claim by the position of an earlier append

Seen: with a store that answers an append twice, the second time when the next append on the connection waits, half of 8 claims had the number of an earlier one.

Cause: nothing in the response of an append names the append.

Why it works: a claim is appended after the listing of the topic, so its position is not before the end that the listing names; that of an earlier append is. Such a claim fails and is tried again as one without a response. A second response of an append between the listing and the claim is not covered; a sidecar appends its registration alone beside it.

--- a/src/daemons/direct/rank_registry.test.ts
+++ b/src/daemons/direct/rank_registry.test.ts
@@ -1,3 +1,7 @@
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {PlatformStore} from '../../../platform/store_client.js';
@@ -53,3 +57,36 @@
     },
   );
 });
+
+it('numbers two claims alike when the store answers an append twice, late', async () => {
+  let end = 0;
+  const repeats = new Map<Socket, string>();
+  const server = createServer((req, res) => {
+    const isAppend = req.url!.startsWith('/api/log-append');
+    const own = isAppend ? {Offset: end++, End: end} : {Items: [], End: end};
+    const text = JSON.stringify(own);
+    const repeat = isAppend ? repeats.get(req.socket) : undefined;
+    if (isAppend)
+      repeats.set(
+        req.socket,
+        `HTTP/1.1 200 OK\r\ncontent-length: ${text.length}\r\n\r\n${text}`,
+      );
+    if (repeat !== undefined) req.socket.write(repeat);
+    setTimeout(() => res.end(text), repeat === undefined ? 0 : 20);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const store = new PlatformStore(`127.0.0.1:${port}`);
+  const registry = new RankRegistry(store, 'ranks');
+  const numbers: number[] = [];
+  for (let i = 0; i < 8; i++) {
+    const claimed = await registry.claim(GROUP, record(1), 0);
+    if (claimed.isOk()) numbers.push(claimed.value.claim);
+    await new Promise(resolve => setTimeout(resolve, 30));
+  }
+  server.closeAllConnections();
+  server.close();
+  expect(numbers.length).toBeGreaterThan(0);
+  expect(new Set(numbers).size).toBe(numbers.length);
+});
--- a/src/daemons/direct/rank_registry.ts
+++ b/src/daemons/direct/rank_registry.ts
@@ -3,9 +3,9 @@
 import {z} from 'zod';
 
 import type {KeyedStore} from '../../clients/index.js';
-import {isHostPort} from '../../core/index.js';
+import {comparePositions, isHostPort} from '../../core/index.js';
 import type {LogPosition} from '../../core/index.js';
-import type {Fault} from '../../errors/index.js';
+import {Fault} from '../../errors/index.js';
 
 const rankRecord = z.object({
   /** Link address of the sidecar beside the rank. */
@@ -77,7 +77,12 @@
     }
     const value = Buffer.from(JSON.stringify(record));
     const put = await this.store.put(this.topic, key, value);
-    return put.map(position => ({isOwn: true, claim: claimAt(position)}));
+    return put.andThen(position => {
+      // The response of an earlier append, which the store sent a second time.
+      if (comparePositions(position, listing.value.startedAt) < 0)
+        return err(new Fault('store_unavailable', 'a claim in the past'));
+      return ok({isOwn: true, claim: claimAt(position)});
+    });
   }
 
   /**
