--- a/standins/lockstep_rank_server.ts
+++ b/standins/lockstep_rank_server.ts
@@ -5,6 +5,8 @@
 import {LockstepEngine} from './lockstep_engine.js';
 
 const COPY_MS = 120;
+/** Of as many responses, one is sent again for each delay. */
+const REPEAT_EVERY = 7;
 const STATUS: Readonly<Record<OrderOutcome, number>> = {
   accepted: 200,
   refused: 409,
@@ -77,6 +79,9 @@
   readonly engine = new LockstepEngine(COPY_MS);
   /** Operations whose orders are applied but get no response. */
   readonly unansweredOperations = new Set<string>();
+  /** Delay, ms, after which some responses are sent again; none when empty. */
+  repeatDelays: readonly number[] = [];
+  private responses = 0;
   private readonly counts: number[];
 
   /**
@@ -102,11 +107,11 @@
   ): Promise<void> {
     switch (req.url) {
       case '/api/report':
-        return sendJson(res, this.report());
+        return this.reply(res, this.report());
       case '/api/picked':
-        return sendJson(res, {epoch: 1, Counts: this.counts});
+        return this.reply(res, {epoch: 1, Counts: this.counts});
       case '/api/picked?Lists=1':
-        return sendJson(res, {
+        return this.reply(res, {
           Map: {Version: this.engine.map, Experts: this.ownExperts()},
         });
       case '/api/order': {
@@ -118,13 +123,24 @@
           order.Fence,
         );
         if (this.unansweredOperations.has(order.Operation)) return;
-        return sendJson(res, {}, STATUS[outcome]);
+        return this.reply(res, {}, STATUS[outcome]);
       }
       default:
         res.writeHead(404).end();
     }
   }
 
+  private reply(res: ServerResponse, value: object, status = 200): void {
+    const {socket} = res;
+    sendJson(res, value, status);
+    this.responses += 1;
+    const delay = this.repeatDelays[this.responses % REPEAT_EVERY];
+    if (delay === undefined || socket === null) return;
+    const text = JSON.stringify(value);
+    const repeat = `HTTP/1.1 ${status} Status\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
+    setTimeout(() => socket.writable && socket.write(repeat), delay);
+  }
+
   private report(): object {
     const {engine, group, rank} = this;
     const isCopied = Date.now() >= engine.preparedAt;
--- a/test/map_sidecars.test.ts
+++ b/test/map_sidecars.test.ts
@@ -147,6 +147,15 @@
     expect(took).toBeLessThan(REBALANCE_TIMEOUT);
   }, 30_000);
 
+  it('believe late second responses of their ranks', async () => {
+    for (const server of ranks.servers) server.repeatDelays = [1, 4, 12, 40];
+    for (let change = 0; change < 4; change++) {
+      ranks.popularity = countsFavouring(change % 3, 3 + ((change + 1) % 3));
+      await waitUntil(() => skew() < BALANCED_SKEW, 15_000);
+    }
+    expect(ranks.mixedPasses).toBe(0);
+  }, 70_000);
+
   it('register again when the store has lost their records', async () => {
     await waitUntil(() => ranks.changedAt.size > 1, 12_000);
     store.restore(beforeStart);
