Tell requests behind a broken answer from lost ones in the soak

The trace names the request before each: its upstream had broken off its answer (isUnsound), and an entry can only close the connection then.

--- a/test/support/soak/records.ts
+++ b/test/support/soak/records.ts
@@ -51,6 +51,8 @@
   leftAt: number | undefined;
   /** Whether the answer before it announced the end of the connection. */
   crossesClose = false;
+  /** The request before it whose answer broke off with the connection. */
+  behindBroken: RequestRecord | undefined;
 
   /**
    * @param id - its `Request-Id`
