Log why a process ends, and that its memory nears a limit

Whoever looked for the cause of an ended process (FAULT) found nothing: the users' logs and ours have no line for an end, and an end at the heap limit or by SIGKILL leaves none at all.

Cause: SIGTERM ended with 'stopped' at most, a failed start with 'start_failed' without memory and uptime, and both could be dropped by the rate limit or a blocked output right before process.exit. Nothing compared memory with its limits.

ProcessEnd writes one last line (process_ended: reason, code, uptime, open requests, memory) past the rate limit and waits 200 ms at most for the output to take it. MemoryWatch sets gauges and logs memory_high when 70, 80 or 90 percent of the heap limit or of the VM's memory are passed, each at most once in 10 s.

--- a/src/observability/bounded_writer.test.ts
+++ b/src/observability/bounded_writer.test.ts
@@ -59,3 +59,34 @@
     expect(sink.writableLength).toBeLessThan(200);
   });
 });
+
+describe('the last line of BoundedWriter', () => {
+  // The reason of an end was dropped beyond the rate, or while the output was blocked.
+  it('is written beyond the rate, after the number of dropped lines', async () => {
+    const sink = new Sink();
+    const writer = new BoundedWriter(sink, new FakeClock());
+    for (let i = 0; i < 1_002; i++) writer.write('x');
+    await writer.writeLast('last');
+    expect(sink.text).toMatch(/event=log_lines_dropped n=2\nlast\n$/);
+  });
+
+  it('waits for the output, though not for long', async () => {
+    const sink = new Sink({highWaterMark: 64});
+    sink.isStuck = true;
+    const writer = new BoundedWriter(sink, new FakeClock());
+    writer.write('x'.repeat(100));
+    let isDone = false;
+    const last = writer.writeLast('last').then(() => (isDone = true));
+    await new Promise(resolve => setTimeout(resolve, 20));
+    expect(isDone).toBe(false);
+    await last;
+  });
+
+  it('does not wait for an output that nothing reads', async () => {
+    const sink = new Sink();
+    const writer = new BoundedWriter(sink, new FakeClock());
+    sink.emit('error', new Error('EPIPE'));
+    await writer.writeLast('last');
+    expect(sink.text).toBe('');
+  });
+});
--- a/src/observability/bounded_writer.ts
+++ b/src/observability/bounded_writer.ts
@@ -7,6 +7,8 @@
 const LINES_PER_SECOND = 200;
 /** Lines that a process may write in a burst. */
 const BURST_LINES = 1_000;
+/** Time that the last line of a process may take to leave it. */
+const FLUSH_TIMEOUT: Millis = 200;
 
 /**
  * Rate-limited line writer (token bucket) that never blocks. It drops lines
@@ -48,10 +50,31 @@
       return;
     }
     this.tokens -= 1;
-    if (this.dropped > 0) {
-      this.out.write(`level=warn event=log_lines_dropped n=${this.dropped}\n`);
-      this.dropped = 0;
-    }
+    this.reportDropped();
     this.out.write(`${line}\n`);
   }
+
+  /**
+   * Writes the last line of the process, which is never dropped.
+   * @param line - the line without a line break
+   * @returns a promise that resolves once the output has taken the line, after
+   * the flush timeout at the latest
+   */
+  async writeLast(line: string): Promise<void> {
+    if (this.isClosed) return;
+    this.reportDropped();
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, FLUSH_TIMEOUT);
+      this.out.write(`${line}\n`, () => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
+  private reportDropped(): void {
+    if (this.dropped === 0) return;
+    this.out.write(`level=warn event=log_lines_dropped n=${this.dropped}\n`);
+    this.dropped = 0;
+  }
 }
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -4,3 +4,5 @@
 export * from './containment.js';
 export * from './logger.js';
 export * from './metrics.js';
+export * from './process_end.js';
+export * from './process_memory.js';
