Catch a reload sooner after the start of a process

A process that was sent SIGHUP in its first 0.1 s ended by the signal (FAULT): until the first line of the program runs, the signal has its default action.

Cause: the first file was an ES module, whose loader Node sets up first. main.cts is a CommonJS module that sets the handler and then imports the program as before.

No test measures this time, as it depends on the load of the machine.

--- a/test/support/entry_process.ts
+++ b/test/support/entry_process.ts
@@ -14,7 +14,7 @@
 
 /** The program, as `npm run build` leaves it. */
 export const MAIN = fileURLToPath(
-  new URL('../../dist/platform/main.js', import.meta.url),
+  new URL('../../dist/platform/main.cjs', import.meta.url),
 );
 const HOST = '127.0.0.1';
 /** Bit of signal 1 in a signal mask of the kernel. */
