Drain once, and end the process when the drain fails

A second SIGTERM began another drain: an entry accepted requests for another 2.5 s, which could not finish before its end. An exception of one request amid the cut left the others without their responses, and the process running until SIGKILL. A process that still waited for its port kept the other ones for 3.5 s, and SIGINT ended it without a drain.

Cause: each SIGTERM called drain(), which set the time of its start anew; a rejected drain was an unhandled rejection, which the last resort contains. Nothing told whether the balancer could know the process.

Shutdown contains each of its steps and drains once. A process whose start has not ended, and that has no open request, stops at once.

--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -61,6 +61,8 @@
   private readonly logger: Logger;
   private readonly openExchanges = new Set<Exchange>();
   private timer: NodeJS.Timeout | undefined;
+  /** Whether the start has ended, so that the balancer may route here. */
+  private isServing = false;
 
   /**
    * @param settings - the settings of this process
@@ -124,7 +126,7 @@
       this.containment,
       request => this.serve(request),
     );
-    this.shutdown = new Shutdown(this.front, clock, logger);
+    this.shutdown = new Shutdown(this.front, clock, logger, this.containment);
     const operatorView = {
       metrics,
       notReadyReason: () => this.notReady(),
@@ -154,6 +156,7 @@
   async start(): Promise<void> {
     this.estate.start();
     await bindEntryPorts(this.settings, this, this.containment, this.logger);
+    this.isServing = true;
     this.retries.startServing(this.clock.now());
     this.timer = setInterval(
       () =>
@@ -166,7 +169,9 @@
 
   /** Finishes accepted requests, then stops; ends within the grace period. */
   async drain(): Promise<void> {
-    await this.shutdown.drain(this.settings.grace, this.openExchanges);
+    if (this.isServing || this.front.openRequests > 0) {
+      await this.shutdown.drain(this.settings.grace, this.openExchanges);
+    }
     await this.stop();
   }
 
--- a/src/daemons/direct/index.ts
+++ b/src/daemons/direct/index.ts
@@ -3,3 +3,4 @@
 export {Estate} from './estate.js';
 export type {DirectParts, DirectSettings} from './estate.js';
 export {MapSidecar} from './map_sidecar.js';
+export {Termination} from './termination.js';
--- /dev/null
+++ b/src/daemons/direct/shutdown.test.ts
@@ -0,0 +1,81 @@
+import {expect, it} from 'vitest';
+
+import {
+  Containment,
+  Metrics,
+  ProcessEnd,
+  SILENT_LOGGER,
+  SystemClock,
+} from '../../observability/index.js';
+import type {FrontServer} from './front_server.js';
+import {Shutdown} from './shutdown.js';
+import {Termination} from './termination.js';
+
+/** Shorter than the time that a shutdown keeps before the end of the process. */
+const NO_GRACE = 100;
+
+class FakeFront {
+  openRequests = 2;
+  readonly calls: string[] = [];
+
+  closeAfterResponses(): void {
+    this.calls.push('closeAfterResponses');
+  }
+
+  closeIdle(): void {
+    this.calls.push('closeIdle');
+  }
+
+  cutOpen(): void {
+    this.calls.push('cutOpen');
+  }
+}
+
+// An exception of one request kept the others from their responses, and the process
+// from its end.
+it('answers the other requests when one cannot be shut down', async () => {
+  const front = new FakeFront();
+  const shutdown = new Shutdown(
+    front as unknown as FrontServer,
+    new SystemClock(),
+    SILENT_LOGGER,
+    new Containment(SILENT_LOGGER, new Metrics()),
+  );
+  let answered = 0;
+  const fails = {
+    shutDown: () => {
+      throw new Error('boom');
+    },
+  };
+  const ends = {shutDown: () => (answered += 1)};
+  await shutdown.drain(NO_GRACE, new Set([fails, ends]));
+  expect(answered).toBe(1);
+  expect(front.calls.at(-1)).toBe('cutOpen');
+});
+
+// A drain that failed left the process running until it was killed.
+it('ends the process when its drain fails, and drains it once', async () => {
+  const ends: string[] = [];
+  const ending = new ProcessEnd({
+    clock: new SystemClock(),
+    writeLast: line => {
+      ends.push(/reason=(\S+)/.exec(line)?.[1] ?? '');
+      return Promise.resolve();
+    },
+    openRequests: () => 0,
+    exit: code => ends.push(`exit ${code}`),
+  });
+  const termination = new Termination(ending, SILENT_LOGGER);
+  let drains = 0;
+  const daemon = {
+    drain: () => {
+      drains += 1;
+      return Promise.reject(new Error('boom'));
+    },
+  };
+  const first = termination.onSignal('SIGTERM', daemon);
+  await termination.onSignal('SIGTERM', daemon);
+  await first;
+  expect(drains).toBe(1);
+  expect(ends).toEqual(['drain_failed', 'exit 1']);
+});
--- a/src/daemons/direct/shutdown.ts
+++ b/src/daemons/direct/shutdown.ts
@@ -1,6 +1,6 @@
 import type {Clock, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
-import type {Logger} from '../../observability/index.js';
+import type {Containment, Logger} from '../../observability/index.js';
 import type {FrontServer} from './front_server.js';
 
 /** Time between the end of the process and the time at which it is killed. */
@@ -31,16 +31,19 @@
  */
 export class Shutdown {
   private startedAt: Millis | undefined;
+  private draining: Promise<void> | undefined;
 
   /**
    * @param front - server for callers
    * @param clock - the clock
    * @param logger - logs the start, and requests that are cut
+   * @param containment - contains the exceptions of each step to that step
    */
   constructor(
     private readonly front: FrontServer,
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly containment: Containment,
   ) {}
 
   /** Whether the shutdown has started. */
@@ -61,19 +64,29 @@
 
   /**
    * Finishes the accepted requests and sends their responses; ends within the
-   * grace period.
+   * grace period of the first call.
    * @param grace - time until the process is killed
    * @param open - the accepted requests that have not ended
    */
-  async drain(grace: Millis, open: ReadonlySet<OpenRequest>): Promise<void> {
+  drain(grace: Millis, open: ReadonlySet<OpenRequest>): Promise<void> {
+    this.draining ??= this.run(grace, open);
+    return this.draining;
+  }
+
+  private async run(
+    grace: Millis,
+    open: ReadonlySet<OpenRequest>,
+  ): Promise<void> {
     const startedAt = this.clock.now();
     this.startedAt = startedAt;
     this.logger.info('draining', {open: this.front.openRequests});
-    this.front.closeAfterResponses();
+    this.contain(() => this.front.closeAfterResponses());
     const end = startedAt + grace - SHUTDOWN_MARGIN;
     for (;;) {
       const now = this.clock.now();
-      if (now - startedAt >= UNLISTING_TIME) this.front.closeIdle();
+      if (now - startedAt >= UNLISTING_TIME) {
+        this.contain(() => this.front.closeIdle());
+      }
       const isDrained =
         this.front.openRequests === 0 && now - startedAt >= MIN_DRAIN_TIME;
       if (isDrained) return;
@@ -81,8 +94,12 @@
       await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL));
     }
     this.logger.warn('cutting', {open: open.size});
-    for (const request of [...open]) request.shutDown();
+    for (const request of [...open]) this.contain(() => request.shutDown());
     await new Promise(resolve => setTimeout(resolve, FLUSH_TIME));
-    this.front.cutOpen();
+    this.contain(() => this.front.cutOpen());
+  }
+
+  private contain(step: () => void): void {
+    this.containment.run('process', {during: 'drain'}, step);
   }
 }
