Answer pipelined requests whose head the entry had not read on

What callers saw: a request that was sent whole got no answer, and the one before it said that the connection closes. The entry stops reading a connection whose answers are not read; where that fell amid a head, the time for heads ran on and the head counted as late (refused, request_timeout).

A head now times out only if its connection was read all the while; otherwise it is looked at again 2 s later. A head that never ends still times out (test 'times out if the rest of its head never comes', which passes before and after).

--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -36,13 +36,15 @@
     ServerResponse,
     (isTurn: boolean) => void
   >();
-  private latest: IncomingMessage | undefined;
+  private latestRequest: IncomingMessage | undefined;
   /** Bytes read at the end of the latest request; undefined before it. */
   private bytesAtRequestEnd: number | undefined;
   /** Whether no further request is served. */
   private isClosing = false;
   private isLingering = false;
   private isCut = false;
+  /** Whether the connection was not read for a time since `takePaused`. */
+  private wasPaused = false;
 
   /**
    * @param socket - the connection
@@ -57,6 +59,22 @@
     // Before Node's own listener, which sends a FIN: no reset can follow it.
     socket.prependListener('end', () => this.onCallerLeft());
     socket.once('close', () => this.onClosed());
+    socket.on('pause', () => (this.wasPaused = true));
+  }
+
+  /** The request whose head was read last. */
+  get latest(): IncomingMessage | undefined {
+    return this.latestRequest;
+  }
+
+  /**
+   * Returns whether this process did not read the connection for a time since the
+   * last call, as it does while its answers are not read.
+   */
+  takePaused(): boolean {
+    const {wasPaused} = this;
+    this.wasPaused = this.socket.isPaused();
+    return wasPaused || this.wasPaused;
   }
 
   /** The responses that were not sent completely, in order. */
@@ -75,7 +93,7 @@
       req.resume();
       return false;
     }
-    this.latest = req;
+    this.latestRequest = req;
     this.responses.add(res);
     req.once('end', () => (this.bytesAtRequestEnd = this.socket.bytesRead));
     res.once('finish', () => {
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -10,6 +10,8 @@
 import {unreadableReason} from './unreadable_message.js';
 
 const CHECK_INTERVAL: Millis = SECOND / 20;
+/** Time for the rest of a head that came late since this process did not read. */
+const LATE_HEAD_TIME: Millis = 2 * SECOND;
 
 /** What a server for callers does on behalf of its connections. */
 export interface CallerEvents {
@@ -120,9 +122,25 @@
   private onError(err: NodeJS.ErrnoException, socket: Duplex): void {
     const reason = unreadableReason(err.code);
     if (reason === undefined) socket.destroy();
+    else if (reason === 'request_timeout')
+      this.onLateHead(new Fault(reason, err.code), socket);
     else this.onUnreadable(new Fault(reason, err.code), socket);
   }
 
+  /** Times out a head, unless its rest may wait in a connection that was not read. */
+  private onLateHead(fault: Fault, socket: Duplex): void {
+    const connection = this.connections.get(socket);
+    if (connection?.takePaused() !== true) {
+      this.onUnreadable(fault, socket);
+      return;
+    }
+    const {latest} = connection;
+    const timer = setTimeout(() => {
+      if (connection.latest === latest) this.onLateHead(fault, socket);
+    }, LATE_HEAD_TIME).unref();
+    socket.once('close', () => clearTimeout(timer));
+  }
+
   private onUnreadable(fault: Fault, socket: Duplex): void {
     const connection = this.connections.get(socket);
     if (connection === undefined) return;
