Log requests behind a response that a shutdown cuts as cut by it

Nobody can answer the one behind it, as no answer can overtake another; but its line said caller_gone, which points operators to callers.

--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -49,6 +49,7 @@
   private limits = DEFAULT_LIMITS;
   private readonly connections: CallerConnections;
   private isClosing = false;
+  private isEnding = false;
 
   /**
    * @param clock - the clock
@@ -129,6 +130,11 @@
     this.connections.closeIdle();
   }
 
+  /** Marks that what has no response yet gets none, as the process ends. */
+  markEnding(): void {
+    this.isEnding = true;
+  }
+
   /** Cuts the responses that were not sent completely. */
   cutOpen(): void {
     this.connections.cutOpen();
@@ -202,7 +208,8 @@
     const {value} = body;
     if (!(await this.connections.turnOf(req, res))) {
       const {id} = this.dialect.readRequest(headers);
-      this.log.recordRejected(id, 'caller_gone', arrivedAt, {
+      const reason = this.isEnding ? 'draining' : 'caller_gone';
+      this.log.recordRejected(id, reason, arrivedAt, {
         detail: 'the connection ended with an earlier response',
       });
       return;
--- a/src/daemons/direct/shutdown.ts
+++ b/src/daemons/direct/shutdown.ts
@@ -81,6 +81,7 @@
       await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL));
     }
     this.logger.warn('cutting', {open: open.size});
+    this.front.markEnding();
     for (const request of [...open]) request.shutDown();
     await new Promise(resolve => setTimeout(resolve, FLUSH_TIME));
     this.front.cutOpen();
--- a/test/drained_pipelines.test.ts
+++ b/test/drained_pipelines.test.ts
@@ -84,6 +84,19 @@
     ]);
   }, 30_000);
 
+  // Nobody can answer it then; its line said that its caller had left.
+  it('is logged as cut by the shutdown if it is still read slowly at its end', async () => {
+    await sendPipelined();
+    await entry.end('SIGTERM');
+    expect(await readAll()).not.toMatch(/Request-Id: behind/);
+    expect(linesOf('large')).toEqual([
+      expect.objectContaining({event: 'request', outcome: 'shut_down'}),
+    ]);
+    expect(linesOf('behind')).toEqual([
+      expect.objectContaining({event: 'refused', reason: 'draining'}),
+    ]);
+  }, 30_000);
+
   // Its rest lay in the connection, which the entry did not read: it got no answer.
   it('is answered though the entry stopped reading amid its head', async () => {
     await sendPipelined();
