--- a/src/daemons/direct/shutdown.test.ts
+++ b/src/daemons/direct/shutdown.test.ts
@@ -26,6 +26,10 @@
     this.calls.push('closeIdle');
   }
 
+  markEnding(): void {
+    this.calls.push('markEnding');
+  }
+
   cutOpen(): void {
     this.calls.push('cutOpen');
   }
--- a/src/daemons/direct/shutdown.ts
+++ b/src/daemons/direct/shutdown.ts
@@ -94,6 +94,7 @@
       await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL));
     }
     this.logger.warn('cutting', {open: open.size});
+    this.contain(() => this.front.markEnding());
     for (const request of [...open]) this.contain(() => request.shutDown());
     await new Promise(resolve => setTimeout(resolve, FLUSH_TIME));
     this.contain(() => this.front.cutOpen());
