Log each attempt's number, charge and time left

Callers saw retries beyond what is allowed (BUDGET), which is three rules: repeats in a window, upstreams of one request, time handed on. The log told none of them apart for one request: no line had an attempt's number, what it was charged to or the time left that its upstream was handed.

Attempts after the first have a line (attempt_repeated); the lines of failed attempts and of requests have further fields; a counter sums attempts by charge. The counts move from the exchange into AttemptSequence unchanged.

--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -86,6 +86,8 @@
 
 /** Callbacks of an attempt; none follows `onEnd` or `onFailure`. */
 export interface AttemptListener {
+  /** Called when the connection is there; the request is written to it. */
+  onConnect(): void;
   /** Called with the response head. */
   onHead(head: ResponseHead, metadata: ResponseMetadata): void;
   /** Called with each chunk of the body, unless paused. */
@@ -198,6 +200,7 @@
   private onConnect(): void {
     this.isConnected = true;
     clearTimeout(this.connectTimer);
+    if (!this.isFinished) this.listener.onConnect();
   }
 
   private onResponse(res: IncomingMessage): void {
--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -13,6 +13,7 @@
 import type {Containment} from '../../observability/index.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import type {ReceivedBody} from './attempt.js';
+import type {AttemptSequence, BegunAttempt} from './attempt_sequence.js';
 import type {DispatchState} from './dispatch_request.js';
 import type {BufferBudget} from './buffer_budget.js';
 import type {Dispatcher} from './dispatcher.js';
@@ -30,15 +31,12 @@
   /** State of the dispatcher if it rejected the request. */
   readonly rejectedIn: DispatchState | undefined;
   readonly upstream: string | undefined;
-  /** Number of upstreams that the request was sent to. */
-  readonly sends: number;
   readonly firstByteAt: Millis | undefined;
-  /** Time that it spent in the queue. */
-  readonly queueTime: Millis;
   /** Number of stream events delivered to the caller. */
   readonly deliveredEvents: number;
   /** Body of the latest attempt's response, if one began. */
   readonly body: ReceivedBody | undefined;
+  readonly attempts: AttemptSequence;
 }
 
 /** An attempt that has failed. */
@@ -48,6 +46,7 @@
   readonly failure: AttemptFailure;
   /** Body of its response, if one began. */
   readonly body?: ReceivedBody | undefined;
+  readonly latest?: BegunAttempt | undefined;
 }
 
 /** State and services that the requests of an entry share. */
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -21,6 +21,7 @@
 import type {AdmittedRequest} from './admitted_request.js';
 import {AttemptAccount} from './attempt_account.js';
 import {Attempt, attemptRequest} from './attempt.js';
+import {AttemptSequence} from './attempt_sequence.js';
 import type {ResponseHead, WholeResponse} from './attempt.js';
 import type {DirectContext} from './context.js';
 import type {DispatchRequest, DispatchState} from './dispatch_request.js';
@@ -34,15 +35,11 @@
   private readonly deadlineAt: Millis;
   private readonly delivery: StreamDelivery;
   private readonly forwarder: ResponseForwarder;
-  private readonly triedIncarnations = new Set<string>();
   private attempt: Attempt | undefined;
   private pending: DispatchRequest | undefined;
-  private submittedAt: Millis;
-  private queueTime: Millis = 0;
   /** Account of the latest attempt; undefined before the first. */
   private account: AttemptAccount | undefined;
-  /** Number of upstreams that the request was sent to. */
-  private sends = 0;
+  private readonly attempts: AttemptSequence;
   private mayHaveRun = false;
   private failedResponse: WholeResponse | undefined;
   private isFinished = false;
@@ -78,7 +75,7 @@
       route.repeat === 'stream',
       context.buffers,
     );
-    this.submittedAt = arrivedAt;
+    this.attempts = new AttemptSequence(context.clock.now() - arrivedAt);
     this.containment = new RequestContainment(
       context.containment,
       metadata.id,
@@ -128,13 +125,13 @@
       service: request.service,
       promptTokens: request.metadata.promptTokens,
       priority: request.priority,
-      triedIncarnations: this.triedIncarnations,
+      triedIncarnations: this.attempts.triedIncarnations,
       target: route.latencyTarget,
       targetAt: arrivedAt + route.latencyTarget,
       expiresAt: Math.min(abandonedAt, this.deadlineAt),
       mayWait: route.repeat === 'stream',
       trySpend: now =>
-        this.sends === 0 || context.retries.trySpend(now, request),
+        this.attempts.sends === 0 || context.retries.trySpend(now, request),
       send: containment.wrap((now: Millis, upstream, group) =>
         this.send(now, upstream, group),
       ),
@@ -144,20 +141,23 @@
         this.respondFinal(cause);
       }),
     };
-    this.submittedAt = context.clock.now();
-    context.dispatcher.submit(this.submittedAt, this.pending);
+    const now = context.clock.now();
+    this.attempts.recordQueued(now);
+    context.dispatcher.submit(now, this.pending);
   }
 
   private send(now: Millis, upstream: Upstream, group: GroupKey): void {
     const {request, context, containment} = this;
     this.attempt = undefined;
     this.account = new AttemptAccount(now, context, request, upstream, group);
-    this.queueTime += now - this.submittedAt;
-    this.triedIncarnations.add(upstream.incarnation);
     this.forwarder.startRun();
+    const timeLeft = this.deadlineAt - now;
+    const {registration} = upstream;
+    const attempt = this.attempts.begin(now, upstream.incarnation, timeLeft);
+    context.log.recordAttempt(request, registration.id, attempt);
     const lines = context.dialect.toUpstream(request.headers, {
-      timeLeft: this.deadlineAt - now,
-      expectedUpstream: upstream.registration.id,
+      timeLeft,
+      expectedUpstream: registration.id,
       organisation: request.organisation,
       resumeAfter: this.delivery.resumeAfter,
     });
@@ -167,6 +167,7 @@
       context.connectionsFor(request.route),
       context.dialect,
       {
+        onConnect: () => this.attempts.recordConnected(context.clock.now()),
         onHead: containment.wrap((head, metadata) =>
           this.onHead(head, metadata),
         ),
@@ -261,19 +262,17 @@
     const {request, context, account} = this;
     const now = context.clock.now();
     if (account === undefined) return;
-    const isUnsent =
-      failure.kind === 'not_run' && failure.reason === 'unreachable';
     this.recordOutcome(healthOutcomeOf(failure));
     const {upstream, progress} = account;
     const body = this.attempt?.receivedBody;
-    const attempt = {upstream, progress, failure, body};
+    const latest = this.attempts.recordFailure(failure);
+    const attempt = {upstream, progress, failure, body, latest};
     context.log.recordFailure(now, request, attempt);
     const isSuspect = context.quarantine.recordFailure(now, request, attempt);
-    if (!isUnsent) this.sends += 1;
     const action = actionAfterFailure(
       {
         route: request.route,
-        attempts: this.sends,
+        attempts: this.attempts.sends,
         mayHaveRunBefore: this.mayHaveRun,
         isStarted: this.response.isStarted,
       },
@@ -365,6 +364,7 @@
 
   private cancelAttempt(): void {
     if (!this.account?.isOpen) return;
+    this.attempts.recordGivenUp(this.attempt?.mayHaveBeenSent === true);
     const {clock, retries} = this.context;
     this.attempt?.cancel();
     retries.abandon(clock.now(), this.request);
@@ -390,11 +390,10 @@
       retryAfter,
       rejectedIn: this.rejectedIn,
       upstream: this.account?.upstream.registration.id,
-      sends: this.sends + (outcome === 'answered' ? 1 : 0),
       firstByteAt: this.delivery.firstDeliveryAt,
-      queueTime: this.queueTime,
       deliveredEvents: this.delivery.delivered,
       body: this.attempt?.receivedBody,
+      attempts: this.attempts,
     });
   }
 }
--- a/src/daemons/direct/request_log.ts
+++ b/src/daemons/direct/request_log.ts
@@ -5,12 +5,14 @@
 import type {Fields, Logger, Metrics} from '../../observability/index.js';
 import type {CutReason} from '../shared/caller_connection.js';
 import type {AdmittedRequest} from './admitted_request.js';
+import type {BegunAttempt} from './attempt_sequence.js';
 import type {ExchangeResult, FailedAttempt} from './context.js';
 
 /** Logs and counts what becomes of requests and their attempts. */
 export class RequestLog {
   private readonly attemptFailures;
   private readonly extraResponses;
+  private readonly attempts;
 
   /**
    * @param clock - the clock
@@ -27,6 +29,11 @@
       'Attempts at an upstream without a whole good answer, by reason',
       ['reason', 'service'],
     );
+    this.attempts = metrics.counter(
+      'baobabspan_attempts_total',
+      'Attempts at upstreams, by what they were charged to',
+      ['charge', 'service'],
+    );
     this.extraResponses = metrics.counter(
       'baobabspan_extra_responses_total',
       'Responses found within the body of another one, by result',
@@ -34,6 +41,34 @@
     );
   }
 
+  /**
+   * Counts an attempt, and logs it unless it is the first one.
+   * @param request - its request
+   * @param upstream - id of the upstream
+   * @param attempt - the attempt
+   */
+  recordAttempt(
+    {metadata, route, service}: AdmittedRequest,
+    upstream: string,
+    attempt: BegunAttempt,
+  ): void {
+    this.attempts.inc({charge: attempt.charge, service});
+    if (attempt.charge === 'first') return;
+    this.logger.info('attempt_repeated', {
+      id: metadata.id,
+      service,
+      upstream,
+      attempt: attempt.number,
+      tries: attempt.tries,
+      max_attempts: route.maxAttempts,
+      charge: attempt.charge,
+      after: attempt.after,
+      left_ms: Math.floor(attempt.timeLeft),
+      caller_ms: metadata.callerTimeout,
+      since_first_ms: Math.round(attempt.sinceFirst),
+    });
+  }
+
   /**
    * Records a failed attempt.
    * @param now - current time
@@ -43,7 +78,7 @@
   recordFailure(
     now: Millis,
     {metadata, service}: AdmittedRequest,
-    {upstream, progress, failure, body}: FailedAttempt,
+    {upstream, progress, failure, body, latest}: FailedAttempt,
   ): void {
     this.attemptFailures.inc({
       reason: failure.kind === 'not_run' ? failure.reason : failure.kind,
@@ -57,6 +92,9 @@
       upstream: upstream.registration.id,
       kind: failure.kind,
       detail,
+      attempt: latest?.number,
+      charge: latest?.charge,
+      left_ms: latest && Math.floor(latest.timeLeft),
       ms: Math.round(now - progress.sentAt),
       started: progress.hasStarted,
       events: progress.events,
@@ -100,6 +138,7 @@
     const {arrivedAt, service, route} = request;
     const since = (at: Millis | undefined) =>
       at === undefined ? undefined : Math.round(at - arrivedAt);
+    const {attempts} = result;
     const {metrics} = this;
     metrics.outcomes.inc({outcome: result.outcome, service});
     if (result.retryAfter !== undefined) {
@@ -119,14 +158,20 @@
       organisation: request.organisation,
       version: request.version,
       upstream: result.upstream,
-      sends: result.sends,
+      sends: attempts.sends + (result.outcome === 'answered' ? 1 : 0),
+      tries: attempts.latest?.tries ?? 0,
+      given_up: attempts.givenUp,
+      caller_ms: request.metadata.callerTimeout,
+      left_ms: attempts.timeLeft && Math.floor(attempts.timeLeft),
+      read_ms: Math.round(attempts.readTime),
+      connect_ms: attempts.connectTime && Math.round(attempts.connectTime),
       outcome: result.outcome,
       status: result.status,
       events: result.deliveredEvents,
       body_bytes: result.body?.bytes,
       framing: result.body?.framing,
       first_ms: since(result.firstByteAt),
-      waited_ms: Math.round(result.queueTime),
+      waited_ms: Math.round(attempts.queueTime),
       ms: since(now),
       unplaced: result.rejectedIn?.reason,
       queued: result.rejectedIn?.queueLength,
