Add a budget of the memory that a process holds for its callers

A class without I/O: charges by connection, backpressure from one limit on, the largest holder to close beyond another.

--- /dev/null
+++ b/src/admission/caller_memory.ts
@@ -0,0 +1,118 @@
+/** Limits of the memory that a process holds for its callers, bytes. */
+export interface CallerMemoryLimits {
+  /** Use from which on connections above their own part are not read further. */
+  readonly pauseAt: number;
+  /** Use from which on no connection is read, and the largest are closed. */
+  readonly closeAt: number;
+  /** Part of a connection that is read up to `closeAt`. */
+  readonly ownPart: number;
+}
+
+/** For the smallest VM with 256 MB, beside the responses that are buffered. */
+const DEFAULT_LIMITS: CallerMemoryLimits = {
+  pauseAt: 32 * 2 ** 20,
+  closeAt: 48 * 2 ** 20,
+  ownPart: 64 * 2 ** 10,
+};
+
+/**
+ * Memory budget of what callers hand in: heads, bodies, and requests that wait
+ * behind others. Backpressure keeps the rest in the callers' sockets; whoever
+ * holds most is closed where bytes that were read already exceed the budget.
+ */
+export class CallerMemory<Holder extends object> {
+  private readonly held = new Map<Holder, number>();
+  private readonly paused = new Map<Holder, () => void>();
+  private used = 0;
+
+  /** @param limits - limits of the budget */
+  constructor(private readonly limits = DEFAULT_LIMITS) {}
+
+  /** Bytes that all connections hold. */
+  get usedBytes(): number {
+    return this.used;
+  }
+
+  /**
+   * Returns the bytes that a connection holds.
+   * @param holder - the connection
+   */
+  heldBy(holder: Holder): number {
+    return this.held.get(holder) ?? 0;
+  }
+
+  /**
+   * Charges bytes that were read.
+   * @param holder - their connection
+   * @param bytes - their number
+   */
+  add(holder: Holder, bytes: number): void {
+    this.held.set(holder, this.heldBy(holder) + bytes);
+    this.used += bytes;
+  }
+
+  /**
+   * Returns bytes that are no longer held, and resumes connections.
+   * @param holder - their connection
+   * @param bytes - their number; what the holder has been charged at most
+   */
+  remove(holder: Holder, bytes: number): void {
+    const held = this.heldBy(holder);
+    const removed = Math.min(bytes, held);
+    if (removed === held) this.held.delete(holder);
+    else this.held.set(holder, held - removed);
+    this.used -= removed;
+    this.resumePaused();
+  }
+
+  /**
+   * Returns all that a closed connection has held.
+   * @param holder - the connection
+   */
+  removeHolder(holder: Holder): void {
+    this.paused.delete(holder);
+    this.remove(holder, this.heldBy(holder));
+  }
+
+  /**
+   * Returns whether a connection may be read further.
+   * @param holder - the connection
+   */
+  mayRead(holder: Holder): boolean {
+    const {pauseAt, closeAt, ownPart} = this.limits;
+    if (this.used < pauseAt) return true;
+    return this.used < closeAt && this.heldBy(holder) < ownPart;
+  }
+
+  /**
+   * Registers a connection that is not read until the budget allows it.
+   * @param holder - the connection
+   * @param onResume - called once when it may be read again
+   */
+  pause(holder: Holder, onResume: () => void): void {
+    this.paused.set(holder, onResume);
+  }
+
+  /**
+   * Returns the connection to close: the one that holds most.
+   * @returns undefined within the budget
+   */
+  get excessHolder(): Holder | undefined {
+    if (this.used <= this.limits.closeAt) return undefined;
+    let largest: Holder | undefined;
+    for (const [holder, bytes] of this.held) {
+      if (largest === undefined || bytes > this.heldBy(largest))
+        largest = holder;
+    }
+    return largest;
+  }
+
+  /** Resumes paused connections in order, as far as the budget allows. */
+  private resumePaused(): void {
+    for (const [holder, onResume] of [...this.paused]) {
+      if (!this.mayRead(holder)) continue;
+      this.paused.delete(holder);
+      onResume();
+    }
+  }
+}
