Stop reading callers that send more requests than are answered

What callers saw: one connection with 30,000 pipelined GETs and no answer read, one with 20,000 keyed requests, or 300 with 1,000 each ended the entry with SIGABRT at its heap limit; all open requests went with it (FAULT, LOST).

Cause: all that a caller sends was parsed and kept until its turn came. Besides, the timer of a lingering connection was set again after its close and held the connection, with all its requests, for 30 s.

Fix: CallerConnection stops reading beyond 256 open requests (16 if the caller has sent more than one read brings), so that the rest waits in the caller's socket; ReadGate keeps Node from resuming it. Beyond 48 MB the connection that holds most is reset ('caller_closed', baobabspan_callers_closed_total), and nothing else is read in that pass of the event loop, since Node keeps a closed connection's requests until its end. Unfinished heads are charged by a check ten times a second. CallerMemory no longer looks at each paused connection when bytes are returned.

--- a/src/admission/caller_memory.ts
+++ b/src/admission/caller_memory.ts
@@ -14,6 +14,8 @@
   closeAt: 48 * 2 ** 20,
   ownPart: 64 * 2 ** 10,
 };
+/** Maximum size of one read of a connection, bytes. */
+const READ_BYTES = 64 * 2 ** 10;
 
 /**
  * Memory budget of what callers hand in: heads, bodies, and requests that wait
@@ -33,6 +35,11 @@
     return this.used;
   }
 
+  /** Number of connections that are not read until the budget allows it. */
+  get pausedCount(): number {
+    return this.paused.size;
+  }
+
   /**
    * Returns the bytes that a connection holds.
    * @param holder - the connection
@@ -62,6 +69,8 @@
     if (removed === held) this.held.delete(holder);
     else this.held.set(holder, held - removed);
     this.used -= removed;
+    if (this.paused.size === 0) return;
+    if (this.mayRead(holder)) this.resume(holder);
     this.resumePaused();
   }
 
@@ -93,6 +102,28 @@
     this.paused.set(holder, onResume);
   }
 
+  /**
+   * Unregisters a connection that is read again for another reason.
+   * @param holder - the connection
+   */
+  unpause(holder: Holder): void {
+    this.paused.delete(holder);
+  }
+
+  /**
+   * Resumes paused connections in order, as many as can be read once within the
+   * budget. To be called from time to time: those resumed last may bring nothing.
+   */
+  resumePaused(): void {
+    const free = this.limits.pauseAt - this.used;
+    if (free <= 0) return;
+    let count = Math.ceil(free / READ_BYTES);
+    for (const holder of this.paused.keys()) {
+      if (count-- === 0) return;
+      this.resume(holder);
+    }
+  }
+
   /**
    * Returns the connection to close: the one that holds most.
    * @returns undefined within the budget
@@ -100,19 +131,18 @@
   get excessHolder(): Holder | undefined {
     if (this.used <= this.limits.closeAt) return undefined;
     let largest: Holder | undefined;
+    let most = 0;
     for (const [holder, bytes] of this.held) {
-      if (largest === undefined || bytes > this.heldBy(largest))
-        largest = holder;
+      if (bytes <= most) continue;
+      largest = holder;
+      most = bytes;
     }
     return largest;
   }
 
-  /** Resumes paused connections in order, as far as the budget allows. */
-  private resumePaused(): void {
-    for (const [holder, onResume] of [...this.paused]) {
-      if (!this.mayRead(holder)) continue;
-      this.paused.delete(holder);
-      onResume();
-    }
+  private resume(holder: Holder): void {
+    const onResume = this.paused.get(holder);
+    this.paused.delete(holder);
+    onResume?.();
   }
 }
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -89,6 +89,10 @@
       },
       onCut: ({req, reason, unsentBytes}) =>
         log.recordCut(this.idOf(req), reason, unsentBytes),
+      onOverBudget: ({heldBytes, open}) => {
+        const ids = open.slice(0, MAX_LOGGED_IDS).map(req => this.idOf(req));
+        log.recordOverBudget(heldBytes, open.length, ids.join(','));
+      },
     });
     this.setLimits(DEFAULT_LIMITS);
   }
--- a/src/daemons/direct/request_log.ts
+++ b/src/daemons/direct/request_log.ts
@@ -167,4 +167,20 @@
     this.metrics.cutResponses.inc({reason});
     this.logger.info('response_cut', {id, reason, unsent_bytes: unsentBytes});
   }
+
+  /**
+   * Records a connection that was closed for the memory that it held.
+   * @param heldBytes - the memory, bytes
+   * @param open - number of its open requests
+   * @param ids - ids of some of them
+   */
+  recordOverBudget(heldBytes: number, open: number, ids: string): void {
+    this.metrics.closedCallers.inc({reason: 'over_budget'});
+    this.logger.warn('caller_closed', {
+      reason: 'over_budget',
+      held_bytes: heldBytes,
+      open,
+      open_ids: ids,
+    });
+  }
 }
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -12,7 +12,7 @@
 import {SECOND, callId, hostPort} from '../../core/index.js';
 import type {CallId, Millis} from '../../core/index.js';
 import {ERRORS, Fault, asFault, describeError} from '../../errors/index.js';
-import type {CutResponse} from '../shared/caller_connection.js';
+import type {CutResponse, OverBudget} from '../shared/caller_connection.js';
 import {CallerConnections} from '../shared/caller_connections.js';
 import type {DaemonContext} from '../shared/context.js';
 import {AnswerTimer} from './answer_timer.js';
@@ -92,6 +92,7 @@
       formatError,
       onUnreadable: (fault, open) => this.recordUnreadable(fault, open),
       onCut: cut => this.recordCut(cut),
+      onOverBudget: state => this.recordOverBudget(state),
     });
   }
 
@@ -153,6 +154,18 @@
     });
   }
 
+  private recordOverBudget({heldBytes, open}: OverBudget): void {
+    const reason = 'over_budget';
+    this.context.metrics.closedCallers.inc({reason});
+    const ids = open.slice(0, MAX_LOGGED_IDS).map(req => this.callIds.get(req));
+    this.context.logger.warn('caller_closed', {
+      reason,
+      held_bytes: heldBytes,
+      open: open.length,
+      open_ids: ids.join(','),
+    });
+  }
+
   private async serve(
     req: IncomingMessage,
     res: ServerResponse,
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -1,9 +1,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+import type {CallerMemory} from '../../admission/index.js';
 import type {Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
+import {HeadMeter, headBytes} from './head_meter.js';
+import {ReadGate} from './read_gate.js';
 import {failBody, isReadingBody} from './request_body.js';
 import {abortResponse} from './response_framing.js';
 import {actionAfterUnreadable} from './unreadable_message.js';
@@ -17,6 +20,15 @@
 const LINGER_IDLE_TIMEOUT: Millis = 2 * SECOND;
 const MAX_LINGER_TIME: Millis = 30 * SECOND;
 
+/** Open requests from which on a connection is not read further. */
+const MAX_OPEN_REQUESTS = 256;
+/** The same, if the caller has sent more than one read has brought. */
+const MAX_OPEN_REQUESTS_OF_MORE = 16;
+/** Open requests below which it is read again. */
+const RESUME_OPEN_REQUESTS = 8;
+/** Memory of a request's objects beside the bytes of its head. */
+const REQUEST_BYTES = 8 * 2 ** 10;
+
 /** Why a response was cut: its caller left, or the process ends. */
 export type CutReason = 'caller_gone' | 'shutdown';
 
@@ -28,9 +40,25 @@
   readonly unsentBytes: number;
 }
 
+/** A connection that was closed since it held most of an exhausted budget. */
+export interface OverBudget {
+  readonly heldBytes: number;
+  /** Its requests whose responses were not sent completely. */
+  readonly open: readonly IncomingMessage[];
+}
+
+/** Callbacks of a connection. */
+export interface ConnectionEvents {
+  /** Called for responses that are cut. */
+  onCut(cut: CutResponse): void;
+  /** Called as the connection is closed for the memory that it holds. */
+  onOverBudget(state: OverBudget): void;
+}
+
 /** A connection of a caller, with the responses that are open on it. */
 export class CallerConnection {
-  private readonly responses = new Set<ServerResponse>();
+  /** Open responses, with the memory that their requests were charged. */
+  private readonly responses = new Map<ServerResponse, number>();
   /** Requests that wait for the responses before theirs. */
   private readonly waiting = new Map<
     ServerResponse,
@@ -43,15 +71,27 @@
   private isClosing = false;
   private isLingering = false;
   private isCut = false;
+  private isDetached = false;
+  private isSuspended = false;
+  /** Number of requests that came too late to be served. */
+  private discarded = 0;
+  private readonly gate: ReadGate;
+  private readonly heads: HeadMeter;
+  /** Memory that the head being read was charged. */
+  private headCharge = 0;
 
   /**
    * @param socket - the connection
-   * @param onCut - called for responses that are cut
+   * @param memory - memory budget of all connections
+   * @param events - callbacks
    */
   constructor(
     private readonly socket: Socket,
-    private readonly onCut: (cut: CutResponse) => void,
+    private readonly memory: CallerMemory<CallerConnection>,
+    private readonly events: ConnectionEvents,
   ) {
+    this.gate = new ReadGate(socket);
+    this.heads = new HeadMeter(socket);
     // Node destroys the connection after its last response.
     socket.destroySoon = () => this.end();
     // Before Node's own listener, which sends a FIN: no reset can follow it.
@@ -61,7 +101,7 @@
 
   /** The responses that were not sent completely, in order. */
   get open(): readonly ServerResponse[] {
-    return [...this.responses];
+    return [...this.responses.keys()];
   }
 
   /**
@@ -71,13 +111,16 @@
    * @returns whether it is to be served
    */
   accept(req: IncomingMessage, res: ServerResponse): boolean {
+    const head = headBytes(req);
     if (this.isClosing) {
-      req.resume();
+      this.discard(req, REQUEST_BYTES + head);
       return false;
     }
+    this.heads.recordRequest(req, head);
     this.latest = req;
-    this.responses.add(res);
-    req.once('end', () => (this.bytesAtRequestEnd = this.socket.bytesRead));
+    this.responses.set(res, REQUEST_BYTES + head);
+    this.addBytes(REQUEST_BYTES + head);
+    req.once('end', () => this.onRequestEnd(req));
     res.once('finish', () => {
       // Node also emits it for what a broken connection drops.
       const {destroyed, errored} = this.socket;
@@ -95,8 +138,7 @@
    * @returns whether it can be sent
    */
   async turnOf(res: ServerResponse): Promise<boolean> {
-    const [first] = this.responses;
-    if (first === res) return true;
+    if (this.first === res) return true;
     if (!this.responses.has(res)) return false;
     return new Promise(resolve => this.waiting.set(res, resolve));
   }
@@ -128,6 +170,8 @@
   /** Takes the place of the server's parser, which a CONNECT has detached. */
   onDetached(): void {
     const {socket} = this;
+    this.isDetached = true;
+    this.gate.open();
     socket.on('error', () => socket.destroy());
     socket.on('drain', () => this.open[0]?.emit('drain'));
     socket.on('timeout', () => this.onTimeout());
@@ -139,9 +183,11 @@
    * @param bytes - last bytes to send
    */
   end(bytes = ''): void {
-    if (this.isLingering) return;
+    // A timer would hold a closed connection with all that it has read.
+    if (this.isLingering || this.socket.destroyed) return;
     this.isClosing = true;
     this.isLingering = true;
+    this.updateReading();
     const {socket} = this;
     socket.end(bytes);
     this.closeWaiting();
@@ -162,12 +208,52 @@
     if (this.responses.size === 0) this.socket.destroy();
   }
 
+  private addBytes(bytes: number): void {
+    if (this.isClosing) return;
+    this.memory.add(this, bytes);
+    this.updateReading();
+  }
+
+  private removeBytes(bytes: number): void {
+    this.memory.remove(this, bytes);
+  }
+
+  /** Charges the head that is being read, whose size shows in no event. */
+  check(): void {
+    if (!this.isClosing) this.chargeHead();
+  }
+
+  /** Stops reading, whatever the connection holds, until `unsuspend`. */
+  suspend(): void {
+    this.isSuspended = true;
+    this.updateReading();
+  }
+
+  /** Reads on, as far as the connection may. */
+  unsuspend(): void {
+    this.isSuspended = false;
+    this.updateReading();
+  }
+
+  /** Closes the connection, and releases all that it holds at once. */
+  closeOverBudget(): void {
+    const open = this.open.map(({req}) => req);
+    this.events.onOverBudget({heldBytes: this.memory.heldBy(this), open});
+    this.isClosing = true;
+    this.isCut = true;
+    // Their requests are not told one by one: there may be thousands.
+    this.waiting.clear();
+    this.memory.removeHolder(this);
+    this.socket.resetAndDestroy();
+    this.closeWaiting();
+  }
+
   /**
    * Cuts the responses that were not sent completely.
    * @param reason - why
    */
   cut(reason: CutReason): void {
-    const [first] = this.responses;
+    const {first} = this;
     if (first === undefined) return;
     this.recordCut(reason);
     abortResponse(first);
@@ -175,7 +261,7 @@
 
   /** A caller that half-closes its connection is taken to have left. */
   private onCallerLeft(): void {
-    const [first] = this.responses;
+    const {first} = this;
     if (first === undefined) return;
     this.isClosing = true;
     if (first.writableEnded) this.closeWaiting();
@@ -184,12 +270,71 @@
 
   private onClosed(): void {
     this.recordCut('caller_gone');
+    this.isClosing = true;
     this.closeWaiting();
+    this.memory.removeHolder(this);
+  }
+
+  private get first(): ServerResponse | undefined {
+    const [first] = this.responses.keys();
+    return first;
+  }
+
+  /** Whether reading is to wait, so that no more requests are parsed. */
+  private get mustWait(): boolean {
+    if (this.isDetached) return false;
+    if (this.isSuspended) return true;
+    if (this.isLingering) return this.discarded >= MAX_OPEN_REQUESTS_OF_MORE;
+    const {size} = this.responses;
+    const max = this.heads.wasReadFull
+      ? MAX_OPEN_REQUESTS_OF_MORE
+      : MAX_OPEN_REQUESTS;
+    if (size >= (this.gate.isClosed ? RESUME_OPEN_REQUESTS : max)) return true;
+    if (this.memory.mayRead(this)) return false;
+    // A caller with one whole request is read on: it may leave.
+    return size !== 1 || this.latest?.complete !== true;
+  }
+
+  private updateReading(): void {
+    if (!this.mustWait) {
+      this.memory.unpause(this);
+      this.gate.open();
+      return;
+    }
+    this.gate.close();
+    if (!this.memory.mayRead(this))
+      this.memory.pause(this, () => this.updateReading());
+  }
+
+  private chargeHead(): void {
+    const {headCharge} = this;
+    const bytes = this.heads.unfinishedBytes;
+    this.headCharge = bytes;
+    if (bytes > headCharge) this.addBytes(bytes - headCharge);
+    else if (bytes < headCharge) this.removeBytes(headCharge - bytes);
+  }
+
+  private onRequestEnd(req: IncomingMessage): void {
+    this.bytesAtRequestEnd = this.socket.bytesRead;
+    this.heads.recordEnd(req);
+    if (this.gate.isClosed) this.updateReading();
+  }
+
+  /**
+   * Discards a request that is not served. Node keeps it until the connection
+   * ends, so a caller that goes on sending is not read.
+   */
+  private discard(req: IncomingMessage, bytes: number): void {
+    if (this.socket.destroyed) return;
+    req.resume();
+    this.memory.add(this, bytes);
+    this.discarded += 1;
+    if (this.discarded >= MAX_OPEN_REQUESTS_OF_MORE) this.gate.close();
   }
 
   /** Closes responses behind the first; Node closes none that waits for its turn. */
   private closeWaiting(): void {
-    for (const res of this.responses) {
+    for (const res of this.responses.keys()) {
       if (res.socket !== null || res.writableFinished) continue;
       res.destroy();
       res.emit('close');
@@ -200,16 +345,25 @@
   private recordCut(reason: CutReason): void {
     if (this.isCut) return;
     this.isCut = true;
-    for (const res of this.responses) {
+    for (const res of this.responses.keys()) {
       if (!res.writableEnded) continue;
-      this.onCut({req: res.req, reason, unsentBytes: res.writableLength});
+      this.events.onCut({
+        req: res.req,
+        reason,
+        unsentBytes: res.writableLength,
+      });
     }
   }
 
   private remove(res: ServerResponse): void {
-    if (!this.responses.delete(res)) return;
+    const charge = this.responses.get(res);
+    if (charge === undefined) return;
+    this.responses.delete(res);
+    // Node keeps what an ended connection has read.
+    if (!this.isLingering) this.removeBytes(charge);
+    if (this.gate.isClosed) this.updateReading();
     this.resolveTurn(res, false);
-    const [next] = this.responses;
+    const {first: next} = this;
     if (next !== undefined) this.resolveTurn(next, true);
     else if (this.isClosing) this.end();
   }
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -2,17 +2,20 @@
 import type {Duplex} from 'node:stream';
 import type {Socket} from 'node:net';
 
+import {CallerMemory} from '../../admission/index.js';
 import type {Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import {Fault} from '../../errors/index.js';
 import {CallerConnection} from './caller_connection.js';
-import type {CutResponse} from './caller_connection.js';
+import type {ConnectionEvents} from './caller_connection.js';
 import {unreadableReason} from './unreadable_message.js';
 
 const CHECK_INTERVAL: Millis = SECOND / 20;
+/** Interval at which connections are checked for what shows in no event. */
+const CONNECTION_CHECK_INTERVAL: Millis = SECOND / 10;
 
 /** What a server for callers does on behalf of its connections. */
-export interface CallerEvents {
+export interface CallerEvents extends ConnectionEvents {
   /** Returns a complete response that closes its connection. */
   formatError(fault: Fault): string;
   /**
@@ -21,21 +24,23 @@
    * @param open - requests whose responses are still open on its connection
    */
   onUnreadable(fault: Fault, open: readonly IncomingMessage[]): void;
-  /** Called for a response that is cut before all of it was sent. */
-  onCut(cut: CutResponse): void;
 }
 
 /** Connections of a server for callers, with their open responses. */
 export class CallerConnections {
   private readonly connections = new Map<Duplex, CallerConnection>();
+  private timer: NodeJS.Timeout | undefined;
+  private isSuspended = false;
 
   /**
    * @param server - server without listeners for `clientError` and `timeout`
    * @param events - callbacks
+   * @param memory - memory budget of the connections
    */
   constructor(
     server: Server,
     private readonly events: CallerEvents,
+    readonly memory = new CallerMemory<CallerConnection>(),
   ) {
     server.on('connection', (socket: Socket) => this.add(socket));
     server.on('timeout', (socket: Socket) =>
@@ -65,7 +70,19 @@
    * @returns whether it is to be served; false on a connection that is closing
    */
   accept(req: IncomingMessage, res: ServerResponse): boolean {
-    return this.connections.get(req.socket)?.accept(req, res) === true;
+    const connection = this.connections.get(req.socket);
+    const isServed = connection?.accept(req, res) === true;
+    this.enforceBudget();
+    return isServed && !req.socket.destroyed;
+  }
+
+  /**
+   * Returns the connection of a request, as a holder of `memory`.
+   * @param req - the request
+   * @returns undefined once the connection has closed
+   */
+  holderOf({socket}: IncomingMessage): CallerConnection | undefined {
+    return this.connections.get(socket);
   }
 
   /**
@@ -110,11 +127,48 @@
   }
 
   private add(socket: Socket): void {
-    const connection = new CallerConnection(socket, cut =>
-      this.events.onCut(cut),
-    );
-    this.connections.set(socket, connection);
+    const {memory, events} = this;
+    this.connections.set(socket, new CallerConnection(socket, memory, events));
     socket.once('close', () => this.connections.delete(socket));
+    this.timer ??= setInterval(
+      () => this.check(),
+      CONNECTION_CHECK_INTERVAL,
+    ).unref();
+  }
+
+  /** Checks all connections, for as long as there are any. */
+  private check(): void {
+    for (const connection of this.connections.values()) connection.check();
+    this.enforceBudget();
+    this.memory.resumePaused();
+    if (this.connections.size > 0) return;
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+
+  /**
+   * Reads nothing until the next pass of the event loop: Node keeps the requests
+   * of a closed connection for the rest of this one.
+   */
+  private suspend(): void {
+    if (this.isSuspended) return;
+    this.isSuspended = true;
+    const connections = [...this.connections.values()];
+    for (const connection of connections) connection.suspend();
+    setTimeout(() => {
+      this.isSuspended = false;
+      for (const connection of connections) connection.unsuspend();
+    });
+  }
+
+  /** Closes the connections that hold most until the budget is kept. */
+  private enforceBudget(): void {
+    let largest = this.memory.excessHolder;
+    if (largest !== undefined) this.suspend();
+    while (largest !== undefined) {
+      largest.closeOverBudget();
+      largest = this.memory.excessHolder;
+    }
   }
 
   private onError(err: NodeJS.ErrnoException, socket: Duplex): void {
--- /dev/null
+++ b/src/daemons/shared/head_meter.ts
@@ -0,0 +1,72 @@
+import type {IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+
+/** Maximum size of one read of a connection, bytes. */
+const READ_BYTES = 64 * 2 ** 10;
+
+/** Measures the head that a connection is sending; its parser tells nothing. */
+export class HeadMeter {
+  private latest: IncomingMessage | undefined;
+  /** Bytes read when the latest request was accepted, or its body was read. */
+  private bytesAtLatest = 0;
+  /** Bytes of these that follow the latest request. */
+  private bytesBehindLatest = 0;
+  private isReadFull = false;
+
+  /** @param socket - the connection */
+  constructor(private readonly socket: Socket) {}
+
+  /** Bytes of a head whose end was not read. */
+  get unfinishedBytes(): number {
+    if (this.latest?.complete === false) return 0;
+    return this.socket.bytesRead - this.bytesAtLatest + this.bytesBehindLatest;
+  }
+
+  /** Whether the latest request came with as much as one read can bring. */
+  get wasReadFull(): boolean {
+    return this.isReadFull;
+  }
+
+  /**
+   * Records a request whose head was read.
+   * @param req - the request
+   * @param head - bytes of its head
+   */
+  recordRequest(req: IncomingMessage, head: number): void {
+    const {bytesRead} = this.socket;
+    const size = head + Number(req.headers['content-length'] ?? 0);
+    // One read at most: the reads before it brought parts of this request.
+    const read = Math.min(bytesRead - this.bytesAtLatest, READ_BYTES);
+    if (read > 0) this.isReadFull = read === READ_BYTES;
+    const behind = (read === 0 ? this.bytesBehindLatest : read) - size;
+    this.bytesBehindLatest = Math.max(0, behind);
+    this.bytesAtLatest = bytesRead;
+    this.latest = req;
+  }
+
+  /**
+   * Records the end of a request's body.
+   * @param req - the request
+   */
+  recordEnd(req: IncomingMessage): void {
+    const {bytesRead} = this.socket;
+    const isChunked = req.headers['transfer-encoding'] !== undefined;
+    if (req !== this.latest) return;
+    if (!isChunked && bytesRead === this.bytesAtLatest) return;
+    this.bytesAtLatest = bytesRead;
+    this.bytesBehindLatest = 0;
+  }
+}
+
+/**
+ * Returns the length of a request's head, unless its headers are oddly spaced.
+ * @param req - the request
+ */
+export function headBytes({
+  method = '',
+  url = '',
+  rawHeaders,
+}: IncomingMessage): number {
+  const lineAndEnd = method.length + url.length + ' HTTP/1.1 '.length + 4;
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, lineAndEnd);
+}
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -17,6 +17,13 @@
     ['reason'],
   );
 
+  /** Callers' connections that were closed with open requests, by reason. */
+  readonly closedCallers = this.counter(
+    'baobabspan_callers_closed_total',
+    "Callers' connections that were closed with open requests, by reason",
+    ['reason'],
+  );
+
   /** Rejected requests, by reason and service. */
   readonly refusals = this.counter(
     'baobabspan_refusals_total',
