Bound the memory of request bodies

Callers saw all of their open requests end with an entry whose memory passed its VM's: 200 bodies that stalled before their end, or that waited for slow upstreams, were held in full, and at their end a second time.

Cause: a body was read as fast as it came, without a bound on all of them, and was kept until its response had ended.

A body now reserves its declared length in the budget of the process before it is read; until then it stays in the caller's socket. It waits no longer than callers wait for a request to be read and is then rejected with 503, as it is at once if many wait. While others wait, a body without progress is rejected with 408; without pressure, after the idle timeout. A body has one copy, and is released once no attempt needs it and the upstream's connection has taken it.

--- /dev/null
+++ b/src/admission/body_admission.ts
@@ -0,0 +1,266 @@
+import type {Millis} from '../core/index.js';
+import {SECOND} from '../core/index.js';
+import type {CallerMemory} from './caller_memory.js';
+
+/** Part of a body that is read while large bodies wait for memory, bytes. */
+const OWN_PART = 64 * 2 ** 10;
+/** First part that is reserved for a body without a length, bytes. */
+export const FIRST_PART = 16 * 2 ** 10;
+/** Bodies that wait for memory at once; each has its own part reserved. */
+const MAX_WAITING = 128;
+/** Bytes that count as progress of a body that other bodies wait for. */
+const PROGRESS_STEP = 64 * 2 ** 10;
+/** Time without progress after which a body that others wait for is rejected. */
+const STALL_TIMEOUT: Millis = SECOND;
+/** The same while there is no memory for the own part of a further body. */
+const CRITICAL_STALL_TIMEOUT: Millis = SECOND / 4;
+/** Longest time between two checks that counts; more is a pause of the process. */
+const MAX_CHECK_GAP: Millis = SECOND / 4;
+
+/** Time limits of a body. */
+export interface BodyTerms {
+  /** Time from which its request cannot be served. */
+  readonly expiresAt: Millis;
+  /** Longest time that it waits for memory. */
+  readonly patience: Millis;
+  /** Longest time without a byte. */
+  readonly idleTimeout: Millis;
+}
+
+/** Why a body is rejected: no memory in time, or its caller is too slow. */
+export type BodyRejection = 'memory_exhausted' | 'request_timeout';
+
+/** Decision on a body that is not complete. */
+export type BodyDecision = 'read' | 'wait' | BodyRejection;
+
+/** Request body that is being read. */
+export class IncomingBody<Holder extends object> {
+  /** Bytes of the budget that it holds. */
+  reserved = 0;
+  /** Bytes that it waits for; 0 while it is read. */
+  wanted = 0;
+  waitingSince: Millis = 0;
+  lastByteAt: Millis;
+  lastProgressAt: Millis;
+  /** Bytes since its last progress. */
+  unmarked = 0;
+
+  /**
+   * @param holder - connection that its bytes are charged to
+   * @param terms - time limits
+   * @param now - time of its head
+   */
+  constructor(
+    readonly holder: Holder,
+    readonly terms: BodyTerms,
+    now: Millis,
+  ) {
+    this.lastByteAt = now;
+    this.lastProgressAt = now;
+  }
+}
+
+/**
+ * Admission control of request bodies by memory. The declared length of a large
+ * body is reserved before it is read, so that no body waits with a part in memory
+ * for others that do the same. While bodies wait, those that make no progress are
+ * rejected and their reservation is released.
+ */
+export class BodyAdmission<Holder extends object> {
+  /** Bodies that are not complete, in order of arrival. */
+  private readonly incomplete = new Set<IncomingBody<Holder>>();
+  private waiting = 0;
+  private lastCheckAt: Millis = 0;
+  /** Time that passed while this process did not run. */
+  private pausedTime: Millis = 0;
+
+  /** @param memory - budget of the process */
+  constructor(private readonly memory: CallerMemory<Holder>) {}
+
+  /** Number of bodies that are not complete. */
+  get incompleteCount(): number {
+    return this.incomplete.size;
+  }
+
+  /** Number of bodies that wait for memory. */
+  get waitingCount(): number {
+    return this.waiting;
+  }
+
+  /**
+   * Registers a body whose head was read.
+   * @param now - current time
+   * @param holder - its connection
+   * @param length - its declared length, bytes; undefined if it has none
+   * @param terms - time limits
+   * @returns the body, with what to do; one that is rejected holds nothing
+   */
+  open(
+    now: Millis,
+    holder: Holder,
+    length: number | undefined,
+    terms: BodyTerms,
+  ): {body: IncomingBody<Holder>; decision: BodyDecision} {
+    if (this.incomplete.size === 0) this.lastCheckAt = now;
+    const body = new IncomingBody(holder, terms, this.runTime(now));
+    const own = Math.min(length ?? FIRST_PART, OWN_PART);
+    if (own > 0 && !this.memory.fitsOwnPart(own))
+      return {body, decision: 'memory_exhausted'};
+    const isWithinOwnPart = this.memory.heldBy(holder) + own <= OWN_PART;
+    const isSmall = (length ?? 0) <= OWN_PART && isWithinOwnPart;
+    this.charge(body, own);
+    this.incomplete.add(body);
+    if (isSmall) return {body, decision: 'read'};
+    const rest = length === undefined ? 0 : length - own;
+    const decision = this.reserve(now, body, rest);
+    if (decision === 'memory_exhausted') this.reject(body);
+    return {body, decision};
+  }
+
+  /**
+   * Reserves memory for the further bytes of a body without a length.
+   * @param now - current time
+   * @param body - a body that is read
+   * @param bytes - their number
+   * @returns what to do; one that is rejected keeps what it holds until `release`
+   */
+  reserve(
+    now: Millis,
+    body: IncomingBody<Holder>,
+    bytes: number,
+  ): 'read' | 'wait' | 'memory_exhausted' {
+    if (this.memory.fits(bytes)) {
+      this.charge(body, bytes);
+      return 'read';
+    }
+    if (this.waiting >= MAX_WAITING) return 'memory_exhausted';
+    body.wanted = bytes;
+    body.waitingSince = now;
+    this.waiting += 1;
+    return 'wait';
+  }
+
+  /**
+   * Records bytes of a body.
+   * @param now - current time
+   * @param body - the body
+   * @param bytes - their number
+   */
+  recordBytes(now: Millis, body: IncomingBody<Holder>, bytes: number): void {
+    const at = this.runTime(now);
+    body.lastByteAt = at;
+    body.unmarked += bytes;
+    if (body.unmarked < PROGRESS_STEP) return;
+    body.unmarked = 0;
+    body.lastProgressAt = at;
+  }
+
+  /**
+   * Removes a body that is complete or has failed; it holds its memory further.
+   * @param body - the body
+   */
+  close(body: IncomingBody<Holder>): void {
+    if (!this.incomplete.delete(body)) return;
+    this.stopWaiting(body);
+  }
+
+  /**
+   * Returns memory of a body to the budget.
+   * @param body - the body
+   * @param bytes - their number; all of it by default
+   */
+  release(body: IncomingBody<Holder>, bytes = body.reserved): void {
+    body.reserved -= bytes;
+    this.memory.remove(body.holder, bytes);
+  }
+
+  /**
+   * Decides on the bodies that are not complete.
+   * @param now - current time
+   * @returns those that can be read now, and those that are rejected
+   */
+  check(now: Millis): Map<IncomingBody<Holder>, BodyDecision> {
+    const decisions = new Map<IncomingBody<Holder>, BodyDecision>();
+    this.recordCheck(now);
+    const stallTimeout = this.stallTimeout;
+    for (const body of this.incomplete) {
+      if (!this.isTooSlow(now, body, stallTimeout)) continue;
+      this.reject(body);
+      decisions.set(body, 'request_timeout');
+    }
+    for (const body of this.admitWaiting(now)) decisions.set(body, 'read');
+    for (const body of this.incomplete) {
+      if (body.wanted === 0) continue;
+      const {patience, expiresAt} = body.terms;
+      const isDue = now - body.waitingSince >= patience || now >= expiresAt;
+      if (!isDue) continue;
+      this.reject(body);
+      decisions.set(body, 'memory_exhausted');
+    }
+    return decisions;
+  }
+
+  /**
+   * Admits waiting bodies as far as the budget allows.
+   * @param now - current time
+   * @returns the bodies that can be read now
+   */
+  admitWaiting(now: Millis): readonly IncomingBody<Holder>[] {
+    const admitted: IncomingBody<Holder>[] = [];
+    if (this.waiting === 0) return admitted;
+    for (const body of this.incomplete) {
+      if (body.wanted === 0 || !this.memory.fits(body.wanted)) continue;
+      this.charge(body, body.wanted);
+      this.stopWaiting(body);
+      body.lastByteAt = body.lastProgressAt = this.runTime(now);
+      admitted.push(body);
+    }
+    return admitted;
+  }
+
+  /** Time without progress after which bodies are rejected. */
+  private get stallTimeout(): Millis {
+    if (!this.memory.fitsOwnPart(OWN_PART)) return CRITICAL_STALL_TIMEOUT;
+    const isScarce = this.waiting > 0 || !this.memory.fits(0);
+    return isScarce ? STALL_TIMEOUT : Infinity;
+  }
+
+  private isTooSlow(
+    now: Millis,
+    body: IncomingBody<Holder>,
+    stallTimeout: Millis,
+  ): boolean {
+    if (body.wanted > 0) return false;
+    const at = this.runTime(now);
+    const {expiresAt, idleTimeout} = body.terms;
+    if (now >= expiresAt || at - body.lastByteAt >= idleTimeout) return true;
+    return at - body.lastProgressAt >= stallTimeout;
+  }
+
+  private charge(body: IncomingBody<Holder>, bytes: number): void {
+    body.reserved += bytes;
+    this.memory.add(body.holder, bytes);
+  }
+
+  private reject(body: IncomingBody<Holder>): void {
+    this.close(body);
+    this.release(body);
+  }
+
+  private stopWaiting(body: IncomingBody<Holder>): void {
+    if (body.wanted === 0) return;
+    body.wanted = 0;
+    this.waiting -= 1;
+  }
+
+  /** Time in which this process ran: what arrived in a pause is not read yet. */
+  private runTime(now: Millis): Millis {
+    return now - this.pausedTime;
+  }
+
+  private recordCheck(now: Millis): void {
+    const gap = now - this.lastCheckAt;
+    this.lastCheckAt = now;
+    this.pausedTime += Math.max(0, gap - MAX_CHECK_GAP);
+  }
+}
--- a/src/admission/caller_memory.ts
+++ b/src/admission/caller_memory.ts
@@ -84,6 +84,24 @@
     return this.used < closeAt && this.heldBy(holder) < ownPart;
   }
 
+  /**
+   * Returns whether a large part fits below the use from which on reading pauses.
+   * @param bytes - its size
+   */
+  fits(bytes: number): boolean {
+    return this.used + bytes <= this.limits.pauseAt;
+  }
+
+  /**
+   * Returns whether a connection's own part fits. The upper half of what is left
+   * to own parts is for the heads of requests.
+   * @param bytes - its size
+   */
+  fitsOwnPart(bytes: number): boolean {
+    const {pauseAt, closeAt} = this.limits;
+    return this.used + bytes <= (pauseAt + closeAt) / 2;
+  }
+
   /**
    * Registers a connection that is not read until the budget allows it.
    * @param holder - the connection
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,6 +1,7 @@
 /** Admission control: organisation limits at entries, queues at upstreams. */
 export * from './adaptive_concurrency.js';
 export * from './admission_queue.js';
+export * from './body_admission.js';
 export * from './caller_memory.js';
 export * from './drain_rate.js';
 export * from './fair_queue.js';
--- a/src/daemons/direct/admitted_request.ts
+++ b/src/daemons/direct/admitted_request.ts
@@ -6,6 +6,8 @@
   Route,
 } from '../../direct/index.js';
 
+import type {BufferedBody} from '../shared/buffered_body.js';
+
 /** Time before the caller's timeout at which the final response is due. */
 const RESPONSE_MARGIN: Millis = 25;
 
@@ -19,7 +21,8 @@
   readonly organisation: OrganisationName | undefined;
   readonly priority: number;
   readonly headers: HeaderLines;
-  readonly body: Buffer;
+  /** Released when no further attempt needs it. */
+  readonly body: BufferedBody;
   readonly arrivedAt: Millis;
   /** Version of the configuration that admitted it. */
   readonly version: number;
--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -18,6 +18,7 @@
 } from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
 import {wasReset} from '../shared/reset_aware_socket.js';
+import type {BufferedBody} from '../shared/buffered_body.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import type {UpstreamConnections} from './upstream_connections.js';
 
@@ -38,7 +39,7 @@
   readonly method: string;
   readonly path: string;
   readonly headers: HeaderLines;
-  readonly body: Buffer;
+  readonly body: BufferedBody;
   /** Id that the response must echo. */
   readonly id: string | undefined;
 }
@@ -56,9 +57,9 @@
 ): AttemptRequest {
   const {method = 'GET', url: path = '/'} = req;
   const hasBody =
-    body.length > 0 || req.headers['content-length'] !== undefined;
+    body.bytes.length > 0 || req.headers['content-length'] !== undefined;
   const length: HeaderLines = hasBody
-    ? [['Content-Length', `${body.length}`]]
+    ? [['Content-Length', `${body.bytes.length}`]]
     : [];
   return {method, path, headers: [...lines, ...length], body, id: metadata.id};
 }
@@ -86,6 +87,8 @@
 
 /** Callbacks of an attempt; none follows `onEnd` or `onFailure`. */
 export interface AttemptListener {
+  /** Called when the system has taken all bytes of the request. */
+  onRequestSent(): void;
   /** Called with the response head. */
   onHead(head: ResponseHead, metadata: ResponseMetadata): void;
   /** Called with each chunk of the body, unless paused. */
@@ -158,7 +161,14 @@
       // A response that has begun reports its own end.
       if (this.res === undefined) this.fail('connection closed', true);
     });
-    this.req.end(outbound.body);
+    const {body} = outbound;
+    const release = body.hold();
+    this.req.once('finish', () => {
+      release();
+      if (!this.isFinished) this.listener.onRequestSent();
+    });
+    this.req.once('close', release);
+    this.req.end(body.bytes);
   }
 
   /** Whether bytes of the request may have been sent. */
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -319,7 +319,10 @@
       metadata,
       fingerprint:
         metadata.ownPart === undefined
-          ? requestFingerprint({method, path, organisation, body})
+          ? requestFingerprint({
+              ...{method, path, organisation},
+              body: body.bytes,
+            })
           : undefined,
       route,
       service: pickService(route, this.parts.chance),
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -75,7 +75,7 @@
     this.forwarder = new ResponseForwarder(
       this.response,
       this.delivery,
-      route.repeat === 'stream',
+      route,
       context.buffers,
     );
     this.submittedAt = arrivedAt;
@@ -167,9 +167,8 @@
       context.connectionsFor(request.route),
       context.dialect,
       {
-        onHead: containment.wrap((head, metadata) =>
-          this.onHead(head, metadata),
-        ),
+        onRequestSent: containment.wrap(() => this.onRequestSent()),
+        onHead: containment.wrap((...args) => this.onHead(...args)),
         onData: containment.wrap(chunk => this.onData(chunk)),
         onExtraResponse: containment.wrap(extra =>
           context.log.recordExtraResponse(request, upstream, extra),
@@ -180,6 +179,12 @@
     );
   }
 
+  /** Releases the body unless another attempt can follow. */
+  private onRequestSent(): void {
+    const {body, route} = this.request;
+    if (this.sends + 1 >= route.maxAttempts) body.release();
+  }
+
   private onHead(head: ResponseHead, metadata: ResponseMetadata): void {
     const {status} = head;
     if (this.account === undefined) return;
@@ -223,6 +228,7 @@
   private onData(chunk: Buffer): void {
     const now = this.context.clock.now();
     const events = this.forwarder.push(now, chunk, this.attempt);
+    if (!this.forwarder.canContinue) this.request.body.release();
     if (!this.forwarder.isEventStream) return;
     this.account?.recordEvents(now, events?.count ?? 0, events?.gap);
     const {defect} = this.delivery;
@@ -280,7 +286,7 @@
       failure,
     );
     if (failure.kind !== 'not_run') this.mayHaveRun = true;
-    if (action === 'try_another' && this.canContinue) {
+    if (action === 'try_another' && this.forwarder.canContinue) {
       const {quarantine} = context;
       if (!isSuspect) this.requestUpstream();
       else quarantine.awaitVerdict(request, upstream, this.applyVerdict);
@@ -300,14 +306,6 @@
     });
   };
 
-  /** Whether the answer of another upstream can follow what the caller has. */
-  private get canContinue(): boolean {
-    if (!this.response.isStarted) return true;
-    const {resumable} = this.request.route;
-    const {hasStreamBegun} = this.forwarder;
-    return hasStreamBegun && (resumable || this.delivery.delivered === 0);
-  }
-
   /**
    * Sends the final response, after which no attempt follows.
    * @param rejection - error if the request has not run
@@ -383,6 +381,7 @@
     const {context, request} = this;
     if (this.pending !== undefined) context.dispatcher.withdraw(this.pending);
     context.retries.settle(context.clock.now(), request);
+    request.body.release();
     this.onFinished();
     context.log.recordFinished(request, {
       outcome,
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -1,7 +1,9 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 
+import {CallerMemory} from '../../admission/index.js';
 import type {Clock, Millis} from '../../core/index.js';
 import {SECOND, headerPairs, malformedField} from '../../core/index.js';
 import type {
@@ -13,7 +15,9 @@
 import {Fault} from '../../errors/index.js';
 import type {Containment, Logger} from '../../observability/index.js';
 import {CallerConnections} from '../shared/caller_connections.js';
-import {deferContinue, readBody} from '../shared/request_body.js';
+import {BodyReader, isBodyRejection} from '../shared/body_reader.js';
+import type {BufferedBody} from '../shared/buffered_body.js';
+import {deferContinue} from '../shared/request_body.js';
 import {splitAddress} from './attempt.js';
 import type {RequestLog} from './request_log.js';
 import {ResponseWriter, formatError} from './response_writer.js';
@@ -31,6 +35,8 @@
 const TIMEOUT_CHECK_INTERVAL: Millis = SECOND;
 /** Number of open requests that the line of an unreadable one names. */
 const MAX_LOGGED_IDS = 8;
+/** Delay after which the caller of a body that was rejected is to retry. */
+const BODY_RETRY_AFTER: Millis = SECOND / 2;
 /** Accept queue length; callers retry connections beyond it after a second. */
 const LISTEN_BACKLOG = 1_024;
 
@@ -39,7 +45,8 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly headers: HeaderLines;
-  readonly body: Buffer;
+  /** Released at the end of the response, or earlier. */
+  readonly body: BufferedBody;
   readonly arrivedAt: Millis;
 }
 
@@ -48,6 +55,7 @@
   private readonly server: Server;
   private limits = DEFAULT_LIMITS;
   private readonly connections: CallerConnections;
+  private readonly bodies: BodyReader<Socket>;
   private isClosing = false;
 
   /**
@@ -90,6 +98,7 @@
       onCut: ({req, reason, unsentBytes}) =>
         log.recordCut(this.idOf(req), reason, unsentBytes),
     });
+    this.bodies = new BodyReader(clock, new CallerMemory<Socket>());
     this.setLimits(DEFAULT_LIMITS);
   }
 
@@ -179,8 +188,11 @@
     const reject = (fault: Fault) => {
       const {reason, detail} = fault;
       const {id} = this.dialect.readRequest(headers);
-      this.log.recordRejected(id, reason, arrivedAt, {detail});
-      reply.sendError(fault);
+      const fields = isBodyRejection(reason) ? this.bodies.fields : {};
+      this.log.recordRejected(id, reason, arrivedAt, {detail, ...fields});
+      // The rest of the body is discarded only for a time.
+      if (!req.complete) res.shouldKeepAlive = false;
+      reply.sendError(fault, BODY_RETRY_AFTER);
     };
     if (headerBytes(req) > this.limits.maxHeaderBytes) {
       reject(new Fault('headers_too_large'));
@@ -193,13 +205,17 @@
       reject(new Fault('bad_request', `malformed header ${line}`));
       return;
     }
-    const body = await readBody(req, this.limits.maxBodyBytes);
+    const {maxBodyBytes: maxBytes, idleTimeout} = this.limits;
+    const {callerTimeout} = this.dialect.readRequest(headers);
+    const limits = {maxBytes, idleTimeout, callerTimeout};
+    const body = await this.bodies.read(req, req.socket, limits);
     if (body.isErr()) {
       if (body.error.reason === 'caller_gone') res.destroy();
       else reject(body.error);
       return;
     }
     const {value} = body;
+    res.once('close', value.release);
     if (!(await this.connections.turnOf(req, res))) {
       const {id} = this.dialect.readRequest(headers);
       this.log.recordRejected(id, 'caller_gone', arrivedAt, {
--- a/src/daemons/direct/response_forwarder.ts
+++ b/src/daemons/direct/response_forwarder.ts
@@ -1,6 +1,10 @@
 import {isSuccessStatus} from '../../core/index.js';
 import type {Millis} from '../../core/index.js';
-import type {DeliverableEvents, StreamDelivery} from '../../direct/index.js';
+import type {
+  DeliverableEvents,
+  Route,
+  StreamDelivery,
+} from '../../direct/index.js';
 import type {ResponseHead} from './attempt.js';
 import type {BufferBudget} from './buffer_budget.js';
 import {ResponseBuffer} from './response_buffer.js';
@@ -22,13 +26,13 @@
   /**
    * @param writer - writes the response to the caller
    * @param delivery - events that the caller has received
-   * @param isStream - whether successes are event streams
+   * @param route - route of the request
    * @param budget - bytes that all buffered responses may hold
    */
   constructor(
     private readonly writer: ResponseWriter,
     private readonly delivery: StreamDelivery,
-    private readonly isStream: boolean,
+    private readonly route: Route,
     budget: BufferBudget,
   ) {
     this.body = new ResponseBuffer(budget);
@@ -43,9 +47,11 @@
     return this.currentHead;
   }
 
-  /** Whether the caller receives events of a stream. */
-  get hasStreamBegun(): boolean {
-    return this.isStreaming;
+  /** Whether the response of another upstream can follow what was sent. */
+  get canContinue(): boolean {
+    if (!this.writer.isStarted) return true;
+    const hasDelivered = this.delivery.delivered > 0;
+    return this.isStreaming && (this.route.resumable || !hasDelivered);
   }
 
   /** Whether the current response is forwarded event by event. */
@@ -67,7 +73,8 @@
    */
   begin(head: ResponseHead): void {
     this.currentHead = head;
-    this.isEvents = this.isStream && isSuccessStatus(head.status);
+    const isStream = this.route.repeat === 'stream';
+    this.isEvents = isStream && isSuccessStatus(head.status);
     if (!this.isEvents || this.writer.isStarted) return;
     this.writer.sendStreamHead(head);
     this.isStreaming = true;
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -2,11 +2,13 @@
 import {once} from 'node:events';
 import {STATUS_CODES, createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 
+import {CallerMemory} from '../../admission/index.js';
+import type {NamedOrganisation} from '../../admission/index.js';
 import type {CallRequest} from '../../calls/index.js';
 import {MAX_BODY_BYTES} from '../../configuration/index.js';
 import {SECOND, callId, hostPort} from '../../core/index.js';
@@ -20,7 +22,9 @@
 import {answerKeyRequest, isKeyRequest} from './key_issuer.js';
 import type {IssuedKey} from './key_issuer.js';
 import type {LimitsTask} from './limits_task.js';
-import {deferContinue, readBody} from '../shared/request_body.js';
+import {BodyReader, isBodyRejection} from '../shared/body_reader.js';
+import type {BufferedBody} from '../shared/buffered_body.js';
+import {deferContinue} from '../shared/request_body.js';
 import {guardRequest} from './request_guard.js';
 import {createCall, identify, resolveRequest} from './request_parser.js';
 import type {ConfigurationInForce} from './types.js';
@@ -33,11 +37,34 @@
 };
 /** Time in which callers may read the rest of their answers as the edge closes. */
 const FLUSH_TIMEOUT: Millis = SECOND;
+/** Time without a byte of a body after which its request is rejected. */
+const BODY_IDLE_TIMEOUT: Millis = 15 * SECOND;
 const MAX_HEADER_BYTES = 32 * 2 ** 10;
 
 /** Number of open calls that the line of an unreadable message names. */
 const MAX_LOGGED_IDS = 8;
 
+const BODY_LIMITS = {
+  maxBytes: MAX_BODY_BYTES,
+  callerTimeout: undefined,
+  idleTimeout: BODY_IDLE_TIMEOUT,
+};
+
+/** An admitted call, with the body to release at its end. */
+interface AdmittedCall {
+  readonly call: CallRequest;
+  readonly body: BufferedBody;
+}
+
+/** A request whose body was read. */
+interface WholeRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly id: CallId;
+  readonly organisation: NamedOrganisation;
+  readonly inForce: ConfigurationInForce;
+}
+
 /** Services of the entry that the edge uses. */
 export interface EdgeServices {
   /** The configuration in force, if there is one. */
@@ -59,6 +86,7 @@
 export class HttpEdge {
   private readonly server: Server;
   private readonly connections: CallerConnections;
+  private readonly bodies: BodyReader<Socket>;
   private readonly callIds = new WeakMap<IncomingMessage, CallId>();
 
   /**
@@ -88,6 +116,7 @@
       deferContinue(req, res);
       this.handleRequest(req, res);
     });
+    this.bodies = new BodyReader(context.clock, new CallerMemory<Socket>());
     this.connections = new CallerConnections(this.server, {
       formatError,
       onUnreadable: (fault, open) => this.recordUnreadable(fault, open),
@@ -170,8 +199,11 @@
       err(asFault(thrown, 'internal')),
     );
     if (admitted.isErr()) return this.reject(req, res, writer, admitted.error);
-    const call = admitted.value;
-    const onEnd = () => this.limits.release(call);
+    const {call, body} = admitted.value;
+    const onEnd = () => {
+      this.limits.release(call);
+      body.release();
+    };
     if (!res.destroyed) {
       const {clock, metrics} = this.context;
       writer.setTimer(
@@ -189,14 +221,21 @@
     writer: AnswerWriter,
     fault: Fault,
   ): void {
-    const {metrics} = this.context;
-    metrics.refusals.inc({reason: fault.reason, service: ''});
+    const {metrics, logger} = this.context;
+    const {reason, detail} = fault;
+    metrics.refusals.inc({reason, service: ''});
+    if (isBodyRejection(reason)) {
+      const call = this.callIds.get(req);
+      logger.info('refused', {call, reason, detail, ...this.bodies.fields});
+    }
     metrics.outcomes.inc({outcome: 'not-run', service: ''});
     // Closes rather than reads a body that is too large or of unknown length.
     const declared = Number(req.headers['content-length'] ?? NaN);
     const isBodyBounded = req.complete || declared <= MAX_BODY_BYTES;
     const isBodySent = req.headers.expect === undefined;
-    if (!isBodyBounded || !isBodySent) res.setHeader('connection', 'close');
+    const isLate = !req.complete && isBodyRejection(fault.reason);
+    if (!isBodyBounded || !isBodySent || isLate)
+      res.setHeader('connection', 'close');
     writer.reject(fault);
   }
 
@@ -204,25 +243,39 @@
     req: IncomingMessage,
     res: ServerResponse,
     id: CallId,
-  ): Promise<Result<CallRequest, Fault>> {
+  ): Promise<Result<AdmittedCall, Fault>> {
     const inForce = this.services.inForce();
     if (!this.services.isAccepting()) return err(new Fault('draining'));
     if (inForce === undefined) return err(new Fault('no_configuration'));
     const identified = identify(req, inForce);
     if (identified.isErr()) return err(identified.error);
     const organisation = identified.value;
-    const body = await readBody(req, MAX_BODY_BYTES);
-    if (body.isErr()) return err(body.error);
+    const read = await this.bodies.read(req, req.socket, BODY_LIMITS);
+    if (read.isErr()) return err(read.error);
+    const body = read.value;
+    const request = {req, res, id, organisation, inForce};
+    const call = await this.admitWhole(request, body.bytes).catch(thrown =>
+      err(asFault(thrown, 'internal')),
+    );
+    if (call.isErr()) body.release();
+    return call.map(value => ({call: value, body}));
+  }
+
+  /** Admits a request whose body was read. */
+  private async admitWhole(
+    {req, res, id, organisation, inForce}: WholeRequest,
+    body: Buffer,
+  ): Promise<Result<CallRequest, Fault>> {
     if (!(await this.connections.turnOf(req, res)))
       return err(new Fault('caller_gone'));
-    const resolved = resolveRequest(req, body.value, inForce);
+    const resolved = resolveRequest(req, body, inForce);
     if (resolved.isErr()) return err(resolved.error);
-    if (body.value.length > resolved.value.service.limits.body) {
+    if (body.length > resolved.value.service.limits.body) {
       return err(new Fault('body_too_large'));
     }
     const now = this.context.clock.now();
     const wall = this.context.clock.wall();
-    const parts = {callId: id, now, wall, organisation, body: body.value};
+    const parts = {callId: id, now, wall, organisation, body};
     const call = createCall(req, {...parts, resolved: resolved.value});
     if (call.isErr()) return err(call.error);
     const {limits} = organisation.organisation;
--- a/src/daemons/shared/request_body.ts
+++ b/src/daemons/shared/request_body.ts
@@ -37,8 +37,66 @@
 }
 
 /**
- * Reads the body of a request. The server discards a rejected body, so that
- * the caller still receives the error response.
+ * Returns the declared length of a request's body.
+ * @param req - the request
+ * @returns the length in bytes, 0 without a body; undefined for chunks
+ */
+export function declaredLength({headers}: IncomingMessage): number | undefined {
+  if (headers['transfer-encoding'] !== undefined) return undefined;
+  return Number(headers['content-length'] ?? 0);
+}
+
+/** Receives the bytes of a body. */
+export interface BodySink {
+  /**
+   * Called with each chunk.
+   * @param chunk - the chunk
+   * @returns a fault to fail the body with
+   */
+  onChunk(chunk: Buffer): Fault | undefined;
+  /** Called once: with a fault, or without one at the end of a whole body. */
+  onEnd(fault?: Fault): void;
+}
+
+/**
+ * Passes the body of a request to a sink. The rest of a body that has failed is
+ * discarded, so that the caller still receives the error response.
+ * @param req - the request
+ * @param sink - receives the bytes
+ * @returns starts or resumes the reading
+ */
+export function receiveBody(req: IncomingMessage, sink: BodySink): () => void {
+  let isStarted = false;
+  let hasEnded = false;
+  const end = (fault?: Fault) => {
+    if (hasEnded) return;
+    hasEnded = true;
+    pendingBodies.delete(req);
+    req.off('data', onData);
+    if (fault !== undefined) req.resume();
+    sink.onEnd(fault);
+  };
+  const onData = (chunk: Buffer) => {
+    const fault = sink.onChunk(chunk);
+    if (fault !== undefined) end(fault);
+  };
+  pendingBodies.set(req, end);
+  req.once('end', () => end());
+  req.once('close', () => end(new Fault('caller_gone')));
+  req.once('error', () => end(new Fault('caller_gone')));
+  return () => {
+    if (hasEnded) return;
+    if (!isStarted) {
+      pendingContinues.get(req)?.writeContinue();
+      req.on('data', onData);
+    }
+    isStarted = true;
+    req.resume();
+  };
+}
+
+/**
+ * Reads the small body of a request.
  * @param req - the request
  * @param limit - maximum size of the body, bytes
  * @returns the body, or `body_too_large`, `caller_gone` or the fault of `failBody`
@@ -47,31 +105,20 @@
   req: IncomingMessage,
   limit: number,
 ): Promise<Result<Buffer, Fault>> {
-  const declared = Number(req.headers['content-length'] ?? 0);
-  const tooLarge = err(new Fault('body_too_large'));
-  if (declared > limit) return Promise.resolve(tooLarge);
-  pendingContinues.get(req)?.writeContinue();
+  const tooLarge = new Fault('body_too_large');
+  if ((declaredLength(req) ?? 0) > limit) return Promise.resolve(err(tooLarge));
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let length = 0;
-    const finish = (result: Result<Buffer, Fault>) => {
-      pendingBodies.delete(req);
-      resolve(result);
-    };
-    const onData = (chunk: Buffer) => {
-      length += chunk.length;
-      if (length <= limit) {
+    const start = receiveBody(req, {
+      onChunk: chunk => {
+        length += chunk.length;
         chunks.push(chunk);
-        return;
-      }
-      req.off('data', onData);
-      chunks.length = 0;
-      finish(tooLarge);
-    };
-    pendingBodies.set(req, fault => finish(err(fault)));
-    req.on('data', onData);
-    req.once('end', () => finish(ok(Buffer.concat(chunks))));
-    req.once('close', () => finish(err(new Fault('caller_gone'))));
-    req.once('error', () => finish(err(new Fault('caller_gone'))));
+        return length > limit ? tooLarge : undefined;
+      },
+      onEnd: fault =>
+        resolve(fault === undefined ? ok(Buffer.concat(chunks)) : err(fault)),
+    });
+    start();
   });
 }
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -70,6 +70,11 @@
     'The body exceeds the size limit of the service.',
     'Send a smaller body, or ask an operator to raise the limit.',
   ),
+  memory_exhausted: entry(
+    503,
+    'This process has no memory for the body of the request at present.',
+    'Retry after the time in Retry-After.',
+  ),
   organisation_over_limit: entry(
     429,
     'The organisation has exceeded one of its limits.',
