--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -60,9 +60,9 @@
   readonly readiness: OperatorServer;
   private readonly logger: Logger;
   private readonly openExchanges = new Set<Exchange>();
+  /** Set once the start has ended, so that the balancer may route here. */
   private timer: NodeJS.Timeout | undefined;
-  /** Whether the start has ended, so that the balancer may route here. */
-  private isServing = false;
+  private grace: Millis;
 
   /**
    * @param settings - the settings of this process
@@ -74,6 +74,7 @@
   ) {
     const {clock, estate, logger, metrics} = parts;
     this.clock = clock;
+    this.grace = settings.grace;
     this.dialect = estate.dialect;
     this.logger = logger;
     this.containment = new Containment(logger, metrics);
@@ -156,7 +157,6 @@
   async start(): Promise<void> {
     this.estate.start();
     await bindEntryPorts(this.settings, this, this.containment, this.logger);
-    this.isServing = true;
     this.retries.startServing(this.clock.now());
     this.timer = setInterval(
       () =>
@@ -169,8 +169,8 @@
 
   /** Finishes accepted requests, then stops; ends within the grace period. */
   async drain(): Promise<void> {
-    if (this.isServing || this.front.openRequests > 0) {
-      await this.shutdown.drain(this.settings.grace, this.openExchanges);
+    if (this.timer !== undefined || this.front.openRequests > 0) {
+      await this.shutdown.drain(this.grace, this.openExchanges);
     }
     await this.stop();
   }
@@ -179,9 +179,10 @@
    * Applies changed settings, except for addresses.
    * @param settings - the settings
    */
-  reload({retryBound}: DirectSettings): void {
+  reload({retryBound, grace}: DirectSettings): void {
     this.retries.setBound(retryBound);
-    this.logger.info('reload', {...retryBound});
+    this.grace = grace;
+    this.logger.info('reload', {...retryBound, grace_ms: grace});
   }
 
   /** Stops immediately. */
--- a/test/process_ends.test.ts
+++ b/test/process_ends.test.ts
@@ -1,6 +1,7 @@
 /** Ends of the programs of the users' platform, as processes on loopback. */
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
+import {readFileSync, writeFileSync} from 'node:fs';
 import {createServer} from 'node:net';
 
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
@@ -103,3 +104,76 @@
     },
   );
 });
+
+describe('a settings file', () => {
+  async function startEntry(): Promise<EntryProcess> {
+    const entry = new EntryProcess(estate.addressOfStore, await freePorts());
+    processes.push(entry);
+    return entry;
+  }
+
+  // A process that started while its file was being written ended with code 1 (FAULT).
+  it.each(['', '{"vm": "fro'])(
+    'that reads %o is read again until it is whole',
+    async text => {
+      const entry = await startEntry();
+      const whole = readFileSync(entry.boot, 'utf8');
+      writeFileSync(entry.boot, text);
+      await expect
+        .poll(() => entry.hasLogged('settings_unreadable'), STARTED)
+        .toBe(true);
+      writeFileSync(entry.boot, whole);
+      await expect.poll(() => entry.hasLogged('ready'), STARTED).toBe(true);
+      expect(entry.hasEnded).toBe(false);
+    },
+  );
+
+  // The changed settings were lost with the reload, until the next one.
+  it('that is cut at a reload is read again until it is whole', async () => {
+    const entry = await startEntry();
+    await expect.poll(() => entry.hasLogged('ready'), STARTED).toBe(true);
+    const changed = withRetryRatio(entry, 0.25);
+    writeFileSync(entry.boot, changed.slice(0, 40));
+    entry.child.kill('SIGHUP');
+    await expect
+      .poll(() => entry.hasLogged('settings_unreadable'), STARTED)
+      .toBe(true);
+    writeFileSync(entry.boot, changed);
+    await expect.poll(() => ratioInForce(entry), STARTED).toBe('0.25');
+    // The platform announces not every change by a signal.
+    writeFileSync(entry.boot, withRetryRatio(entry, 0.125));
+    await expect.poll(() => ratioInForce(entry), STARTED).toBe('0.125');
+  });
+
+  it('that is replaced as the process starts is in force in the end', async () => {
+    const entry = await startEntry();
+    await expect.poll(() => entry.catchesReload(), {interval: 1}).toBe(true);
+    writeFileSync(entry.boot, withRetryRatio(entry, 0.5));
+    entry.child.kill('SIGHUP');
+    await expect.poll(() => ratioInForce(entry), STARTED).toBe('0.5');
+    await pause(200);
+    expect(ratioInForce(entry)).toBe('0.5');
+  });
+
+  it('that is replaced while the process waits for its port is in force', async () => {
+    const ports = await freePorts();
+    const holder = createServer().listen(ports.callers, '127.0.0.1');
+    await once(holder, 'listening');
+    const entry = new EntryProcess(estate.addressOfStore, ports);
+    processes.push(entry);
+    await expect.poll(() => entry.hasLogged('port_taken'), STARTED).toBe(true);
+    writeFileSync(entry.boot, withRetryRatio(entry, 0.75));
+    entry.child.kill('SIGHUP');
+    await expect.poll(() => ratioInForce(entry), STARTED).toBe('0.75');
+    holder.close();
+  });
+
+  function withRetryRatio(entry: EntryProcess, retryRatio: number): string {
+    const settings = JSON.parse(readFileSync(entry.boot, 'utf8')) as object;
+    return JSON.stringify({...settings, retryRatio});
+  }
+
+  function ratioInForce({lines}: EntryProcess): string | undefined {
+    return lines.findLast(line => line['ratio'] !== undefined)?.['ratio'];
+  }
+});
--- a/test/support/entry_process.ts
+++ b/test/support/entry_process.ts
@@ -67,6 +67,8 @@
   readonly errorLines: string[] = [];
   readonly child: ChildProcess;
   private readonly folder = mkdtempSync(join(tmpdir(), 'baobabspan-'));
+  /** Path of its settings file. */
+  readonly boot = join(this.folder, 'boot.json');
 
   /**
    * Starts the process.
@@ -85,7 +87,6 @@
       ...DEFAULT_OPTIONS,
       ...options,
     };
-    const boot = join(this.folder, 'boot.json');
     const settings = {
       vm: `front-${ports.callers}`,
       availabilityZone: 'a',
@@ -102,12 +103,12 @@
       configurationAppliesMs: 2_000,
       upstreamLeavesMs: 2_000,
     };
-    writeFileSync(boot, JSON.stringify(settings));
+    writeFileSync(this.boot, JSON.stringify(settings));
     this.child = spawn(
       process.execPath,
       [`--max-old-space-size=${heapMb}`, MAIN, 'entry'],
       {
-        env: {...process.env, BAOBABSPAN_BOOT: boot},
+        env: {...process.env, BAOBABSPAN_BOOT: this.boot},
         stdio: ['ignore', 'pipe', 'pipe'],
       },
     );
