Compare the heap with the limit at which V8 gives up

An entry ended with SIGABRT without a memory_high line before (trial: a store whose listing never ends, 14 s to the end, heap 110 of 128 MB).

The option itself is the limit now.

Test: 'a process logs that its heap nears the limit'; before, no line within 15 s at a limit of 24 MB.

--- a/src/observability/process_memory.ts
+++ b/src/observability/process_memory.ts
@@ -37,9 +37,17 @@
   return {rss, heap: heapUsed, external};
 }
 
-/** Returns the heap limit of this process, bytes. */
-export function readHeapLimit(): number {
-  return getHeapStatistics().heap_size_limit;
+/**
+ * Returns the heap limit of this process, bytes: that of the old generation if it
+ * was set. V8's own figure has room for the young one besides, which never fills.
+ * @param args - arguments of Node, before the name of the program
+ */
+export function readHeapLimit(args: readonly string[]): number {
+  const [, oldSpace] =
+    /^--max-old-space-size=(\d+)$/m.exec(args.join('\n')) ?? [];
+  return oldSpace === undefined
+    ? getHeapStatistics().heap_size_limit
+    : Number(oldSpace) * MEBIBYTE;
 }
 
 /**
--- a/test/process_ends.test.ts
+++ b/test/process_ends.test.ts
@@ -16,6 +16,8 @@
 import {parseLogLine} from './support/processes.js';
 
 const STARTED = {timeout: 15_000};
+/** Registrations whose records take a few MB. */
+const UPSTREAMS = 3_000;
 
 let estate: DirectEstate;
 const processes: EntryProcess[] = [];
@@ -105,6 +107,22 @@
   );
 });
 
+// An end at the heap limit leaves no line of its own, so the log has to tell before.
+it('a process logs that its heap nears the limit', async () => {
+  const heapMb = 24;
+  const options = {heapMb};
+  for (let i = 0; i < UPSTREAMS; i++) {
+    estate.store.put('keyed.servers', `i-${i}`, {Service: 'app'});
+  }
+  const ports = await freePorts();
+  const entry = new EntryProcess(estate.addressOfStore, ports, 5, options);
+  processes.push(entry);
+  await expect.poll(() => entry.hasLogged('memory_high'), STARTED).toBe(true);
+  const line = entry.lines.find(one => one['event'] === 'memory_high');
+  expect(line).toMatchObject({kind: 'heap', limit_mb: `${heapMb}`, open: '0'});
+  expect(Number(line!['heap_mb'])).toBeGreaterThan(0.7 * heapMb - 1);
+});
+
 describe('a settings file', () => {
   async function startEntry(): Promise<EntryProcess> {
     const entry = new EntryProcess(estate.addressOfStore, await freePorts());
