Wait while the machine lacks an address or descriptors for a port

A process whose address was not configured yet as it started, or whose machine was short of descriptors or memory, ended with code 1 (FAULT: a program does not start).

Cause: only a taken port was waited for; EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS and ENOMEM went up as a failed start. They pass like a taken port, and an end helps with none of them. port_not_bound with the code tells of the wait, port_bound of its end.

Tests, before: each of the five codes was thrown.

--- a/src/daemons/direct/bind_when_free.test.ts
+++ b/src/daemons/direct/bind_when_free.test.ts
@@ -34,6 +34,21 @@
   expect(address).toBe(`127.0.0.1:${port}`);
 });
 
+// A process whose address was not configured yet, or whose machine was short of
+// descriptors, ended with code 1 (FAULT).
+it.each(['EADDRNOTAVAIL', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM'])(
+  'waits while a port cannot be bound for %s',
+  async code => {
+    let attempts = 0;
+    await bindWhenFree('127.0.0.1:80', SILENT_LOGGER, () => {
+      attempts += 1;
+      if (attempts > 1) return Promise.resolve();
+      return Promise.reject(Object.assign(new Error('later'), {code}));
+    });
+    expect(attempts).toBe(2);
+  },
+);
+
 it('reports other errors at once', async () => {
   const bind = () =>
     Promise.reject(Object.assign(new Error('denied'), {code: 'EACCES'}));
--- a/src/daemons/direct/bind_when_free.ts
+++ b/src/daemons/direct/bind_when_free.ts
@@ -5,15 +5,24 @@
 /** Interval between two attempts to bind a port. */
 const RETRY_INTERVAL: Millis = SECOND / 5;
 const PORT_TAKEN = 'EADDRINUSE';
+/** Errors of a machine that passes: its address or its resources are not there yet. */
+const PASSING_ERRORS: ReadonlySet<string | undefined> = new Set([
+  'EADDRNOTAVAIL',
+  'EMFILE',
+  'ENFILE',
+  'ENOBUFS',
+  'ENOMEM',
+]);
 
 /**
  * Binds a port, and waits while another socket holds it: the process before this
  * one may still be draining, or the system may have given the port to an outgoing
- * connection. It waits without a limit, as ending the process would not free it.
+ * connection. It also waits while the machine lacks the address or descriptors.
+ * It waits without a limit, as ending the process would help with none of them.
  * @param address - `host:port`, for the log
  * @param logger - logs the wait
  * @param bind - starts to listen
- * @throws errors of `bind` other than that the port is taken
+ * @throws errors of `bind` that do not pass
  */
 export async function bindWhenFree(
   address: string,
@@ -26,8 +35,12 @@
       if (attempt > 1) logger.info('port_bound', {address, attempt});
       return;
     } catch (thrown) {
-      if ((thrown as NodeJS.ErrnoException).code !== PORT_TAKEN) throw thrown;
-      if (attempt === 1) logger.warn('port_taken', {address});
+      const {code} = thrown as NodeJS.ErrnoException;
+      const isTaken = code === PORT_TAKEN;
+      if (!isTaken && !PASSING_ERRORS.has(code)) throw thrown;
+      if (attempt === 1) {
+        logger.warn(isTaken ? 'port_taken' : 'port_not_bound', {address, code});
+      }
       await new Promise(resolve => setTimeout(resolve, RETRY_INTERVAL));
     }
   }
