Start a sidecar without its port for operators

The sidecar of a rank whose port for operators was taken did nothing else: it neither read the expert layout nor managed its group's map, until the port was free.

Test, before: no ready line within 15 s.

--- a/src/daemons/direct/map_sidecar.ts
+++ b/src/daemons/direct/map_sidecar.ts
@@ -2,6 +2,7 @@
 import {SECOND, hostPort} from '../../core/index.js';
 import type {ExpertProfile} from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
+import {Containment} from '../../observability/index.js';
 import {OperatorServer} from '../shared/operator_server.js';
 import {startContext} from '../shared/start_context.js';
 import {bindWhenFree} from './bind_when_free.js';
@@ -108,8 +109,13 @@
     await bindWhenFree(hostPort(ip, this.port), logger, () =>
       this.links.listen(ip, this.port),
     );
-    await bindWhenFree(hostPort(ip, operatorPort), logger, () =>
-      this.operatorServer.listen(ip, operatorPort),
+    // The map of the group is managed without the operators' port.
+    const operators = hostPort(ip, operatorPort);
+    const containment = new Containment(logger, this.parts.metrics);
+    void containment.runAsync('process', {address: operators}, () =>
+      bindWhenFree(operators, logger, () =>
+        this.operatorServer.listen(ip, operatorPort),
+      ),
     );
     const {store} = this.parts.estate;
     store.onRecordsLost(() => this.task.post({type: 'registry_restored'}));
--- a/test/process_ends.test.ts
+++ b/test/process_ends.test.ts
@@ -1,8 +1,10 @@
 /** Ends of the programs of the users' platform, as processes on loopback. */
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {readFileSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
@@ -123,6 +125,44 @@
   expect(Number(line!['heap_mb'])).toBeGreaterThan(0.7 * heapMb - 1);
 });
 
+// The operators' port is not needed to manage the map of a group, which stood still.
+it('a sidecar starts without its port for operators', async () => {
+  const {internal, operators} = await freePorts();
+  const holder = createServer().listen(operators, '127.0.0.1');
+  await once(holder, 'listening');
+  const folder = mkdtempSync(join(tmpdir(), 'baobabspan-'));
+  const boot = join(folder, 'boot.json');
+  const settings = {
+    vm: 'side-1',
+    availabilityZone: 'a',
+    ip: '127.0.0.1',
+    internalPorts: [internal, internal],
+    operatorPort: operators,
+    upstream: '127.0.0.1:9',
+    upstreamService: 'llm',
+    store: estate.addressOfStore,
+    retryRatio: 1,
+    retryWindowS: 10,
+    retrySlack: 1,
+    graceS: 5,
+  };
+  writeFileSync(boot, JSON.stringify(settings));
+  const child = spawn(process.execPath, [MAIN, 'sidecar'], {
+    env: {...process.env, BAOBABSPAN_BOOT: boot},
+    stdio: ['ignore', 'pipe', 'ignore'],
+  });
+  let text = '';
+  child.stdout.on('data', data => (text += String(data)));
+  await expect.poll(() => text, STARTED).toContain('event=ready');
+  expect(text).toContain('event=port_taken');
+  holder.close();
+  await expect.poll(() => text, STARTED).toContain('event=port_bound');
+  const exit = once(child, 'exit');
+  child.kill('SIGTERM');
+  expect(await exit).toEqual([0, null]);
+  rmSync(folder, {recursive: true});
+});
+
 describe('a settings file', () => {
   async function startEntry(): Promise<EntryProcess> {
     const entry = new EntryProcess(estate.addressOfStore, await freePorts());
