--- a/test/process_ends.test.ts
+++ b/test/process_ends.test.ts
@@ -1,7 +1,10 @@
 /** Ends of the programs of the users' platform, as processes on loopback. */
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
@@ -15,6 +18,8 @@
 import {parseLogLine} from './support/processes.js';
 
 const STARTED = {timeout: 15_000};
+/** Registrations whose records take a few MB. */
+const UPSTREAMS = 3_000;
 
 let estate: DirectEstate;
 const processes: EntryProcess[] = [];
@@ -103,3 +108,130 @@
     },
   );
 });
+
+// An end at the heap limit leaves no line of its own, so the log has to tell before.
+it('a process logs that its heap nears the limit', async () => {
+  const heapMb = 24;
+  const options = {heapMb};
+  for (let i = 0; i < UPSTREAMS; i++) {
+    estate.store.put('keyed.servers', `i-${i}`, {Service: 'app'});
+  }
+  const ports = await freePorts();
+  const entry = new EntryProcess(estate.addressOfStore, ports, 5, options);
+  processes.push(entry);
+  await expect.poll(() => entry.hasLogged('memory_high'), STARTED).toBe(true);
+  const line = entry.lines.find(one => one['event'] === 'memory_high');
+  expect(line).toMatchObject({kind: 'heap', limit_mb: `${heapMb}`, open: '0'});
+  expect(Number(line!['heap_mb'])).toBeGreaterThan(0.7 * heapMb - 1);
+});
+
+// The operators' port is not needed to manage the map of a group, which stood still.
+it('a sidecar starts without its port for operators', async () => {
+  const {internal, operators} = await freePorts();
+  const holder = createServer().listen(operators, '127.0.0.1');
+  await once(holder, 'listening');
+  const folder = mkdtempSync(join(tmpdir(), 'baobabspan-'));
+  const boot = join(folder, 'boot.json');
+  const settings = {
+    vm: 'side-1',
+    availabilityZone: 'a',
+    ip: '127.0.0.1',
+    internalPorts: [internal, internal],
+    operatorPort: operators,
+    upstream: '127.0.0.1:9',
+    upstreamService: 'llm',
+    store: estate.addressOfStore,
+    retryRatio: 1,
+    retryWindowS: 10,
+    retrySlack: 1,
+    graceS: 5,
+  };
+  writeFileSync(boot, JSON.stringify(settings));
+  const child = spawn(process.execPath, [MAIN, 'sidecar'], {
+    env: {...process.env, BAOBABSPAN_BOOT: boot},
+    stdio: ['ignore', 'pipe', 'ignore'],
+  });
+  let text = '';
+  child.stdout.on('data', data => (text += String(data)));
+  await expect.poll(() => text, STARTED).toContain('event=ready');
+  expect(text).toContain('event=port_taken');
+  holder.close();
+  await expect.poll(() => text, STARTED).toContain('event=port_bound');
+  const exit = once(child, 'exit');
+  child.kill('SIGTERM');
+  expect(await exit).toEqual([0, null]);
+  rmSync(folder, {recursive: true});
+});
+
+describe('a settings file', () => {
+  async function startEntry(): Promise<EntryProcess> {
+    const entry = new EntryProcess(estate.addressOfStore, await freePorts());
+    processes.push(entry);
+    return entry;
+  }
+
+  // A process that started while its file was being written ended with code 1 (FAULT).
+  it.each(['', '{"vm": "fro'])(
+    'that reads %o is read again until it is whole',
+    async text => {
+      const entry = await startEntry();
+      const whole = readFileSync(entry.boot, 'utf8');
+      writeFileSync(entry.boot, text);
+      await expect
+        .poll(() => entry.hasLogged('settings_unreadable'), STARTED)
+        .toBe(true);
+      writeFileSync(entry.boot, whole);
+      await expect.poll(() => entry.hasLogged('ready'), STARTED).toBe(true);
+      expect(entry.hasEnded).toBe(false);
+    },
+  );
+
+  // The changed settings were lost with the reload, until the next one.
+  it('that is cut at a reload is read again until it is whole', async () => {
+    const entry = await startEntry();
+    await expect.poll(() => entry.hasLogged('ready'), STARTED).toBe(true);
+    const changed = withRetryRatio(entry, 0.25);
+    writeFileSync(entry.boot, changed.slice(0, 40));
+    entry.child.kill('SIGHUP');
+    await expect
+      .poll(() => entry.hasLogged('settings_unreadable'), STARTED)
+      .toBe(true);
+    writeFileSync(entry.boot, changed);
+    await expect.poll(() => ratioInForce(entry), STARTED).toBe('0.25');
+    // The platform announces not every change by a signal.
+    writeFileSync(entry.boot, withRetryRatio(entry, 0.125));
+    await expect.poll(() => ratioInForce(entry), STARTED).toBe('0.125');
+  });
+
+  it('that is replaced as the process starts is in force in the end', async () => {
+    const entry = await startEntry();
+    await expect.poll(() => entry.catchesReload(), {interval: 1}).toBe(true);
+    writeFileSync(entry.boot, withRetryRatio(entry, 0.5));
+    entry.child.kill('SIGHUP');
+    await expect.poll(() => ratioInForce(entry), STARTED).toBe('0.5');
+    await pause(200);
+    expect(ratioInForce(entry)).toBe('0.5');
+  });
+
+  it('that is replaced while the process waits for its port is in force', async () => {
+    const ports = await freePorts();
+    const holder = createServer().listen(ports.callers, '127.0.0.1');
+    await once(holder, 'listening');
+    const entry = new EntryProcess(estate.addressOfStore, ports);
+    processes.push(entry);
+    await expect.poll(() => entry.hasLogged('port_taken'), STARTED).toBe(true);
+    writeFileSync(entry.boot, withRetryRatio(entry, 0.75));
+    entry.child.kill('SIGHUP');
+    await expect.poll(() => ratioInForce(entry), STARTED).toBe('0.75');
+    holder.close();
+  });
+
+  function withRetryRatio(entry: EntryProcess, retryRatio: number): string {
+    const settings = JSON.parse(readFileSync(entry.boot, 'utf8')) as object;
+    return JSON.stringify({...settings, retryRatio});
+  }
+
+  function ratioInForce({lines}: EntryProcess): string | undefined {
+    return lines.findLast(line => line['ratio'] !== undefined)?.['ratio'];
+  }
+});
