Let requests earn retries that no other entry's requests earn too

Callers saw more retries in a window than the bound allows (BUDGET) when they moved from entries that had spent what their requests earned to others, such as after the end of half the entries amid a storm of failures.

Cause: each entry earned the ratio of its own requests of the window before each retry. The windows of two entries end at different times, so a window of retries held what callers had earned at one entry before it, and what they earned again at another within it.

Now requests earn the fewest of them in any window that ended within the last one. So all retries in a window are earned by requests in the window before it, each at one entry: neither moves of callers, nor ends of entries, nor bursts that end let one count twice. The ratio needs no reserve beside that; the fixed slack keeps its own. An entry earns nothing in its first window and all after the second.

--- a/src/daemons/direct/retry_accounting.test.ts
+++ b/src/daemons/direct/retry_accounting.test.ts
@@ -28,7 +28,8 @@
   retries.join(0, 'restarted');
 
   it('logs by request id what a retry was charged to, or why it was refused', async () => {
-    retries.recordRequest(19_000, SERVICE);
+    for (const at of [8_500, 14_000, 19_000])
+      retries.recordRequest(at, SERVICE);
     expect(retries.trySpend(20_000, requestOf('r1'))).toBe(true);
     expect(retries.trySpend(20_001, requestOf('r2'))).toBe(true);
     expect(retries.trySpend(20_002, requestOf('r3'))).toBe(false);
--- a/src/direct/shared_retry_budget.ts
+++ b/src/direct/shared_retry_budget.ts
@@ -1,12 +1,13 @@
 import type {Millis, ServiceName} from '../core/index.js';
 import {SECOND} from '../core/index.js';
+import {RequestSpans} from './request_spans.js';
 import {INTERNAL_TIMING} from './topic_timing.js';
 
 /** Number of entries assumed until the actual number is known. */
 const DEFAULT_ENTRY_COUNT = 64;
 /** Usable fraction of the bound: window clocks never agree exactly. */
 const USABLE_FRACTION = 0.9;
-/** Fraction for the first window of entries that join a running estate. */
+/** Fraction of the fixed slack for a process's first window, in a running estate. */
 const RESERVE_FRACTION = 1 - USABLE_FRACTION;
 /** Time in which the last sends of an ended process reach their upstreams. */
 const DELIVERY_TIME: Millis = SECOND;
@@ -45,7 +46,7 @@
 
 /** What a decision on a retry depends on. */
 export interface RetryBudgetState {
-  /** Callers' requests in the window. */
+  /** Callers' requests that earn retries. */
   readonly requests: number;
   /** Retries in the window, including open ones. */
   readonly retries: number;
@@ -64,7 +65,7 @@
 }
 
 interface ServiceWindow {
-  readonly requests: Millis[];
+  readonly requests: RequestSpans;
   /** Retries that may still arrive at their upstream. */
   readonly openRetries: Set<object>;
   /** Times at which the others were known to have arrived or failed. */
@@ -76,12 +77,13 @@
 /**
  * Retry budget of one entry: the ratio of its own requests and an equal share
  * of the estate's fixed slack, so that the sum stays within the bound without
- * coordination. A process uses its share once a window has passed since its
- * start and since all others count its entry: no window holds the shares of two
+ * coordination. Requests earn what every window of retries that holds the next one
+ * may have by the requests before that window: wherever callers move, no request
+ * counts twice in a window. A process uses its share once a window has passed since
+ * its start and since all others count its entry: no window holds the shares of two
  * processes of an entry, or more shares than the smallest divisor. An entry that
  * cannot read of the others allows for as many again. Until it uses its share,
- * a process has the fraction of the bound that others leave, as its callers'
- * former entry may have spent what their earlier requests earned. A retry counts until
+ * a process has the fraction of it that others leave. A retry counts until
  * a window after its attempt has shown that it arrived or failed: upstreams that
  * read late get no more in a window than others.
  */
@@ -130,7 +132,7 @@
    * @param service - the service
    */
   recordRequest(now: Millis, service: ServiceName): void {
-    this.windowOf(now, service).requests.push(now);
+    this.windowOf(now, service).requests.record(now, this.bound.window);
   }
 
   /**
@@ -184,7 +186,7 @@
     const {bound, servingSince} = this;
     const age = servingSince === undefined ? undefined : now - servingSince;
     const counted = {
-      requests: requests.length,
+      requests: requests.leastIn(now, this.bound.window),
       retries:
         openRetries.size + settledRetries.length + abandonedRetries.length,
       openRetries: openRetries.size + abandonedRetries.length,
@@ -192,22 +194,21 @@
       age,
     };
     const {entryCount} = counted;
-    const earned = bound.ratio * requests.length;
+    const earned = bound.ratio * counted.requests * USABLE_FRACTION;
     const share = bound.slack / entryCount;
     if (now >= this.shareUsableAt) {
-      const allowance = (earned + share) * USABLE_FRACTION;
+      const allowance = earned + share * USABLE_FRACTION;
       return {...counted, phase: 'share', share, allowance};
     }
     const least = bound.slack / Math.max(entryCount, DEFAULT_ENTRY_COUNT);
-    const withLeast = (earned + least) * USABLE_FRACTION;
+    const withLeast = earned + least * USABLE_FRACTION;
     const isFirstStart = this.membership?.history === 'first_start';
     const elapsed = age ?? 0;
     if (isFirstStart || elapsed >= bound.window + DELIVERY_TIME) {
       return {...counted, phase: 'ratio', share: least, allowance: withLeast};
     }
     const growing = share * Math.min(1, elapsed / bound.window);
-    const reserve = (earned + growing) * RESERVE_FRACTION;
-    const allowance = Math.min(withLeast, reserve);
+    const allowance = Math.min(withLeast, earned + growing * RESERVE_FRACTION);
     return {...counted, phase: 'reserve', share: growing, allowance};
   }
 
@@ -233,7 +234,7 @@
     let counted = this.windows.get(service);
     if (counted === undefined) {
       counted = {
-        requests: [],
+        requests: new RequestSpans(),
         openRetries: new Set(),
         settledRetries: [],
         abandonedRetries: [],
@@ -241,7 +242,6 @@
       this.windows.set(service, counted);
     }
     const from = now - this.bound.window;
-    dropBefore(counted.requests, from);
     dropBefore(counted.settledRetries, from);
     dropBefore(counted.abandonedRetries, from - UNREAD_TIME);
     return counted;
--- a/src/direct/shared_retry_budget_estate.test.ts
+++ b/src/direct/shared_retry_budget_estate.test.ts
@@ -88,6 +88,27 @@
     },
   );
 
+  // Upstreams got up to 1.2 times the retries that are allowed in a window (BUDGET).
+  it.each([20, 80, 200])(
+    'stay within the bound when callers move to other entries, %s requests a second',
+    rate => {
+      const duration = WARM_UP + 30 * SECOND;
+      const {load} = largestLoad({rate, duration}, () => {
+        let killed: string[] = [];
+        return (now, simulation) => {
+          if (now === WARM_UP + 2 * SECOND) {
+            killed = simulation.running.slice(0, 3);
+            for (const name of killed) simulation.kill(name);
+          }
+          if (now !== WARM_UP + 12 * SECOND) return;
+          for (const name of killed) simulation.start(name, 300);
+        };
+      });
+      expect(load).toBeLessThanOrEqual(1);
+      expect(load).toBeGreaterThan(0.7);
+    },
+  );
+
   it('stay within the bound when all entries are killed amid a burst', () => {
     const {load} = largestLoad(
       {rate: 40, isFailing: now => now >= WARM_UP + 20 * SECOND},
