Use a restarted entry's share once its former retries have been read

Callers saw more retries in a window than the bound allows (BUDGET) when entries were killed while upstreams stood still: what an ended process had sent was read later, beside what its successor sent.

Cause: a successor used its share a window and 1 s after it began to serve, although an upstream that stands still reads what was sent to it within 10 s (UNREAD_TIME), as the budget of a process that runs on assumes.

Evidence: the model with all six entries killed 2 s into the failures, half of the retries at upstreams that stand still for 6, 8, 10 s: 1.06, 1.16, 1.21 of the bound before; at most 0.9 after. With all retries at such upstreams, 120 requests a second, 6 and 8 s are still 1.07 and 1.21 (1.29 and 1.42 before): what they were earned by is no longer in the window that they arrive in. Not reproduced with processes.

--- a/src/direct/shared_retry_budget.ts
+++ b/src/direct/shared_retry_budget.ts
@@ -58,7 +58,7 @@
   readonly share: number;
   /** Divisor of the fixed slack. */
   readonly entryCount: number;
-  /** `reserve`: first window; `ratio`: others may not count it; `share`. */
+  /** `reserve`: first window; `ratio`: its share may be in use; `share`. */
   readonly phase: 'reserve' | 'ratio' | 'share';
   /** Time since the process began to serve; undefined before. */
   readonly age: Millis | undefined;
@@ -80,7 +80,8 @@
  * coordination. Requests earn what every window of retries that holds the next one
  * may have by the requests before that window: wherever callers move, no request
  * counts twice in a window. A process uses its share once a window has passed since
- * its start and since all others count its entry: no window holds the shares of two
+ * upstreams have read the retries of the entry's former process, and since all others
+ * count its entry: no window holds the shares of two
  * processes of an entry, or more shares than the smallest divisor. An entry that
  * cannot read of the others allows for as many again. Until it uses its share,
  * a process has the fraction of it that others leave. A retry counts until
@@ -224,7 +225,7 @@
     if (servingSince === undefined || membership === undefined) return Infinity;
     const {since, history} = membership;
     if (history === 'restarted') {
-      return servingSince + bound.window + DELIVERY_TIME;
+      return servingSince + bound.window + UNREAD_TIME;
     }
     const hold = history === 'added' ? LEARNING_TIME : DELIVERY_TIME;
     return Math.max(servingSince, since) + bound.window + hold;
--- a/src/direct/shared_retry_budget_estate.test.ts
+++ b/src/direct/shared_retry_budget_estate.test.ts
@@ -162,6 +162,26 @@
     },
   );
 
+  // Upstreams got up to 1.2 times the retries that are allowed in a window (BUDGET).
+  it.each([6, 8, 10])(
+    'stay within the bound when entries are killed of whose retries half wait %s s at suspended upstreams',
+    seconds => {
+      const wakesAt = WARM_UP + seconds * SECOND;
+      const change: Partial<BudgetScenario> = {
+        rate: 40,
+        duration: WARM_UP + 30 * SECOND,
+        unreadPart: 0.5,
+        suspendedUntil: now =>
+          now >= WARM_UP && now < wakesAt ? wakesAt : undefined,
+      };
+      const {load} = largestLoad(change, () => (now, simulation) => {
+        if (now !== WARM_UP + 2 * SECOND) return;
+        for (const name of simulation.running) restart(simulation, name, 600);
+      });
+      expect(load).toBeLessThanOrEqual(1);
+    },
+  );
+
   it('stay within the bound when entries are added that others cannot read of', () => {
     const {load} = largestLoad({rate: 40}, () => (now, simulation) => {
       if (now !== WARM_UP - 5 * SECOND) return;
