Play callers that hand in too much, and watch the memory of entries, in the soak

- FAULT if a process has more than 350 MB (VmHWM); a process that ends by itself is started again, as on a VM.
- 'limits' plays 300 callers and 7 entries (160 and 3 before), at most 9 with those added.
- Retries are judged against sound requests, and abusive ones that arrived: stricter, as entries need not have read the others.

--- a/test/entry_soak.test.ts
+++ b/test/entry_soak.test.ts
@@ -2,10 +2,11 @@
 
 import {SoakPlay} from './support/soak/soak_play.js';
 
-/** Seeds of the run; `SOAK_SEEDS=1-50` plays others by hand. */
-const [FIRST_SEED, LAST_SEED] = (process.env['SOAK_SEEDS'] ?? '1-4')
-  .split('-')
-  .map(Number) as [number, number];
+/** Seeds of the run; `SOAK_SEEDS=1-50,60` plays others by hand. */
+const SEEDS = (process.env['SOAK_SEEDS'] ?? '1-4').split(',').flatMap(text => {
+  const [first = 0, last = first] = text.split('-').map(Number);
+  return Array.from({length: last - first + 1}, (_, i) => first + i);
+});
 /** Requests that a play serves at least, or it has shown nothing. */
 const MIN_SERVED = 50;
 
@@ -18,9 +19,7 @@
 
 // Wrong and missing answers and too many retries on real machines (MIXED, LOST, BUDGET),
 // and processes that ended by themselves (FAULT).
-it.each(
-  Array.from({length: LAST_SEED - FIRST_SEED + 1}, (_, i) => FIRST_SEED + i),
-)(
+it.each(SEEDS)(
   'entries give wrong answers, lose some or retry too often beside faults (seed %i)',
   async seed => {
     play = new SoakPlay(seed);
--- a/test/support/entry_process.ts
+++ b/test/support/entry_process.ts
@@ -132,6 +132,12 @@
     return (BigInt(`0x${mask}`) & SIGHUP_BIT) !== 0n;
   }
 
+  /** Returns the largest resident memory that the process has had, MB. */
+  peakMemoryMb(): number {
+    const status = readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
+    return Math.round(Number(/VmHWM:\s*(\d+)/.exec(status)?.[1] ?? 0) / 1_024);
+  }
+
   /** Whether the process has ended. */
   get hasEnded(): boolean {
     return this.child.exitCode !== null || this.child.signalCode !== null;
--- a/test/support/soak/caller_connection.ts
+++ b/test/support/soak/caller_connection.ts
@@ -1,6 +1,7 @@
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 
+import {filler} from './records.js';
 import type {RequestRecord, Seen} from './records.js';
 import {ResponseReader} from './response_reader.js';
 import type {ReadHead} from './response_reader.js';
@@ -113,11 +114,24 @@
     });
   }
 
+  /**
+   * Sends requests behind one another and waits for none.
+   * @param records - the requests
+   */
+  sendAll(records: readonly RequestRecord[]): void {
+    for (const record of records)
+      this.waiting.push({record, done: () => undefined});
+    this.write(records.map(one => one.bytesToSend).join(''));
+    const {fillerBytes = 0} = records.at(-1) ?? {};
+    if (fillerBytes > 0) this.write(filler(fillerBytes));
+    if (this.socket.destroyed) this.settleAll();
+  }
+
   /**
    * Writes bytes that complete no request.
-   * @param bytes - octets as Latin-1 text
+   * @param bytes - octets, also as Latin-1 text
    */
-  write(bytes: string): void {
+  write(bytes: string | Buffer): void {
     if (this.socket.writable) this.socket.write(bytes, 'latin1');
   }
 
--- a/test/support/soak/fleet.ts
+++ b/test/support/soak/fleet.ts
@@ -8,6 +8,10 @@
 export const AFTERMATH_MS = 1_000;
 /** Time after SIGTERM in which the balancer stops routing connections, ms. */
 const UNLISTING_MS = 2_000;
+/** Time after which a process that ended by itself is started again, ms. */
+const RESTART_MS = 500;
+/** Memory of the VM of an entry, MB. */
+const MEMORY_MB = 350;
 /** Log lines of a process that ended by itself. */
 const SHOWN_LINES = 8;
 
@@ -20,7 +24,9 @@
   private readonly disturbances: [number, number][] = [];
   private readonly killed = new Set<EntryProcess>();
   private readonly termedAt = new Map<EntryProcess, number>();
+  private readonly peaks = new Map<EntryProcess, number>();
   private isSuspended = false;
+  private isClosed = false;
 
   private constructor(
     readonly number: number,
@@ -79,6 +85,25 @@
     };
     const next = new EntryProcess(this.store, this.ports, GRACE_S, options);
     this.processes.push(next);
+    next.child.once('exit', () => {
+      const isOwn = !this.killed.has(next) && !this.termedAt.has(next);
+      if (!isOwn || this.isClosed) return;
+      // At the ports of another one it would only wait.
+      setTimeout(() => {
+        if (!this.isClosed && this.process === next) this.startProcess();
+      }, RESTART_MS);
+    });
+  }
+
+  /** Largest memory that any of its processes has had, MB. */
+  get peakMb(): number {
+    return Math.max(0, ...this.peaks.values());
+  }
+
+  /** Notes the memory of the processes, which is not known after their ends. */
+  watchMemory(): void {
+    for (const one of this.processes)
+      if (!one.hasEnded) this.peaks.set(one, one.peakMemoryMb());
   }
 
   /** Sends SIGHUP, unless Node itself still boots and no program can catch it. */
@@ -162,8 +187,18 @@
     });
   }
 
+  /** Returns a line for each process that had more memory than its VM. */
+  memoryExcesses(): string[] {
+    return this.processes.flatMap((one, i) => {
+      const peakMb = this.peaks.get(one) ?? 0;
+      const name = `entry ${this.number} process ${i + 1}`;
+      return peakMb > MEMORY_MB ? [`${name}: ${peakMb} MB of memory`] : [];
+    });
+  }
+
   /** Ends all processes. */
   async close(): Promise<void> {
+    this.isClosed = true;
     for (const one of this.processes) if (!one.hasEnded) this.killed.add(one);
     await Promise.all(this.processes.map(one => one.end('SIGKILL')));
     this.proxy.close();
--- a/test/support/soak/mix.ts
+++ b/test/support/soak/mix.ts
@@ -16,6 +16,17 @@
   | 'half_closes'
   | 'leaves';
 
+/** What a caller does that hands an entry more than it has to take. */
+export type AbuserKind =
+  | 'stalled_bodies'
+  | 'dripped_bodies'
+  | 'large_bodies'
+  | 'floods'
+  | 'unread_floods'
+  | 'keyless_floods'
+  | 'unread_answers'
+  | 'endless_heads';
+
 /** How a run ends at its upstream. */
 export type RunEnding =
   | 'whole'
@@ -56,11 +67,17 @@
 export interface Mix {
   readonly theme: string;
   readonly callers: number;
+  /** Callers of `abuserKinds`, beside the others. */
+  readonly abusers: number;
+  readonly abuserKinds: Weights<AbuserKind>;
   readonly entries: number;
   readonly upstreams: number;
   readonly lengthMs: number;
   /** Heap limit of an entry, MB. */
   readonly heapMb: number;
+  readonly maxBodyBytes: number;
+  /** Connections of an entry to the upstreams at most. */
+  readonly maxConnections: number;
   /** Longest pause of a caller between two requests, ms. */
   readonly pauseMs: number;
   /** Time at which runs begin to fail in the ways of `endings`, ms. */
@@ -80,10 +97,23 @@
 const BASE: Mix = {
   theme: 'mixed',
   callers: 24,
+  abusers: 0,
+  abuserKinds: {
+    stalled_bodies: 2,
+    dripped_bodies: 1,
+    large_bodies: 3,
+    floods: 2,
+    unread_floods: 2,
+    keyless_floods: 1,
+    unread_answers: 2,
+    endless_heads: 1,
+  },
   entries: 3,
   upstreams: 3,
   lengthMs: 15_000,
   heapMb: 128,
+  maxBodyBytes: 65_536,
+  maxConnections: 64,
   pauseMs: 60,
   failsAfterMs: 0,
   faultPauseMs: [100, 1_000],
@@ -139,8 +169,12 @@
 const THEMES: readonly Partial<Mix>[] = [
   {
     theme: 'limits',
-    callers: 160,
+    callers: 300,
+    abusers: 1,
+    entries: 7,
+    upstreams: 6,
     heapMb: 64,
+    maxBodyBytes: 1_000_000,
     faults: {
       reload: 2,
       restart: 2,
@@ -216,6 +250,23 @@
       upstream_pause: 1,
     },
   },
+  {
+    theme: 'bytes',
+    abusers: 3,
+    maxBodyBytes: 4_000_000,
+    maxConnections: 256,
+    endings: {whole: 30, reset: 1, error: 1, busy: 1},
+    faults: {
+      restart: 2,
+      reload: 2,
+      kill: 1,
+      suspend: 1,
+      store: 1,
+      upstream_pause: 2,
+    },
+    faultPauseMs: [500, 2_500],
+    overlapShare: 0.1,
+  },
 ];
 
 /**
@@ -241,5 +292,6 @@
     sizes: vary(mix.sizes),
     framings: vary(mix.framings),
     kinds: vary(mix.kinds),
+    abuserKinds: vary(mix.abuserKinds),
   };
 }
--- a/test/support/soak/oracle.ts
+++ b/test/support/soak/oracle.ts
@@ -35,6 +35,8 @@
 const TOLERATED = {gone: 3, late: 8, deadlines: 20, attempts: 3};
 /** Callers that read and leave at once, and wait for no other answer first. */
 const IN_TIME = ['plain', 'old', 'early_finished', 'early_unfinished'];
+/** Share of sound requests that is served at least, beside abusive callers. */
+const MIN_SOUND_SHARE = 0.8;
 /** Share that counts as broken, beyond the counts above. */
 const TOLERATED_SHARE = {working: 0.25, late: 0.25, deadlines: 0.2};
 
@@ -101,8 +103,9 @@
         const {behindBroken} = record;
         const behind = record.crossesClose
           ? ' behind a closing answer'
-          : behindBroken &&
-            ` behind ${behindBroken.id} (runs ${JSON.stringify(behindBroken.runs)})`;
+          : behindBroken === undefined
+            ? ''
+            : ` behind ${behindBroken.id} (runs ${JSON.stringify(behindBroken.runs)})`;
         const upTo = `${body.length} bytes, ${seen.end}${behind}`;
         this.flag('LOST', record.id, `status ${status}, ${upTo}`);
       }
@@ -115,7 +118,7 @@
     const run = record.runs.find(one => one.seal === seal);
     if (seal === undefined) {
       if (status < 300) this.flag('MIXED', id, `${status} without a seal`);
-      if (!DENIALS.includes(status)) return;
+      if (!DENIALS.includes(status) || record.isAbusive) return;
       const isHeldBack = seen.at - record.begunAt > HEADER_TIMEOUT_MS;
       if (isHeldBack && record.runs.length === 0) return;
       // The bytes after the request are what the error answers.
@@ -149,7 +152,8 @@
   }
 
   private isLost(record: RequestRecord, seen: Seen): boolean {
-    const {sentAt, runs, leftAt, deadlineAt} = record;
+    const {sentAt, runs, leftAt, deadlineAt, isAbusive} = record;
+    if (isAbusive) return false;
     const slot = this.slots[record.slot]!;
     if (leftAt !== undefined || runs.some(run => run.isUnsound)) return false;
     if (seen.at >= deadlineAt - DEADLINE_SLACK_MS) return false;
@@ -192,11 +196,14 @@
     for (const record of records) this.judgeRuns(record);
     this.judgeBudget(records);
     this.judgeAttempts(records);
-    this.judgeDeadlines(records);
-    this.judgeLeaving(records);
-    this.judgeLateness(records);
+    const sound = records.filter(one => !one.isAbusive);
+    this.judgeDeadlines(sound);
+    this.judgeLeaving(sound);
+    this.judgeLateness(sound);
+    if (sound.length < records.length) this.judgeServing(sound);
     for (const slot of this.slots) {
-      for (const end of slot.unexpectedEnds()) this.flag('FAULT', '-', end);
+      const ends = [...slot.unexpectedEnds(), ...slot.memoryExcesses()];
+      for (const end of ends) this.flag('FAULT', '-', end);
     }
   }
 
@@ -213,7 +220,11 @@
   }
 
   private judgeBudget(records: readonly RequestRecord[]): void {
-    const sends = records.map(one => one.sentAt).sort((a, b) => a - b);
+    // Entries need not have read what abusive callers sent.
+    const sends = records
+      .filter(one => !one.isAbusive || one.runs.length > 0)
+      .map(one => one.sentAt)
+      .sort((a, b) => a - b);
     const repeats = records
       .flatMap(({runs}) => runs.slice(1).map(run => run.arrivedAt))
       .sort((a, b) => a - b);
@@ -238,6 +249,22 @@
   /** Largest share of the allowed repeats that a window had. */
   closestBudget = 0;
 
+  /** Sound requests at undisturbed entries, and those of them that were served. */
+  soundServed = 'no abuse';
+
+  private judgeServing(sound: readonly RequestRecord[]): void {
+    const owed = sound.filter(
+      ({caller, slot, sentAt, seen}) =>
+        IN_TIME.includes(caller) &&
+        seen !== undefined &&
+        !this.slots[slot]!.isDisturbed(sentAt - AFTERMATH_MS, seen.at),
+    );
+    const served = owed.filter(({seen}) => seen!.isWhole && seen!.status < 300);
+    this.soundServed = `${served.length} of ${owed.length} sound ones served`;
+    if (served.length >= MIN_SOUND_SHARE * owed.length) return;
+    this.flag('STARVED', '-', this.soundServed);
+  }
+
   private judgeAttempts(records: readonly RequestRecord[]): void {
     const over = records.filter(
       ({runs}) => new Set(runs.map(run => run.upstream)).size > MAX_ATTEMPTS,
--- a/test/support/soak/records.ts
+++ b/test/support/soak/records.ts
@@ -51,6 +51,10 @@
   leftAt: number | undefined;
   /** Whether the answer before it announced the end of the connection. */
   crossesClose = false;
+  /** Whether its caller hands in more than an entry has to take. */
+  isAbusive = false;
+  /** Bytes of its body after `content`. */
+  fillerBytes = 0;
   /** The request before it whose answer broke off with the connection. */
   behindBroken: RequestRecord | undefined;
 
@@ -76,7 +80,7 @@
     return `${KINDS[this.kind].prefix}${this.id}?q=1`;
   }
 
-  /** Body of the request. */
+  /** Body of the request, up to its filler. */
   get content(): string {
     return `load of ${this.id};`.repeat(3);
   }
@@ -112,30 +116,52 @@
       `POST ${this.path} HTTP/1.${this.isOld ? 0 : 1}\r\nHost: vans.example\r\n` +
       `Request-Id: ${this.id}\r\nAuthorization: Bearer k1\r\n` +
       `Deadline-Ms: ${this.deadlineMs}\r\n` +
-      `Content-Length: ${this.content.length}\r\n\r\n${this.content}`
+      `Content-Length: ${this.content.length + this.fillerBytes}\r\n\r\n` +
+      this.content
     );
   }
+
+  /**
+   * Returns whether a body is the one of the request.
+   * @param body - octets as Latin-1 text
+   */
+  hasBody(body: string): boolean {
+    const {content, fillerBytes} = this;
+    if (fillerBytes === 0) return body === content;
+    const rest = Buffer.from(body.slice(content.length), 'latin1');
+    return body.startsWith(content) && rest.equals(filler(fillerBytes));
+  }
 }
 
 const NOISE_BYTES = 10 * 2 ** 20;
 let noise: Buffer | undefined;
 
+function noiseBytes(): Buffer {
+  noise ??= Buffer.from(
+    Array.from({length: NOISE_BYTES / 16}, (_, i) =>
+      `${(i * 2_654_435_761) % 1e15}`.padEnd(15, '.').concat('\n'),
+    ).join(''),
+  );
+  return noise;
+}
+
+/**
+ * Returns what follows the content of a request with a large body.
+ * @param bytes - its length
+ */
+export const filler = (bytes: number) => noiseBytes().subarray(0, bytes);
+
 /**
  * Returns the whole body of a run: its seal, then bytes that depend on it.
  * @param seal - seal of the run
  * @param length - length in bytes
  */
 export function bodyOf(seal: string, length: number): Buffer {
-  noise ??= Buffer.from(
-    Array.from({length: NOISE_BYTES / 16}, (_, i) =>
-      `${(i * 2_654_435_761) % 1e15}`.padEnd(15, '.').concat('\n'),
-    ).join(''),
-  );
   const mark = Buffer.from(`${seal}\n`);
   const from =
     16 * (mark.reduce((sum, byte) => (sum * 31 + byte) % 9_973, 7) % 4_096);
   const rest = Math.max(0, length - mark.length);
-  return Buffer.concat([mark, noise.subarray(from, from + rest)]);
+  return Buffer.concat([mark, noiseBytes().subarray(from, from + rest)]);
 }
 
 /**
--- a/test/support/soak/soak_caller.ts
+++ b/test/support/soak/soak_caller.ts
@@ -33,6 +33,8 @@
   readonly endsAt: number;
   /** Draws an entry slot and returns its number and port. */
   pickEntry(): {slot: number; port: number};
+  /** What was played, in the order in which it began. */
+  readonly played: string[];
   /** Registers a request before its first byte is sent. */
   register(record: RequestRecord): void;
 }
--- a/test/support/soak/soak_faults.ts
+++ b/test/support/soak/soak_faults.ts
@@ -11,7 +11,7 @@
 const STORE_TROUBLE_MS = [500, 6_000] as const;
 const UPSTREAM_PAUSE_MS = [500, 4_000] as const;
 /** Entries at most, with those that are added. */
-const MAX_ENTRIES = 8;
+const MAX_ENTRIES = 9;
 /** Share of the restarts that hit a process before it is ready. */
 const EARLY_SHARE = 0.15;
 /** Longest time between the restarts of a roll-out, ms. */
@@ -31,6 +31,8 @@
   readonly chance: Chance;
   readonly slots: readonly EntrySlot[];
   readonly upstreams: readonly SoakUpstream[];
+  /** What was played, in the order in which it began. */
+  readonly played: string[];
   /** Whether an answer is under way that a killed entry would leave looking whole. */
   hasFragile(slot: number): boolean;
   addEntry(): Promise<void>;
@@ -40,8 +42,6 @@
 
 /** Plays the faults of a seed, in series and overlapping. */
 export class SoakFaults {
-  /** Faults in the order in which they began. */
-  readonly played: string[] = [];
   private readonly pending = new Set<Promise<void>>();
 
   /** @param host - the estate */
@@ -67,7 +67,7 @@
   private async play(fault: Fault): Promise<void> {
     const {chance, slots, upstreams} = this.host;
     const slot = chance.pick(slots);
-    this.played.push(fault);
+    this.host.played.push(fault);
     switch (fault) {
       case 'reload':
         return slot.reload();
@@ -111,7 +111,7 @@
       if (!this.host.hasFragile(slot.number)) return slot.kill();
       await pause(100);
     }
-    this.played.push('kill_given_up');
+    this.host.played.push('kill_given_up');
   }
 
   /** The store turns some or all entries away, or is slow, or silent. */
@@ -119,7 +119,7 @@
     const {chance, slots} = this.host;
     const some = chance.sample(slots, chance.between(1, slots.length));
     const trouble = chance.pick(TROUBLES);
-    this.played.push(`${trouble} for ${some.length}`);
+    this.host.played.push(`${trouble} for ${some.length}`);
     for (const {proxy} of some) proxy.set(trouble);
     await pause(chance.between(...STORE_TROUBLE_MS));
     for (const {proxy} of some) proxy.set('none');
--- a/test/support/soak/soak_play.ts
+++ b/test/support/soak/soak_play.ts
@@ -7,6 +7,7 @@
 import {Oracle, isFragile} from './oracle.js';
 import type {RequestRecord, Seen} from './records.js';
 import {HEADER_TIMEOUT_MS, SLOW_DEADLINE_MS, SOAK_ROUTES} from './routes.js';
+import {SoakAbuser} from './soak_abuser.js';
 import {SoakCaller} from './soak_caller.js';
 import type {CallerHost} from './soak_caller.js';
 import {SoakFaults} from './soak_faults.js';
@@ -16,12 +17,12 @@
 
 const LIMITS = {
   MaxHeaderBytes: 16_384,
-  MaxBodyBytes: 65_536,
   HeaderTimeoutMs: HEADER_TIMEOUT_MS,
   IdleTimeoutMs: 15_000,
 };
 /** Places of all upstreams for each caller: few requests are refused as busy. */
 const SLOTS_PER_CALLER = 2;
+const SLOTS_PER_ABUSER = 150;
 const START_TIMEOUT_MS = 20_000;
 /** Time that a leaving upstream goes on serving, ms. */
 const LEAVING_MS = 4_000;
@@ -41,6 +42,7 @@
   readonly chance: Chance;
   readonly slots: EntrySlot[] = [];
   readonly upstreams: SoakUpstream[] = [];
+  readonly played: string[] = [];
   endsAt = Infinity;
   private readonly store = new KeyedLogServer();
   private readonly oracle: Oracle;
@@ -63,6 +65,7 @@
       const now = performance.now();
       if (now - last > STALL_MS) this.stalls.push([last, now]);
       last = now;
+      for (const slot of this.slots) slot.watchMemory();
     }, WATCH_INTERVAL_MS);
     this.oracle = new Oracle(this.slots, () =>
       [...this.upstreams, ...this.gone]
@@ -88,7 +91,14 @@
     const callers = Array.from({length: mix.callers}, (_, i) =>
       new SoakCaller(i, this).run(),
     );
-    await Promise.all([...callers, this.faults.run(this.endsAt - CALM_MS)]);
+    const abusers = Array.from({length: mix.abusers}, (_, i) =>
+      new SoakAbuser(i, this).run(),
+    );
+    await Promise.all([
+      ...callers,
+      ...abusers,
+      this.faults.run(this.endsAt - CALM_MS),
+    ]);
     // What a run that a caller left behind does is told at its end.
     await pause(500);
     this.oracle.judgePlay([...this.records.values()]);
@@ -122,7 +132,9 @@
       `seed ${this.seed} (${this.mix.theme}): ${all.length} requests, ` +
       `${outcomes.join(', ')}; ${repeats} repeats, ` +
       `${this.oracle.closestBudget.toFixed(2)} of the budget; ` +
-      `faults ${this.faults.played.join(', ')}`
+      `${this.oracle.soundServed}; ${this.stalls.length} stalls; ` +
+      `peaks ${this.slots.map(({peakMb}) => peakMb).join(', ')} MB; ` +
+      `played ${this.played.join(', ')}`
     );
   }
 
@@ -195,8 +207,8 @@
     this.store.put('keyed.op', 'config', {
       Version: 1,
       Routes: SOAK_ROUTES,
-      Services: [{Name: 'app', MaxConnections: 64}],
-      Limits: LIMITS,
+      Services: [{Name: 'app', MaxConnections: mix.maxConnections}],
+      Limits: {...LIMITS, MaxBodyBytes: mix.maxBodyBytes},
       Tenants: [{Name: 'depot', ApiKeys: ['k1']}],
     });
     for (let i = 0; i < mix.entries; i++) await this.addEntry();
@@ -213,12 +225,13 @@
     this.upstreamCount += 1;
     const name = `u${this.upstreamCount}`;
     const upstream = new SoakUpstream(name, this);
-    const {callers, upstreams} = this.mix;
+    const {callers, abusers, upstreams} = this.mix;
+    const slots = SLOTS_PER_CALLER * callers + SLOTS_PER_ABUSER * abusers;
     this.store.put('keyed.servers', name, {
       Service: 'app',
       Address: await upstream.listen(),
       Zone: 'a',
-      Slots: Math.ceil((SLOTS_PER_CALLER * callers) / upstreams),
+      Slots: Math.ceil(slots / upstreams),
       State: 'ready',
       Sequence: 1,
       born: 5,
--- a/test/support/soak/soak_upstream.ts
+++ b/test/support/soak/soak_upstream.ts
@@ -8,7 +8,8 @@
 import type {RequestRecord, Run} from './records.js';
 import type {Mix, RunEnding} from './mix.js';
 
-/** Longest work before an answer, ms. */
+/** Longest work before an answer, ms: of large requests, and of others. */
+const MAX_LARGE_WORK_MS = 3_000;
 const MAX_WORK_MS = 250;
 /** Longest pause between two pieces of an answer, ms. */
 const MAX_GAP_MS = 60;
@@ -29,6 +30,8 @@
 /** A connection to an upstream. */
 class UpstreamConnection {
   private input = '';
+  /** Length that `input` has once the request is whole, as far as it is known. */
+  private needed = 0;
   private isBusy = false;
   private run: Run | undefined;
   /** Whether bytes that belong to no request were sent on this connection. */
@@ -61,12 +64,14 @@
   }
 
   private readRequest(): void {
-    if (this.isBusy) return;
+    if (this.isBusy || this.input.length < this.needed) return;
     const end = this.input.indexOf('\r\n\r\n');
     if (end === -1) return;
     const head = this.input.slice(0, end);
     const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? '0');
-    if (this.input.length < end + 4 + length) return;
+    this.needed = end + 4 + length;
+    if (this.input.length < this.needed) return;
+    this.needed = 0;
     const body = this.input.slice(end + 4, end + 4 + length);
     this.input = this.input.slice(end + 4 + length);
     const id = requestIdOf(head);
@@ -77,8 +82,12 @@
       return;
     }
     const line = `POST ${record.path} HTTP/1.1`;
-    if (!head.startsWith(line) || body !== record.content) {
-      this.host.flag('UNASKED', id, `${head.split('\r\n', 1)[0]!} ${body}`);
+    if (!head.startsWith(line) || !record.hasBody(body)) {
+      this.host.flag(
+        'UNASKED',
+        id,
+        `${head.split('\r\n', 1)[0]!} ${body.slice(0, 200)}`,
+      );
     }
     this.isBusy = true;
     void this.answer(record, head);
@@ -111,7 +120,8 @@
       this.socket.write(this.owed, 'latin1');
       this.owed = '';
     }
-    await pause(chance.between(0, ending === 'refusal' ? 5 : MAX_WORK_MS));
+    const work = record.fillerBytes > 0 ? MAX_LARGE_WORK_MS : MAX_WORK_MS;
+    await pause(chance.between(0, ending === 'refusal' ? 5 : work));
     if (this.socket.destroyed) return;
     const isOver = await this.writeAnswer(record, run, ending);
     run.endedAt ??= performance.now();
