--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -41,7 +41,7 @@
   ) {
     server.on('connection', (socket: Socket) => this.add(socket));
     server.on('timeout', (socket: Socket) =>
-      this.connections.get(socket)?.onTimeout(),
+      afterRead(socket, () => this.connections.get(socket)?.onTimeout()),
     );
     server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
       this.onError(err, socket),
@@ -122,9 +122,15 @@
   private onError(err: NodeJS.ErrnoException, socket: Duplex): void {
     const reason = unreadableReason(err.code);
     if (reason === undefined) socket.destroy();
-    else if (reason === 'request_timeout')
-      this.onLateHead(new Fault(reason, err.code), socket);
-    else this.onUnreadable(new Fault(reason, err.code), socket);
+    else if (reason === 'request_timeout') {
+      const connection = this.connections.get(socket);
+      const latest = connection?.latest;
+      // After a hold-up of the process timers come before reads.
+      setImmediate(() => {
+        if (connection?.latest === latest)
+          this.onLateHead(new Fault(reason, err.code), socket);
+      });
+    } else this.onUnreadable(new Fault(reason, err.code), socket);
   }
 
   /** Times out a head, unless its rest may wait in a connection that was not read. */
@@ -151,3 +157,11 @@
     if (action === 'respond') connection.end(this.events.formatError(fault));
   }
 }
+
+/** Handles a timeout unless bytes were waiting, for the same reason. */
+function afterRead(socket: Socket, onTimeout: () => void): void {
+  const {bytesRead} = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) onTimeout();
+  });
+}
