--- a/src/daemons/shared/held_up_connections.test.ts
+++ b/src/daemons/shared/held_up_connections.test.ts
@@ -39,6 +39,7 @@
     formatError: ({reason}) => `HTTP/1.1 400 ${reason}\r\n\r\n`,
     onUnreadable: () => undefined,
     onCut: () => undefined,
+    onOverBudget: () => undefined,
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
