Reject by its head what cannot be served, before the body is read

Callers without a valid key, on an unknown route, or of a process that drains or has no configuration were made to upload up to 4 MB for a rejection that was certain, and the bytes took memory from sound callers.

Cause: the route table was asked only after the body. It is now asked before a body is read, and again after it by the configuration then in force. The rest of a body over 64 KiB is discarded for the time that an ended connection lingers; behind a smaller one the connection is kept. In the own form the route and the size limit of its service are checked before the body.

--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -1,7 +1,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
+import type {Result} from 'neverthrow';
+
 import type {Clock, Millis, ServiceName} from '../../core/index.js';
-import {SECOND, hostPort} from '../../core/index.js';
+import {hostPort} from '../../core/index.js';
 import {
   requestFingerprint,
   retryAfter,
@@ -11,6 +13,7 @@
   ResponseMetadata,
   RejectionCause,
   RequestId,
+  RequestMetadata,
   Route,
   Upstream,
 } from '../../direct/index.js';
@@ -30,6 +33,8 @@
 import type {AdmittedRequest} from './admitted_request.js';
 import {FrontServer} from './front_server.js';
 import type {BufferedRequest} from './front_server.js';
+import {decideOnHead} from './head_decision.js';
+import type {AllowedHead, HeadRejection} from './head_decision.js';
 import {LIMITS_PATH, LimitKeeper} from './limit_keeper.js';
 import {PeerChannel} from './peer_channel.js';
 import {QuarantineKeeper, ageOf} from './quarantine_keeper.js';
@@ -122,7 +127,10 @@
       logger,
       this.log,
       this.containment,
-      request => this.serve(request),
+      {
+        decideOnHead: (req, metadata) => this.decideOnHead(req, metadata),
+        serve: request => this.serve(request),
+      },
     );
     this.shutdown = new Shutdown(this.front, clock, logger);
     const operatorView = {
@@ -286,33 +294,28 @@
     return retryAfter(cause, timeLeft, this.parts.chance, earliest);
   }
 
+  private decideOnHead(
+    {headers: {host = ''}, url: path = '/'}: IncomingMessage,
+    {key}: RequestMetadata,
+  ): Result<AllowedHead, HeadRejection> {
+    const isAccepting = this.shutdown.isAccepting(this.clock.now());
+    const table = this.estate.holder.current;
+    return decideOnHead({isAccepting, table, host, path, key});
+  }
+
   private serve({req, res, headers, body, arrivedAt}: BufferedRequest): void {
     const reply = new ResponseWriter(res, this.dialect, () =>
       this.closesAfter(res),
     );
     const metadata = this.dialect.readRequest(headers);
-    const now = this.clock.now();
-    if (!this.shutdown.isAccepting(now)) {
-      // The balancer routes here for lack of others; another VM can serve it.
-      reply.sendError(new Fault('draining'), DRAINING_RETRY_AFTER);
-      this.recordRejected(metadata.id, 'draining', arrivedAt);
-      return;
-    }
-    const table = this.estate.holder.current;
-    if (table === undefined) {
-      reply.sendError(new Fault('no_configuration'), SECOND);
-      this.recordRejected(metadata.id, 'no_configuration', arrivedAt);
-      return;
-    }
-    const {host = ''} = req.headers;
-    const decision = table.decide(host, req.url ?? '/', metadata.key);
-    if (decision.kind !== 'allowed') {
-      const reason =
-        decision.kind === 'unauthorized' ? 'unauthorized' : 'unknown_route';
-      reply.sendError(new Fault(reason));
-      this.recordRejected(metadata.id, reason, arrivedAt);
+    const admitted = this.decideOnHead(req, metadata);
+    if (admitted.isErr()) {
+      const {fault, retryAfter} = admitted.error;
+      reply.sendError(fault, retryAfter);
+      this.recordRejected(metadata.id, fault.reason, arrivedAt);
       return;
     }
+    const {table, decision} = admitted.value;
     const {route, organisation, priority} = decision;
     const {method = 'GET', url: path = '/'} = req;
     const request: AdmittedRequest = {
@@ -379,6 +382,7 @@
       notReady: this.notReady(),
       ...this.estate.status(now),
       openRequests: this.front.openRequests,
+      ...this.front.bodyStatus,
       ...this.dispatcher.status,
       promptQuarantine: this.quarantine.status,
       upstreams: this.estate.upstreams
@@ -388,7 +392,5 @@
   }
 }
 
-/** Short, since another VM receives the caller's next attempt. */
-const DRAINING_RETRY_AFTER: Millis = 50;
 /** Interval at which the queue is processed even without other events. */
 const QUEUE_CHECK_INTERVAL: Millis = 50;
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -3,6 +3,8 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+import type {Result} from 'neverthrow';
+
 import {CallerMemory} from '../../admission/index.js';
 import type {Clock, Millis} from '../../core/index.js';
 import {SECOND, headerPairs, malformedField} from '../../core/index.js';
@@ -11,13 +13,16 @@
   HeaderDialect,
   HeaderLines,
   RequestId,
+  RequestMetadata,
 } from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
-import type {Containment, Logger} from '../../observability/index.js';
+import type {ErrorName} from '../../errors/index.js';
+import type {Containment, Fields, Logger} from '../../observability/index.js';
 import {CallerConnections} from '../shared/caller_connections.js';
 import {BodyReader, isBodyRejection} from '../shared/body_reader.js';
 import type {BufferedBody} from '../shared/buffered_body.js';
-import {deferContinue} from '../shared/request_body.js';
+import {declaredLength, deferContinue} from '../shared/request_body.js';
+import type {HeadRejection} from './head_decision.js';
 import {splitAddress} from './attempt.js';
 import type {RequestLog} from './request_log.js';
 import {ResponseWriter, formatError} from './response_writer.js';
@@ -37,6 +42,8 @@
 const MAX_LOGGED_IDS = 8;
 /** Delay after which the caller of a body that was rejected is to retry. */
 const BODY_RETRY_AFTER: Millis = SECOND / 2;
+/** Rest of a rejected body behind which the next request is read, bytes. */
+const MAX_DISCARDED_BYTES = 64 * 2 ** 10;
 /** Accept queue length; callers retry connections beyond it after a second. */
 const LISTEN_BACKLOG = 1_024;
 
@@ -50,6 +57,20 @@
   readonly arrivedAt: Millis;
 }
 
+/** Receives the requests of callers. */
+export interface RequestReceiver {
+  /**
+   * Decides by its head whether a request is served. It is asked before a body
+   * is read; the decision after the body is the receiver's.
+   */
+  decideOnHead(
+    req: IncomingMessage,
+    metadata: RequestMetadata,
+  ): Result<unknown, HeadRejection>;
+  /** Called with each request that was read completely. */
+  serve(request: BufferedRequest): void;
+}
+
 /** HTTP server for callers. */
 export class FrontServer {
   private readonly server: Server;
@@ -64,7 +85,7 @@
    * @param logger - logs failed responses
    * @param log - logs and counts rejected requests
    * @param containment - contains exceptions to their request
-   * @param serve - called with each request that was read completely
+   * @param receiver - receives the requests
    */
   constructor(
     private readonly clock: Clock,
@@ -72,7 +93,7 @@
     private readonly logger: Logger,
     private readonly log: RequestLog,
     private readonly containment: Containment,
-    private readonly serve: (request: BufferedRequest) => void,
+    private readonly receiver: RequestReceiver,
   ) {
     this.server = createServer(
       {
@@ -107,6 +128,11 @@
     return this.connections.openResponses;
   }
 
+  /** Memory that callers' bodies hold, as fields of `/status`. */
+  get bodyStatus(): object {
+    return this.bodies.fields;
+  }
+
   /**
    * Sets the limits of callers' requests.
    * @param limits - the limits
@@ -185,14 +211,23 @@
       this.closesAfter(res),
     );
     const headers = headerPairs(req.rawHeaders);
-    const reject = (fault: Fault) => {
+    const metadata = this.dialect.readRequest(headers);
+    const {id} = metadata;
+    const reject = (
+      fault: Fault,
+      retryAfter = BODY_RETRY_AFTER,
+      further: Fields = {},
+    ) => {
       const {reason, detail} = fault;
-      const {id} = this.dialect.readRequest(headers);
       const fields = isBodyRejection(reason) ? this.bodies.fields : {};
-      this.log.recordRejected(id, reason, arrivedAt, {detail, ...fields});
-      // The rest of the body is discarded only for a time.
-      if (!req.complete) res.shouldKeepAlive = false;
-      reply.sendError(fault, BODY_RETRY_AFTER);
+      this.log.recordRejected(id, reason, arrivedAt, {
+        detail,
+        ...fields,
+        ...further,
+      });
+      // The rest of a large body is discarded only for a time.
+      if (!hasBoundedRest(req, reason)) res.shouldKeepAlive = false;
+      reply.sendError(fault, retryAfter);
     };
     if (headerBytes(req) > this.limits.maxHeaderBytes) {
       reject(new Fault('headers_too_large'));
@@ -206,7 +241,16 @@
       return;
     }
     const {maxBodyBytes: maxBytes, idleTimeout} = this.limits;
-    const {callerTimeout} = this.dialect.readRequest(headers);
+    const length = declaredLength(req) ?? maxBytes;
+    if (length > 0 && length <= maxBytes) {
+      const decision = this.receiver.decideOnHead(req, metadata);
+      if (decision.isErr()) {
+        const {fault, retryAfter, version} = decision.error;
+        reject(fault, retryAfter, {version});
+        return;
+      }
+    }
+    const {callerTimeout} = metadata;
     const limits = {maxBytes, idleTimeout, callerTimeout};
     const body = await this.bodies.read(req, req.socket, limits);
     if (body.isErr()) {
@@ -217,16 +261,22 @@
     const {value} = body;
     res.once('close', value.release);
     if (!(await this.connections.turnOf(req, res))) {
-      const {id} = this.dialect.readRequest(headers);
       this.log.recordRejected(id, 'caller_gone', arrivedAt, {
         detail: 'the connection ended with an earlier response',
       });
       return;
     }
-    this.serve({req, res, headers, body: value, arrivedAt});
+    this.receiver.serve({req, res, headers, body: value, arrivedAt});
   }
 }
 
+/** Whether the rest of a body is short enough to read it for the next request. */
+function hasBoundedRest(req: IncomingMessage, reason: ErrorName): boolean {
+  if (req.complete) return true;
+  if (isBodyRejection(reason) || req.headers.expect !== undefined) return false;
+  return (declaredLength(req) ?? Infinity) <= MAX_DISCARDED_BYTES;
+}
+
 function headerBytes(req: IncomingMessage): number {
   // Each line adds a colon, a space and a line end.
   return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
--- a/src/daemons/entry/http_edge.test.ts
+++ b/src/daemons/entry/http_edge.test.ts
@@ -537,6 +537,19 @@
       expect(client.statuses).toEqual([401, 200]);
     });
 
+    // Callers were made to upload the whole body for a certain rejection.
+    it.each([
+      ['an unknown service', 'POST /services/nowhere/x HTTP/1.1', 1_000, 404],
+      ['a method of no completion', 'PUT /v1/completions HTTP/1.1', 9, 404],
+      ['a body over its limit', POST_LOADING, 5 * 2 ** 20, 413],
+    ])('comes before the body: %s', async (_, line, bytes, status) => {
+      const client = connectCaller();
+      client.socket.write(lines(line, HOST, TOKEN, `Content-Length: ${bytes}`));
+      await until(() => client.statuses.length > 0);
+      expect(client.statuses).toEqual([status]);
+      expect(startedCalls).toEqual([]);
+    });
+
     it('closes the connection if the body is too large', async () => {
       const client = connectCaller();
       const piece = `100000\r\n${'x'.repeat(0x100000)}\r\n`;
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -26,7 +26,12 @@
 import type {BufferedBody} from '../shared/buffered_body.js';
 import {deferContinue} from '../shared/request_body.js';
 import {guardRequest} from './request_guard.js';
-import {createCall, identify, resolveRequest} from './request_parser.js';
+import {
+  createCall,
+  identify,
+  resolveHead,
+  resolveRequest,
+} from './request_parser.js';
 import type {ConfigurationInForce} from './types.js';
 
 /** Time limits for receiving a request, against slow callers. */
@@ -45,7 +50,6 @@
 const MAX_LOGGED_IDS = 8;
 
 const BODY_LIMITS = {
-  maxBytes: MAX_BODY_BYTES,
   callerTimeout: undefined,
   idleTimeout: BODY_IDLE_TIMEOUT,
 };
@@ -250,7 +254,11 @@
     const identified = identify(req, inForce);
     if (identified.isErr()) return err(identified.error);
     const organisation = identified.value;
-    const read = await this.bodies.read(req, req.socket, BODY_LIMITS);
+    const head = resolveHead(req, inForce);
+    if (head.isErr()) return err(head.error);
+    const maxBytes = head.value?.service.limits.body ?? MAX_BODY_BYTES;
+    const limits = {...BODY_LIMITS, maxBytes};
+    const read = await this.bodies.read(req, req.socket, limits);
     if (read.isErr()) return err(read.error);
     const body = read.value;
     const request = {req, res, id, organisation, inForce};
--- a/src/daemons/entry/request_parser.ts
+++ b/src/daemons/entry/request_parser.ts
@@ -53,6 +53,22 @@
   return found ? ok(found) : err(new Fault('unauthorized'));
 }
 
+/**
+ * Resolves the service and route of a request by its head.
+ * @param req - the request
+ * @param inForce - the configuration in force
+ * @returns undefined for a completion, whose body names the service
+ */
+export function resolveHead(
+  req: IncomingMessage,
+  {cfg}: ConfigurationInForce,
+): Result<ResolvedRequest | undefined, Fault> {
+  const path = req.url ?? '/';
+  if (!isCompletion(path)) return resolvePlain(cfg, req.method ?? '', path);
+  if (req.method !== 'POST') return err(new Fault('not_found', 'use POST'));
+  return ok(undefined);
+}
+
 /**
  * Resolves the service and route of a request by the configuration.
  * @param req - the request
@@ -62,12 +78,15 @@
 export function resolveRequest(
   req: IncomingMessage,
   body: Buffer,
-  {cfg}: ConfigurationInForce,
+  inForce: ConfigurationInForce,
 ): Result<ResolvedRequest, Fault> {
-  const path = req.url ?? '/';
-  if (!isCompletion(path)) return resolvePlain(cfg, req.method ?? '', path);
-  if (req.method !== 'POST') return err(new Fault('not_found', 'use POST'));
-  return parseModel(body).andThen(model => resolveCompletion(cfg, path, model));
+  const {url: path = '/'} = req;
+  const head = resolveHead(req, inForce);
+  if (head.isErr()) return err(head.error);
+  if (head.value !== undefined) return ok(head.value);
+  return parseModel(body).andThen(model =>
+    resolveCompletion(inForce.cfg, path, model),
+  );
 }
 
 function parseModel(body: Buffer): Result<string, Fault> {
