--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -71,8 +71,6 @@
   private isClosing = false;
   private isLingering = false;
   private isCut = false;
-  /** Whether the connection was not read for a time since `takePaused`. */
-  private wasPaused = false;
   private isDetached = false;
   private isSuspended = false;
   /** Number of requests that came too late to be served. */
@@ -81,6 +79,8 @@
   private readonly heads: HeadMeter;
   /** Memory that the head being read was charged. */
   private headCharge = 0;
+  /** Whether the connection was not read for a time since `takePaused`. */
+  private wasPaused = false;
 
   /**
    * @param socket - the connection
