--- a/test/support/retry_budget_simulation.ts
+++ b/test/support/retry_budget_simulation.ts
@@ -15,6 +15,8 @@
   readonly duration: Millis;
   /** Callers' requests per second, at all entries. */
   readonly rate: number;
+  /** Returns the part of that rate at a time; 1 by default. */
+  readonly load?: (now: Millis) => number;
   /** Attempts of a request while all of them fail. */
   readonly maxAttempts: number;
   /** Returns whether requests fail. */
@@ -172,8 +174,9 @@
   }
 
   private receive(): void {
-    const {chance} = this;
-    const mean = (this.scenario.rate * TICK) / SECOND;
+    const {chance, now, scenario} = this;
+    const load = scenario.load?.(now) ?? 1;
+    const mean = (scenario.rate * load * TICK) / SECOND;
     const isOneMore = chance.fraction() < mean - Math.floor(mean);
     const count = Math.floor(mean) + (isOneMore ? 1 : 0);
     for (let i = 0; i < count; i++) this.receiveOne();
