--- a/src/admission/body_admission.test.ts
+++ b/src/admission/body_admission.test.ts
@@ -115,6 +115,28 @@
     expect(player.count('read', bodies.slice(8, 16))).toBe(8);
   });
 
+  // They waited for no bytes, and were counted as waiting for good.
+  it('reads requests without a body while the memory is used up', () => {
+    const player = new Player();
+    const holder = {name: 'pipelining'};
+    player.memory.add(holder, 45 * MB);
+    for (let count = 0; count < 200; count += 1) {
+      const {body, decision} = player.admission.open(0, holder, 0, terms());
+      expect(decision).toBe('read');
+      player.finish(body);
+    }
+    expect(player.admission.waitingCount).toBe(0);
+  });
+
+  // A sound caller beside thousands of pipelined requests was rejected with 408.
+  it('rejects no slow body while other bytes than those of bodies fill the memory', () => {
+    const player = new Player();
+    player.memory.add({name: 'pipelining'}, 39.9 * MB);
+    const body = player.open(10 * KB);
+    player.play(3_000);
+    expect(player.decisions.get(body)).toBe('read');
+  });
+
   it('rejects a large body at once if many wait', () => {
     const player = new Player();
     const bodies = Array.from({length: 400}, () => player.open(LARGE));
@@ -199,6 +221,7 @@
       }
       for (const body of open) player.finish(body);
       expect(player.memory.usedBytes).toBe(0);
+      expect(player.admission.reservedBytes).toBe(0);
       expect(player.admission.waitingCount).toBe(0);
       expect(player.admission.incompleteCount).toBe(0);
     }
