--- a/src/admission/body_admission.ts
+++ b/src/admission/body_admission.ts
@@ -70,6 +70,7 @@
   /** Bodies that are not complete, in order of arrival. */
   private readonly incomplete = new Set<IncomingBody<Holder>>();
   private waiting = 0;
+  private reserved = 0;
   private lastCheckAt: Millis = 0;
   /** Time that passed while this process did not run. */
   private pausedTime: Millis = 0;
@@ -82,6 +83,11 @@
     return this.incomplete.size;
   }
 
+  /** Bytes that bodies hold, complete or not. */
+  get reservedBytes(): number {
+    return this.reserved;
+  }
+
   /** Number of bodies that wait for memory. */
   get waitingCount(): number {
     return this.waiting;
@@ -106,12 +112,10 @@
     const own = Math.min(length ?? FIRST_PART, OWN_PART);
     if (own > 0 && !this.memory.fitsOwnPart(own))
       return {body, decision: 'memory_exhausted'};
-    const isWithinOwnPart = this.memory.heldBy(holder) + own <= OWN_PART;
-    const isSmall = (length ?? 0) <= OWN_PART && isWithinOwnPart;
     this.charge(body, own);
     this.incomplete.add(body);
-    if (isSmall) return {body, decision: 'read'};
-    const rest = length === undefined ? 0 : length - own;
+    const rest = (length ?? own) - own;
+    if (rest === 0) return {body, decision: 'read'};
     const decision = this.reserve(now, body, rest);
     if (decision === 'memory_exhausted') this.reject(body);
     return {body, decision};
@@ -171,6 +175,7 @@
    */
   release(body: IncomingBody<Holder>, bytes = body.reserved): void {
     body.reserved -= bytes;
+    this.reserved -= bytes;
     this.memory.remove(body.holder, bytes);
   }
 
@@ -220,9 +225,11 @@
 
   /** Time without progress after which bodies are rejected. */
   private get stallTimeout(): Millis {
+    if (this.waiting > 0) return STALL_TIMEOUT;
+    // Their end does not help where heads or responses hold the memory.
+    if (2 * this.reserved < this.memory.usedBytes) return Infinity;
     if (!this.memory.fitsOwnPart(OWN_PART)) return CRITICAL_STALL_TIMEOUT;
-    const isScarce = this.waiting > 0 || !this.memory.fits(0);
-    return isScarce ? STALL_TIMEOUT : Infinity;
+    return this.memory.fits(0) ? Infinity : STALL_TIMEOUT;
   }
 
   private isTooSlow(
@@ -239,6 +246,7 @@
 
   private charge(body: IncomingBody<Holder>, bytes: number): void {
     body.reserved += bytes;
+    this.reserved += bytes;
     this.memory.add(body.holder, bytes);
   }
 
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -1,11 +1,9 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
 
 import type {Result} from 'neverthrow';
 
-import {CallerMemory} from '../../admission/index.js';
 import type {Clock, Millis} from '../../core/index.js';
 import {SECOND, headerPairs, malformedField} from '../../core/index.js';
 import type {
@@ -18,6 +16,7 @@
 import {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
 import type {Containment, Fields, Logger} from '../../observability/index.js';
+import type {CallerConnection} from '../shared/caller_connection.js';
 import {CallerConnections} from '../shared/caller_connections.js';
 import {BodyReader, isBodyRejection} from '../shared/body_reader.js';
 import type {BufferedBody} from '../shared/buffered_body.js';
@@ -76,7 +75,7 @@
   private readonly server: Server;
   private limits = DEFAULT_LIMITS;
   private readonly connections: CallerConnections;
-  private readonly bodies: BodyReader<Socket>;
+  private readonly bodies: BodyReader<CallerConnection>;
   private isClosing = false;
   private isEnding = false;
 
@@ -124,7 +123,7 @@
         log.recordOverBudget(heldBytes, open.length, ids.join(','));
       },
     });
-    this.bodies = new BodyReader(clock, new CallerMemory<Socket>());
+    this.bodies = new BodyReader(clock, this.connections.memory);
     this.setLimits(DEFAULT_LIMITS);
   }
 
@@ -213,6 +212,8 @@
     res: ServerResponse,
   ): Promise<void> {
     if (!this.connections.accept(req, res)) return;
+    const holder = this.connections.holderOf(req);
+    if (holder === undefined) return;
     const arrivedAt = this.clock.now();
     res.on('error', err => {
       this.logger.debug('answer_not_taken', {err: err.message});
@@ -262,7 +263,7 @@
     }
     const {callerTimeout} = metadata;
     const limits = {maxBytes, idleTimeout, callerTimeout};
-    const body = await this.bodies.read(req, req.socket, limits);
+    const body = await this.bodies.read(req, holder, limits);
     if (body.isErr()) {
       if (body.error.reason === 'caller_gone') res.destroy();
       else reject(body.error);
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -2,19 +2,22 @@
 import {once} from 'node:events';
 import {STATUS_CODES, createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 
-import {CallerMemory} from '../../admission/index.js';
 import type {NamedOrganisation} from '../../admission/index.js';
 import type {CallRequest} from '../../calls/index.js';
 import {MAX_BODY_BYTES} from '../../configuration/index.js';
 import {SECOND, callId, hostPort} from '../../core/index.js';
 import type {CallId, Millis} from '../../core/index.js';
 import {ERRORS, Fault, asFault, describeError} from '../../errors/index.js';
-import type {CutResponse, OverBudget} from '../shared/caller_connection.js';
+import type {
+  CallerConnection,
+  CutResponse,
+  OverBudget,
+} from '../shared/caller_connection.js';
 import {CallerConnections} from '../shared/caller_connections.js';
 import type {DaemonContext} from '../shared/context.js';
 import {AnswerTimer} from './answer_timer.js';
@@ -90,7 +93,7 @@
 export class HttpEdge {
   private readonly server: Server;
   private readonly connections: CallerConnections;
-  private readonly bodies: BodyReader<Socket>;
+  private readonly bodies: BodyReader<CallerConnection>;
   private readonly callIds = new WeakMap<IncomingMessage, CallId>();
 
   /**
@@ -120,13 +123,13 @@
       deferContinue(req, res);
       this.handleRequest(req, res);
     });
-    this.bodies = new BodyReader(context.clock, new CallerMemory<Socket>());
     this.connections = new CallerConnections(this.server, {
       formatError,
       onUnreadable: (fault, open) => this.recordUnreadable(fault, open),
       onCut: cut => this.recordCut(cut),
       onOverBudget: state => this.recordOverBudget(state),
     });
+    this.bodies = new BodyReader(context.clock, this.connections.memory);
   }
 
   /**
@@ -271,7 +274,9 @@
     if (head.isErr()) return err(head.error);
     const maxBytes = head.value?.service.limits.body ?? MAX_BODY_BYTES;
     const limits = {...BODY_LIMITS, maxBytes};
-    const read = await this.bodies.read(req, req.socket, limits);
+    const holder = this.connections.holderOf(req);
+    if (holder === undefined) return err(new Fault('caller_gone'));
+    const read = await this.bodies.read(req, holder, limits);
     if (read.isErr()) return err(read.error);
     const body = read.value;
     const request = {req, res, id, organisation, inForce};
--- a/src/daemons/shared/body_reader.ts
+++ b/src/daemons/shared/body_reader.ts
@@ -61,6 +61,7 @@
   get fields(): Readonly<Record<string, number>> {
     return {
       memory_used: this.memory.usedBytes,
+      bodies_bytes: this.admission.reservedBytes,
       bodies_waiting: this.admission.waitingCount,
       bodies_incomplete: this.admission.incompleteCount,
     };
@@ -83,6 +84,7 @@
     const length = declaredLength(req);
     if (length !== undefined && length > limits.maxBytes)
       return err(new Fault('body_too_large'));
+    if (length === 0) return readEmpty(req);
     const now = this.clock.now();
     const terms = termsOf(now, limits);
     const {body, decision} = this.admission.open(now, holder, length, terms);
@@ -168,6 +170,21 @@
   }
 }
 
+/** Waits for the end of a request without a body, which holds no memory. */
+async function readEmpty(
+  req: IncomingMessage,
+): Promise<Result<BufferedBody, Fault>> {
+  const failed = await new Promise<Fault | undefined>(resolve => {
+    const start = receiveBody(req, {
+      onChunk: () => undefined,
+      onEnd: resolve,
+    });
+    start();
+  });
+  if (failed !== undefined) return err(failed);
+  return ok(new BufferedBody(Buffer.alloc(0)));
+}
+
 /**
  * Returns whether a rejection depends on the other bodies.
  * @param reason - why a request was rejected
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -309,8 +309,11 @@
       : MAX_OPEN_REQUESTS;
     if (size >= (this.gate.isClosed ? RESUME_OPEN_REQUESTS : max)) return true;
     if (this.memory.mayRead(this)) return false;
+    // The memory of a body is reserved before it is read.
+    const {latest} = this;
+    if (latest?.complete === false && isReadingBody(latest)) return false;
     // A caller with one whole request is read on: it may leave.
-    return size !== 1 || this.latest?.complete !== true;
+    return size !== 1 || latest?.complete !== true;
   }
 
   private updateReading(): void {
