--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -102,12 +102,12 @@
         noDelay: true,
         requireHostHeader: false,
       },
-      (req, res) => void this.handleContained(req, res),
+      (req, res) => this.accept(req, res),
     );
     this.server.maxHeadersCount = 0;
     this.server.on('checkContinue', (req, res) => {
       deferContinue(req, res);
-      void this.handleContained(req, res);
+      this.accept(req, res);
     });
     this.connections = new CallerConnections(this.server, {
       formatError,
@@ -191,14 +191,32 @@
     return this.dialect.readRequest(headerPairs(req.rawHeaders)).id;
   }
 
+  private accept(req: IncomingMessage, res: ServerResponse): void {
+    if (!this.connections.accept(req, res)) return;
+    const arrivedAt = this.clock.now();
+    this.connections.beginInTurn(req, res, isTurn => {
+      if (isTurn) void this.handleContained(req, res, arrivedAt);
+      else this.recordUnserved(req, arrivedAt);
+    });
+  }
+
+  /** Records a request whose connection ended before its turn. */
+  private recordUnserved(req: IncomingMessage, arrivedAt: Millis): void {
+    const reason = this.isEnding ? 'draining' : 'caller_gone';
+    this.log.recordRejected(this.idOf(req), reason, arrivedAt, {
+      detail: 'the connection ended with an earlier response',
+    });
+  }
+
   private async handleContained(
     req: IncomingMessage,
     res: ServerResponse,
+    arrivedAt: Millis,
   ): Promise<void> {
     await this.containment.runAsync(
       'request',
       {url: req.url},
-      () => this.handle(req, res),
+      () => this.handle(req, res, arrivedAt),
       () => {
         // Exchanges contain their own exceptions, so nothing was sent yet.
         const reply = new ResponseWriter(res, this.dialect, () => true);
@@ -210,11 +228,10 @@
   private async handle(
     req: IncomingMessage,
     res: ServerResponse,
+    arrivedAt: Millis,
   ): Promise<void> {
-    if (!this.connections.accept(req, res)) return;
     const holder = this.connections.holderOf(req);
     if (holder === undefined) return;
-    const arrivedAt = this.clock.now();
     res.on('error', err => {
       this.logger.debug('answer_not_taken', {err: err.message});
     });
@@ -272,10 +289,8 @@
     const {value} = body;
     res.once('close', value.release);
     if (!(await this.connections.turnOf(req, res))) {
-      const reason = this.isEnding ? 'draining' : 'caller_gone';
-      this.log.recordRejected(id, reason, arrivedAt, {
-        detail: 'the connection ended with an earlier response',
-      });
+      value.release();
+      this.recordUnserved(req, arrivedAt);
       return;
     }
     this.receiver.serve({req, res, headers, body: value, arrivedAt});
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -5,6 +5,7 @@
 import type {Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
+import type {ConnectionEvents, CutReason} from './connection_events.js';
 import {HeadMeter, headBytes} from './head_meter.js';
 import {ReadGate} from './read_gate.js';
 import {failBody, isReadingBody} from './request_body.js';
@@ -26,34 +27,11 @@
 const MAX_OPEN_REQUESTS_OF_MORE = 16;
 /** Open requests below which it is read again. */
 const RESUME_OPEN_REQUESTS = 8;
-/** Memory of a request's objects beside the bytes of its head. */
-const REQUEST_BYTES = 8 * 2 ** 10;
-
-/** Why a response was cut: its caller left, or the process ends. */
-export type CutReason = 'caller_gone' | 'shutdown';
-
-/** A response that was cut before all of it was sent. */
-export interface CutResponse {
-  readonly req: IncomingMessage;
-  readonly reason: CutReason;
-  /** Bytes that have not left the process. */
-  readonly unsentBytes: number;
-}
-
-/** A connection that was closed since it held most of an exhausted budget. */
-export interface OverBudget {
-  readonly heldBytes: number;
-  /** Its requests whose responses were not sent completely. */
-  readonly open: readonly IncomingMessage[];
-}
-
-/** Callbacks of a connection. */
-export interface ConnectionEvents {
-  /** Called for responses that are cut. */
-  onCut(cut: CutResponse): void;
-  /** Called as the connection is closed for the memory that it holds. */
-  onOverBudget(state: OverBudget): void;
-}
+/**
+ * Charge of a request beside the bytes of its head: its objects, 3 to 8 KB, and
+ * the room that the garbage collector needs to move them.
+ */
+const REQUEST_BYTES = 12 * 2 ** 10;
 
 /** A connection of a caller, with the responses that are open on it. */
 export class CallerConnection {
@@ -130,14 +108,15 @@
    */
   accept(req: IncomingMessage, res: ServerResponse): boolean {
     const head = headBytes(req);
+    const charge = REQUEST_BYTES + head;
     if (this.isClosing) {
-      this.discard(req, REQUEST_BYTES + head);
+      this.discard(req, charge);
       return false;
     }
     this.heads.recordRequest(req, head);
     this.latestRequest = req;
-    this.responses.set(res, REQUEST_BYTES + head);
-    this.addBytes(REQUEST_BYTES + head);
+    this.responses.set(res, charge);
+    this.addBytes(charge);
     req.once('end', () => this.onRequestEnd(req));
     res.once('finish', () => {
       // Node also emits it for what a broken connection drops.
@@ -161,6 +140,17 @@
     return new Promise(resolve => this.waiting.set(res, resolve));
   }
 
+  /**
+   * Begins a request, in its turn if it has no body: until then a request that
+   * waits behind thousands holds and costs little.
+   * @param res - its response
+   * @param begin - called with false if the connection ends before its turn
+   */
+  beginInTurn(res: ServerResponse, begin: (isTurn: boolean) => void): void {
+    if (hasBody(res.req) || this.first === res) begin(true);
+    else this.waiting.set(res, begin);
+  }
+
   /**
    * Handles a message that is unreadable.
    * @param fault - why it is unreadable
@@ -262,7 +252,9 @@
     // Their requests are not told one by one: there may be thousands.
     this.waiting.clear();
     this.memory.removeHolder(this);
-    this.socket.resetAndDestroy();
+    // The system resets no connection that is being shut down.
+    if (this.isLingering) this.socket.destroy();
+    else this.socket.resetAndDestroy();
     this.closeWaiting();
   }
 
@@ -394,3 +386,10 @@
     this.waiting.delete(res);
   }
 }
+
+function hasBody({headers}: IncomingMessage): boolean {
+  return (
+    headers['transfer-encoding'] !== undefined ||
+    Number(headers['content-length'] ?? 0) > 0
+  );
+}
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -7,7 +7,7 @@
 import {SECOND} from '../../core/index.js';
 import {Fault} from '../../errors/index.js';
 import {CallerConnection} from './caller_connection.js';
-import type {ConnectionEvents} from './caller_connection.js';
+import type {ConnectionEvents} from './connection_events.js';
 import {unreadableReason} from './unreadable_message.js';
 
 const CHECK_INTERVAL: Millis = SECOND / 20;
@@ -33,6 +33,7 @@
   private readonly connections = new Map<Duplex, CallerConnection>();
   private timer: NodeJS.Timeout | undefined;
   private isSuspended = false;
+  private isNewestFirst = false;
 
   /**
    * @param server - server without listeners for `clientError` and `timeout`
@@ -95,6 +96,20 @@
     return this.connections.get(res.req.socket)?.open.at(-1) === res;
   }
 
+  /**
+   * Begins a request that was accepted, in its turn if it has no body.
+   * @param req - the request
+   * @param res - its response
+   * @param begin - called with false if the connection ends before its turn
+   */
+  beginInTurn(
+    req: IncomingMessage,
+    res: ServerResponse,
+    begin: (isTurn: boolean) => void,
+  ): void {
+    this.connections.get(req.socket)?.beginInTurn(res, begin);
+  }
+
   /**
    * Waits until a response is the first on its connection.
    * @param req - its request, which was accepted
@@ -155,7 +170,10 @@
   private suspend(): void {
     if (this.isSuspended) return;
     this.isSuspended = true;
+    // The oldest and the newest take turns, as the first ones use the memory.
+    this.isNewestFirst = !this.isNewestFirst;
     const connections = [...this.connections.values()];
+    if (this.isNewestFirst) connections.reverse();
     for (const connection of connections) connection.suspend();
     setTimeout(() => {
       this.isSuspended = false;
