Go on without a reader of the log in the product's own form

A daemon of the product's own form ended with code 1 in its next line once the reader of its standard error had gone away, with all open calls (FAULT).

Cause: the error of the closed pipe had no listener. It has one now.

Test: test/own_form_ends.test.ts; before, SIGTERM after the reader had gone ended with code 1 in place of a drain and 0.

--- a/src/cli/shared/run_daemon.ts
+++ b/src/cli/shared/run_daemon.ts
@@ -21,6 +21,8 @@
  * @param level - lowest level that is logged
  */
 export function createDaemonParts(level: LogLevel): DaemonParts {
+  // Without a listener a closed pipe would end the process with its calls.
+  process.stderr.on('error', () => undefined);
   return {
     clock: new SystemClock(),
     chance: new Chance(randomInt(MAX_SEED)),
