--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -62,19 +62,17 @@
   private readonly openExchanges = new Set<Exchange>();
   /** Set once the start has ended, so that the balancer may route here. */
   private timer: NodeJS.Timeout | undefined;
-  private grace: Millis;
 
   /**
    * @param settings - the settings of this process
    * @param parts - clock, random source, logger and platform services
    */
   constructor(
-    private readonly settings: DirectSettings,
+    private settings: DirectSettings,
     private readonly parts: DirectParts,
   ) {
     const {clock, estate, logger, metrics} = parts;
     this.clock = clock;
-    this.grace = settings.grace;
     this.dialect = estate.dialect;
     this.logger = logger;
     this.containment = new Containment(logger, metrics);
@@ -170,7 +168,7 @@
   /** Finishes accepted requests, then stops; ends within the grace period. */
   async drain(): Promise<void> {
     if (this.timer !== undefined || this.front.openRequests > 0) {
-      await this.shutdown.drain(this.grace, this.openExchanges);
+      await this.shutdown.drain(this.settings.grace, this.openExchanges);
     }
     await this.stop();
   }
@@ -181,7 +179,7 @@
    */
   reload({retryBound, grace}: DirectSettings): void {
     this.retries.setBound(retryBound);
-    this.grace = grace;
+    this.settings = {...this.settings, retryBound, grace};
     this.logger.info('reload', {...retryBound, grace_ms: grace});
   }
 
