Read pipelined requests on within the budget, and count what they waited for

One cause: the limits of the gate were counts, and nothing knew that it was closed. It closes for 1,024 open requests or the budget now, never amid a body; requests that waited count from its closing; small bodies are bounded by what bodies hold. A body that waited is passed on after the end of its caller could be read. A waiting body has a state of its own; the end of a process exits even if its line cannot be made.

--- a/src/admission/body_admission.ts
+++ b/src/admission/body_admission.ts
@@ -37,7 +37,8 @@
 export class IncomingBody<Holder extends object> {
   /** Bytes of the budget that it holds. */
   reserved = 0;
-  /** Bytes that it waits for; 0 while it is read. */
+  isWaiting = false;
+  /** Bytes that it waits for. */
   wanted = 0;
   waitingSince: Millis = 0;
   lastByteAt: Millis;
@@ -110,7 +111,7 @@
     if (this.incomplete.size === 0) this.lastCheckAt = now;
     const body = new IncomingBody(holder, terms, this.runTime(now));
     const own = Math.min(length ?? FIRST_PART, OWN_PART);
-    if (own > 0 && !this.memory.fitsOwnPart(own))
+    if (own > 0 && !this.memory.fitsOwnPart(own, this.reserved))
       return {body, decision: 'memory_exhausted'};
     this.charge(body, own);
     this.incomplete.add(body);
@@ -138,6 +139,7 @@
       return 'read';
     }
     if (this.waiting >= MAX_WAITING) return 'memory_exhausted';
+    body.isWaiting = true;
     body.wanted = bytes;
     body.waitingSince = now;
     this.waiting += 1;
@@ -195,7 +197,7 @@
     }
     for (const body of this.admitWaiting(now)) decisions.set(body, 'read');
     for (const body of this.incomplete) {
-      if (body.wanted === 0) continue;
+      if (!body.isWaiting) continue;
       const {patience, expiresAt} = body.terms;
       const isDue = now - body.waitingSince >= patience || now >= expiresAt;
       if (!isDue) continue;
@@ -214,7 +216,7 @@
     const admitted: IncomingBody<Holder>[] = [];
     if (this.waiting === 0) return admitted;
     for (const body of this.incomplete) {
-      if (body.wanted === 0 || !this.memory.fits(body.wanted)) continue;
+      if (!body.isWaiting || !this.memory.fits(body.wanted)) continue;
       this.charge(body, body.wanted);
       this.stopWaiting(body);
       body.lastByteAt = body.lastProgressAt = this.runTime(now);
@@ -228,7 +230,8 @@
     if (this.waiting > 0) return STALL_TIMEOUT;
     // Their end does not help where heads or responses hold the memory.
     if (2 * this.reserved < this.memory.usedBytes) return Infinity;
-    if (!this.memory.fitsOwnPart(OWN_PART)) return CRITICAL_STALL_TIMEOUT;
+    if (!this.memory.fitsOwnPart(OWN_PART, this.reserved))
+      return CRITICAL_STALL_TIMEOUT;
     return this.memory.fits(0) ? Infinity : STALL_TIMEOUT;
   }
 
@@ -237,7 +240,7 @@
     body: IncomingBody<Holder>,
     stallTimeout: Millis,
   ): boolean {
-    if (body.wanted > 0) return false;
+    if (body.isWaiting) return false;
     const at = this.runTime(now);
     const {expiresAt, idleTimeout} = body.terms;
     if (now >= expiresAt || at - body.lastByteAt >= idleTimeout) return true;
@@ -256,7 +259,8 @@
   }
 
   private stopWaiting(body: IncomingBody<Holder>): void {
-    if (body.wanted === 0) return;
+    if (!body.isWaiting) return;
+    body.isWaiting = false;
     body.wanted = 0;
     this.waiting -= 1;
   }
--- a/src/admission/caller_memory.ts
+++ b/src/admission/caller_memory.ts
@@ -102,13 +102,15 @@
   }
 
   /**
-   * Returns whether a connection's own part fits. The upper half of what is left
-   * to own parts is for the heads of requests.
+   * Returns whether a connection's own part of a body fits. The upper half of what
+   * is left to own parts is for the heads of requests, and they don't take the rest.
    * @param bytes - its size
+   * @param bodyBytes - bytes that bodies hold
    */
-  fitsOwnPart(bytes: number): boolean {
+  fitsOwnPart(bytes: number, bodyBytes: number): boolean {
     const {pauseAt, closeAt} = this.limits;
-    return this.used + bytes <= (pauseAt + closeAt) / 2;
+    const isWithinBodies = bodyBytes + bytes <= (pauseAt + closeAt) / 2;
+    return isWithinBodies && this.used + bytes <= closeAt;
   }
 
   /**
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {setImmediate} from 'node:timers/promises';
 
 import type {Result} from 'neverthrow';
 
@@ -18,9 +19,14 @@
 import type {Containment, Fields, Logger} from '../../observability/index.js';
 import type {CallerConnection} from '../shared/caller_connection.js';
 import {CallerConnections} from '../shared/caller_connections.js';
+import type {CallerEvents} from '../shared/caller_connections.js';
 import {BodyReader, isBodyRejection} from '../shared/body_reader.js';
 import type {BufferedBody} from '../shared/buffered_body.js';
-import {declaredLength, deferContinue} from '../shared/request_body.js';
+import {
+  declaredLength,
+  deferContinue,
+  failBody,
+} from '../shared/request_body.js';
 import type {HeadRejection} from './head_decision.js';
 import {splitAddress} from './attempt.js';
 import type {RequestLog} from './request_log.js';
@@ -109,7 +115,7 @@
       deferContinue(req, res);
       this.accept(req, res);
     });
-    this.connections = new CallerConnections(this.server, {
+    const events: CallerEvents = {
       formatError,
       onUnreadable: ({reason, detail}, open) => {
         const ids = open.slice(0, MAX_LOGGED_IDS).map(req => this.idOf(req));
@@ -122,7 +128,8 @@
         const ids = open.slice(0, MAX_LOGGED_IDS).map(req => this.idOf(req));
         log.recordOverBudget(heldBytes, open.length, ids.join(','));
       },
-    });
+    };
+    this.connections = new CallerConnections(this.server, events, clock);
     this.bodies = new BodyReader(clock, this.connections.memory);
     this.setLimits(DEFAULT_LIMITS);
   }
@@ -193,7 +200,7 @@
 
   private accept(req: IncomingMessage, res: ServerResponse): void {
     if (!this.connections.accept(req, res)) return;
-    const arrivedAt = this.clock.now();
+    const arrivedAt = this.connections.earliestArrival(req, this.clock.now());
     this.connections.beginInTurn(req, res, isTurn => {
       if (isTurn) void this.handleContained(req, res, arrivedAt);
       else this.recordUnserved(req, arrivedAt);
@@ -280,6 +287,7 @@
     }
     const {callerTimeout} = metadata;
     const limits = {maxBytes, idleTimeout, callerTimeout};
+    res.once('close', () => failBody(req, new Fault('caller_gone')));
     const body = await this.bodies.read(req, holder, limits);
     if (body.isErr()) {
       if (body.error.reason === 'caller_gone') res.destroy();
@@ -288,6 +296,8 @@
     }
     const {value} = body;
     res.once('close', value.release);
+    // The end of a caller that left meanwhile is read behind a body that waited.
+    if (value.bytes.length > MAX_DISCARDED_BYTES) await setImmediate();
     if (!(await this.connections.turnOf(req, res))) {
       value.release();
       this.recordUnserved(req, arrivedAt);
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -16,6 +16,7 @@
 import type {CallerConnection} from '../shared/caller_connection.js';
 import type {CutResponse, OverBudget} from '../shared/connection_events.js';
 import {CallerConnections} from '../shared/caller_connections.js';
+import type {CallerEvents} from '../shared/caller_connections.js';
 import type {DaemonContext} from '../shared/context.js';
 import {AnswerTimer} from './answer_timer.js';
 import {AnswerWriter} from './answer_writer.js';
@@ -122,13 +123,15 @@
       deferContinue(req, res);
       this.handleRequest(req, res);
     });
-    this.connections = new CallerConnections(this.server, {
+    const events: CallerEvents = {
       formatError,
       onUnreadable: (fault, open) => this.recordUnreadable(fault, open),
       onCut: cut => this.recordCut(cut),
       onOverBudget: state => this.recordOverBudget(state),
-    });
-    this.bodies = new BodyReader(context.clock, this.connections.memory);
+    };
+    const {clock} = context;
+    this.connections = new CallerConnections(this.server, events, clock);
+    this.bodies = new BodyReader(clock, this.connections.memory);
   }
 
   /**
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -2,13 +2,13 @@
 import type {Socket} from 'node:net';
 
 import type {CallerMemory} from '../../admission/index.js';
-import type {Millis} from '../../core/index.js';
+import type {Clock, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
 import type {ConnectionEvents, CutReason} from './connection_events.js';
 import {HeadMeter, headBytes} from './head_meter.js';
 import {ReadGate} from './read_gate.js';
-import {failBody, isReadingBody} from './request_body.js';
+import {failBody, hasBody, isReadingBody} from './request_body.js';
 import {abortResponse} from './response_framing.js';
 import {actionAfterUnreadable} from './unreadable_message.js';
 import type {UnreadableAction} from './unreadable_message.js';
@@ -21,12 +21,10 @@
 const LINGER_IDLE_TIMEOUT: Millis = 2 * SECOND;
 const MAX_LINGER_TIME: Millis = 30 * SECOND;
 
-/** Open requests from which on a connection is not read further. */
-const MAX_OPEN_REQUESTS = 256;
-/** The same, if the caller has sent more than one read has brought. */
-const MAX_OPEN_REQUESTS_OF_MORE = 16;
-/** Open requests below which it is read again. */
-const RESUME_OPEN_REQUESTS = 8;
+/** Open requests from which on a connection is not read, even for its end. */
+const MAX_OPEN_REQUESTS = 1_024;
+/** Discarded requests from which on an ended connection is not read further. */
+const MAX_DISCARDED_REQUESTS = 16;
 /**
  * Charge of a request beside the bytes of its head: its objects, 3 to 8 KB, and
  * the room that the garbage collector needs to move them.
@@ -64,13 +62,15 @@
    * @param socket - the connection
    * @param memory - memory budget of all connections
    * @param events - callbacks
+   * @param clock - the clock
    */
   constructor(
     private readonly socket: Socket,
     private readonly memory: CallerMemory<CallerConnection>,
     private readonly events: ConnectionEvents,
+    clock: Clock,
   ) {
-    this.gate = new ReadGate(socket);
+    this.gate = new ReadGate(socket, clock);
     this.heads = new HeadMeter(socket);
     // Node destroys the connection after its last response.
     socket.destroySoon = () => this.end();
@@ -213,7 +213,9 @@
 
   /** Handles a connection without traffic for the time that was set. */
   onTimeout(): void {
-    if (this.responses.size === 0) this.socket.destroy();
+    // Closing it with unread bytes resets it, which drops the last response.
+    const isUnread = this.isLingering && this.gate.isClosed;
+    if (this.responses.size === 0 && !isUnread) this.socket.destroy();
   }
 
   private addBytes(bytes: number): void {
@@ -229,6 +231,16 @@
   /** Charges the head that is being read, whose size shows in no event. */
   check(): void {
     if (!this.isClosing) this.chargeHead();
+    this.gate.checkBacklog();
+  }
+
+  /**
+   * Returns since when a request may have waited in the system's buffers, while
+   * this process did not read the connection.
+   * @param now - time at which its head was read
+   */
+  earliestArrival(now: Millis): Millis {
+    return this.gate.earliestArrival(now);
   }
 
   /** Stops reading, whatever the connection holds, until `unsuspend`. */
@@ -249,8 +261,10 @@
     this.events.onOverBudget({heldBytes: this.memory.heldBy(this), open});
     this.isClosing = true;
     this.isCut = true;
-    // Their requests are not told one by one: there may be thousands.
+    // Those that hold nothing are not told: there may be thousands.
+    const waiting = [...this.waiting].filter(([res]) => hasBody(res.req));
     this.waiting.clear();
+    for (const [, resolve] of waiting) resolve(false);
     this.memory.removeHolder(this);
     // The system resets no connection that is being shut down.
     if (this.isLingering) this.socket.destroy();
@@ -294,16 +308,13 @@
   private get mustWait(): boolean {
     if (this.isDetached) return false;
     if (this.isSuspended) return true;
-    if (this.isLingering) return this.discarded >= MAX_OPEN_REQUESTS_OF_MORE;
+    if (this.isLingering) return this.discarded >= MAX_DISCARDED_REQUESTS;
+    const {latest} = this;
+    // The memory of a body is reserved before it is read.
+    if (latest?.complete === false && hasBody(latest)) return false;
     const {size} = this.responses;
-    const max = this.heads.wasReadFull
-      ? MAX_OPEN_REQUESTS_OF_MORE
-      : MAX_OPEN_REQUESTS;
-    if (size >= (this.gate.isClosed ? RESUME_OPEN_REQUESTS : max)) return true;
+    if (size >= MAX_OPEN_REQUESTS) return true;
     if (this.memory.mayRead(this)) return false;
-    // The memory of a body is reserved before it is read.
-    const {latest} = this;
-    if (latest?.complete === false && isReadingBody(latest)) return false;
     // A caller with one whole request is read on: it may leave.
     return size !== 1 || latest?.complete !== true;
   }
@@ -330,7 +341,7 @@
   private onRequestEnd(req: IncomingMessage): void {
     this.bytesAtRequestEnd = this.socket.bytesRead;
     this.heads.recordEnd(req);
-    if (this.gate.isClosed) this.updateReading();
+    this.updateReading();
   }
 
   /**
@@ -342,7 +353,7 @@
     req.resume();
     this.memory.add(this, bytes);
     this.discarded += 1;
-    if (this.discarded >= MAX_OPEN_REQUESTS_OF_MORE) this.gate.close();
+    if (this.discarded >= MAX_DISCARDED_REQUESTS) this.gate.close();
   }
 
   /** Closes responses behind the first; Node closes none that waits for its turn. */
@@ -386,10 +397,3 @@
     this.waiting.delete(res);
   }
 }
-
-function hasBody({headers}: IncomingMessage): boolean {
-  return (
-    headers['transfer-encoding'] !== undefined ||
-    Number(headers['content-length'] ?? 0) > 0
-  );
-}
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -3,7 +3,7 @@
 import type {Socket} from 'node:net';
 
 import {CallerMemory} from '../../admission/index.js';
-import type {Millis} from '../../core/index.js';
+import type {Clock, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import {Fault} from '../../errors/index.js';
 import {CallerConnection} from './caller_connection.js';
@@ -38,11 +38,13 @@
   /**
    * @param server - server without listeners for `clientError` and `timeout`
    * @param events - callbacks
+   * @param clock - the clock
    * @param memory - memory budget of the connections
    */
   constructor(
     server: Server,
     private readonly events: CallerEvents,
+    private readonly clock: Clock,
     readonly memory = new CallerMemory<CallerConnection>(),
   ) {
     server.on('connection', (socket: Socket) => this.add(socket));
@@ -79,6 +81,16 @@
     return isServed && !req.socket.destroyed;
   }
 
+  /**
+   * Returns the time from which on the deadline of a request counts: it may have
+   * waited while its connection was not read.
+   * @param req - the request
+   * @param now - time at which its head was read
+   */
+  earliestArrival({socket}: IncomingMessage, now: Millis): Millis {
+    return this.connections.get(socket)?.earliestArrival(now) ?? now;
+  }
+
   /**
    * Returns the connection of a request, as a holder of `memory`.
    * @param req - the request
@@ -144,8 +156,9 @@
   }
 
   private add(socket: Socket): void {
-    const {memory, events} = this;
-    this.connections.set(socket, new CallerConnection(socket, memory, events));
+    const {memory, events, clock} = this;
+    const connection = new CallerConnection(socket, memory, events, clock);
+    this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
     this.timer ??= setInterval(
       () => this.check(),
--- a/src/daemons/shared/head_meter.ts
+++ b/src/daemons/shared/head_meter.ts
@@ -11,7 +11,8 @@
   private bytesAtLatest = 0;
   /** Bytes of these that follow the latest request. */
   private bytesBehindLatest = 0;
-  private isReadFull = false;
+  /** Bytes of the latest request's body that were not read when it was accepted. */
+  private bodyToCome = 0;
 
   /** @param socket - the connection */
   constructor(private readonly socket: Socket) {}
@@ -19,12 +20,13 @@
   /** Bytes of a head whose end was not read. */
   get unfinishedBytes(): number {
     if (this.latest?.complete === false) return 0;
-    return this.socket.bytesRead - this.bytesAtLatest + this.bytesBehindLatest;
+    return this.bytesSinceLatest + this.bytesBehindLatest;
   }
 
-  /** Whether the latest request came with as much as one read can bring. */
-  get wasReadFull(): boolean {
-    return this.isReadFull;
+  /** Bytes read since the latest request was accepted that are not its body. */
+  private get bytesSinceLatest(): number {
+    const {bytesRead} = this.socket;
+    return Math.max(0, bytesRead - this.bytesAtLatest - this.bodyToCome);
   }
 
   /**
@@ -36,10 +38,11 @@
     const {bytesRead} = this.socket;
     const size = head + Number(req.headers['content-length'] ?? 0);
     // One read at most: the reads before it brought parts of this request.
-    const read = Math.min(bytesRead - this.bytesAtLatest, READ_BYTES);
-    if (read > 0) this.isReadFull = read === READ_BYTES;
-    const behind = (read === 0 ? this.bytesBehindLatest : read) - size;
+    const read = Math.min(this.bytesSinceLatest, READ_BYTES);
+    const isSameRead = bytesRead === this.bytesAtLatest;
+    const behind = (isSameRead ? this.bytesBehindLatest : read) - size;
     this.bytesBehindLatest = Math.max(0, behind);
+    this.bodyToCome = Math.max(0, -behind);
     this.bytesAtLatest = bytesRead;
     this.latest = req;
   }
@@ -55,6 +58,7 @@
     if (!isChunked && bytesRead === this.bytesAtLatest) return;
     this.bytesAtLatest = bytesRead;
     this.bytesBehindLatest = 0;
+    this.bodyToCome = 0;
   }
 }
 
--- a/src/daemons/shared/held_up_connections.test.ts
+++ b/src/daemons/shared/held_up_connections.test.ts
@@ -6,6 +6,8 @@
 
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
+import type {Fault} from '../../errors/index.js';
+import {SystemClock} from '../../observability/index.js';
 import {CallerConnections} from './caller_connections.js';
 
 const TIMEOUT_MS = 300;
@@ -35,12 +37,13 @@
   );
   server.keepAliveTimeout = TIMEOUT_MS;
   server.headersTimeout = 3 * TIMEOUT_MS;
-  const connections = new CallerConnections(server, {
-    formatError: ({reason}) => `HTTP/1.1 400 ${reason}\r\n\r\n`,
+  const events = {
+    formatError: ({reason}: Fault) => `HTTP/1.1 400 ${reason}\r\n\r\n`,
     onUnreadable: () => undefined,
     onCut: () => undefined,
     onOverBudget: () => undefined,
-  });
+  };
+  const connections = new CallerConnections(server, events, new SystemClock());
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
--- a/src/daemons/shared/read_gate.ts
+++ b/src/daemons/shared/read_gate.ts
@@ -1,5 +1,8 @@
 import type {Socket} from 'node:net';
 
+import type {Clock, Millis} from '../../core/index.js';
+import {ReadBacklog} from './read_backlog.js';
+
 /**
  * Stops the reading of a connection. Node's HTTP server pauses and resumes sockets
  * for its own reasons, which apply again once the gate is open.
@@ -11,8 +14,17 @@
   private readonly pauseSocket: () => Socket;
   private readonly resumeSocket: () => Socket;
 
-  /** @param socket - the connection */
-  constructor(private readonly socket: Socket) {
+  private readonly backlog: ReadBacklog;
+
+  /**
+   * @param socket - the connection
+   * @param clock - the clock
+   */
+  constructor(
+    private readonly socket: Socket,
+    private readonly clock: Clock,
+  ) {
+    this.backlog = new ReadBacklog(socket);
     this.pauseSocket = socket.pause.bind(socket);
     this.resumeSocket = socket.resume.bind(socket);
     socket.pause = () => {
@@ -35,6 +47,7 @@
   close(): void {
     if (this.isHeld) return;
     this.isHeld = true;
+    this.backlog.recordPause(this.clock.now());
     this.pauseSocket();
   }
 
@@ -42,9 +55,23 @@
   open(): void {
     if (!this.isHeld) return;
     this.isHeld = false;
+    this.backlog.recordResume(this.clock.now());
     if (this.isWanted) this.resumeSocket();
   }
 
+  /** Checks whether what waited while the gate was closed was read. */
+  checkBacklog(): void {
+    if (!this.isHeld) this.backlog.check(this.clock.now());
+  }
+
+  /**
+   * Returns the earliest time at which a request may have arrived.
+   * @param now - time at which its head was read
+   */
+  earliestArrival(now: Millis): Millis {
+    return this.backlog.earliestArrival(now);
+  }
+
   /** Repeats a pause that came after a resumption and before its event. */
   private onResumed(): void {
     if (this.isHeld) this.socket.emit('pause');
--- a/src/daemons/shared/request_body.ts
+++ b/src/daemons/shared/request_body.ts
@@ -122,3 +122,14 @@
     start();
   });
 }
+
+/**
+ * Returns whether a request has a body.
+ * @param req - the request
+ */
+export function hasBody({headers}: IncomingMessage): boolean {
+  return (
+    headers['transfer-encoding'] !== undefined ||
+    Number(headers['content-length'] ?? 0) > 0
+  );
+}
--- a/src/observability/process_end.ts
+++ b/src/observability/process_end.ts
@@ -47,8 +47,12 @@
    */
   async end(reason: EndReason, code: number, thrown?: unknown): Promise<void> {
     if (this.hasEnded) return;
-    await this.log(reason, code, thrown);
-    this.parts.exit(code);
+    try {
+      await this.log(reason, code, thrown);
+    } finally {
+      // Reading the memory fails in a process without descriptors.
+      this.parts.exit(code);
+    }
   }
 
   /**
--- a/src/observability/process_memory.ts
+++ b/src/observability/process_memory.ts
@@ -82,7 +82,7 @@
    * @param limits - limits of the process
    * @param clock - the clock
    * @param logger - logs crossings
-   * @param containment - contains a failure to read the memory, which ends the checks
+   * @param containment - contains a failure to read the memory
    * @param metrics - receives the gauges and the counter
    * @param openRequests - returns the number of open requests
    * @param readUse - returns the memory in use
@@ -115,12 +115,7 @@
   /** Checks the memory at an interval from now on. */
   start(): void {
     const check = () =>
-      this.containment.run(
-        'timer',
-        {},
-        () => this.check(this.clock.now()),
-        () => this.stop(),
-      );
+      this.containment.run('timer', {}, () => this.check(this.clock.now()));
     this.timer = setInterval(check, CHECK_INTERVAL).unref();
   }
 
