--- a/test/own_form_ends.test.ts
+++ b/test/own_form_ends.test.ts
@@ -1,8 +1,23 @@
 /** Ends of the product's own daemons, as processes on loopback. */
-import {once} from 'node:events';
+import {EventEmitter, once} from 'node:events';
 
-import {afterEach, beforeEach, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
+import {runDaemon} from '../src/cli/shared/run_daemon.js';
+import type {Daemon} from '../src/cli/shared/run_daemon.js';
+import {
+  Chance,
+  availabilityZone,
+  serviceName,
+  vmName,
+} from '../src/core/index.js';
+import {Entry} from '../src/daemons/entry/index.js';
+import {Sidecar} from '../src/daemons/sidecar/index.js';
+import {
+  Metrics,
+  SystemClock,
+  createLogger,
+} from '../src/observability/index.js';
 import {Processes} from './support/processes.js';
 import type {TestProcess} from './support/processes.js';
 
@@ -32,3 +47,49 @@
   child.kill('SIGTERM');
   expect(await exit).toEqual([0, null]);
 });
+
+// It ended by the signal, whose handler came after the start (FAULT).
+describe('a signal amid the start of a daemon', () => {
+  const settings = {
+    vm: vmName('a'),
+    availabilityZone: availabilityZone('z'),
+    host: '127.0.0.1',
+    port: 0,
+    operatorPort: 0,
+    linkPort: 0,
+    linkKey: 'k'.repeat(16),
+    logUrl: 'http://127.0.0.1:9',
+    vmListUrl: 'http://127.0.0.1:9',
+    service: serviceName('depot'),
+    upstreamUrl: 'http://127.0.0.1:9',
+    drainTimeout: 5_000,
+  };
+
+  it.each([
+    ['an entry', Entry],
+    ['a sidecar', Sidecar],
+  ])('drains %s once it has started', async (_name, DaemonType) => {
+    const events: string[] = [];
+    const logger = createLogger('info', line =>
+      events.push(/event=(\S+)/.exec(line)?.[1] ?? ''),
+    );
+    const clock = new SystemClock();
+    const parts = {
+      clock,
+      logger,
+      chance: new Chance(1),
+      metrics: new Metrics(),
+    };
+    const daemon: Daemon = new DaemonType(settings, parts);
+    const signals = new EventEmitter();
+    const code = runDaemon(daemon, signals);
+    signals.emit('SIGTERM');
+    expect(await code).toBe(0);
+    const kept = ['ready', 'draining', 'leaving', 'stopped'];
+    expect(events.filter(one => kept.includes(one))).toEqual([
+      'ready',
+      DaemonType === Entry ? 'draining' : 'leaving',
+      'stopped',
+    ]);
+  });
+});
