Log why a daemon of the product's own form ended

runDaemon ends through ProcessEnd now, as the program of the other form does: process_ended with its reason, exit code, uptime, open calls and memory, also for an exit from elsewhere. A second signal, which cuts open calls here, has a reason of its own, 'stopped'.

Evidence: two process tests (drained; a port that is taken) fail on the code before, which writes no such line, and pass now; exit codes are unchanged.

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -4,20 +4,12 @@
 import {describeError} from '../errors/index.js';
 import {PROGRAM_VERSION} from '../version.js';
 import {COMMANDS} from './commands.js';
-import {EXIT, printError} from './shared/command.js';
+import {EXIT, exitCodeOf, printError} from './shared/command.js';
 import type {Command} from './shared/command.js';
 import {nearestName} from './shared/nearest_name.js';
 import {envName, readInvocation, unknownVariables} from './shared/settings.js';
 import type {Environment} from './shared/settings.js';
 
-/** Error codes of a listener whose address is not usable on this machine. */
-const ADDRESS_ERRORS = new Set([
-  'EACCES',
-  'EADDRINUSE',
-  'EADDRNOTAVAIL',
-  'EINVAL',
-]);
-
 const commandName = ({usage}: Command) => usage.split(' ', 1)[0] ?? '';
 
 function addCommand(cli: CAC, command: Command): void {
@@ -81,7 +73,6 @@
     return await command.run(settings, args);
   } catch (thrown) {
     printError(describeError(thrown));
-    const {code = ''} = thrown as {code?: string};
-    return ADDRESS_ERRORS.has(code) ? EXIT.usage : EXIT.failure;
+    return exitCodeOf(thrown);
   }
 }
--- a/src/cli/entry/index.ts
+++ b/src/cli/entry/index.ts
@@ -16,6 +16,6 @@
     '--link-key 0123456789abcdef',
   run: settings => {
     const parts = createDaemonParts(settings.logLevel);
-    return runDaemon(new Entry(settings, parts));
+    return runDaemon(new Entry(settings, parts), parts);
   },
 });
--- a/src/cli/shared/command.ts
+++ b/src/cli/shared/command.ts
@@ -3,6 +3,23 @@
 /** Exit codes of the command line. */
 export const EXIT = {success: 0, failure: 1, usage: 2} as const;
 
+/** Error codes of a listener whose address is not usable on this machine. */
+const ADDRESS_ERRORS = new Set([
+  'EACCES',
+  'EADDRINUSE',
+  'EADDRNOTAVAIL',
+  'EINVAL',
+]);
+
+/**
+ * Returns the exit code of a command that an exception ends.
+ * @param thrown - the exception
+ */
+export function exitCodeOf(thrown: unknown): number {
+  const {code = ''} = thrown as {code?: string};
+  return ADDRESS_ERRORS.has(code) ? EXIT.usage : EXIT.failure;
+}
+
 /** Command of the command line. */
 export interface Command<F extends Flags = Flags> {
   /** Name and positional arguments, such as `check <file>`. */
--- a/src/cli/shared/daemon_lifecycle.ts
+++ b/src/cli/shared/daemon_lifecycle.ts
@@ -21,6 +21,11 @@
     return this.signals > 0;
   }
 
+  /** Whether a second one has arrived. */
+  get isStopping(): boolean {
+    return this.signals > 1;
+  }
+
   /** Records a termination signal. */
   onSignal(): LifecycleStep {
     this.signals += 1;
--- a/src/cli/shared/run_daemon.ts
+++ b/src/cli/shared/run_daemon.ts
@@ -1,12 +1,19 @@
 import {randomInt} from 'node:crypto';
+import type {Writable} from 'node:stream';
 
 import {Chance, SECOND} from '../../core/index.js';
 import type {Millis} from '../../core/index.js';
 import type {DaemonParts} from '../../daemons/shared/start_context.js';
+import {describeError} from '../../errors/index.js';
 import {SystemClock} from '../../observability/clock.js';
-import {Metrics, createLogger} from '../../observability/index.js';
-import type {LogLevel} from '../../observability/index.js';
-import {EXIT} from './command.js';
+import {
+  BoundedWriter,
+  Metrics,
+  ProcessEnd,
+  createLogger,
+} from '../../observability/index.js';
+import type {LogLevel, Logger} from '../../observability/index.js';
+import {EXIT, exitCodeOf} from './command.js';
 import {DaemonLifecycle} from './daemon_lifecycle.js';
 import type {LifecycleStep} from './daemon_lifecycle.js';
 
@@ -16,6 +23,8 @@
 
 /** Daemon that a command runs. */
 export interface Daemon {
+  /** Number of calls that end with the process. */
+  readonly openCalls: number;
   start(): Promise<unknown>;
   drain(): Promise<void>;
   stop(): Promise<void>;
@@ -36,9 +45,10 @@
   };
 }
 
-/** Source of termination signals. */
-export interface SignalSource {
+/** Signals and the exit of a process. */
+export interface ProcessEvents {
   on(signal: 'SIGTERM' | 'SIGINT', listener: () => void): unknown;
+  on(event: 'exit', listener: (code: number) => void): unknown;
 }
 
 /** Runs a daemon from its start to its end. */
@@ -48,13 +58,13 @@
 
   /**
    * @param daemon - the daemon
-   * @param resolve - called once it has ended
-   * @param reject - called with the exception that ends it
+   * @param ending - logs the end
+   * @param logger - logs the signals
    */
   constructor(
     private readonly daemon: Daemon,
-    private readonly resolve: () => void,
-    private readonly reject: (thrown: unknown) => void,
+    private readonly ending: ProcessEnd,
+    private readonly logger: Logger,
   ) {}
 
   /** Starts the daemon. */
@@ -62,14 +72,22 @@
     try {
       await this.daemon.start();
     } catch (thrown) {
+      const reason = describeError(thrown);
+      this.logger.error('start_failed', {reason});
       // What a signal ends needs no start.
-      if (!this.lifecycle.isTerminating) return this.reject(thrown);
+      if (!this.lifecycle.isTerminating) {
+        await this.ending.end('start_failed', exitCodeOf(thrown), thrown);
+      }
     }
     this.perform(this.lifecycle.onStartEnded());
   }
 
-  /** Handles a termination signal. */
-  onSignal(): void {
+  /**
+   * Handles a termination signal.
+   * @param signal - its name
+   */
+  onSignal(signal: string): void {
+    this.logger.info('termination_signal', {signal});
     this.perform(this.lifecycle.onSignal());
   }
 
@@ -80,28 +98,49 @@
       return;
     }
     clearTimeout(this.startTimer);
-    if (step === 'drain') this.daemon.drain().then(this.resolve, this.reject);
-    if (step === 'stop') this.daemon.stop().then(this.resolve, this.reject);
+    if (step === 'drain') void this.endAfter(() => this.daemon.drain());
+    if (step === 'stop') void this.endAfter(() => this.daemon.stop());
+  }
+
+  private async endAfter(shutDown: () => Promise<void>): Promise<void> {
+    try {
+      await shutDown();
+    } catch (thrown) {
+      await this.ending.end('drain_failed', EXIT.failure, thrown);
+    }
+    const {isStopping} = this.lifecycle;
+    await this.ending.end(isStopping ? 'stopped' : 'drained', EXIT.success);
   }
 }
 
 /**
  * Runs a daemon until a signal, also during its start: the first drains it, the
- * second stops it.
+ * second stops it. Its last line says why it ended.
  * @param daemon - daemon to run
- * @param signals - source of the signals
+ * @param parts - clock and logger
+ * @param events - signals and the exit of this process
+ * @param out - output of the last line
  * @returns the exit code
  */
-export async function runDaemon(
+export function runDaemon(
   daemon: Daemon,
-  signals: SignalSource = process,
+  {clock, logger}: Pick<DaemonParts, 'clock' | 'logger'>,
+  events: ProcessEvents = process,
+  out: Writable = process.stderr,
 ): Promise<number> {
-  await new Promise<void>((resolve, reject) => {
-    const runner = new DaemonRunner(daemon, resolve, reject);
+  const writer = new BoundedWriter(out, clock);
+  return new Promise(resolve => {
+    const ending = new ProcessEnd({
+      clock,
+      writeLast: line => writer.writeLast(line),
+      openRequests: () => daemon.openCalls,
+      exit: resolve,
+    });
+    events.on('exit', code => ending.recordExit(code));
+    const runner = new DaemonRunner(daemon, ending, logger);
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-      signals.on(signal, () => runner.onSignal());
+      events.on(signal, () => runner.onSignal(signal));
     }
     void runner.start();
   });
-  return EXIT.success;
 }
--- a/src/cli/sidecar/index.ts
+++ b/src/cli/sidecar/index.ts
@@ -24,6 +24,6 @@
     '--vm-list-url http://127.0.0.1:7000 --link-key 0123456789abcdef',
   run: settings => {
     const parts = createDaemonParts(settings.logLevel);
-    return runDaemon(new Sidecar(settings, parts));
+    return runDaemon(new Sidecar(settings, parts), parts);
   },
 });
--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -128,6 +128,11 @@
     });
   }
 
+  /** Number of calls that were accepted and have not ended. */
+  get openCalls(): number {
+    return this.calls.size;
+  }
+
   /**
    * Starts the daemon.
    * @returns the addresses, once all listeners are open
--- a/src/daemons/sidecar/calls_task.ts
+++ b/src/daemons/sidecar/calls_task.ts
@@ -95,6 +95,11 @@
     ];
   }
 
+  /** Number of calls that run or wait. */
+  get openCalls(): number {
+    return this.jobs.size;
+  }
+
   /** Returns this task's part of `/status`. */
   status(): object {
     const {size: remembered, cachedBytes: keptBytes} = this.ledger;
--- a/src/daemons/sidecar/sidecar.ts
+++ b/src/daemons/sidecar/sidecar.ts
@@ -83,6 +83,11 @@
     });
   }
 
+  /** Number of calls that run or wait. */
+  get openCalls(): number {
+    return this.calls.openCalls;
+  }
+
   /**
    * Starts the daemon.
    * @returns its addresses once all listeners are open
--- a/src/observability/process_end.ts
+++ b/src/observability/process_end.ts
@@ -12,6 +12,8 @@
   | 'start_failed'
   /** A termination signal, and all accepted requests have ended. */
   | 'drained'
+  /** A second termination signal, which cuts the accepted requests. */
+  | 'stopped'
   /** A termination signal, and an exception of the drain. */
   | 'drain_failed'
   /** The process exited outside of the cases above. */
