Go on after SIGHUP in the product's own form

SIGHUP, which supervisors send to daemons for a reload, ended an entry or a sidecar of the product's own form by the signal, with all open calls.

What is left is Node's boot, as in the other form.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,4 +1,9 @@
 #!/usr/bin/env node
-import {runCli} from './cli.js';
+/** Commands that run until a termination signal. */
+const DAEMONS: readonly (string | undefined)[] = ['entry', 'sidecar'];
 
-process.exit(await runCli(process.argv.slice(2), process.env));
+const args = process.argv.slice(2);
+// While the program is being loaded, SIGHUP would have its default action.
+if (DAEMONS.includes(args[0])) process.on('SIGHUP', () => undefined);
+const {runCli} = await import('./cli.js');
+process.exit(await runCli(args, process.env));
--- a/src/cli/shared/run_daemon.test.ts
+++ b/src/cli/shared/run_daemon.test.ts
@@ -3,7 +3,11 @@
 
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
-import {SILENT_LOGGER, SystemClock} from '../../observability/index.js';
+import {
+  SILENT_LOGGER,
+  SystemClock,
+  createLogger,
+} from '../../observability/index.js';
 import {runDaemon} from './run_daemon.js';
 import type {Daemon} from './run_daemon.js';
 
@@ -133,3 +137,18 @@
     expect(last).toContain('reason=exited code=7');
   });
 });
+
+// A reload, as its supervisor sends one to any daemon, ended the process (FAULT).
+it('a daemon goes on after SIGHUP', async () => {
+  const events = new EventEmitter();
+  const lines: string[] = [];
+  const logger = createLogger('info', line => lines.push(line));
+  const daemon = new FakeDaemon();
+  void runDaemon(daemon, {...PARTS, logger}, events, new PassThrough());
+  expect(events.emit('SIGHUP')).toBe(true);
+  daemon.endStart();
+  expect(events.emit('SIGHUP')).toBe(true);
+  await Promise.resolve();
+  expect(daemon.calls).toEqual(['start']);
+  expect(lines.filter(one => one.includes('reload_ignored'))).toHaveLength(2);
+});
--- a/src/cli/shared/run_daemon.ts
+++ b/src/cli/shared/run_daemon.ts
@@ -47,7 +47,7 @@
 
 /** Signals and the exit of a process. */
 export interface ProcessEvents {
-  on(signal: 'SIGTERM' | 'SIGINT', listener: () => void): unknown;
+  on(signal: 'SIGTERM' | 'SIGINT' | 'SIGHUP', listener: () => void): unknown;
   on(event: 'exit', listener: (code: number) => void): unknown;
 }
 
@@ -141,6 +141,11 @@
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
       events.on(signal, () => runner.onSignal(signal));
     }
+    events.on('SIGHUP', () =>
+      logger.info('reload_ignored', {
+        reason: 'flags and variables are read at the start only',
+      }),
+    );
     void runner.start();
   });
 }
--- a/test/own_form_ends.test.ts
+++ b/test/own_form_ends.test.ts
@@ -51,6 +51,17 @@
   expect(await exit).toEqual([0, null]);
 });
 
+// The process ended by the signal, with all open calls (FAULT).
+it('a daemon goes on after SIGHUP', async () => {
+  const entry = startEntry();
+  await entry.waitForEvent('ready');
+  entry.child.kill('SIGHUP');
+  await entry.waitForEvent('reload_ignored');
+  const exit = once(entry.child, 'close');
+  entry.child.kill('SIGTERM');
+  expect(await exit).toEqual([0, null]);
+});
+
 // Whoever looked for why a daemon had ended found no line.
 it('a daemon logs that it was drained in its last line', async () => {
   const entry = startEntry();
