Keep the line of a heap near its limit beyond the log's rate

Whoever looked for why a process had ended at its heap limit found no line.

Cause: the log's writer drops lines beyond its rate, and what fills a heap logs most: 3,000 registrations without an address used the burst of 1,000 lines before memory_high came.

Such lines have a bucket of their own (BoundedWriter.writePriority).

Evidence: the test of the writer is new.

--- a/src/observability/bounded_writer.test.ts
+++ b/src/observability/bounded_writer.test.ts
@@ -60,6 +60,21 @@
   });
 });
 
+// A line that tells of a heap near its limit was lost among 3,000 of another event.
+it('a line of priority is written beyond the rate of the others', () => {
+  const clock = new FakeClock();
+  const sink = new Sink();
+  const writer = new BoundedWriter(sink, clock);
+  for (let i = 0; i < 1_002; i++) writer.write('x');
+  writer.writePriority('danger');
+  expect(sink.text).toMatch(/event=log_lines_dropped n=2\ndanger\n$/);
+  for (let i = 0; i < 100; i++) writer.writePriority('again');
+  expect(sink.text.match(/again/g)).toHaveLength(19);
+  clock.at = 1_000;
+  writer.writePriority('later');
+  expect(sink.text).toMatch(/later\n$/);
+});
+
 describe('the last line of BoundedWriter', () => {
   // The reason of an end was dropped beyond the rate, or while the output was blocked.
   it('is written beyond the rate, after the number of dropped lines', async () => {
--- a/src/observability/bounded_writer.ts
+++ b/src/observability/bounded_writer.ts
@@ -7,16 +7,50 @@
 const LINES_PER_SECOND = 200;
 /** Lines that a process may write in a burst. */
 const BURST_LINES = 1_000;
+/** Lines of priority that a process may write in a burst, and per second after it. */
+const PRIORITY_LINES = {burst: 20, perSecond: 1};
 /** Time that the last line of a process may take to leave it. */
 const FLUSH_TIMEOUT: Millis = 200;
 
+/** Token bucket for lines. */
+class LineBucket {
+  private tokens: number;
+
+  /**
+   * @param burst - lines of a burst
+   * @param perSecond - lines per second on average
+   * @param refilledAt - current time
+   */
+  constructor(
+    private readonly burst: number,
+    private readonly perSecond: number,
+    private refilledAt: Millis,
+  ) {
+    this.tokens = burst;
+  }
+
+  /**
+   * Takes a token.
+   * @param now - current time
+   * @returns whether there was one
+   */
+  take(now: Millis): boolean {
+    const earned = ((now - this.refilledAt) / SECOND) * this.perSecond;
+    this.tokens = Math.min(this.burst, this.tokens + earned);
+    this.refilledAt = now;
+    if (this.tokens < 1) return false;
+    this.tokens -= 1;
+    return true;
+  }
+}
+
 /**
  * Rate-limited line writer (token bucket) that never blocks. It drops lines
  * beyond the rate or while the output is blocked, and reports their number.
  */
 export class BoundedWriter {
-  private tokens = BURST_LINES;
-  private refilledAt: Millis;
+  private readonly bucket: LineBucket;
+  private readonly priorityBucket: LineBucket;
   private dropped = 0;
   /** Whether nothing reads the output any more, for example a closed pipe. */
   private isClosed = false;
@@ -29,7 +63,10 @@
     private readonly out: Writable,
     private readonly clock: Clock,
   ) {
-    this.refilledAt = clock.now();
+    const now = clock.now();
+    const {burst, perSecond} = PRIORITY_LINES;
+    this.bucket = new LineBucket(BURST_LINES, LINES_PER_SECOND, now);
+    this.priorityBucket = new LineBucket(burst, perSecond, now);
     // Without a listener the error would end the process with its requests.
     out.on('error', () => {
       this.isClosed = true;
@@ -41,17 +78,16 @@
    * @param line - the line without a line break
    */
   write(line: string): void {
-    const now = this.clock.now();
-    const earned = ((now - this.refilledAt) / SECOND) * LINES_PER_SECOND;
-    this.tokens = Math.min(BURST_LINES, this.tokens + earned);
-    this.refilledAt = now;
-    if (this.tokens < 1 || this.out.writableNeedDrain || this.isClosed) {
-      this.dropped += 1;
-      return;
-    }
-    this.tokens -= 1;
-    this.reportDropped();
-    this.out.write(`${line}\n`);
+    this.writeWithin(this.bucket, line);
+  }
+
+  /**
+   * Writes a line that tells of a danger to the process: it has a rate of its own,
+   * as other lines may have used up theirs.
+   * @param line - the line without a line break
+   */
+  writePriority(line: string): void {
+    this.writeWithin(this.priorityBucket, line);
   }
 
   /**
@@ -72,6 +108,16 @@
     });
   }
 
+  private writeWithin(bucket: LineBucket, line: string): void {
+    const isBlocked = this.out.writableNeedDrain || this.isClosed;
+    if (isBlocked || !bucket.take(this.clock.now())) {
+      this.dropped += 1;
+      return;
+    }
+    this.reportDropped();
+    this.out.write(`${line}\n`);
+  }
+
   private reportDropped(): void {
     if (this.dropped === 0) return;
     this.out.write(`level=warn event=log_lines_dropped n=${this.dropped}\n`);
