Begin pipelined requests in turn on ports that are not for callers

Whoever pipelined requests at a port for operators, readiness, relays or links and read no response had all of them read and begun: an entry with 20 such clients of /metrics answered no readiness check for 5 s.

Cause: these servers were Node's, which parses what a read brings and begins each request at once; a response, which may be large, is kept for each.

ControlServer is now the server of all but links, in both forms. It uses CallerConnections with a budget of its own (16 MiB, backpressure from 4 MiB): a request begins after the response before it was sent, the rest stays in the client's socket, and the largest holder is closed beyond the budget. The port for links answers one request that opens no link, and closes.

A probe that half-closes after its request is answered before and now.

--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -135,7 +135,7 @@
     );
     this.shutdown = new Shutdown(this.front, clock, logger, this.containment);
     const operatorView = {
-      metrics,
+      ...parts,
       notReadyReason: () => this.notReady(),
       status: () => this.status(),
       readinessPath: estate.readinessPath,
--- a/src/daemons/direct/map_sidecar.ts
+++ b/src/daemons/direct/map_sidecar.ts
@@ -96,7 +96,7 @@
       context.logger,
     );
     this.operatorServer = new OperatorServer({
-      metrics,
+      ...parts,
       notReadyReason: () => undefined,
       status: () => ({vm, service, ...this.task.status}),
     });
--- a/src/daemons/direct/relay_server.ts
+++ b/src/daemons/direct/relay_server.ts
@@ -1,6 +1,4 @@
-import {once} from 'node:events';
-import {createServer} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import {pack} from 'msgpackr';
 import {z} from 'zod';
@@ -11,6 +9,7 @@
 import type {RelayResponse, TopicTiming} from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
 import type {Logger} from '../../observability/index.js';
+import {ControlServer} from '../shared/control_server.js';
 import {splitAddress} from './attempt.js';
 
 /** Header with the age of the relay's contact with the store, ms. */
@@ -90,7 +89,7 @@
  */
 export class RelayServer {
   private readonly topics: ReadonlyMap<string, TopicState>;
-  private readonly server: Server;
+  private readonly server: ControlServer;
 
   /**
    * @param timings - timing of each topic
@@ -115,7 +114,7 @@
         },
       ]),
     );
-    this.server = createServer((req, res) => {
+    this.server = new ControlServer({clock, logger}, (req, res) => {
       if (req.method === 'POST' && onMessage !== undefined) onMessage(req, res);
       else this.handle(req, res);
     });
@@ -127,14 +126,12 @@
    */
   async listen(address: string): Promise<void> {
     const {host, port} = splitAddress(address);
-    this.server.listen({host, port});
-    await once(this.server, 'listening');
+    await this.server.listen(host, port);
   }
 
   /** Stops listening and closes all connections. */
   close(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    void this.server.close();
   }
 
   /**
--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -122,7 +122,7 @@
         this.startCall(request, writer, res, onEnd),
     });
     this.operators = new OperatorServer({
-      metrics: context.metrics,
+      ...context,
       notReadyReason: () => this.notReadyReason(),
       status: () => this.status(),
     });
--- /dev/null
+++ b/src/daemons/shared/control_server.ts
@@ -0,0 +1,113 @@
+import {once} from 'node:events';
+import {STATUS_CODES, createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import {CallerMemory} from '../../admission/index.js';
+import type {CallerMemoryLimits} from '../../admission/index.js';
+import type {Clock} from '../../core/index.js';
+import type {Fault} from '../../errors/index.js';
+import type {Logger} from '../../observability/index.js';
+import type {CallerConnection} from './caller_connection.js';
+import {CallerConnections} from './caller_connections.js';
+
+/** Memory of a control server's requests; a waiting one counts as some 12 KiB. */
+const MEMORY_LIMITS: CallerMemoryLimits = {
+  pauseAt: 4 * 2 ** 20,
+  closeAt: 16 * 2 ** 20,
+  ownPart: 64 * 2 ** 10,
+};
+
+/** What a control server depends on. */
+export interface ControlParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/**
+ * HTTP server for others than callers: operators, the balancer, other processes. Each
+ * request of a connection begins after the response before it was sent, and the rest
+ * stays in the client's socket.
+ */
+export class ControlServer {
+  private readonly server: Server;
+  private readonly connections: CallerConnections;
+
+  /**
+   * @param parts - clock and logger
+   * @param handle - responds to a request
+   * @param requestTimeout - time for receiving a whole request, ms; Node's default
+   * if it is omitted
+   */
+  constructor(
+    {clock, logger}: ControlParts,
+    handle: (req: IncomingMessage, res: ServerResponse) => void,
+    requestTimeout?: number,
+  ) {
+    this.server = createServer((req, res) => {
+      if (!this.connections.accept(req, res)) return;
+      this.connections.beginInTurn(req, res, isTurn => {
+        if (isTurn) handle(req, res);
+      });
+    });
+    if (requestTimeout !== undefined)
+      this.server.requestTimeout = requestTimeout;
+    this.connections = new CallerConnections(
+      this.server,
+      {
+        formatError,
+        onUnreadable: ({reason, detail}) =>
+          logger.info('refused', {port: this.port, reason, detail}),
+        onCut: ({reason, unsentBytes}) =>
+          logger.debug('response_cut', {
+            port: this.port,
+            reason,
+            unsent_bytes: unsentBytes,
+          }),
+        onOverBudget: ({heldBytes, open}) =>
+          logger.warn('caller_closed', {
+            port: this.port,
+            reason: 'over_budget',
+            held_bytes: heldBytes,
+            open: open.length,
+          }),
+      },
+      clock,
+      new CallerMemory<CallerConnection>(MEMORY_LIMITS),
+    );
+  }
+
+  /** The bound port; undefined before. */
+  get port(): number | undefined {
+    return (this.server.address() as AddressInfo | null)?.port;
+  }
+
+  /**
+   * Starts listening.
+   * @param host - IP address to listen on
+   * @param port - port; 0 picks a free one
+   */
+  async listen(host: string, port: number): Promise<void> {
+    this.server.listen(port, host);
+    await once(this.server, 'listening');
+  }
+
+  /** Closes the server and all its connections at once. */
+  async close(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+}
+
+/** Returns the response to a message that is not a readable request. */
+function formatError({status, message}: Fault): string {
+  const body = `${message}\n`;
+  return [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+    'content-type: text/plain',
+    'connection: close',
+    `content-length: ${Buffer.byteLength(body)}`,
+    '',
+    body,
+  ].join('\r\n');
+}
--- a/src/daemons/shared/operator_server.test.ts
+++ b/src/daemons/shared/operator_server.test.ts
@@ -1,8 +1,15 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+
 import {request} from 'undici';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {ERRORS} from '../../errors/index.js';
-import {Metrics} from '../../observability/index.js';
+import {
+  Metrics,
+  SILENT_LOGGER,
+  SystemClock,
+} from '../../observability/index.js';
 import {OperatorServer} from './operator_server.js';
 
 describe('OperatorServer', () => {
@@ -15,6 +22,8 @@
     reason = undefined;
     status = () => ({role: 'entry'});
     server = new OperatorServer({
+      clock: new SystemClock(),
+      logger: SILENT_LOGGER,
       metrics: new Metrics(),
       notReadyReason: () => reason,
       status: () => status(),
@@ -51,6 +60,23 @@
     }
   });
 
+  // A probe may half-close its connection after the request.
+  it.each(['/readyz', '/metrics'])(
+    'responds to a half-close (%s)',
+    async path => {
+      const socket = connect({
+        port: Number(address.split(':')[1]),
+        host: '127.0.0.1',
+        allowHalfOpen: true,
+      });
+      let text = '';
+      socket.setEncoding('latin1').on('data', (part: string) => (text += part));
+      socket.end(`GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`);
+      await once(socket, 'close');
+      expect(text).toContain('HTTP/1.1 200 OK');
+    },
+  );
+
   it('keeps serving after the status handler throws', async () => {
     status = () => {
       throw new Error('status unavailable');
--- a/src/daemons/shared/operator_server.ts
+++ b/src/daemons/shared/operator_server.ts
@@ -1,13 +1,12 @@
-import {once} from 'node:events';
-import {createServer} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import {hostPort} from '../../core/index.js';
 import type {Metrics} from '../../observability/index.js';
+import {ControlServer} from './control_server.js';
+import type {ControlParts} from './control_server.js';
 
 /** Sources of the operator endpoints' responses. */
-export interface OperatorHandlers {
+export interface OperatorHandlers extends ControlParts {
   readonly metrics: Metrics;
   /** Returns why the platform's balancer must not send requests here, if so. */
   notReadyReason(): string | undefined;
@@ -64,14 +63,15 @@
 
 /** Serves `/healthz`, `/readyz`, `/metrics`, `/status` and actions. */
 export class OperatorServer {
-  private readonly server: Server;
+  private readonly server: ControlServer;
 
   /** @param handlers - sources of the responses */
   constructor(handlers: OperatorHandlers) {
-    this.server = createServer((req, res) => {
-      void respond(handlers, req, res).catch(() => res.destroy());
-    });
-    this.server.requestTimeout = OPERATOR_REQUEST_TIMEOUT_MS;
+    this.server = new ControlServer(
+      handlers,
+      (req, res) => void respond(handlers, req, res).catch(() => res.destroy()),
+      OPERATOR_REQUEST_TIMEOUT_MS,
+    );
   }
 
   /**
@@ -81,14 +81,12 @@
    * @returns `host:port`
    */
   async listen(host: string, port: number): Promise<string> {
-    this.server.listen(port, host);
-    await once(this.server, 'listening');
-    return hostPort(host, (this.server.address() as AddressInfo).port);
+    await this.server.listen(host, port);
+    return hostPort(host, this.server.port ?? port);
   }
 
   /** Closes the server and all its connections at once. */
   async close(): Promise<void> {
-    this.server.closeAllConnections();
-    await new Promise(resolve => this.server.close(resolve));
+    await this.server.close();
   }
 }
--- a/src/daemons/sidecar/sidecar.ts
+++ b/src/daemons/sidecar/sidecar.ts
@@ -77,7 +77,7 @@
       }),
     );
     this.operators = new OperatorServer({
-      metrics: context.metrics,
+      ...context,
       notReadyReason: () => this.notReadyReason(),
       status: () => this.status(),
     });
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -1,4 +1,6 @@
 import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
 import {WebSocketServer} from 'ws';
@@ -14,6 +16,8 @@
 /** Most accepted connections that are not authenticated yet. */
 export const MAX_UNAUTHENTICATED_LINKS = 256;
 
+const UPGRADE_REQUIRED = 426;
+
 /** Server that accepts links. */
 export interface LinkServer {
   /** `host:port`, with the port that was bound. */
@@ -35,9 +39,9 @@
   context: () => LinkContext,
   listener: LinkListener,
 ): Promise<LinkServer> {
+  const http = createServer(rejectRequest);
   const server = new WebSocketServer({
-    host,
-    port,
+    server: http,
     maxPayload: MAX_FRAME_BYTES,
     perMessageDeflate: false,
   });
@@ -63,6 +67,8 @@
     unauthenticated.add(link);
     link.limitHandshake(req.socket);
   });
+  http.listen(port, host);
+  // It also emits the errors of the HTTP server.
   await once(server, 'listening');
   const {port: boundPort} = server.address() as AddressInfo;
   return {
@@ -71,11 +77,19 @@
       new Promise(resolve => {
         const timer = setTimeout(() => {
           for (const client of server.clients) client.terminate();
+          http.closeAllConnections();
         }, CLOSE_TIMEOUT);
-        server.close(() => {
+        server.close();
+        http.close(() => {
           clearTimeout(timer);
           resolve();
         });
       }),
   };
 }
+
+/** Rejects a request that opens no link; what follows it is not read. */
+function rejectRequest(_req: IncomingMessage, res: ServerResponse): void {
+  const headers = {connection: 'close', 'content-length': 0};
+  res.writeHead(UPGRADE_REQUIRED, headers).end();
+}
