--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -122,12 +122,17 @@
         this.startCall(request, writer, res, onEnd),
     });
     this.operators = new OperatorServer({
-      metrics: context.metrics,
+      ...context,
       notReadyReason: () => this.notReadyReason(),
       status: () => this.status(),
     });
   }
 
+  /** Number of calls that were accepted and have not ended. */
+  get openCalls(): number {
+    return this.calls.size;
+  }
+
   /**
    * Starts the daemon.
    * @returns the addresses, once all listeners are open
--- a/src/daemons/sidecar/sidecar.ts
+++ b/src/daemons/sidecar/sidecar.ts
@@ -77,12 +77,17 @@
       }),
     );
     this.operators = new OperatorServer({
-      metrics: context.metrics,
+      ...context,
       notReadyReason: () => this.notReadyReason(),
       status: () => this.status(),
     });
   }
 
+  /** Number of calls that run or wait. */
+  get openCalls(): number {
+    return this.calls.openCalls;
+  }
+
   /**
    * Starts the daemon.
    * @returns its addresses once all listeners are open
