Close pipelining connections over budget before one with a large body

A sound caller with one body of megabytes was reset while others pipelined requests: excessHolder took the connection with the most bytes, whatever they were for. Bodies are admitted within the budget; only requests that were read already exceed it. Charges now name their kind, and the connection whose requests hold most is closed, from 32 KiB of them on; without any, the one that holds most.

--- a/src/admission/body_admission.ts
+++ b/src/admission/body_admission.ts
@@ -178,7 +178,7 @@
   release(body: IncomingBody<Holder>, bytes = body.reserved): void {
     body.reserved -= bytes;
     this.reserved -= bytes;
-    this.memory.remove(body.holder, bytes);
+    this.memory.remove(body.holder, bytes, 'bodies');
   }
 
   /**
@@ -250,7 +250,7 @@
   private charge(body: IncomingBody<Holder>, bytes: number): void {
     body.reserved += bytes;
     this.reserved += bytes;
-    this.memory.add(body.holder, bytes);
+    this.memory.add(body.holder, bytes, 'bodies');
   }
 
   private reject(body: IncomingBody<Holder>): void {
--- a/src/admission/caller_memory.test.ts
+++ b/src/admission/caller_memory.test.ts
@@ -3,7 +3,12 @@
 import {CallerMemory} from './caller_memory.js';
 
 const MB = 2 ** 20;
-const LIMITS = {pauseAt: 2 * MB, closeAt: 3 * MB, ownPart: MB / 16};
+const LIMITS = {
+  pauseAt: 2 * MB,
+  closeAt: 3 * MB,
+  ownPart: MB / 16,
+  pipeliningFrom: MB / 32,
+};
 
 class Connection {
   resumed = 0;
@@ -58,6 +63,38 @@
     expect(memory.excessHolder).toBeUndefined();
   });
 
+  // A sound caller was closed for the pipelined requests of others.
+  it('closes those of 300 with 100 requests each that hold most before eight large bodies', () => {
+    const budget = new CallerMemory<Connection>();
+    const bodies = Array.from({length: 8}, () => new Connection('body'));
+    for (const one of bodies) {
+      budget.add(one, 12 * 2 ** 10);
+      budget.add(one, 3.9 * MB, 'bodies');
+    }
+    let flood = Array.from({length: 300}, () => new Connection('flood'));
+    const closed: string[] = [];
+    for (let i = 0; i < 100; i++) {
+      for (const one of flood) {
+        budget.add(one, 12 * 2 ** 10);
+        const excess = budget.excessHolder;
+        if (excess === undefined) continue;
+        closed.push(excess.name);
+        budget.removeHolder(excess);
+        flood = flood.filter(other => other !== excess);
+      }
+    }
+    expect(closed.length).toBeGreaterThan(200);
+    expect(closed).not.toContain('body');
+  });
+
+  it('closes a large body before connections with single requests', () => {
+    memory.add(large, 2 * MB, 'bodies');
+    for (let i = 0; i < 1_000; i++) memory.add(new Connection(`${i}`), 2 ** 10);
+    expect(memory.excessHolder).toBeUndefined();
+    for (let i = 0; i < 100; i++) memory.add(new Connection(`${i}`), 2 ** 10);
+    expect(memory.excessHolder).toBe(large);
+  });
+
   it('resumes in order as many connections as one read of each fits', () => {
     memory.add(large, 2 * MB);
     const waiting = Array.from({length: 5}, (_, i) => new Connection(`${i}`));
--- a/src/admission/caller_memory.ts
+++ b/src/admission/caller_memory.ts
@@ -6,6 +6,8 @@
   readonly closeAt: number;
   /** Part of a connection that is read up to `closeAt`. */
   readonly ownPart: number;
+  /** Part of a connection's requests beyond which it counts as pipelining. */
+  readonly pipeliningFrom: number;
 }
 
 /** For the smallest VM with 256 MB, beside the responses that are buffered. */
@@ -13,17 +15,27 @@
   pauseAt: 32 * 2 ** 20,
   closeAt: 48 * 2 ** 20,
   ownPart: 64 * 2 ** 10,
+  pipeliningFrom: 32 * 2 ** 10,
 };
 /** Maximum size of one read of a connection, bytes. */
 const READ_BYTES = 64 * 2 ** 10;
 
+/**
+ * What bytes are charged for: requests, with their heads, or bodies. Bodies are
+ * admitted within the budget, so only requests that were read already exceed it.
+ */
+export type ChargeKind = 'requests' | 'bodies';
+
+/** Bytes that a connection holds, by kind. */
+type Holding = Record<ChargeKind, number>;
+
 /**
  * Memory budget of what callers hand in: heads, bodies, and requests that wait
  * behind others. Backpressure keeps the rest in the callers' sockets; whoever
  * holds most is closed where bytes that were read already exceed the budget.
  */
 export class CallerMemory<Holder extends object> {
-  private readonly held = new Map<Holder, number>();
+  private readonly held = new Map<Holder, Holding>();
   private readonly paused = new Map<Holder, () => void>();
   private used = 0;
 
@@ -45,16 +57,20 @@
    * @param holder - the connection
    */
   heldBy(holder: Holder): number {
-    return this.held.get(holder) ?? 0;
+    const holding = this.held.get(holder);
+    return holding === undefined ? 0 : totalOf(holding);
   }
 
   /**
    * Charges bytes that were read.
    * @param holder - their connection
    * @param bytes - their number
+   * @param kind - what they are charged for
    */
-  add(holder: Holder, bytes: number): void {
-    this.held.set(holder, this.heldBy(holder) + bytes);
+  add(holder: Holder, bytes: number, kind: ChargeKind = 'requests'): void {
+    const holding = this.held.get(holder) ?? {requests: 0, bodies: 0};
+    holding[kind] += bytes;
+    this.held.set(holder, holding);
     this.used += bytes;
   }
 
@@ -62,13 +78,16 @@
    * Returns bytes that are no longer held, and resumes connections.
    * @param holder - their connection
    * @param bytes - their number; what the holder has been charged at most
+   * @param kind - what they were charged for
    */
-  remove(holder: Holder, bytes: number): void {
-    const held = this.heldBy(holder);
-    const removed = Math.min(bytes, held);
-    if (removed === held) this.held.delete(holder);
-    else this.held.set(holder, held - removed);
-    this.used -= removed;
+  remove(holder: Holder, bytes: number, kind: ChargeKind = 'requests'): void {
+    const holding = this.held.get(holder);
+    if (holding !== undefined) {
+      const removed = Math.min(bytes, holding[kind]);
+      holding[kind] -= removed;
+      this.used -= removed;
+      if (totalOf(holding) === 0) this.held.delete(holder);
+    }
     if (this.paused.size === 0) return;
     if (this.mayRead(holder)) this.resume(holder);
     this.resumePaused();
@@ -80,7 +99,9 @@
    */
   removeHolder(holder: Holder): void {
     this.paused.delete(holder);
-    this.remove(holder, this.heldBy(holder));
+    this.used -= this.heldBy(holder);
+    this.held.delete(holder);
+    this.resumePaused();
   }
 
   /**
@@ -145,24 +166,38 @@
   }
 
   /**
-   * Returns the connection to close: the one that holds most.
+   * Returns the connection to close: of those that pipeline the one whose requests
+   * hold most, or else the one that holds most. A large body under way is not
+   * closed for the pipelined requests of others.
    * @returns undefined within the budget
    */
   get excessHolder(): Holder | undefined {
     if (this.used <= this.limits.closeAt) return undefined;
     let largest: Holder | undefined;
     let most = 0;
-    for (const [holder, bytes] of this.held) {
-      if (bytes <= most) continue;
+    for (const [holder, holding] of this.held) {
+      const rank = this.excessRank(holding);
+      if (rank <= most) continue;
       largest = holder;
-      most = bytes;
+      most = rank;
     }
     return largest;
   }
 
+  /** Ranks all holdings of pipelined requests above the others. */
+  private excessRank(holding: Holding): number {
+    const {pipeliningFrom} = this.limits;
+    const {requests} = holding;
+    return requests > pipeliningFrom ? this.used + requests : totalOf(holding);
+  }
+
   private resume(holder: Holder): void {
     const onResume = this.paused.get(holder);
     this.paused.delete(holder);
     onResume?.();
   }
 }
+
+function totalOf({requests, bodies}: Holding): number {
+  return requests + bodies;
+}
--- a/src/daemons/shared/body_reader.test.ts
+++ b/src/daemons/shared/body_reader.test.ts
@@ -29,6 +29,7 @@
     pauseAt: 1_250 * KB,
     closeAt: 1_650 * KB,
     ownPart: 64 * KB,
+    pipeliningFrom: 32 * KB,
   });
   bodies = new BodyReader(new SystemClock(), memory);
   releases = [];
