Give IncomingBody private state

Its fields were public and mutable, and BodyAdmission kept its timeouts. No change of behaviour; the tests of body_admission and body_reader pass as they are.

--- a/src/admission/body_admission.ts
+++ b/src/admission/body_admission.ts
@@ -1,6 +1,8 @@
 import type {Millis} from '../core/index.js';
 import {SECOND} from '../core/index.js';
 import type {CallerMemory} from './caller_memory.js';
+import {IncomingBody} from './incoming_body.js';
+import type {BodyTerms} from './incoming_body.js';
 
 /** Part of a body that is read while large bodies wait for memory, bytes. */
 const OWN_PART = 64 * 2 ** 10;
@@ -8,8 +10,6 @@
 export const FIRST_PART = 16 * 2 ** 10;
 /** Bodies that wait for memory at once; each has its own part reserved. */
 const MAX_WAITING = 128;
-/** Bytes that count as progress of a body that other bodies wait for. */
-const PROGRESS_STEP = 64 * 2 ** 10;
 /** Time without progress after which a body that others wait for is rejected. */
 const STALL_TIMEOUT: Millis = SECOND;
 /** The same while there is no memory for the own part of a further body. */
@@ -17,50 +17,12 @@
 /** Longest time between two checks that counts; more is a pause of the process. */
 const MAX_CHECK_GAP: Millis = SECOND / 4;
 
-/** Time limits of a body. */
-export interface BodyTerms {
-  /** Time from which its request cannot be served. */
-  readonly expiresAt: Millis;
-  /** Longest time that it waits for memory. */
-  readonly patience: Millis;
-  /** Longest time without a byte. */
-  readonly idleTimeout: Millis;
-}
-
 /** Why a body is rejected: no memory in time, or its caller is too slow. */
 export type BodyRejection = 'memory_exhausted' | 'request_timeout';
 
 /** Decision on a body that is not complete. */
 export type BodyDecision = 'read' | 'wait' | BodyRejection;
 
-/** Request body that is being read. */
-export class IncomingBody<Holder extends object> {
-  /** Bytes of the budget that it holds. */
-  reserved = 0;
-  isWaiting = false;
-  /** Bytes that it waits for. */
-  wanted = 0;
-  waitingSince: Millis = 0;
-  lastByteAt: Millis;
-  lastProgressAt: Millis;
-  /** Bytes since its last progress. */
-  unmarked = 0;
-
-  /**
-   * @param holder - connection that its bytes are charged to
-   * @param terms - time limits
-   * @param now - time of its head
-   */
-  constructor(
-    readonly holder: Holder,
-    readonly terms: BodyTerms,
-    now: Millis,
-  ) {
-    this.lastByteAt = now;
-    this.lastProgressAt = now;
-  }
-}
-
 /**
  * Admission control of request bodies by memory. The declared length of a large
  * body is reserved before it is read, so that no body waits with a part in memory
@@ -139,9 +101,7 @@
       return 'read';
     }
     if (this.waiting >= MAX_WAITING) return 'memory_exhausted';
-    body.isWaiting = true;
-    body.wanted = bytes;
-    body.waitingSince = now;
+    body.startWait(now, bytes);
     this.waiting += 1;
     return 'wait';
   }
@@ -153,12 +113,7 @@
    * @param bytes - their number
    */
   recordBytes(now: Millis, body: IncomingBody<Holder>, bytes: number): void {
-    const at = this.runTime(now);
-    body.lastByteAt = at;
-    body.unmarked += bytes;
-    if (body.unmarked < PROGRESS_STEP) return;
-    body.unmarked = 0;
-    body.lastProgressAt = at;
+    body.recordBytes(this.runTime(now), bytes);
   }
 
   /**
@@ -176,7 +131,7 @@
    * @param bytes - their number; all of it by default
    */
   release(body: IncomingBody<Holder>, bytes = body.reserved): void {
-    body.reserved -= bytes;
+    body.addReserved(-bytes);
     this.reserved -= bytes;
     this.memory.remove(body.holder, bytes, 'bodies');
   }
@@ -190,17 +145,15 @@
     const decisions = new Map<IncomingBody<Holder>, BodyDecision>();
     this.recordCheck(now);
     const stallTimeout = this.stallTimeout;
+    const at = this.runTime(now);
     for (const body of this.incomplete) {
-      if (!this.isTooSlow(now, body, stallTimeout)) continue;
+      if (!body.isTooSlow(now, at, stallTimeout)) continue;
       this.reject(body);
       decisions.set(body, 'request_timeout');
     }
     for (const body of this.admitWaiting(now)) decisions.set(body, 'read');
     for (const body of this.incomplete) {
-      if (!body.isWaiting) continue;
-      const {patience, expiresAt} = body.terms;
-      const isDue = now - body.waitingSince >= patience || now >= expiresAt;
-      if (!isDue) continue;
+      if (!body.hasWaitedTooLong(now)) continue;
       this.reject(body);
       decisions.set(body, 'memory_exhausted');
     }
@@ -216,10 +169,11 @@
     const admitted: IncomingBody<Holder>[] = [];
     if (this.waiting === 0) return admitted;
     for (const body of this.incomplete) {
-      if (!body.isWaiting || !this.memory.fits(body.wanted)) continue;
-      this.charge(body, body.wanted);
+      const {wanted} = body;
+      if (wanted === undefined || !this.memory.fits(wanted)) continue;
+      this.charge(body, wanted);
       this.stopWaiting(body);
-      body.lastByteAt = body.lastProgressAt = this.runTime(now);
+      body.restartTimeouts(this.runTime(now));
       admitted.push(body);
     }
     return admitted;
@@ -235,20 +189,8 @@
     return this.memory.fits(0) ? Infinity : STALL_TIMEOUT;
   }
 
-  private isTooSlow(
-    now: Millis,
-    body: IncomingBody<Holder>,
-    stallTimeout: Millis,
-  ): boolean {
-    if (body.isWaiting) return false;
-    const at = this.runTime(now);
-    const {expiresAt, idleTimeout} = body.terms;
-    if (now >= expiresAt || at - body.lastByteAt >= idleTimeout) return true;
-    return at - body.lastProgressAt >= stallTimeout;
-  }
-
   private charge(body: IncomingBody<Holder>, bytes: number): void {
-    body.reserved += bytes;
+    body.addReserved(bytes);
     this.reserved += bytes;
     this.memory.add(body.holder, bytes, 'bodies');
   }
@@ -260,8 +202,7 @@
 
   private stopWaiting(body: IncomingBody<Holder>): void {
     if (!body.isWaiting) return;
-    body.isWaiting = false;
-    body.wanted = 0;
+    body.endWait();
     this.waiting -= 1;
   }
 
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -5,6 +5,7 @@
 export * from './caller_memory.js';
 export * from './drain_rate.js';
 export * from './fair_queue.js';
+export * from './incoming_body.js';
 export * from './open_calls.js';
 export * from './organisation_directory.js';
 export * from './limit_types.js';
