Split the connection of a caller by subject

The open responses with their turns (ResponseQueue) and the reading decision (mayReadOn, with a test that replays its loads) are files of their own; public methods come before private ones. The size and the last of the open responses are no longer copies of the whole list. No change of behaviour.

--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -7,9 +7,11 @@
 import type {Fault} from '../../errors/index.js';
 import type {ConnectionEvents, CutReason} from './connection_events.js';
 import {HeadMeter, headBytes} from './head_meter.js';
+import {hasDiscardedMost, mayReadOn} from './read_decision.js';
 import {ReadGate} from './read_gate.js';
 import {failBody, hasBody, isReadingBody} from './request_body.js';
 import {abortResponse} from './response_framing.js';
+import {ResponseQueue} from './response_queue.js';
 import {actionAfterUnreadable} from './unreadable_message.js';
 import type {UnreadableAction} from './unreadable_message.js';
 
@@ -21,10 +23,6 @@
 const LINGER_IDLE_TIMEOUT: Millis = 2 * SECOND;
 const MAX_LINGER_TIME: Millis = 30 * SECOND;
 
-/** Open requests from which on a connection is not read, even for its end. */
-const MAX_OPEN_REQUESTS = 1_024;
-/** Discarded requests from which on an ended connection is not read further. */
-const MAX_DISCARDED_REQUESTS = 16;
 /**
  * Charge of a request beside the bytes of its head: its objects, 3 to 8 KB, and
  * the room that the garbage collector needs to move them.
@@ -33,13 +31,7 @@
 
 /** A connection of a caller, with the responses that are open on it. */
 export class CallerConnection {
-  /** Open responses, with the memory that their requests were charged. */
-  private readonly responses = new Map<ServerResponse, number>();
-  /** Requests that wait for the responses before theirs. */
-  private readonly waiting = new Map<
-    ServerResponse,
-    (isTurn: boolean) => void
-  >();
+  private readonly responses = new ResponseQueue();
   private latestRequest: IncomingMessage | undefined;
   /** Bytes read at the end of the latest request; undefined before it. */
   private bytesAtRequestEnd: number | undefined;
@@ -95,9 +87,14 @@
     return wasPaused || this.wasPaused;
   }
 
-  /** The responses that were not sent completely, in order. */
-  get open(): readonly ServerResponse[] {
-    return [...this.responses.keys()];
+  /** The responses that were not sent completely. */
+  get open(): ResponseQueue {
+    return this.responses;
+  }
+
+  /** The requests of these responses, in order. */
+  get openRequests(): readonly IncomingMessage[] {
+    return this.responses.all.map(({req}) => req);
   }
 
   /**
@@ -115,7 +112,7 @@
     }
     this.heads.recordRequest(req, head);
     this.latestRequest = req;
-    this.responses.set(res, charge);
+    this.responses.add(res, charge);
     this.addBytes(charge);
     req.once('end', () => this.onRequestEnd(req));
     res.once('finish', () => {
@@ -128,46 +125,23 @@
     return true;
   }
 
-  /**
-   * Waits until the responses before one were sent. A request that was passed on
-   * earlier would be lost if one of them closes the connection.
-   * @param res - the response
-   * @returns whether it can be sent
-   */
-  async turnOf(res: ServerResponse): Promise<boolean> {
-    if (this.first === res) return true;
-    if (!this.responses.has(res)) return false;
-    return new Promise(resolve => this.waiting.set(res, resolve));
-  }
-
-  /**
-   * Begins a request, in its turn if it has no body: until then a request that
-   * waits behind thousands holds and costs little.
-   * @param res - its response
-   * @param begin - called with false if the connection ends before its turn
-   */
-  beginInTurn(res: ServerResponse, begin: (isTurn: boolean) => void): void {
-    if (hasBody(res.req) || this.first === res) begin(true);
-    else this.waiting.set(res, begin);
-  }
-
   /**
    * Handles a message that is unreadable.
    * @param fault - why it is unreadable
    * @returns what was decided
    */
   onUnreadable(fault: Fault): UnreadableAction {
-    const {latest, open} = this;
+    const {latest} = this;
+    const {last, size} = this.responses;
     const isWithinBody = latest?.complete === false;
     const action = actionAfterUnreadable({
       isClosing: this.isClosing,
       isReadingBody: isWithinBody && isReadingBody(latest),
       isAnswered: isWithinBody && !isReadingBody(latest),
-      openResponses: open.length,
+      openResponses: size,
     });
     if (action === 'ignore') return action;
     this.isClosing = true;
-    const last = open.at(-1);
     if (last?.headersSent === false) last.shouldKeepAlive = false;
     if (action === 'respond_in_order' && latest !== undefined)
       failBody(latest, fault);
@@ -181,7 +155,7 @@
     this.isDetached = true;
     this.gate.open();
     socket.on('error', () => socket.destroy());
-    socket.on('drain', () => this.open[0]?.emit('drain'));
+    socket.on('drain', () => this.responses.first?.emit('drain'));
     socket.on('timeout', () => this.onTimeout());
     socket.resume();
   }
@@ -198,7 +172,7 @@
     this.updateReading();
     const {socket} = this;
     socket.end(bytes);
-    this.closeWaiting();
+    this.responses.closeWaiting();
     socket.setTimeout(LINGER_IDLE_TIMEOUT);
     const timer = setTimeout(() => socket.destroy(), MAX_LINGER_TIME).unref();
     socket.once('close', () => clearTimeout(timer));
@@ -218,16 +192,6 @@
     if (this.responses.size === 0 && !isUnread) this.socket.destroy();
   }
 
-  private addBytes(bytes: number): void {
-    if (this.isClosing) return;
-    this.memory.add(this, bytes);
-    this.updateReading();
-  }
-
-  private removeBytes(bytes: number): void {
-    this.memory.remove(this, bytes);
-  }
-
   /** Charges the head that is being read, whose size shows in no event. */
   check(): void {
     if (!this.isClosing) this.chargeHead();
@@ -257,19 +221,16 @@
 
   /** Closes the connection, and releases all that it holds at once. */
   closeOverBudget(): void {
-    const open = this.open.map(({req}) => req);
+    const {openRequests: open} = this;
     this.events.onOverBudget({heldBytes: this.memory.heldBy(this), open});
     this.isClosing = true;
     this.isCut = true;
-    // Those that hold nothing are not told: there may be thousands.
-    const waiting = [...this.waiting].filter(([res]) => hasBody(res.req));
-    this.waiting.clear();
-    for (const [, resolve] of waiting) resolve(false);
+    this.responses.abandonWaiting();
     this.memory.removeHolder(this);
     // The system resets no connection that is being shut down.
     if (this.isLingering) this.socket.destroy();
     else this.socket.resetAndDestroy();
-    this.closeWaiting();
+    this.responses.closeWaiting();
   }
 
   /**
@@ -277,7 +238,7 @@
    * @param reason - why
    */
   cut(reason: CutReason): void {
-    const {first} = this;
+    const {first} = this.responses;
     if (first === undefined) return;
     this.recordCut(reason);
     abortResponse(first);
@@ -285,42 +246,39 @@
 
   /** A caller that half-closes its connection is taken to have left. */
   private onCallerLeft(): void {
-    const {first} = this;
+    const {first} = this.responses;
     if (first === undefined) return;
     this.isClosing = true;
-    if (first.writableEnded) this.closeWaiting();
+    if (first.writableEnded) this.responses.closeWaiting();
     else abortResponse(first);
   }
 
   private onClosed(): void {
     this.recordCut('caller_gone');
     this.isClosing = true;
-    this.closeWaiting();
+    this.responses.closeWaiting();
     this.memory.removeHolder(this);
   }
 
-  private get first(): ServerResponse | undefined {
-    const [first] = this.responses.keys();
-    return first;
-  }
-
-  /** Whether reading is to wait, so that no more requests are parsed. */
-  private get mustWait(): boolean {
-    if (this.isDetached) return false;
-    if (this.isSuspended) return true;
-    if (this.isLingering) return this.discarded >= MAX_DISCARDED_REQUESTS;
+  /** Whether the connection is read further. */
+  private get mayRead(): boolean {
     const {latest} = this;
-    // The memory of a body is reserved before it is read.
-    if (latest?.complete === false && hasBody(latest)) return false;
-    const {size} = this.responses;
-    if (size >= MAX_OPEN_REQUESTS) return true;
-    if (this.memory.mayRead(this)) return false;
-    // A caller with one whole request is read on: it may leave.
-    return size !== 1 || latest?.complete !== true;
+    const isLatestComplete = latest?.complete === true;
+    return mayReadOn({
+      isDetached: this.isDetached,
+      isSuspended: this.isSuspended,
+      isLingering: this.isLingering,
+      discardedRequests: this.discarded,
+      isReadingBody:
+        latest !== undefined && !isLatestComplete && hasBody(latest),
+      openRequests: this.responses.size,
+      isLatestComplete,
+      isWithinBudget: this.memory.mayRead(this),
+    });
   }
 
   private updateReading(): void {
-    if (!this.mustWait) {
+    if (this.mayRead) {
       this.memory.unpause(this);
       this.gate.open();
       return;
@@ -330,6 +288,16 @@
       this.memory.pause(this, () => this.updateReading());
   }
 
+  private addBytes(bytes: number): void {
+    if (this.isClosing) return;
+    this.memory.add(this, bytes);
+    this.updateReading();
+  }
+
+  private removeBytes(bytes: number): void {
+    this.memory.remove(this, bytes);
+  }
+
   private chargeHead(): void {
     const {headCharge} = this;
     const bytes = this.heads.unfinishedBytes;
@@ -353,23 +321,14 @@
     req.resume();
     this.memory.add(this, bytes);
     this.discarded += 1;
-    if (this.discarded >= MAX_DISCARDED_REQUESTS) this.gate.close();
-  }
-
-  /** Closes responses behind the first; Node closes none that waits for its turn. */
-  private closeWaiting(): void {
-    for (const res of this.responses.keys()) {
-      if (res.socket !== null || res.writableFinished) continue;
-      res.destroy();
-      res.emit('close');
-    }
+    if (hasDiscardedMost(this.discarded)) this.gate.close();
   }
 
   /** Records the complete responses that were not sent to their end. */
   private recordCut(reason: CutReason): void {
     if (this.isCut) return;
     this.isCut = true;
-    for (const res of this.responses.keys()) {
+    for (const res of this.responses.all) {
       if (!res.writableEnded) continue;
       this.events.onCut({
         req: res.req,
@@ -380,20 +339,12 @@
   }
 
   private remove(res: ServerResponse): void {
-    const charge = this.responses.get(res);
+    const charge = this.responses.remove(res);
     if (charge === undefined) return;
-    this.responses.delete(res);
     // Node keeps what an ended connection has read.
     if (!this.isLingering) this.removeBytes(charge);
     if (this.gate.isClosed) this.updateReading();
-    this.resolveTurn(res, false);
-    const {first: next} = this;
-    if (next !== undefined) this.resolveTurn(next, true);
-    else if (this.isClosing) this.end();
-  }
-
-  private resolveTurn(res: ServerResponse, isTurn: boolean): void {
-    this.waiting.get(res)?.(isTurn);
-    this.waiting.delete(res);
+    this.responses.beginNext();
+    if (this.responses.size === 0 && this.isClosing) this.end();
   }
 }
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -63,7 +63,7 @@
   /** Number of responses that were not sent completely. */
   get openResponses(): number {
     let count = 0;
-    for (const {open} of this.connections.values()) count += open.length;
+    for (const {open} of this.connections.values()) count += open.size;
     return count;
   }
 
@@ -105,7 +105,7 @@
    * @param res - the response
    */
   isLast(res: ServerResponse): boolean {
-    return this.connections.get(res.req.socket)?.open.at(-1) === res;
+    return this.connections.get(res.req.socket)?.open.last === res;
   }
 
   /**
@@ -119,7 +119,7 @@
     res: ServerResponse,
     begin: (isTurn: boolean) => void,
   ): void {
-    this.connections.get(req.socket)?.beginInTurn(res, begin);
+    this.connections.get(req.socket)?.open.beginInTurn(res, begin);
   }
 
   /**
@@ -129,7 +129,8 @@
    * @returns whether it can be sent; false if the connection ends before
    */
   async turnOf(req: IncomingMessage, res: ServerResponse): Promise<boolean> {
-    return (await this.connections.get(req.socket)?.turnOf(res)) === true;
+    const connection = this.connections.get(req.socket);
+    return (await connection?.open.turnOf(res)) === true;
   }
 
   /** Closes connections without a request or an unsent response. */
@@ -235,7 +236,7 @@
   private onUnreadable(fault: Fault, socket: Duplex): void {
     const connection = this.connections.get(socket);
     if (connection === undefined) return;
-    const open = connection.open.map(({req}) => req);
+    const {openRequests: open} = connection;
     const action = connection.onUnreadable(fault);
     const hasNoResponse = action === 'respond' || action === 'close_after_open';
     if (hasNoResponse) this.events.onUnreadable(fault, open);
--- /dev/null
+++ b/src/daemons/shared/read_decision.test.ts
@@ -0,0 +1,53 @@
+import {describe, expect, it} from 'vitest';
+
+import {mayReadOn} from './read_decision.js';
+import type {ReadState} from './read_decision.js';
+
+const IDLE: ReadState = {
+  isDetached: false,
+  isSuspended: false,
+  isLingering: false,
+  discardedRequests: 0,
+  isReadingBody: false,
+  openRequests: 0,
+  isLatestComplete: true,
+  isWithinBudget: true,
+};
+const mayRead = (change: Partial<ReadState>) => mayReadOn({...IDLE, ...change});
+
+describe('mayReadOn', () => {
+  it('stops reading 30,000 pipelined requests before they are parsed', () => {
+    let openRequests = 0;
+    while (openRequests < 30_000 && mayRead({openRequests})) openRequests += 1;
+    expect(openRequests).toBe(1_024);
+  });
+
+  it('reads a body to its end whatever the budget', () => {
+    const change = {isReadingBody: true, isLatestComplete: false};
+    expect(mayRead({...change, isWithinBudget: false})).toBe(true);
+    expect(mayRead({...change, openRequests: 2_000})).toBe(true);
+  });
+
+  it('notices the end of a caller with one request beyond the budget', () => {
+    expect(mayRead({openRequests: 1, isWithinBudget: false})).toBe(true);
+    expect(mayRead({openRequests: 2, isWithinBudget: false})).toBe(false);
+    const isLatestComplete = false;
+    expect(
+      mayRead({openRequests: 1, isWithinBudget: false, isLatestComplete}),
+    ).toBe(false);
+  });
+
+  it('discards some requests on an ended connection', () => {
+    const isLingering = true;
+    expect(mayRead({isLingering, discardedRequests: 15})).toBe(true);
+    expect(mayRead({isLingering, discardedRequests: 16})).toBe(false);
+  });
+
+  it('reads nothing while connections are suspended', () => {
+    expect(mayRead({isSuspended: true, isReadingBody: true})).toBe(false);
+  });
+
+  it('reads a connection that is detached from its parser', () => {
+    expect(mayRead({isDetached: true, isSuspended: true})).toBe(true);
+  });
+});
--- /dev/null
+++ b/src/daemons/shared/read_decision.ts
@@ -0,0 +1,50 @@
+/** Open requests from which on a connection is not read, even for its end. */
+const MAX_OPEN_REQUESTS = 1_024;
+/** Discarded requests from which on an ended connection is not read further. */
+const MAX_DISCARDED_REQUESTS = 16;
+
+/** State of a connection that decides whether it is read further. */
+export interface ReadState {
+  /** Whether the server's parser no longer reads the connection. */
+  readonly isDetached: boolean;
+  /** Whether all connections are suspended. */
+  readonly isSuspended: boolean;
+  /** Whether the connection was ended, and what its caller sends is discarded. */
+  readonly isLingering: boolean;
+  /** Number of requests that came too late to be served. */
+  readonly discardedRequests: number;
+  /** Whether the body of the latest request is being read. */
+  readonly isReadingBody: boolean;
+  readonly openRequests: number;
+  /** Whether the latest request was read completely. */
+  readonly isLatestComplete: boolean;
+  /** Whether the memory budget allows further reads. */
+  readonly isWithinBudget: boolean;
+}
+
+/**
+ * Decides whether a connection is read further. Backpressure keeps the requests
+ * that it would parse in its caller's socket.
+ * @param state - the connection
+ */
+export function mayReadOn(state: ReadState): boolean {
+  if (state.isDetached) return true;
+  if (state.isSuspended) return false;
+  if (state.isLingering)
+    return state.discardedRequests < MAX_DISCARDED_REQUESTS;
+  // The memory of a body is reserved before it is read.
+  if (state.isReadingBody) return true;
+  if (state.openRequests >= MAX_OPEN_REQUESTS) return false;
+  // A caller with one whole request is read on: it may leave.
+  const isSingle = state.openRequests === 1 && state.isLatestComplete;
+  return state.isWithinBudget || isSingle;
+}
+
+/**
+ * Returns whether a connection that closes has discarded so many requests that it
+ * is not read further.
+ * @param discardedRequests - their number
+ */
+export function hasDiscardedMost(discardedRequests: number): boolean {
+  return discardedRequests >= MAX_DISCARDED_REQUESTS;
+}
--- a/src/daemons/shared/read_gate.ts
+++ b/src/daemons/shared/read_gate.ts
@@ -13,7 +13,6 @@
   private isWanted = true;
   private readonly pauseSocket: () => Socket;
   private readonly resumeSocket: () => Socket;
-
   private readonly backlog: ReadBacklog;
 
   /**
