Let the connections take turns with pipelined requests

A sound caller beside 30,000 pipelined requests got 504, or its answer after seconds. One read brings up to 2,340 requests, and each began as the response before it was written, in the same pass of the event loop: no other connection was read until all were served.

--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -12,6 +12,7 @@
 import {failBody, hasBody, isReadingBody} from './request_body.js';
 import {abortResponse} from './response_framing.js';
 import {ResponseQueue} from './response_queue.js';
+import type {TurnScheduler} from './turn_scheduler.js';
 import {actionAfterUnreadable} from './unreadable_message.js';
 import type {UnreadableAction} from './unreadable_message.js';
 
@@ -31,7 +32,7 @@
 
 /** A connection of a caller, with the responses that are open on it. */
 export class CallerConnection {
-  private readonly responses = new ResponseQueue();
+  private readonly responses: ResponseQueue;
   private latestRequest: IncomingMessage | undefined;
   /** Bytes read at the end of the latest request; undefined before it. */
   private bytesAtRequestEnd: number | undefined;
@@ -55,13 +56,16 @@
    * @param memory - memory budget of all connections
    * @param events - callbacks
    * @param clock - the clock
+   * @param turns - schedules the turns of all connections
    */
   constructor(
     private readonly socket: Socket,
     private readonly memory: CallerMemory<CallerConnection>,
     private readonly events: ConnectionEvents,
     clock: Clock,
+    turns: TurnScheduler,
   ) {
+    this.responses = new ResponseQueue(turns);
     this.gate = new ReadGate(socket, clock);
     this.heads = new HeadMeter(socket);
     // Node destroys the connection after its last response.
@@ -344,7 +348,7 @@
     // Node keeps what an ended connection has read.
     if (!this.isLingering) this.removeBytes(charge);
     if (this.gate.isClosed) this.updateReading();
-    this.responses.beginNext();
+    this.responses.scheduleNext();
     if (this.responses.size === 0 && this.isClosing) this.end();
   }
 }
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -8,6 +8,7 @@
 import {Fault} from '../../errors/index.js';
 import {CallerConnection} from './caller_connection.js';
 import type {ConnectionEvents} from './connection_events.js';
+import {TurnScheduler} from './turn_scheduler.js';
 import {unreadableReason} from './unreadable_message.js';
 
 const CHECK_INTERVAL: Millis = SECOND / 20;
@@ -31,6 +32,7 @@
 /** Connections of a server for callers, with their open responses. */
 export class CallerConnections {
   private readonly connections = new Map<Duplex, CallerConnection>();
+  private readonly turns = new TurnScheduler();
   private timer: NodeJS.Timeout | undefined;
   private isSuspended = false;
   private isNewestFirst = false;
@@ -157,8 +159,13 @@
   }
 
   private add(socket: Socket): void {
-    const {memory, events, clock} = this;
-    const connection = new CallerConnection(socket, memory, events, clock);
+    const connection = new CallerConnection(
+      socket,
+      this.memory,
+      this.events,
+      this.clock,
+      this.turns,
+    );
     this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
     this.timer ??= setInterval(
--- a/src/daemons/shared/response_queue.ts
+++ b/src/daemons/shared/response_queue.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 
 import {hasBody} from './request_body.js';
+import type {TurnScheduler} from './turn_scheduler.js';
 
 /**
  * Open responses of a connection in the order of their requests, with the requests
@@ -14,6 +15,11 @@
     (isTurn: boolean) => void
   >();
   private latest: ServerResponse | undefined;
+  /** The response whose turn was scheduled last. */
+  private scheduled: ServerResponse | undefined;
+
+  /** @param turns - schedules the turns */
+  constructor(private readonly turns: TurnScheduler) {}
 
   /** Number of open responses. */
   get size(): number {
@@ -62,10 +68,13 @@
     return charge;
   }
 
-  /** Begins the request of the first response, if it waits for its turn. */
-  beginNext(): void {
+  /** Schedules the turn of the first response, if it waits for it. */
+  scheduleNext(): void {
     const {first} = this;
-    if (first !== undefined) this.resolve(first, true);
+    if (first === undefined || first === this.scheduled) return;
+    if (!this.waiting.has(first)) return;
+    this.scheduled = first;
+    this.turns.schedule(() => this.resolve(first, true));
   }
 
   /**
