Count the answers of pipelined requests exactly

The cases of test/callers_memory.test.ts split each chunk at status lines: a line across two chunks was lost, any status of 400 to 409 counted, and 99 answers of 30,000 could be missing. AnswerCounter frames the answers by their length; all 30,000 have to arrive, each with 404 (1,000 with 200). Same time limits as before.

--- a/test/callers_memory.test.ts
+++ b/test/callers_memory.test.ts
@@ -11,6 +11,7 @@
   wireRoute,
 } from './support/direct_estate.js';
 import type {Script} from './support/direct_estate.js';
+import {AnswerCounter} from './support/answer_counter.js';
 import {EntryProcess, freePorts} from './support/entry_process.js';
 
 /** Memory of the smallest VM. */
@@ -113,27 +114,19 @@
       setTimeout(() => socket.write(sealedAnswer(head, 'ok')), delay);
     });
     const socket = connectCaller(pipeline(1_000, keyedRequest));
-    let answers = 0;
-    socket.setEncoding('latin1');
-    socket.on('data', (text: string) => {
-      answers += text.split('HTTP/1.1 ').length - 1;
-    });
-    socket.resume();
-    await expect.poll(() => answers, {timeout: 20_000}).toBe(1_000);
+    const answers = new AnswerCounter(socket);
+    await expect.poll(() => answers.count, {timeout: 20_000}).toBe(1_000);
+    expect(answers.byStatus).toEqual({200: 1_000});
   }, 30_000);
 
   it('answers 30,000 requests of a caller that reads', async () => {
     await startEntry(atOnce);
     const socket = connectCaller(pipeline(30_000, rejectedRequest));
-    let answers = 0;
-    socket.setEncoding('latin1');
-    socket.on('data', (text: string) => {
-      answers += text.split('HTTP/1.1 40').length - 1;
-    });
-    socket.resume();
+    const answers = new AnswerCounter(socket);
     await expect
-      .poll(() => answers, {timeout: 20_000, interval: 100})
-      .toBeGreaterThan(29_900);
+      .poll(() => answers.count, {timeout: 20_000, interval: 100})
+      .toBe(30_000);
+    expect(answers.byStatus).toEqual({404: 30_000});
     expect(peakMb()).toBeLessThan(VM_MB);
   }, 30_000);
 });
