--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -8,6 +8,7 @@
 import {Fault} from '../../errors/index.js';
 import {CallerConnection} from './caller_connection.js';
 import type {ConnectionEvents} from './connection_events.js';
+import {TurnScheduler} from './turn_scheduler.js';
 import {unreadableReason} from './unreadable_message.js';
 
 const CHECK_INTERVAL: Millis = SECOND / 20;
@@ -31,6 +32,7 @@
 /** Connections of a server for callers, with their open responses. */
 export class CallerConnections {
   private readonly connections = new Map<Duplex, CallerConnection>();
+  private readonly turns = new TurnScheduler();
   private timer: NodeJS.Timeout | undefined;
   private isSuspended = false;
   private isNewestFirst = false;
@@ -63,7 +65,7 @@
   /** Number of responses that were not sent completely. */
   get openResponses(): number {
     let count = 0;
-    for (const {open} of this.connections.values()) count += open.length;
+    for (const {open} of this.connections.values()) count += open.size;
     return count;
   }
 
@@ -105,7 +107,7 @@
    * @param res - the response
    */
   isLast(res: ServerResponse): boolean {
-    return this.connections.get(res.req.socket)?.open.at(-1) === res;
+    return this.connections.get(res.req.socket)?.open.last === res;
   }
 
   /**
@@ -119,7 +121,7 @@
     res: ServerResponse,
     begin: (isTurn: boolean) => void,
   ): void {
-    this.connections.get(req.socket)?.beginInTurn(res, begin);
+    this.connections.get(req.socket)?.open.beginInTurn(res, begin);
   }
 
   /**
@@ -129,7 +131,8 @@
    * @returns whether it can be sent; false if the connection ends before
    */
   async turnOf(req: IncomingMessage, res: ServerResponse): Promise<boolean> {
-    return (await this.connections.get(req.socket)?.turnOf(res)) === true;
+    const connection = this.connections.get(req.socket);
+    return (await connection?.open.turnOf(res)) === true;
   }
 
   /** Closes connections without a request or an unsent response. */
@@ -156,8 +159,13 @@
   }
 
   private add(socket: Socket): void {
-    const {memory, events, clock} = this;
-    const connection = new CallerConnection(socket, memory, events, clock);
+    const connection = new CallerConnection(
+      socket,
+      this.memory,
+      this.events,
+      this.clock,
+      this.turns,
+    );
     this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
     this.timer ??= setInterval(
@@ -235,7 +243,7 @@
   private onUnreadable(fault: Fault, socket: Duplex): void {
     const connection = this.connections.get(socket);
     if (connection === undefined) return;
-    const open = connection.open.map(({req}) => req);
+    const {openRequests: open} = connection;
     const action = connection.onUnreadable(fault);
     const hasNoResponse = action === 'respond' || action === 'close_after_open';
     if (hasNoResponse) this.events.onUnreadable(fault, open);
