Compute the time left when a request is written, not before its connect

Upstreams were told more time than the caller had left (BUDGET) by an entry that was held up between the choice of an upstream and the connect: the head, with its Deadline-Ms, was made at the choice and written as it was at the connect. Beside that, an upstream whose connect completed in time counted as unreachable, since a timer that is due after a hold-up comes before the event of the connection; with no other upstream its caller was refused.

Now an attempt connects first and takes its head at the moment it writes. A connect that took longer than one may, seen after a round of reads, is not used: nothing was sent, the upstream is neither tried nor unreachable, and the request is decided anew.

The lines attempt_repeated and left_ms are those of the connect now.

--- a/src/daemons/direct/admitted_request.ts
+++ b/src/daemons/direct/admitted_request.ts
@@ -7,6 +7,7 @@
 } from '../../direct/index.js';
 
 import type {BufferedBody} from '../shared/buffered_body.js';
+import type {DispatchRequest} from './dispatch_request.js';
 
 /** Time before the caller's timeout at which the final response is due. */
 const RESPONSE_MARGIN: Millis = 25;
@@ -40,3 +41,34 @@
   const callerLimit = (metadata.callerTimeout ?? Infinity) - RESPONSE_MARGIN;
   return arrivedAt + Math.min(callerLimit, route.timeout);
 }
+
+/** What a dispatcher places and queues a request by. */
+export type DispatchTerms = Pick<
+  DispatchRequest,
+  | 'service'
+  | 'promptTokens'
+  | 'priority'
+  | 'target'
+  | 'targetAt'
+  | 'expiresAt'
+  | 'mayWait'
+>;
+
+/**
+ * Returns what a dispatcher places and queues a request by.
+ * @param request - the request
+ * @param lastDeliveryAt - time at which its caller last received an event
+ */
+export function dispatchTerms(
+  request: AdmittedRequest,
+  lastDeliveryAt: Millis,
+): DispatchTerms {
+  const {arrivedAt, metadata, priority, route, service} = request;
+  const {latencyTarget: target, repeat, silencePatience} = route;
+  return {
+    ...{service, priority, target, promptTokens: metadata.promptTokens},
+    targetAt: arrivedAt + target,
+    expiresAt: Math.min(lastDeliveryAt + silencePatience, deadlineOf(request)),
+    mayWait: repeat === 'stream',
+  };
+}
--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -1,9 +1,5 @@
-import {request} from 'node:http';
-import type {
-  ClientRequest,
-  IncomingMessage,
-  OutgoingHttpHeaders,
-} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 
 import {headerPairs, isFinalStatus, malformedField} from '../../core/index.js';
 import type {Millis} from '../../core/index.js';
@@ -34,11 +30,12 @@
 /** Interim responses before the final one; more would never end. */
 const MAX_INTERIM_RESPONSES = 16;
 
-/** Request as sent to an upstream. */
+/** Request as sent to an upstream, without the headers. */
 export interface AttemptRequest {
   readonly method: string;
   readonly path: string;
-  readonly headers: HeaderLines;
+  /** Whether it has a Content-Length. */
+  readonly hasBody: boolean;
   readonly body: BufferedBody;
   /** Id that the response must echo. */
   readonly id: string | undefined;
@@ -48,20 +45,15 @@
  * Returns a caller's request as sent to an upstream.
  * @param req - the caller's HTTP request
  * @param admitted - the request with its body
- * @param lines - headers for the upstream, without the framing
  */
 export function attemptRequest(
   req: IncomingMessage,
   {body, metadata}: AdmittedRequest,
-  lines: HeaderLines,
 ): AttemptRequest {
   const {method = 'GET', url: path = '/'} = req;
   const hasBody =
     body.bytes.length > 0 || req.headers['content-length'] !== undefined;
-  const length: HeaderLines = hasBody
-    ? [['Content-Length', `${body.bytes.length}`]]
-    : [];
-  return {method, path, headers: [...lines, ...length], body, id: metadata.id};
+  return {method, path, hasBody, body, id: metadata.id};
 }
 
 /** How the end of a body is found; `close` is the end of its connection. */
@@ -87,8 +79,11 @@
 
 /** Callbacks of an attempt; none follows `onEnd` or `onFailure`. */
 export interface AttemptListener {
-  /** Called when the connection is there; the request is written to it. */
-  onConnect(): void;
+  /**
+   * Called when the connection is there.
+   * @param send - writes the request at once, with these headers and the framing
+   */
+  onConnect(send: (lines: HeaderLines) => void): void;
   /** Called when the system has taken all bytes of the request. */
   onRequestSent(): void;
   /** Called with the response head. */
@@ -105,7 +100,10 @@
 
 /** One attempt of a request at one upstream. */
 export class Attempt {
-  private readonly req: ClientRequest;
+  /** Undefined until the connection is there. */
+  private req: ClientRequest | undefined;
+  /** Connection without a request. */
+  private unused: Socket | undefined;
   private res: IncomingMessage | undefined;
   private isConnected = false;
   /**
@@ -117,10 +115,11 @@
   private bodyBytes = 0;
   /** Body of a response without a length. */
   private unframed: UnframedBody | undefined;
-  private readonly connectTimer: NodeJS.Timeout;
+  private connectTimer: NodeJS.Timeout | undefined;
+  private readonly releaseBody: () => void;
 
   /**
-   * Sends the request.
+   * Connects; the request is sent once the connection is there.
    * @param upstream - the receiver
    * @param outbound - the request
    * @param connections - connection pool
@@ -130,52 +129,16 @@
   constructor(
     upstream: Upstream,
     private readonly outbound: AttemptRequest,
-    connections: UpstreamConnections,
+    private readonly connections: UpstreamConnections,
     private readonly dialect: HeaderDialect,
     listener: AttemptListener,
   ) {
     this.listener = listener;
+    this.releaseBody = outbound.body.hold();
     const {host, port} = splitAddress(upstream.registration.address);
     connections.prune(host, port);
-    this.req = request({
-      host,
-      port,
-      method: outbound.method,
-      path: outbound.path,
-      // Flat lists keep order and duplicates; the type does not cover them.
-      headers: outbound.headers.flat() as unknown as OutgoingHttpHeaders,
-      setHost: false,
-      agent: connections,
-      maxHeaderSize: MAX_HEAD_BYTES,
-    });
-    this.connectTimer = setTimeout(() => {
-      if (!this.isConnected) this.fail('connect timeout');
-    }, CONNECT_TIMEOUT);
-    this.req.once('socket', socket => {
-      socket.setNoDelay(true);
-      if (!socket.connecting) this.onConnect();
-      else socket.once('connect', () => this.onConnect());
-    });
-    let interim = 0;
-    this.req.on('information', () => {
-      interim += 1;
-      if (interim > MAX_INTERIM_RESPONSES)
-        this.fail('too many interim responses');
-    });
-    this.req.on('response', res => this.onResponse(res));
-    this.req.on('error', err => this.fail(describeError(err), true));
-    this.req.on('close', () => {
-      // A response that has begun reports its own end.
-      if (this.res === undefined) this.fail('connection closed', true);
-    });
-    const {body} = outbound;
-    const release = body.hold();
-    this.req.once('finish', () => {
-      release();
-      this.listener?.onRequestSent();
-    });
-    this.req.once('close', release);
-    this.req.end(body.bytes);
+    if (connections.hasIdle(host, port)) this.onConnect(host, port);
+    else this.connect(host, port);
   }
 
   /** Whether bytes of the request may have been sent. */
@@ -197,9 +160,11 @@
   cancel(): void {
     this.listener = undefined;
     clearTimeout(this.connectTimer);
-    const {socket} = this.req;
-    if (this.isConnected && socket !== null) socket.resetAndDestroy();
-    this.req.destroy();
+    this.releaseBody();
+    this.unused?.destroy();
+    const {req, isConnected} = this;
+    if (isConnected) req?.socket?.resetAndDestroy();
+    req?.destroy();
   }
 
   /** Resumes reading the response. */
@@ -212,10 +177,63 @@
     this.res?.pause();
   }
 
-  private onConnect(): void {
-    this.isConnected = true;
+  private connect(host: string, port: number): void {
+    const socket = this.connections.open(host, port);
+    this.unused = socket;
+    socket.once('connect', () => this.onConnect(host, port));
+    socket.on('error', this.onConnectionError);
+    this.connectTimer = setTimeout(() => {
+      // After a hold-up of the process timers come before connections.
+      setImmediate(() => {
+        if (socket.connecting) this.fail('connect timeout');
+      });
+    }, CONNECT_TIMEOUT);
+  }
+
+  private onConnect(host: string, port: number): void {
     clearTimeout(this.connectTimer);
-    this.listener?.onConnect();
+    this.listener?.onConnect(lines => this.send(host, port, lines));
+  }
+
+  private readonly onConnectionError = (err: Error) =>
+    this.fail(describeError(err), true);
+
+  private send(host: string, port: number, lines: HeaderLines): void {
+    const {method, path, hasBody, body} = this.outbound;
+    const length: HeaderLines = hasBody
+      ? [['Content-Length', `${body.bytes.length}`]]
+      : [];
+    const req = this.connections.request({
+      ...{host, port, method, path, connection: this.unused},
+      headers: [...lines, ...length],
+      maxHeaderSize: MAX_HEAD_BYTES,
+    });
+    this.req = req;
+    // The request has its own listener, and the connection outlives it.
+    this.unused?.off('error', this.onConnectionError);
+    this.unused = undefined;
+    req.once('socket', socket => {
+      socket.setNoDelay(true);
+      this.isConnected = true;
+    });
+    let interim = 0;
+    req.on('information', () => {
+      interim += 1;
+      if (interim > MAX_INTERIM_RESPONSES)
+        this.fail('too many interim responses');
+    });
+    req.on('response', res => this.onResponse(res));
+    req.on('error', err => this.fail(describeError(err), true));
+    req.on('close', () => {
+      // A response that has begun reports its own end.
+      if (this.res === undefined) this.fail('connection closed', true);
+    });
+    req.once('finish', () => {
+      this.releaseBody();
+      this.listener?.onRequestSent();
+    });
+    req.once('close', this.releaseBody);
+    req.end(body.bytes);
   }
 
   private onResponse(res: IncomingMessage): void {
@@ -311,7 +329,7 @@
   private isOwnResponse(metadata: ResponseMetadata): boolean {
     const {id} = this.outbound;
     if (id === undefined || metadata.id === id) return true;
-    return metadata.id === undefined && !this.req.reusedSocket;
+    return metadata.id === undefined && this.req?.reusedSocket === false;
   }
 
   private fail(detail: string, isClosed = false): void {
--- a/src/daemons/direct/attempt_account.ts
+++ b/src/daemons/direct/attempt_account.ts
@@ -34,6 +34,11 @@
     return !this.isEnded;
   }
 
+  /** Whether the attempt has begun a successful response and has not ended. */
+  get isRunning(): boolean {
+    return this.isOpen && this.progress.hasStarted;
+  }
+
   /**
    * Records the head of a successful response.
    * @param now - current time
--- a/src/daemons/direct/attempt_sequence.ts
+++ b/src/daemons/direct/attempt_sequence.ts
@@ -1,5 +1,6 @@
 import type {Millis} from '../../core/index.js';
 import type {AttemptFailure} from '../../direct/index.js';
+import {CONNECT_TIMEOUT} from './attempt.js';
 
 /** What an attempt is charged to. */
 export type AttemptCharge =
@@ -19,7 +20,7 @@
   readonly charge: AttemptCharge;
   /** Time that is handed on to the upstream. */
   readonly timeLeft: Millis;
-  /** Time since the first attempt. */
+  /** Time from the begin of the first attempt until it was connected. */
   readonly sinceFirst: Millis;
   /** How the attempt before ended; undefined for the first. */
   readonly after: string | undefined;
@@ -30,7 +31,7 @@
 
 /** Counts the attempts of one request, and keeps what its log lines tell. */
 export class AttemptSequence {
-  /** Upstreams that it was sent to, or could not be. */
+  /** Upstreams that it was sent to, or that could not be reached. */
   readonly triedIncarnations = new Set<string>();
   private sendCount = 0;
   private queuedAt: Millis = 0;
@@ -38,6 +39,7 @@
   private firstAt: Millis | undefined;
   private begunAt: Millis = 0;
   private begun: BegunAttempt | undefined;
+  private upstream: string | undefined;
   private firstTimeLeft: Millis | undefined;
   private lastConnectTime: Millis | undefined;
   private lastFailure: string | undefined;
@@ -58,7 +60,7 @@
     return this.begun;
   }
 
-  /** Time that the first attempt handed on. */
+  /** Time that the first attempt that was connected handed on. */
   get timeLeft(): Millis | undefined {
     return this.firstTimeLeft;
   }
@@ -90,14 +92,13 @@
    * Records the begin of an attempt.
    * @param now - current time
    * @param incarnation - its upstream
-   * @param timeLeft - time that is handed on to the upstream
-   * @returns the attempt
+   * @param timeLeft - time until the request's deadline
    */
-  begin(now: Millis, incarnation: string, timeLeft: Millis): BegunAttempt {
+  begin(now: Millis, incarnation: string, timeLeft: Millis): void {
+    this.upstream = incarnation;
     this.triedIncarnations.add(incarnation);
     this.queuedFor += now - this.queuedAt;
     this.firstAt ??= now;
-    this.firstTimeLeft ??= timeLeft;
     this.begunAt = now;
     this.lastConnectTime = undefined;
     const tries = (this.begun?.tries ?? 0) + 1;
@@ -110,15 +111,25 @@
       sinceFirst: now - this.firstAt,
       after: this.lastFailure,
     };
-    return this.begun;
   }
 
   /**
    * Records that the latest attempt is connected.
    * @param now - current time
+   * @returns the attempt as it is sent; undefined if it took longer than a connect
+   *     may, as this process was held up: what it was decided by is too old
    */
-  recordConnected(now: Millis): void {
-    this.lastConnectTime = now - this.begunAt;
+  connect(now: Millis): BegunAttempt | undefined {
+    const {begun, begunAt} = this;
+    if (begun === undefined) return undefined;
+    const connectTime = now - begunAt;
+    const timeLeft = begun.timeLeft - connectTime;
+    if (connectTime > CONNECT_TIMEOUT || timeLeft <= 0) return undefined;
+    this.lastConnectTime = connectTime;
+    const sinceFirst = begun.sinceFirst + connectTime;
+    this.begun = {...begun, timeLeft, sinceFirst};
+    this.firstTimeLeft ??= timeLeft;
+    return this.begun;
   }
 
   /**
@@ -127,9 +138,11 @@
    * @returns the attempt
    */
   recordFailure(failure: AttemptFailure): BegunAttempt | undefined {
-    const isUnsent =
-      failure.kind === 'not_run' && failure.reason === 'unreachable';
-    if (!isUnsent) this.sendCount += 1;
+    const notRun = failure.kind === 'not_run' ? failure.reason : undefined;
+    const isHeldUp = notRun === 'held_up';
+    if (isHeldUp && this.upstream !== undefined)
+      this.triedIncarnations.delete(this.upstream);
+    if (!isHeldUp && notRun !== 'unreachable') this.sendCount += 1;
     this.lastFailure =
       failure.kind === 'failed_answer' ? `${failure.status}` : failure.reason;
     return this.begun;
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -11,13 +11,14 @@
   ResponseMetadata,
   AttemptFailure,
   GroupKey,
+  HeaderLines,
   RejectionCause,
   Upstream,
   HealthOutcome,
 } from '../../direct/index.js';
 import {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
-import {deadlineOf} from './admitted_request.js';
+import {deadlineOf, dispatchTerms} from './admitted_request.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import {AttemptAccount} from './attempt_account.js';
 import {Attempt, attemptRequest} from './attempt.js';
@@ -29,6 +30,8 @@
 import {ResponseForwarder} from './response_forwarder.js';
 import {ResponseWriter} from './response_writer.js';
 
+const HELD_UP: AttemptFailure = {kind: 'not_run', reason: 'held_up'};
+
 /** Handles a caller's request from its admission to its final response. */
 export class Exchange {
   private readonly response: ResponseWriter;
@@ -108,9 +111,7 @@
   }
 
   private endIfQuarantined(): void {
-    const {account} = this;
-    const isRunning = account?.isOpen === true && account.progress.hasStarted;
-    if (this.isFinished || isRunning) return;
+    if (this.isFinished || this.account?.isRunning === true) return;
     if (this.context.quarantine.match(this.request) === undefined) return;
     this.cancelAttempt();
     this.respondError('prompt_quarantined');
@@ -119,17 +120,9 @@
   /** Submits the request to the dispatcher for an untried upstream. */
   private requestUpstream(): void {
     const {request, context, containment} = this;
-    const {route, arrivedAt} = request;
-    const abandonedAt = this.delivery.lastDeliveryAt + route.silencePatience;
     this.pending = {
-      service: request.service,
-      promptTokens: request.metadata.promptTokens,
-      priority: request.priority,
+      ...dispatchTerms(request, this.delivery.lastDeliveryAt),
       triedIncarnations: this.attempts.triedIncarnations,
-      target: route.latencyTarget,
-      targetAt: arrivedAt + route.latencyTarget,
-      expiresAt: Math.min(abandonedAt, this.deadlineAt),
-      mayWait: route.repeat === 'stream',
       trySpend: now =>
         this.attempts.sends === 0 || context.retries.trySpend(now, request),
       send: containment.wrap((now: Millis, upstream, group) =>
@@ -151,23 +144,14 @@
     this.attempt = undefined;
     this.account = new AttemptAccount(now, context, request, upstream, group);
     this.forwarder.startRun();
-    const timeLeft = this.deadlineAt - now;
-    const {registration} = upstream;
-    const attempt = this.attempts.begin(now, upstream.incarnation, timeLeft);
-    context.log.recordAttempt(request, registration.id, attempt);
-    const lines = context.dialect.toUpstream(request.headers, {
-      timeLeft,
-      expectedUpstream: registration.id,
-      organisation: request.organisation,
-      resumeAfter: this.delivery.resumeAfter,
-    });
+    this.attempts.begin(now, upstream.incarnation, this.deadlineAt - now);
     this.attempt = new Attempt(
       upstream,
-      attemptRequest(this.req, request, lines),
+      attemptRequest(this.req, request),
       context.connectionsFor(request.route),
       context.dialect,
       {
-        onConnect: () => this.attempts.recordConnected(context.clock.now()),
+        onConnect: containment.wrap(write => this.onConnect(write)),
         onRequestSent: containment.wrap(() => this.onRequestSent()),
         onHead: containment.wrap((...args) => this.onHead(...args)),
         onData: containment.wrap(chunk => this.onData(chunk)),
@@ -178,6 +162,28 @@
         onFailure: containment.wrap(failure => this.onFailure(failure)),
       },
     );
+    // An exception in the first callback has ended the request before.
+    if (this.isFinished) this.attempt.cancel();
+  }
+
+  /** Sends the request, unless the connection came too late. */
+  private onConnect(write: (lines: HeaderLines) => void): void {
+    const {request, context, account, containment} = this;
+    const attempt = this.attempts.connect(context.clock.now());
+    if (account === undefined) return;
+    if (attempt === undefined) {
+      // The caller may have left meanwhile, which is read first.
+      const end = () => account.isOpen && this.abortAttempt(HELD_UP);
+      setImmediate(containment.wrap(end));
+      return;
+    }
+    const {id: expectedUpstream} = account.upstream.registration;
+    context.log.recordAttempt(request, expectedUpstream, attempt);
+    const {timeLeft} = attempt;
+    const {organisation, headers} = request;
+    const {resumeAfter} = this.delivery;
+    const forwarding = {timeLeft, organisation, expectedUpstream, resumeAfter};
+    write(context.dialect.toUpstream(headers, forwarding));
   }
 
   /** Releases the body unless another attempt can follow. */
@@ -204,10 +210,8 @@
         const now = this.context.clock.now();
         this.context.dispatcher.markGroupUnavailable(now, upstream, culprit);
       }
-      this.abortAttempt({
-        kind: 'not_run',
-        reason: isGroupDown ? 'group_down' : 'busy',
-      });
+      const reason = isGroupDown ? 'group_down' : 'busy';
+      this.abortAttempt({kind: 'not_run', reason});
       return;
     }
     const isSuccess = isSuccessStatus(status);
@@ -233,8 +237,8 @@
     if (!this.forwarder.isEventStream) return;
     this.account?.recordEvents(now, events?.count ?? 0, events?.gap);
     const {defect} = this.delivery;
-    if (defect === undefined) return;
-    this.abortAttempt({kind: 'may_have_run', reason: defect});
+    if (defect !== undefined)
+      this.abortAttempt({kind: 'may_have_run', reason: defect});
   }
 
   private onEnd(): void {
@@ -311,17 +315,14 @@
    */
   private respondFinal(rejection: ErrorName): void {
     if (this.response.isStarted) this.respondError('upstream_lost');
-    else if (this.failedResponse !== undefined)
-      this.forwardFailedResponse(this.failedResponse);
-    else if (this.mayHaveRun) this.respondError('upstream_failed');
+    else if (this.failedResponse !== undefined) {
+      const {failedResponse: failed} = this;
+      this.response.sendWhole(failed, failed.body);
+      this.finish('upstream_error', failed.status);
+    } else if (this.mayHaveRun) this.respondError('upstream_failed');
     else this.respondError(rejection);
   }
 
-  private forwardFailedResponse(failed: WholeResponse): void {
-    this.response.sendWhole(failed, failed.body);
-    this.finish('upstream_error', failed.status);
-  }
-
   private respondError(reason: ErrorName): void {
     const fault = new Fault(reason);
     const {context, request, cause, rejectedIn} = this;
--- a/src/direct/attempt_policy.ts
+++ b/src/direct/attempt_policy.ts
@@ -17,6 +17,8 @@
 
 export type NotRunReason =
   | 'unreachable'
+  /** This process was held up until its connection came too late. */
+  | 'held_up'
   | 'busy'
   | 'group_down'
   | 'wrong_upstream'
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -75,6 +75,11 @@
     await once(this.server, 'listening');
   }
 
+  /** Port that it listens on, or did last. */
+  get port(): number {
+    return this.address!.port;
+  }
+
   /** Number of connections that were ever opened. */
   get connectionCount(): number {
     return this.sockets.size;
