--- a/src/daemons/shared/control_server.ts
+++ b/src/daemons/shared/control_server.ts
@@ -16,6 +16,7 @@
   pauseAt: 4 * 2 ** 20,
   closeAt: 16 * 2 ** 20,
   ownPart: 64 * 2 ** 10,
+  pipeliningFrom: 32 * 2 ** 10,
 };
 
 /** What a control server depends on. */
