Fence ranks by map versions where engines check no tokens

Cause: a successor took an order that was answered under its token for proof that older ones are rejected. Engines that check no tokens reject nothing by it, and the map of the unfinished switch stayed prepared on all ranks, ready to be armed.

Now a cleanup has every unarmed rank prepare the map in use under the cleanup's own version before the group is released: an engine prepares only versions above all that it has had and arms only the version that it has prepared, so late preparations and armings are refused. It copies no weights. A disarming waits until one unarmed rank has this fence, since before the former coordinator could arm the last rank and release the group as the disarming arrives. A coordinator that sees a version of a newer claim resigns, holds no pass that it has seen held before, and starts its cleanup again when a late hold or arming appears while weights load. Ranks that were armed alike are fenced after their switch.

--- a/src/daemons/direct/estate.ts
+++ b/src/daemons/direct/estate.ts
@@ -44,6 +44,8 @@
   /** The upstream on this VM and its service; sidecars only. */
   readonly upstream:
     {readonly address: string; readonly service: ServiceName} | undefined;
+  /** Whether engines reject orders with older fencing tokens, if known. */
+  readonly enginesCheckTokens?: boolean;
   readonly retryBound: RetryBound;
   readonly stalenessBounds: StalenessBounds;
   /** Time from the termination signal until the process is killed. */
--- a/src/daemons/direct/group_planning.ts
+++ b/src/daemons/direct/group_planning.ts
@@ -7,6 +7,7 @@
 } from '../../expert_groups/index.js';
 import type {
   CutoverCoordinator,
+  ExpertLists,
   RankPlacement,
   RankReport,
 } from '../../expert_groups/index.js';
@@ -99,6 +100,15 @@
     return this.planner?.lacksPlacement(rank, map) ?? false;
   }
 
+  /**
+   * Returns the experts of a map in use.
+   * @param map - number of the map
+   * @returns undefined while they are unknown
+   */
+  expertsOf(map: number): ExpertLists | undefined {
+    return this.planner?.expertsOf(map);
+  }
+
   /**
    * Returns the ranks whose placement on the current map is unknown.
    * @param own - report of the local rank
--- a/src/daemons/direct/map_planner.ts
+++ b/src/daemons/direct/map_planner.ts
@@ -3,11 +3,13 @@
 import {
   PopularityEstimator,
   StagedPlanner,
+  expertLists,
   mapFromLists,
   skewOf,
   engineDefaultMap,
 } from '../../expert_groups/index.js';
 import type {
+  ExpertLists,
   ExpertMap,
   GroupShape,
   RankPlacement,
@@ -115,6 +117,16 @@
     return this.placements.get(rank)?.map !== map;
   }
 
+  /**
+   * Returns the experts of a map in use.
+   * @param map - number of the map
+   * @returns undefined while the placement of a rank on it is unknown
+   */
+  expertsOf(map: number): ExpertLists | undefined {
+    const current = this.currentMap(map);
+    return current && expertLists(current);
+  }
+
   /**
    * Runs the planner once on synthetic demand and discards the plan, as the
    * first plan after a start takes several times as long as later ones.
--- a/src/daemons/direct/map_sidecar.ts
+++ b/src/daemons/direct/map_sidecar.ts
@@ -79,6 +79,7 @@
       links: this.links,
       self: {sidecar: hostPort(ip, this.port), engine: address, pace: 1},
       engineAt: createRankClient,
+      checksTokens: settings.enginesCheckTokens ?? false,
     });
     this.registrations = new KeyedFollower(
       estate.store,
--- a/src/daemons/direct/map_task.ts
+++ b/src/daemons/direct/map_task.ts
@@ -8,6 +8,7 @@
 } from '../../expert_groups/index.js';
 import type {
   CutoverMessage,
+  ExpertLists,
   RankReport,
   IssuedOrder,
 } from '../../expert_groups/index.js';
@@ -38,6 +39,8 @@
 /** Dependencies of a map task. */
 export interface MapTaskPorts extends RankTransportPorts {
   readonly reader: RankReader;
+  /** Whether engines reject orders with older fencing tokens. */
+  readonly checksTokens: boolean;
 }
 
 /**
@@ -357,7 +360,10 @@
       return;
     }
     const {rank, size, group} = own;
-    const coordinator = new CutoverCoordinator(rank, size, claim, now);
+    const lookup = this.ports.checksTokens
+      ? undefined
+      : (map: number) => this.expertsOf(map);
+    const coordinator = new CutoverCoordinator(rank, size, claim, now, lookup);
     if (!this.succession.recordContact(now, coordinator.fencingToken)) return;
     this.coordinator = coordinator;
     this.planning.reset(size);
@@ -371,6 +377,10 @@
     this.logger.info('coordinator', {group, rank, claim});
   }
 
+  private expertsOf(map: number): ExpertLists | undefined {
+    return this.planning.expertsOf(map) ?? this.follower.expertsOf(map);
+  }
+
   /** Returns the default map of the group once the expert layout is known. */
   private initialMap(): NumberedMap | undefined {
     const {lastReport: own} = this.localRank;
--- a/src/daemons/direct/rank_follower.test.ts
+++ b/src/daemons/direct/rank_follower.test.ts
@@ -69,7 +69,7 @@
       () => 0,
       SILENT_LOGGER,
     );
-    return {follower, link};
+    return {follower, link, localRank};
   }
 
   const outcomes = (acks: readonly CutoverMessage[]) =>
@@ -130,4 +130,25 @@
     expect(outcomes(acks).at(-1)).toBe('accepted');
     expect(engine.maps).toEqual([lists(1)]);
   });
+
+  it('knows the map in use while others are prepared and given up', async () => {
+    const {follower, link, localRank} = startFollower(
+      new PreparingEngine(),
+      [],
+    );
+    const prepare = (map: number) =>
+      follower.executeOrder(0, link, {
+        type: 'cutover_order',
+        ...{group: 'g', rank: 1, token: map, epoch: 1},
+        order: {kind: 'prepare', map, experts: lists(map)},
+      });
+    await prepare(7);
+    Object.assign(localRank, {lastReport: testReport(1, {map: 7})});
+    for (const map of [8, 9, 10]) {
+      await prepare(map);
+      expect(follower.expertsOf(7)).toEqual(lists(7));
+      expect(follower.expertsOf(map)).toEqual(lists(map));
+    }
+    expect(follower.expertsOf(8)).toBeUndefined();
+  });
 });
--- a/src/daemons/direct/rank_follower.ts
+++ b/src/daemons/direct/rank_follower.ts
@@ -4,6 +4,7 @@
 import type {
   CutoverMessage,
   CutoverOrder,
+  ExpertLists,
   MapPatch,
   SuccessionTimer,
 } from '../../expert_groups/index.js';
@@ -23,6 +24,8 @@
   /** The map of the last prepare order. */
   private lastPrepared:
     {readonly map: number; readonly experts: number[][][]} | undefined;
+  /** The map in use, once another one has been prepared. */
+  private lastInUse: NumberedMap | undefined;
 
   /**
    * @param engine - engine of the local rank
@@ -112,6 +115,16 @@
     });
   }
 
+  /**
+   * Returns the experts of a map that was ordered through this sidecar: the
+   * last one, or the one in use.
+   * @param map - number of the map
+   */
+  expertsOf(map: number): ExpertLists | undefined {
+    const known = [this.lastPrepared, this.lastInUse];
+    return known.find(one => one?.map === map)?.experts;
+  }
+
   /** Sends an order to the engine, unless its map is unknown. */
   private async applyOrder(now: Millis, message: Order): Promise<OrderEffect> {
     const {order, patch, token, epoch, rank} = message;
@@ -125,6 +138,8 @@
     const before = this.lastPrepared ?? this.initialMap();
     const copies = before ? countCopies(before.experts, experts, rank) : 0;
     this.localRank.expectLoad(now, message, copies * this.copyTime());
+    if (this.lastPrepared?.map === this.localRank.lastReport?.map)
+      this.lastInUse = this.lastPrepared;
     this.lastPrepared = {map, experts};
     const whole: CutoverOrder = {kind: 'prepare', map, experts};
     return this.send(whole, token, epoch);
--- a/src/expert_groups/cutover/cleanup.ts
+++ b/src/expert_groups/cutover/cleanup.ts
@@ -100,10 +100,12 @@
  * Returns the next step towards a group with no hold and no partial arming.
  * @param fenced - reports of the ranks that reject older orders
  * @param missing - all other ranks
+ * @param canDisarm - whether no earlier coordinator can still arm all ranks
  */
 export function nextCleanupStep(
   fenced: FencedReports,
   missing: readonly Rank[],
+  canDisarm = true,
 ): CleanupStep {
   const reports = fenced.all();
   if (new Set(reports.map(r => r.epoch)).size > 1) return {kind: 'look_again'};
@@ -112,6 +114,7 @@
     return {kind: 'wait'};
   const armed = reports.filter(r => r.armed !== null);
   if (armed.length > 0 && !(isComplete && isUniform(reports))) {
+    if (!canDisarm) return {kind: 'wait'};
     // The rank that is armed last is disarmed first: as long as any rank is
     // unarmed, that rank is not armed either.
     const last = armed.filter(r => r.rank === rankOfToken(r.armed ?? 0));
@@ -154,8 +157,9 @@
 /**
  * Returns whether every rank uses, or is armed for, the same map, so that the
  * group may begin its next pass.
+ * @param reports - reports of all ranks
  */
-function isUniform(reports: readonly RankReport[]): boolean {
+export function isUniform(reports: readonly RankReport[]): boolean {
   const armed = new Set(reports.flatMap(r => r.armed ?? []));
   const [target] = armed;
   return (
--- a/src/expert_groups/cutover/coordinator.ts
+++ b/src/expert_groups/cutover/coordinator.ts
@@ -5,15 +5,16 @@
 import {expertLists} from './expert_lists.js';
 import {OrderTracker} from './order_tracker.js';
 import type {OrderFactory} from './order_tracker.js';
-import {FencedReports, OrphanDetector, nextCleanupStep} from './cleanup.js';
-import {RankReports, ranksOf} from './rank_reports.js';
+import {OrphanDetector} from './cleanup.js';
+import {RankReports} from './rank_reports.js';
+import {GroupRecovery} from './recovery.js';
 import {
   ARM_TIMEOUT,
   MAX_REPORT_AGE,
   PREPARE_TIMEOUT,
   RECOVERY_TIMEOUT,
 } from './timing.js';
-import {firstToken, selectHolder, nextToken} from './tokens.js';
+import {claimOfToken, firstToken, selectHolder, nextToken} from './tokens.js';
 import type {CutoverEvent, CutoverOrder, CutoverPhase} from './types.js';
 import type {
   OrderOutcome,
@@ -21,6 +22,7 @@
   RankReport,
   IssuedOrder,
 } from './types.js';
+import type {MapLookup} from './version_fence.js';
 
 /**
  * Two-phase switch of a lock-step group from one expert map to the next.
@@ -40,7 +42,7 @@
   private state: CutoverPhase = 'recovering';
   private readonly reports: RankReports;
   private readonly orders = new OrderTracker();
-  private readonly fenced = new FencedReports();
+  private readonly recovery: GroupRecovery;
   private token: number;
   private mapSwitch: MapSwitch | undefined;
   private readonly orphanDetector = new OrphanDetector();
@@ -52,14 +54,22 @@
    * @param size - number of ranks in the group
    * @param claim - number of this coordinator's claim, above all earlier ones
    * @param now - current time
+   * @param lookup - returns the map in use; given where engines check no tokens
    */
   constructor(
     private readonly self: Rank,
     size: number,
     claim: number,
     now: Millis,
+    private readonly lookup?: MapLookup,
   ) {
     this.reports = new RankReports(size);
+    this.recovery = new GroupRecovery(
+      this.reports,
+      this.events,
+      (at, ranks, order) => this.issue(at, ranks, order),
+      lookup,
+    );
     this.token = firstToken(claim, self);
     this.phaseStartedAt = now;
   }
@@ -91,13 +101,26 @@
    * @param report - report of the rank
    */
   recordReport(now: Millis, report: RankReport): void {
+    if (this.isSuperseded(report)) {
+      this.enterPhase(now, 'resigned');
+      return;
+    }
     if (!this.reports.update(now, report)) return;
     // A restarted group has lost its maps, armings and holds.
-    this.fenced.remove(report.rank);
+    this.recovery.remove(report.rank);
     if (this.state === 'idle' || this.state === 'resigned') return;
     this.cancel(now, 'group restarted');
   }
 
+  /** Returns whether a rank that checks no tokens has a newer claim's map. */
+  private isSuperseded({map, prepared, armed}: RankReport): boolean {
+    const newest = Math.max(map, prepared ?? 0, armed ?? 0);
+    return (
+      this.lookup !== undefined &&
+      claimOfToken(newest) > claimOfToken(this.token)
+    );
+  }
+
   /**
    * Records the outcome of an order.
    * @param now - current time
@@ -120,14 +143,10 @@
     if (outcome === 'not_given') return this.recordSendFailure(given);
     if (outcome === 'unanswered') this.orders.recordTimeout();
     if (outcome === 'unanswered' || outcome === 'replaced') return;
-    // An engine may reject an order by its epoch before checking the token,
-    // and may not check the token of a release that finds no hold.
-    const isFenced =
-      report?.epoch === given.epoch && given.order.kind !== 'release';
-    if (isFenced) this.fenced.add(report);
-    else if (report !== undefined) this.fenced.update(report);
-    this.orders.recordAnswer(given.rank, outcome === 'accepted');
-    if (outcome === 'accepted') return;
+    const isAccepted = outcome === 'accepted';
+    this.recovery.recordAnswer(given, isAccepted, report);
+    this.orders.recordAnswer(given.rank, isAccepted);
+    if (isAccepted) return;
     const {kind} = given.order;
     const isHold = kind === 'hold' && this.state === 'holding';
     // A rank has one hold: it rejects a second one while the first is in place.
@@ -149,6 +168,7 @@
   isReady(now: Millis): boolean {
     return (
       this.state === 'idle' &&
+      !this.recovery.canFenceLater(this.token) &&
       this.reports.isClean() &&
       this.reports.isConverged(now, MAX_REPORT_AGE)
     );
@@ -207,46 +227,18 @@
       this.enterPhase(now, 'resigned');
       return [];
     }
-    const missing = this.reports.ranks().filter(rank => !this.fenced.has(rank));
-    const fences = this.fenceRanks(now, missing);
-    const step = nextCleanupStep(this.fenced, missing);
-    switch (step.kind) {
-      case 'wait':
-        this.events.recordMissing(missing);
-        return fences;
-      case 'look_again':
-        this.fenced.clear();
-        return [];
-      case 'disarm': {
-        const disarms = this.issue(now, ranksOf(step.armed), rank => ({
-          kind: 'disarm',
-          map: step.armed.find(r => r.rank === rank)?.armed ?? 0,
-        }));
-        return [...fences, ...disarms];
-      }
-      case 'release':
-        this.events.recordMissing(missing);
-        return [...fences, ...this.releaseHeld(now, step.held)];
-      case 'clean':
-        this.enterPhase(now, 'idle');
-        return [];
-    }
-  }
-
-  /** Makes ranks reject orders with earlier tokens. */
-  private fenceRanks(now: Millis, ranks: readonly Rank[]): IssuedOrder[] {
-    // Orders need the epoch, which is unknown until the rank has reported.
-    const reported = ranks.filter(rank => this.reports.get(rank) !== undefined);
-    // The order itself has no effect, however late: no map has or gets the
-    // version of a token that is in force while the group is recovered.
-    const order: CutoverOrder = {kind: 'disarm', map: this.token};
-    return this.issue(now, reported, () => order);
+    const {orders, isClean} = this.recovery.next(now, this.token);
+    if (isClean) this.enterPhase(now, 'idle');
+    return orders;
   }
 
   /** Cancels when a hold or an arming is left without a coordinator. */
   private detectOrphans(now: Millis): IssuedOrder[] {
     if (this.orphanDetector.shouldClear(now, this.reports.isClean())) {
       this.cancel(now, 'orphaned hold or arming');
+    } else if (this.recovery.canFenceLater(this.token)) {
+      this.enterPhase(now, 'recovering');
+      this.advanceToken(now);
     }
     return [];
   }
@@ -257,6 +249,10 @@
       this.cancel(now, 'prepare timed out');
       return [];
     }
+    if (this.lookup !== undefined && !this.reports.isClean()) {
+      this.cancel(now, 'late hold or arming');
+      return [];
+    }
     const {map} = mapSwitch;
     const waiting = this.reports
       .ranks()
@@ -327,7 +323,7 @@
     const rest = held.filter(r => r.rank !== holder);
     return [
       ...this.issue(now, [holder], () => ({kind: 'release', step})),
-      ...this.releaseHeld(now, rest),
+      ...this.recovery.releaseHeld(now, rest),
     ];
   }
 
@@ -341,13 +337,6 @@
     return [];
   }
 
-  private releaseHeld(now: Millis, held: readonly RankReport[]): IssuedOrder[] {
-    return this.issue(now, ranksOf(held), rank => ({
-      kind: 'release',
-      step: this.reports.get(rank)?.heldAt ?? 0,
-    }));
-  }
-
   private cancel(now: Millis, detail: string): void {
     this.recordEvent('cancelled', `${this.state}: ${detail}`);
     this.mapSwitch = undefined;
@@ -359,7 +348,7 @@
     const next = nextToken(this.token);
     if (next === undefined) this.enterPhase(now, 'resigned');
     else this.token = next;
-    this.fenced.clear();
+    this.recovery.clear();
   }
 
   private postponeHold(heldAt?: Step): void {
@@ -367,7 +356,10 @@
     if (mapSwitch === undefined) return;
     const latest = Math.max(mapSwitch.step, this.reports.lastStep());
     const margin = this.orders.holdMargin(this.reports.passTime);
-    mapSwitch.step = heldAt ?? latest + margin;
+    // A late release of an earlier hold at the same pass would end this one.
+    const unused =
+      this.lookup === undefined ? 0 : this.reports.lastHeldStep() + 1;
+    mapSwitch.step = heldAt ?? Math.max(latest + margin, unused);
     this.orders.reset(mapSwitch.holder);
   }
 
--- a/src/expert_groups/cutover/index.ts
+++ b/src/expert_groups/cutover/index.ts
@@ -10,3 +10,4 @@
 export {ORDER_RETRY_INTERVAL} from './timing.js';
 export * from './tokens.js';
 export * from './types.js';
+export type {MapLookup} from './version_fence.js';
--- a/src/expert_groups/cutover/rank_reports.ts
+++ b/src/expert_groups/cutover/rank_reports.ts
@@ -15,6 +15,8 @@
   private readonly latest = new Map<Rank, ReceivedReport>();
   private windowStart: {readonly step: Step; readonly at: Millis} | undefined;
   private lastPassTime: Millis | undefined;
+  /** The latest pass that was held in the current epoch. */
+  private lastHeld: Step = 0;
 
   /** @param size - number of ranks in the group */
   constructor(private readonly size: number) {}
@@ -28,7 +30,11 @@
   update(now: Millis, report: RankReport): boolean {
     const before = this.latest.get(report.rank)?.report;
     if (before !== undefined && isOlderReport(report, before)) return false;
-    if (before?.epoch !== report.epoch) this.windowStart = undefined;
+    if (before?.epoch !== report.epoch) {
+      this.windowStart = undefined;
+      this.lastHeld = 0;
+    }
+    this.lastHeld = Math.max(this.lastHeld, report.heldAt ?? 0);
     this.latest.set(report.rank, {report, receivedAt: now});
     this.updatePassTime(now, report.step);
     return (
@@ -60,6 +66,11 @@
     return Math.max(0, ...this.all().map(r => r.step));
   }
 
+  /** Returns the latest pass that any rank has reported to be held. */
+  lastHeldStep(): Step {
+    return this.lastHeld;
+  }
+
   /** Recent duration of a pass; undefined before enough were measured. */
   get passTime(): Millis | undefined {
     return this.lastPassTime;
@@ -74,6 +85,11 @@
     }
   }
 
+  /** Returns whether all ranks have reported. */
+  isComplete(): boolean {
+    return this.latest.size === this.size;
+  }
+
   /** Returns whether no rank is armed or held. */
   isClean(): boolean {
     return this.all().every(r => r.armed === null && r.heldAt === null);
--- a/standins/lockstep_engine.ts
+++ b/standins/lockstep_engine.ts
@@ -1,4 +1,8 @@
-import type {CutoverOrder, OrderOutcome} from '../src/expert_groups/index.js';
+import type {
+  CutoverOrder,
+  ExpertLists,
+  OrderOutcome,
+} from '../src/expert_groups/index.js';
 
 /** Engine of one rank: applies orders when they arrive, however late. */
 export class LockstepEngine {
@@ -9,18 +13,22 @@
   armed: {readonly map: number; readonly step: number} | null = null;
   heldAt: number | null = null;
   /** Experts by set and rank of the map in use; undefined for the first map. */
-  experts: readonly (readonly (readonly number[])[])[] | undefined;
+  experts: ExpertLists | undefined;
   private preparedExperts: typeof this.experts;
   private lastToken = 0;
 
   /**
    * @param copyMs - time to copy the weights of a map, ms
    * @param checksTokens - whether orders with older fencing tokens are rejected
+   * @param initialExperts - experts of the first map, if known
    */
   constructor(
     private readonly copyMs: number,
     private readonly checksTokens = true,
-  ) {}
+    private readonly initialExperts?: ExpertLists,
+  ) {
+    this.experts = initialExperts;
+  }
 
   /**
    * Applies an order.
@@ -46,7 +54,7 @@
         if (order.map <= this.highestPrepared || this.armed) return 'refused';
         this.highestPrepared = this.prepared = order.map;
         this.preparedExperts = order.experts;
-        this.preparedAt = now + this.copyMs;
+        this.preparedAt = now + (this.isInUse(order.experts) ? 0 : this.copyMs);
         return 'accepted';
       case 'arm':
         if (this.armed?.map === order.map) return 'accepted';
@@ -81,10 +89,15 @@
     this.experts = this.preparedExperts;
   }
 
+  /** Returns whether no rank has to copy weights for a map. */
+  private isInUse(experts: ExpertLists): boolean {
+    return JSON.stringify(experts) === JSON.stringify(this.experts);
+  }
+
   /** Resets the engine to the first map when its group forms again. */
   reset(): void {
     this.map = 0;
-    this.experts = undefined;
+    this.experts = this.initialExperts;
     this.prepared = this.armed = this.heldAt = null;
   }
 }
--- a/test/support/lockstep_simulation.ts
+++ b/test/support/lockstep_simulation.ts
@@ -4,9 +4,12 @@
   CutoverCoordinator,
   ORDER_RETRY_INTERVAL,
   engineDefaultMap,
+  expertLists,
   isHoldingPhase,
 } from '../../src/expert_groups/index.js';
 import type {
+  ExpertLists,
+  ExpertMap,
   OrderOutcome,
   RankReport,
   IssuedOrder,
@@ -25,6 +28,7 @@
   slotsPerRank: 3,
   expertSize: 1,
 };
+const INITIAL_EXPERTS = expertLists(engineDefaultMap(SHAPE));
 
 /** Faults to inject while maps are switched. */
 export interface FaultPlan {
@@ -40,6 +44,12 @@
   readonly claims: readonly number[];
   /** Whether engines check fencing tokens; true by default. */
   readonly checksFencing?: boolean;
+  /** From when coordinators know the map in use, ms; from the start by default. */
+  readonly mapKnownFrom?: number;
+  /** Each coordinator ends at the first of these times after its claim, ms. */
+  readonly ends?: readonly number[];
+  /** When no requests run, so that the group begins no pass, ms. */
+  readonly idle?: readonly (readonly [at: number, forMs: number])[];
   /** When a rank and therefore the group restarts, ms. */
   readonly restarts: readonly number[];
   /**
@@ -60,6 +70,8 @@
 
 interface PlacedCoordinator {
   readonly rank: number;
+  /** When its process ends, ms. */
+  readonly endsAt: number;
   readonly coordinator: CutoverCoordinator;
 }
 
@@ -84,6 +96,7 @@
   private wasHeld = false;
   private nextPassAt = PASS_MS;
   private nextProposalAt = 500;
+  private proposals = 0;
   private lastPassAt = 0;
 
   /**
@@ -97,7 +110,12 @@
     this.random = new Chance(seed);
     this.engines = Array.from(
       {length: RANKS},
-      () => new LockstepEngine(COPY_MS, faults.checksFencing !== false),
+      () =>
+        new LockstepEngine(
+          COPY_MS,
+          faults.checksFencing !== false,
+          INITIAL_EXPERTS,
+        ),
     );
     this.claim(0);
   }
@@ -133,8 +151,33 @@
 
   private claim(rank: number): void {
     const claim = this.coordinators.length + 1;
-    const coordinator = new CutoverCoordinator(rank, RANKS, claim, this.now);
-    this.coordinators.push({rank, coordinator});
+    const lookup = (map: number) => this.expertsOf(map);
+    const coordinator = new CutoverCoordinator(
+      rank,
+      RANKS,
+      claim,
+      this.now,
+      this.faults.checksFencing === false ? lookup : undefined,
+    );
+    const endsAt = this.faults.ends?.find(at => at > this.now) ?? Infinity;
+    this.coordinators.push({rank, coordinator, endsAt});
+  }
+
+  /** Returns the experts of a map in use, if coordinators know them. */
+  private expertsOf(map: number): ExpertLists | undefined {
+    if (this.now < (this.faults.mapKnownFrom ?? 0)) return undefined;
+    return this.engines.find(engine => engine.map === map)?.experts;
+  }
+
+  /** Returns a map that differs from the one in use. */
+  private nextMap(): ExpertMap {
+    this.proposals += 1;
+    const map = engineDefaultMap(SHAPE);
+    // Rank 0 has its last slot to spare, and does not hold these experts.
+    const extra = [1, 2, 3, 5, 6, 7];
+    for (const layer of map.layers)
+      layer[2] = extra[this.proposals % extra.length]!;
+    return map;
   }
 
   private runDueEvents(): void {
@@ -146,6 +189,11 @@
   }
 
   private beginPass(): void {
+    const {idle = []} = this.faults;
+    if (idle.some(([at, span]) => this.now >= at && this.now < at + span)) {
+      this.lastPassAt = this.now;
+      return;
+    }
     const next = this.step + 1;
     const isHeld = this.engines.some(e => e.heldAt === next);
     if (isHeld) {
@@ -194,8 +242,8 @@
   }
 
   private tickCoordinators(): void {
-    for (const [index, {coordinator}] of this.coordinators.entries()) {
-      if (this.isPaused(index)) continue;
+    for (const [index, {coordinator, endsAt}] of this.coordinators.entries()) {
+      if (this.now >= endsAt || this.isPaused(index)) continue;
       if (this.now % REPORT_INTERVAL === 0) this.sendReports(coordinator);
       const interval = isHoldingPhase(coordinator.phase)
         ? ORDER_RETRY_INTERVAL
@@ -203,7 +251,7 @@
       if (this.now % interval !== 0) continue;
       if (coordinator.isReady(this.now) && this.now >= this.nextProposalAt) {
         this.nextProposalAt = this.now + 400;
-        coordinator.propose(this.now, engineDefaultMap(SHAPE));
+        coordinator.propose(this.now, this.nextMap());
       }
       this.advance(coordinator);
     }
@@ -225,6 +273,7 @@
     const index = this.coordinators.findIndex(
       ({coordinator: other}) => other === coordinator,
     );
+    if (this.now >= (this.coordinators[index]?.endsAt ?? Infinity)) return;
     if (this.isPaused(index)) {
       this.schedule(5, () =>
         this.deliverOutcome(coordinator, given, outcome, report),
