Release a hold that arrives after its switch was released

A group without requests stood still, and its callers waited until they left.

Cause: while orders are carried out seconds late, a copy of the hold reaches its rank after the release, when an idle group has not begun the held pass yet. The coordinator then waits for the ranks to switch, without a timeout, and never looks at holds again; it goes on sending heartbeats, so nobody succeeds it. The tokens of the hold and the release are the same, so engines that check them accept it too.

Now a coordinator that waits for the switch releases what ranks report as held: all ranks are armed alike by then.

--- a/src/expert_groups/cutover/coordinator.ts
+++ b/src/expert_groups/cutover/coordinator.ts
@@ -329,12 +329,16 @@
 
   private confirmSwitch(now: Millis): IssuedOrder[] {
     const {version} = this.mapSwitch!.map;
-    if (this.reports.all().every(({map}) => map === version)) {
+    const reports = this.reports.all();
+    if (reports.every(({map}) => map === version)) {
       this.recordEvent('switched');
       this.mapSwitch = undefined;
       this.enterPhase(now, 'idle');
+      return [];
     }
-    return [];
+    // A copy of the hold that arrives late, before an idle group's next pass.
+    const held = reports.filter(r => r.heldAt !== null);
+    return this.recovery.releaseHeld(now, held);
   }
 
   private cancel(now: Millis, detail: string): void {
--- a/src/expert_groups/cutover/cutover.test.ts
+++ b/src/expert_groups/cutover/cutover.test.ts
@@ -219,6 +219,24 @@
     },
   );
 
+  it('does not stand still for a hold that arrives late in an idle group', () => {
+    const stalled = seeds.filter(seed => {
+      const simulation = new LockstepSimulation(seed, {
+        ...NO_FAULTS,
+        lateOrders: 0.3,
+        idle: [
+          [3_000, 4_000],
+          [9_000, 5_000],
+          [20_000, 3_000],
+        ],
+      });
+      simulation.run(SIMULATED_MS);
+      expect(simulation.mixedPasses).toBe(0);
+      return simulation.longestStall > 2_000;
+    });
+    expect(stalled).toEqual([]);
+  });
+
   it('leaves no hold behind when a coordinator dies while holding', () => {
     for (const seed of seeds) {
       const simulation = new LockstepSimulation(seed, {
