Fence unarmed ranks by version in one round, under versions of no rank

The first order was one that changes nothing, so that the map which the ranks had prepared was still seen.

The version of a fence also named its coordinator's rank, so the next successor could take it for a switch and release a group whose missing rank is still armed by the coordinator before; test 'does not take a fence for the switch of a coordinator that stands still' (fails with the token as the version). The version now names no rank.

--- a/src/expert_groups/cutover/cleanup.ts
+++ b/src/expert_groups/cutover/cleanup.ts
@@ -31,9 +31,11 @@
   /**
    * Adds the report of a rank that has answered an order with the token.
    * @param report - report read after the answer
+   * @param prepared - map prepared before, if the order prepared another one
    */
-  add(report: RankReport): void {
-    if (!this.initial.has(report.rank)) this.initial.set(report.rank, report);
+  add(report: RankReport, prepared = report.prepared): void {
+    const {rank} = report;
+    if (!this.initial.has(rank)) this.initial.set(rank, {...report, prepared});
     this.latest.set(report.rank, report);
   }
 
--- a/src/expert_groups/cutover/rank_reports.ts
+++ b/src/expert_groups/cutover/rank_reports.ts
@@ -85,11 +85,6 @@
     }
   }
 
-  /** Returns whether all ranks have reported. */
-  isComplete(): boolean {
-    return this.latest.size === this.size;
-  }
-
   /** Returns whether no rank is armed or held. */
   isClean(): boolean {
     return this.all().every(r => r.armed === null && r.heldAt === null);
--- a/src/expert_groups/cutover/recovery.ts
+++ b/src/expert_groups/cutover/recovery.ts
@@ -1,10 +1,11 @@
 import type {Millis} from '../../core/index.js';
-import type {Rank} from '../types.js';
+import type {MapVersion, Rank} from '../types.js';
 import {FencedReports, isUniform, nextCleanupStep} from './cleanup.js';
 import type {EventBuffer} from './event_buffer.js';
 import type {OrderFactory} from './order_tracker.js';
 import {ranksOf} from './rank_reports.js';
 import type {RankReports} from './rank_reports.js';
+import {fenceVersion} from './tokens.js';
 import type {CutoverOrder, IssuedOrder, RankReport} from './types.js';
 import {VersionFence} from './version_fence.js';
 import type {MapLookup} from './version_fence.js';
@@ -32,6 +33,8 @@
 export class GroupRecovery {
   private readonly fenced = new FencedReports();
   private readonly versionFence: VersionFence | undefined;
+  /** What ranks had prepared before they were fenced by a preparation. */
+  private readonly preparedBefore = new Map<Rank, MapVersion | null>();
   /** Whether ranks lack the fence, as they were armed or their map unknown. */
   private isFenceMissing = false;
 
@@ -54,6 +57,7 @@
   clear(): void {
     this.fenced.clear();
     this.versionFence?.clear();
+    this.preparedBefore.clear();
     this.isFenceMissing = false;
   }
 
@@ -63,6 +67,7 @@
    */
   remove(rank: Rank): void {
     this.fenced.remove(rank);
+    this.preparedBefore.delete(rank);
     this.versionFence?.remove(rank);
   }
 
@@ -80,7 +85,8 @@
     // An engine may reject an order by its epoch before checking the token,
     // and may not check the token of a release that finds no hold.
     const isFenced = report?.epoch === epoch && order.kind !== 'release';
-    if (isFenced) this.fenced.add(report);
+    const prepared = this.preparedBefore.get(rank);
+    if (isFenced) this.fenced.add(report, prepared);
     else if (report !== undefined) this.fenced.update(report);
     if (order.kind === 'prepare')
       this.versionFence?.recordAnswer(rank, order.map, isAccepted, report);
@@ -161,10 +167,15 @@
     // The order itself has no effect, however late: no map has or gets the
     // version of a token that is in force while the group is recovered.
     const disarm: CutoverOrder = {kind: 'disarm', map: token};
-    // A preparation hides the one of a switch under way, which a cleanup needs.
-    const isCalm = this.reports.isComplete() && this.reports.isClean();
-    const order = (isCalm && this.fenceOrder(token)) || disarm;
-    return this.issue(now, reported, () => order);
+    const prepare = this.fenceOrder(token);
+    return this.issue(now, reported, rank => {
+      const report = this.reports.get(rank);
+      if (prepare === undefined || report?.armed !== null) return disarm;
+      // The preparation hides that of a switch under way.
+      if (!this.preparedBefore.has(rank))
+        this.preparedBefore.set(rank, report.prepared);
+      return prepare;
+    });
   }
 
   /** Fences by version those unarmed ranks that have answered. */
@@ -172,10 +183,11 @@
     const {versionFence} = this;
     const ranks = this.fenced.all();
     const order = this.fenceOrder(token);
+    const version = fenceVersion(token);
     const unfenced =
       versionFence === undefined
         ? []
-        : ranks.filter(report => !versionFence.has(report, token));
+        : ranks.filter(report => !versionFence.has(report, version));
     // Ranks that are all armed alike switch together first.
     const waiting = isUniform(ranks) ? [] : unfenced;
     this.isFenceMissing =
@@ -191,6 +203,6 @@
   }
 
   private fenceOrder(token: number): CutoverOrder | undefined {
-    return this.versionFence?.order(token, this.reports.all());
+    return this.versionFence?.order(fenceVersion(token), this.reports.all());
   }
 }
--- a/src/expert_groups/cutover/tokens.ts
+++ b/src/expert_groups/cutover/tokens.ts
@@ -43,6 +43,16 @@
   return token % RANKS_PER_ROUND;
 }
 
+/**
+ * Returns the version that fences ranks during a cleanup. It is below the next
+ * token, and names no rank: only a map of a switch tells which rank is armed
+ * last.
+ * @param token - token of the cleanup
+ */
+export function fenceVersion(token: number): number {
+  return token - rankOfToken(token) + RANKS_PER_ROUND - 1;
+}
+
 /**
  * Returns the rank whose engine holds the group for a switch: never the
  * coordinator's local rank if there is another, and rotating among the others.
--- a/src/expert_groups/cutover/version_fence.test.ts
+++ b/src/expert_groups/cutover/version_fence.test.ts
@@ -4,7 +4,14 @@
 import {LockstepSimulation} from '../../../test/support/lockstep_simulation.js';
 import type {FaultPlan} from '../../../test/support/lockstep_simulation.js';
 import {testReport} from '../../../test/support/rank_samples.js';
-import {CutoverCoordinator, firstToken} from './index.js';
+import {
+  CutoverCoordinator,
+  RANKS_PER_ROUND,
+  fenceVersion,
+  firstToken,
+  nextToken,
+  rankOfToken,
+} from './index.js';
 import type {CutoverOrder, IssuedOrder, RankReport} from './index.js';
 import {VersionFence} from './version_fence.js';
 
@@ -127,6 +134,28 @@
     expect(group.report(0).prepared).toBeGreaterThan(group.version);
   });
 
+  it('does not take a fence for the switch of a coordinator that stands still', () => {
+    // Rank 1 coordinates, has fenced the others, and stands still with its
+    // VM while its own rank is still armed by the first coordinator.
+    const fenced = fenceVersion(firstToken(2, 1));
+    const next = new CutoverCoordinator(2, RANKS, 3, 0, () => IN_USE);
+    const others = [0, 2, 3].map(rank =>
+      testReport(rank, {size: RANKS, prepared: fenced, heldAt: HELD}),
+    );
+    for (const report of others) next.recordReport(0, report);
+    const orders: IssuedOrder[] = [];
+    for (let now = 0; now < 600; now += 60) {
+      for (const given of next.tick(now)) {
+        orders.push(given);
+        const report = others.find(({rank}) => rank === given.rank)!;
+        const prepared = fenceVersion(firstToken(3, 2));
+        next.recordOutcome(now, given, 'accepted', {...report, prepared});
+      }
+    }
+    expect(orders.length).toBeGreaterThan(0);
+    expect(orders.filter(({order}) => order.kind === 'release')).toEqual([]);
+  });
+
   it('resigns when a rank has a map of a newer claim', () => {
     const former = new CutoverCoordinator(0, RANKS, 1, 0, () => IN_USE);
     const prepared = firstToken(2, 1);
@@ -185,6 +214,15 @@
   });
 });
 
+describe('fence versions', () => {
+  it('are above their token, below the next one, and name no rank', () => {
+    const token = firstToken(2, 5);
+    expect(fenceVersion(token)).toBeGreaterThan(token);
+    expect(fenceVersion(token)).toBeLessThan(nextToken(token)!);
+    expect(rankOfToken(fenceVersion(token))).toBe(RANKS_PER_ROUND - 1);
+  });
+});
+
 describe('VersionFence', () => {
   const report = (prepared: number | null, armed: number | null = null) =>
     testReport(0, {prepared, armed});
