Cut an answer of which its caller reads nothing

A caller that stayed connected and read nothing kept its ended answer, up to 1 MB, and the requests behind it in the entry for as long as it stayed. Only a drain ended it; the own form cut it 30 s after its end, however it was read.

Both forms now have one mechanism: the connection of an ended answer that takes no byte for a time is reset, logged as `response_cut reason=unread` and counted. Any byte that leaves the process is progress, also of a write that was sent in part, and the time in which the process stood still does not count. A drain keeps its own bound.

--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -49,6 +49,12 @@
 const BODY_RETRY_AFTER: Millis = SECOND / 2;
 /** Rest of a rejected body behind which the next request is read, bytes. */
 const MAX_DISCARDED_BYTES = 64 * 2 ** 10;
+/**
+ * Shortest time after which a caller is cut that takes no byte of its response.
+ * The system reports room for further bytes in steps of up to a third of its send
+ * buffer, 1.4 MB, which a caller that reads 24 KB a second takes in a minute.
+ */
+const MIN_SEND_TIMEOUT: Millis = 60 * SECOND;
 /** Accept queue length; callers retry connections beyond it after a second. */
 const LISTEN_BACKLOG = 1_024;
 
@@ -153,6 +159,7 @@
     this.server.keepAliveTimeout = limits.idleTimeout;
     this.server.headersTimeout = limits.headerTimeout + SECOND;
     this.server.requestTimeout = 0;
+    this.updateSendTimeout();
   }
 
   /**
@@ -168,6 +175,7 @@
   /** Closes connections after the responses that are open on them. */
   closeAfterResponses(): void {
     this.isClosing = true;
+    this.updateSendTimeout();
   }
 
   /** Closes connections without a request or an unsent response. */
@@ -194,6 +202,12 @@
     return this.isClosing && this.connections.isLast(res);
   }
 
+  /** A drain has a bound of its own on slow readers, the grace period. */
+  private updateSendTimeout(): void {
+    const timeout = Math.max(this.limits.idleTimeout, MIN_SEND_TIMEOUT);
+    this.connections.setSendTimeout(this.isClosing ? Infinity : timeout);
+  }
+
   private idOf(req: IncomingMessage): RequestId | undefined {
     return this.dialect.readRequest(headerPairs(req.rawHeaders)).id;
   }
--- a/src/daemons/entry/answer_writer.ts
+++ b/src/daemons/entry/answer_writer.ts
@@ -13,8 +13,6 @@
 import type {AnswerTimer} from './answer_timer.js';
 
 const DEFAULT_RETRY_AFTER: Millis = SECOND;
-/** How long a caller may take to read the rest of a finished answer. */
-const SLOW_READER_TIMEOUT: Millis = 30 * SECOND;
 const HOP_BY_HOP = new Set([
   'connection',
   'keep-alive',
@@ -77,11 +75,6 @@
   /** Ends a complete answer. */
   end(): void {
     this.res.end();
-    const timer = setTimeout(
-      () => abortResponse(this.res),
-      SLOW_READER_TIMEOUT,
-    );
-    this.res.once('close', () => clearTimeout(timer));
   }
 
   /**
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -12,6 +12,8 @@
 import {failBody, hasBody, isReadingBody} from './request_body.js';
 import {abortResponse} from './response_framing.js';
 import {ResponseQueue} from './response_queue.js';
+import {SendStall} from './send_stall.js';
+import {pendingBytes} from './socket_handle.js';
 import type {TurnScheduler} from './turn_scheduler.js';
 import {actionAfterUnreadable} from './unreadable_message.js';
 import type {UnreadableAction} from './unreadable_message.js';
@@ -46,6 +48,7 @@
   private discarded = 0;
   private readonly gate: ReadGate;
   private readonly heads: HeadMeter;
+  private readonly stall = new SendStall();
   /** Memory that the head being read was charged. */
   private headCharge = 0;
   /** Whether the connection was not read for a time since `takePaused`. */
@@ -196,10 +199,21 @@
     if (this.responses.size === 0 && !isUnread) this.socket.destroy();
   }
 
-  /** Charges the head that is being read, whose size shows in no event. */
-  check(): void {
+  /**
+   * Checks what shows in no event: the head that is being read, and an ended
+   * response that its caller does not read.
+   * @param now - current time
+   * @param sendTimeout - time after which a connection that takes no byte of an
+   * ended response is cut
+   */
+  check(now: Millis, sendTimeout: Millis): void {
     if (!this.isClosing) this.chargeHead();
     this.gate.checkBacklog();
+    const isEnded = this.responses.first?.writableEnded === true;
+    const unsent = isEnded ? pendingBytes(this.socket) : 0;
+    if (this.stall.record(now, unsent) < sendTimeout) return;
+    this.recordCut('unread');
+    this.socket.resetAndDestroy();
   }
 
   /**
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -17,6 +17,9 @@
 /** Interval at which connections are checked for what shows in no event. */
 const CONNECTION_CHECK_INTERVAL: Millis = SECOND / 10;
 
+/** Time after which a caller that reads nothing of an ended response is cut. */
+const DEFAULT_SEND_TIMEOUT: Millis = 30 * SECOND;
+
 /** What a server for callers does on behalf of its connections. */
 export interface CallerEvents extends ConnectionEvents {
   /** Returns a complete response that closes its connection. */
@@ -33,6 +36,7 @@
 export class CallerConnections {
   private readonly connections = new Map<Duplex, CallerConnection>();
   private readonly turns = new TurnScheduler();
+  private sendTimeout: Millis = DEFAULT_SEND_TIMEOUT;
   private timer: NodeJS.Timeout | undefined;
   private isSuspended = false;
   private isNewestFirst = false;
@@ -69,6 +73,15 @@
     return count;
   }
 
+  /**
+   * Sets the time after which a connection is cut that takes no byte of a response
+   * that has ended.
+   * @param timeout - the time; Infinity for never
+   */
+  setSendTimeout(timeout: Millis): void {
+    this.sendTimeout = timeout;
+  }
+
   /**
    * Registers a request whose head was read. Its response emits `close` once it
    * has left the process or its caller is gone, also behind other responses.
@@ -176,7 +189,9 @@
 
   /** Checks all connections, for as long as there are any. */
   private check(): void {
-    for (const connection of this.connections.values()) connection.check();
+    const now = this.clock.now();
+    for (const connection of this.connections.values())
+      connection.check(now, this.sendTimeout);
     this.enforceBudget();
     this.memory.resumePaused();
     if (this.connections.size > 0) return;
--- a/src/daemons/shared/connection_events.ts
+++ b/src/daemons/shared/connection_events.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 
-/** Why a response was cut: its caller left, or the process ends. */
-export type CutReason = 'caller_gone' | 'shutdown';
+/** Why a response was cut: its caller left or read nothing, or the process ends. */
+export type CutReason = 'caller_gone' | 'unread' | 'shutdown';
 
 /** A response that was cut before all of it was sent. */
 export interface CutResponse {
