--- a/test/callers_memory.test.ts
+++ b/test/callers_memory.test.ts
@@ -14,6 +14,8 @@
 import {AnswerCounter} from './support/answer_counter.js';
 import {EntryProcess, freePorts} from './support/entry_process.js';
 
+/** Time for which the callers of an estate wait. */
+const CALLER_TIMEOUT_MS = 1_200;
 /** Memory of the smallest VM. */
 const VM_MB = 250;
 /** Time in which what callers send reaches an entry. */
@@ -129,4 +131,18 @@
     expect(answers.byStatus).toEqual({404: 30_000});
     expect(peakMb()).toBeLessThan(VM_MB);
   }, 30_000);
+
+  // It was read after all that one read had brought of the other connection.
+  it('answers a sound caller in time beside 30,000 requests of another', async () => {
+    await startEntry(atOnce);
+    const socket = connectCaller(pipeline(30_000, rejectedRequest));
+    const answers = new AnswerCounter(socket);
+    const durations: number[] = [];
+    while (answers.count < 30_000) {
+      const {status, ms} = await estate.callAt(entry.callers, '/sheet/1');
+      expect(status).toBe(200);
+      durations.push(ms);
+    }
+    expect(Math.max(...durations)).toBeLessThan(CALLER_TIMEOUT_MS);
+  }, 30_000);
 });
