--- /dev/null
+++ b/src/daemons/shared/socket_handle.ts
@@ -0,0 +1,31 @@
+import type {Socket} from 'node:net';
+
+/** Node's handle of a connection, for states that no event or property tells. */
+interface Handle {
+  /** Bytes of writes that were begun, without those that were sent. */
+  readonly writeQueueSize?: number;
+  getpeername?(out: object): number;
+}
+
+/**
+ * Returns a number that changes whenever bytes leave the process for a connection,
+ * also of a write that was sent in part, and is 0 once all have left.
+ * @param socket - the connection
+ */
+export function pendingBytes(socket: Socket): number {
+  return socket.writableLength + (handleOf(socket)?.writeQueueSize ?? 0);
+}
+
+/**
+ * Returns whether the peer has reset a connection. While a connection is neither
+ * read nor written to, no event tells it.
+ * @param socket - the connection
+ */
+export function isResetByPeer(socket: Socket): boolean {
+  const code = handleOf(socket)?.getpeername?.({});
+  return code !== undefined && code !== 0;
+}
+
+function handleOf(socket: Socket): Handle | null | undefined {
+  return (socket as {_handle?: Handle | null})._handle;
+}
