Say again, and on /status, that a port is not bound

An entry or sidecar whose address is wrong, or whose port another socket keeps, logged one line and then hung unready without a word (FAULT: the system does not start); /status of an entry named no reason.

A failed bind is logged again each 10 s, at once if its error changes, with the number of the attempt. /status of an entry says notReady: ports_not_bound until its ports for callers and readiness are bound.

--- a/src/daemons/direct/bind_when_free.test.ts
+++ b/src/daemons/direct/bind_when_free.test.ts
@@ -6,7 +6,7 @@
 
 import {acceptLinks} from '../../links/index.js';
 import {SILENT_LOGGER} from '../../observability/index.js';
-import {bindWhenFree} from './bind_when_free.js';
+import {bindWhenFree, isFailedBindLogged} from './bind_when_free.js';
 
 // A sidecar whose port was taken as it started ended with code 1 (FAULT).
 it('binds the links of a sidecar once their port is free', async () => {
@@ -49,6 +49,23 @@
   },
 );
 
+// A process with a wrong address logged one line, and was never ready (FAULT).
+it('logs a port that stays unbound again, and another error at once', () => {
+  const logged = Array.from({length: 200}, (_, i) => i + 1).filter(attempt =>
+    isFailedBindLogged({
+      attempt,
+      code: attempt < 120 ? 'EADDRINUSE' : 'EADDRNOTAVAIL',
+      codeBefore:
+        attempt === 1
+          ? undefined
+          : attempt <= 120
+            ? 'EADDRINUSE'
+            : 'EADDRNOTAVAIL',
+    }),
+  );
+  expect(logged).toEqual([1, 50, 100, 120, 150, 200]);
+});
+
 it('reports other errors at once', async () => {
   const bind = () =>
     Promise.reject(Object.assign(new Error('denied'), {code: 'EACCES'}));
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -261,12 +261,8 @@
   private markLeaving(upstream: Upstream): void {
     if (!this.estate.upstreams.markLeaving(this.clock.now(), upstream)) return;
     const {id, address} = upstream.registration;
-    this.logger.info('upstream', {
-      upstream: id,
-      change: 'left',
-      source: 'answer',
-      address,
-    });
+    const fields = {upstream: id, change: 'left', source: 'answer', address};
+    this.logger.info('upstream', fields);
   }
 
   private recordBackoff(
@@ -376,7 +372,9 @@
   }
 
   private notReady(): string | undefined {
-    return this.shutdown.isDraining ? 'draining' : this.estate.notReadyReason;
+    if (this.shutdown.isDraining) return 'draining';
+    const isBound = this.timer !== undefined;
+    return isBound ? this.estate.notReadyReason : 'ports_not_bound';
   }
 
   private status(): object {
--- a/test/process_ends.test.ts
+++ b/test/process_ends.test.ts
@@ -172,6 +172,25 @@
   rmSync(folder, {recursive: true});
 });
 
+// A process that could not bind its port logged one line and was never ready (FAULT).
+it('an entry whose port is taken says so on its page for operators', async () => {
+  const ports = await freePorts();
+  const holder = createServer().listen(ports.callers, '127.0.0.1');
+  await once(holder, 'listening');
+  const entry = new EntryProcess(estate.addressOfStore, ports);
+  processes.push(entry);
+  await expect.poll(() => entry.hasLogged('port_taken'), STARTED).toBe(true);
+  const readStatus = async () => {
+    const res = await fetch(`http://127.0.0.1:${ports.operators}/status`);
+    return ((await res.json()) as {notReady?: string}).notReady;
+  };
+  await expect
+    .poll(() => readStatus().catch(() => undefined), STARTED)
+    .toBe('ports_not_bound');
+  holder.close();
+  await expect.poll(readStatus, STARTED).not.toBe('ports_not_bound');
+});
+
 describe('a settings file', () => {
   async function startEntry(): Promise<EntryProcess> {
     const entry = new EntryProcess(estate.addressOfStore, await freePorts());
