End an entry before it is killed when nothing reads its log

An entry that used up its grace period could be killed amid its end, without exit code 0 and without its last line.

Cause: of the 300 ms kept for the end, the last check of the drain took up to 100, the flush 100, and a log that nobody read 200.

The drain's last check comes at its end, and the last line waits 100 ms.

--- a/src/daemons/direct/shutdown.test.ts
+++ b/src/daemons/direct/shutdown.test.ts
@@ -1,6 +1,10 @@
-import {expect, it} from 'vitest';
+import {Writable} from 'node:stream';
 
+import {expect, it, vi} from 'vitest';
+
+import {Clock} from '../../core/index.js';
 import {
+  BoundedWriter,
   Containment,
   Metrics,
   ProcessEnd,
@@ -14,6 +18,22 @@
 /** Shorter than the time that a shutdown keeps before the end of the process. */
 const NO_GRACE = 100;
 
+/** Clock of the timers that a test moves. */
+class FakeClock extends Clock {
+  now(): number {
+    return Date.now();
+  }
+
+  wall(): number {
+    return Date.now();
+  }
+}
+
+/** Output that takes no line. */
+class BlockedOutput extends Writable {
+  override _write(): void {}
+}
+
 class FakeFront {
   openRequests = 2;
   readonly calls: string[] = [];
@@ -57,6 +77,36 @@
   expect(front.calls.at(-1)).toBe('cutOpen');
 });
 
+// With a log that nobody read the process was killed before its last line.
+it('leaves the process time to end before it is killed', async () => {
+  vi.useFakeTimers();
+  const clock = new FakeClock();
+  const front = new FakeFront();
+  const shutdown = new Shutdown(
+    front as unknown as FrontServer,
+    clock,
+    SILENT_LOGGER,
+    new Containment(SILENT_LOGGER, new Metrics()),
+  );
+  const grace = 1_050;
+  const startedAt = clock.now();
+  let endedAt = Infinity;
+  const ending = new ProcessEnd({
+    clock,
+    writeLast: line =>
+      new BoundedWriter(new BlockedOutput(), clock).writeLast(line),
+    openRequests: () => 0,
+    exit: () => (endedAt = clock.now()),
+  });
+  const draining = shutdown
+    .drain(grace, new Set())
+    .then(() => ending.end('drained', 0));
+  await vi.advanceTimersByTimeAsync(2 * grace);
+  vi.useRealTimers();
+  await draining;
+  expect(endedAt - startedAt).toBeLessThan(grace);
+});
+
 // A drain that failed left the process running until it was killed.
 it('ends the process when its drain fails, and drains it once', async () => {
   const ends: string[] = [];
--- a/src/daemons/direct/shutdown.ts
+++ b/src/daemons/direct/shutdown.ts
@@ -91,7 +91,8 @@
         this.front.openRequests === 0 && now - startedAt >= MIN_DRAIN_TIME;
       if (isDrained) return;
       if (now >= end) break;
-      await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL));
+      const delay = Math.min(CHECK_INTERVAL, end - now);
+      await new Promise(resolve => setTimeout(resolve, delay));
       // After a hold-up timers come before reads: what waits is read first.
       await new Promise(resolve => setImmediate(resolve));
     }
--- a/src/observability/bounded_writer.ts
+++ b/src/observability/bounded_writer.ts
@@ -10,7 +10,7 @@
 /** Lines of priority that a process may write in a burst, and per second after it. */
 const PRIORITY_LINES = {burst: 20, perSecond: 1};
 /** Time that the last line of a process may take to leave it. */
-const FLUSH_TIMEOUT: Millis = 200;
+const FLUSH_TIMEOUT: Millis = 100;
 
 /** Token bucket for lines. */
 class LineBucket {
