Log that a second termination signal has no effect

Whoever sent a second SIGINT to a program of the users' platform saw nothing happen, and no line told why. It has no effect on purpose: a stop would cut responses that have their time, a second drain accept requests that have none. termination_signal has its effect now, drain or none.

Evidence: the test asks for both lines; the effect is missing on the code before.

--- a/src/daemons/direct/shutdown.test.ts
+++ b/src/daemons/direct/shutdown.test.ts
@@ -10,6 +10,7 @@
   ProcessEnd,
   SILENT_LOGGER,
   SystemClock,
+  createLogger,
 } from '../../observability/index.js';
 import type {FrontServer} from './front_server.js';
 import {Shutdown} from './shutdown.js';
@@ -119,7 +120,9 @@
     openRequests: () => 0,
     exit: code => ends.push(`exit ${code}`),
   });
-  const termination = new Termination(ending, SILENT_LOGGER);
+  const lines: string[] = [];
+  const logger = createLogger('info', line => lines.push(line));
+  const termination = new Termination(ending, logger);
   let drains = 0;
   const daemon = {
     drain: () => {
@@ -128,8 +131,12 @@
     },
   };
   const first = termination.onSignal('SIGTERM', daemon);
-  await termination.onSignal('SIGTERM', daemon);
+  await termination.onSignal('SIGINT', daemon);
   await first;
   expect(drains).toBe(1);
   expect(ends).toEqual(['drain_failed', 'exit 1']);
+  expect(lines.map(line => /event=.*/.exec(line)?.[0])).toEqual([
+    'event=termination_signal signal=SIGTERM n=1 effect=drain',
+    'event=termination_signal signal=SIGINT n=2 effect=none',
+  ]);
 });
--- a/src/daemons/direct/termination.ts
+++ b/src/daemons/direct/termination.ts
@@ -26,7 +26,8 @@
 
   /**
    * Handles a termination signal. Only the first has an effect: a second drain
-   * would accept requests for longer than the grace period lasts.
+   * would accept requests for longer than the grace period lasts, and a stop would
+   * cut responses that have their time.
    * @param signal - its name
    * @param daemon - the daemon; undefined before it exists
    */
@@ -35,8 +36,10 @@
     daemon: DrainableDaemon | undefined,
   ): Promise<void> {
     this.signals += 1;
-    this.logger.info('termination_signal', {signal, n: this.signals});
-    if (this.signals > 1) return;
+    const {signals: n} = this;
+    const effect = n === 1 ? 'drain' : 'none';
+    this.logger.info('termination_signal', {signal, n, effect});
+    if (n > 1) return;
     try {
       await daemon?.drain();
     } catch (thrown) {
