--- a/test/process_ends.test.ts
+++ b/test/process_ends.test.ts
@@ -163,7 +163,7 @@
   let text = '';
   child.stdout.on('data', data => (text += String(data)));
   await expect.poll(() => text, STARTED).toContain('event=ready');
-  expect(text).toContain('event=port_taken');
+  await expect.poll(() => text, STARTED).toContain('event=port_taken');
   holder.close();
   await expect.poll(() => text, STARTED).toContain('event=port_bound');
   const exit = once(child, 'exit');
