--- a/src/daemons/direct/shutdown.test.ts
+++ b/src/daemons/direct/shutdown.test.ts
@@ -1,11 +1,16 @@
-import {expect, it} from 'vitest';
+import {Writable} from 'node:stream';
 
+import {expect, it, vi} from 'vitest';
+
+import {Clock} from '../../core/index.js';
 import {
+  BoundedWriter,
   Containment,
   Metrics,
   ProcessEnd,
   SILENT_LOGGER,
   SystemClock,
+  createLogger,
 } from '../../observability/index.js';
 import type {FrontServer} from './front_server.js';
 import {Shutdown} from './shutdown.js';
@@ -14,6 +19,22 @@
 /** Shorter than the time that a shutdown keeps before the end of the process. */
 const NO_GRACE = 100;
 
+/** Clock of the timers that a test moves. */
+class FakeClock extends Clock {
+  now(): number {
+    return Date.now();
+  }
+
+  wall(): number {
+    return Date.now();
+  }
+}
+
+/** Output that takes no line. */
+class BlockedOutput extends Writable {
+  override _write(): void {}
+}
+
 class FakeFront {
   openRequests = 2;
   readonly calls: string[] = [];
@@ -57,6 +78,36 @@
   expect(front.calls.at(-1)).toBe('cutOpen');
 });
 
+// With a log that nobody read the process was killed before its last line.
+it('leaves the process time to end before it is killed', async () => {
+  vi.useFakeTimers();
+  const clock = new FakeClock();
+  const front = new FakeFront();
+  const shutdown = new Shutdown(
+    front as unknown as FrontServer,
+    clock,
+    SILENT_LOGGER,
+    new Containment(SILENT_LOGGER, new Metrics()),
+  );
+  const grace = 1_050;
+  const startedAt = clock.now();
+  let endedAt = Infinity;
+  const ending = new ProcessEnd({
+    clock,
+    writeLast: line =>
+      new BoundedWriter(new BlockedOutput(), clock).writeLast(line),
+    openRequests: () => 0,
+    exit: () => (endedAt = clock.now()),
+  });
+  const draining = shutdown
+    .drain(grace, new Set())
+    .then(() => ending.end('drained', 0));
+  await vi.advanceTimersByTimeAsync(2 * grace);
+  vi.useRealTimers();
+  await draining;
+  expect(endedAt - startedAt).toBeLessThan(grace);
+});
+
 // A drain that failed left the process running until it was killed.
 it('ends the process when its drain fails, and drains it once', async () => {
   const ends: string[] = [];
@@ -69,7 +120,9 @@
     openRequests: () => 0,
     exit: code => ends.push(`exit ${code}`),
   });
-  const termination = new Termination(ending, SILENT_LOGGER);
+  const lines: string[] = [];
+  const logger = createLogger('info', line => lines.push(line));
+  const termination = new Termination(ending, logger);
   let drains = 0;
   const daemon = {
     drain: () => {
@@ -78,8 +131,12 @@
     },
   };
   const first = termination.onSignal('SIGTERM', daemon);
-  await termination.onSignal('SIGTERM', daemon);
+  await termination.onSignal('SIGINT', daemon);
   await first;
   expect(drains).toBe(1);
   expect(ends).toEqual(['drain_failed', 'exit 1']);
+  expect(lines.map(line => /event=.*/.exec(line)?.[0])).toEqual([
+    'event=termination_signal signal=SIGTERM n=1 effect=drain',
+    'event=termination_signal signal=SIGINT n=2 effect=none',
+  ]);
 });
