Count requests that are read after a hold-up from before it

Upstreams were told more time than callers had left (BUDGET) by an entry that had been held up, such as by SIGSTOP: a request that had waited in the system's buffers counted as arrived when its head was read.

The process now records the passes of its event loop each 50 ms. Of shorter passes nothing is taken off. Each hold-up has a line, event=held_up, and read_ms includes it.

What it costs: a request that arrives right after a hold-up has up to its length and 250 ms less; with hold-ups as long as the caller's limit it is refused (503).

--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -21,6 +21,7 @@
 import type {ErrorName} from '../../errors/index.js';
 import {Containment} from '../../observability/index.js';
 import type {Fields, Logger, Metrics} from '../../observability/index.js';
+import {HoldUpMonitor} from '../shared/hold_up_monitor.js';
 import {OperatorServer} from '../shared/operator_server.js';
 import {BufferBudget} from './buffer_budget.js';
 import type {DirectContext} from './context.js';
@@ -42,7 +43,8 @@
 import {ResponseWriter} from './response_writer.js';
 import {RetryAccounting} from './retry_accounting.js';
 import {Shutdown} from './shutdown.js';
-import {UpstreamConnections} from './upstream_connections.js';
+import {ConnectionPools} from './upstream_connections.js';
+import type {UpstreamConnections} from './upstream_connections.js';
 
 /** Entry that sends requests directly to the upstreams. */
 export class DirectEntry implements DirectContext {
@@ -59,8 +61,8 @@
   private readonly estate: EstateTracker;
   readonly front: FrontServer;
   private readonly shutdown: Shutdown;
-  private readonly reusableConnections: UpstreamConnections;
-  private readonly singleUseConnections: UpstreamConnections;
+  private readonly connections: ConnectionPools;
+  private readonly holdUps: HoldUpMonitor;
   readonly operators: OperatorServer;
   readonly readiness: OperatorServer;
   private readonly logger: Logger;
@@ -98,10 +100,8 @@
       logger,
       metrics,
     );
-    this.reusableConnections = new UpstreamConnections(clock);
-    this.singleUseConnections = new UpstreamConnections(clock, {
-      keepAlive: false,
-    });
+    this.connections = new ConnectionPools(clock);
+    this.holdUps = new HoldUpMonitor(clock, logger);
     this.dispatcher = new Dispatcher(
       {
         upstreamsOf: service => this.estate.upstreams.forService(service),
@@ -130,6 +130,7 @@
       this.containment,
       {
         decideOnHead: (req, metadata) => this.decideOnHead(req, metadata),
+        earliestArrival: now => this.holdUps.earliestArrival(now),
         serve: request => this.serve(request),
       },
     );
@@ -162,6 +163,7 @@
   /** Starts listening and following the store. */
   async start(): Promise<void> {
     this.estate.start();
+    this.holdUps.start();
     await bindEntryPorts(this.settings, this, this.containment, this.logger);
     this.retries.startServing(this.clock.now());
     this.timer = setInterval(
@@ -197,6 +199,7 @@
     this.quarantine.stop();
     void this.peers.close();
     clearInterval(this.timer);
+    this.holdUps.stop();
     this.logger.info('stopped', {open: this.front.openRequests});
     await Promise.resolve();
   }
@@ -205,12 +208,8 @@
     return this.front.closesAfter(res);
   }
 
-  connectionsFor({repeat}: Route): UpstreamConnections {
-    // A request that crosses the close of a reused connection is lost, and must
-    // not be retried if it runs at most once.
-    return repeat === 'at_most_once'
-      ? this.singleUseConnections
-      : this.reusableConnections;
+  connectionsFor(route: Route): UpstreamConnections {
+    return this.connections.for(route);
   }
 
   applyResponseMetadata(
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -72,6 +72,8 @@
     req: IncomingMessage,
     metadata: RequestMetadata,
   ): Result<unknown, HeadRejection>;
+  /** Returns since when a request may have waited whose head is read now. */
+  earliestArrival(now: Millis): Millis;
   /** Called with each request that was read completely. */
   serve(request: BufferedRequest): void;
 }
@@ -200,7 +202,8 @@
 
   private accept(req: IncomingMessage, res: ServerResponse): void {
     if (!this.connections.accept(req, res)) return;
-    const arrivedAt = this.connections.earliestArrival(req, this.clock.now());
+    const now = this.receiver.earliestArrival(this.clock.now());
+    const arrivedAt = this.connections.earliestArrival(req, now);
     this.connections.beginInTurn(req, res, isTurn => {
       if (isTurn) void this.handleContained(req, res, arrivedAt);
       else this.recordUnserved(req, arrivedAt);
--- a/src/daemons/direct/upstream_connections.ts
+++ b/src/daemons/direct/upstream_connections.ts
@@ -11,7 +11,7 @@
 
 import type {Clock, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
-import type {HeaderLines} from '../../direct/index.js';
+import type {HeaderLines, Route} from '../../direct/index.js';
 
 /**
  * Maximum idle time of a reused connection. Upstreams close idle connections
@@ -140,3 +140,25 @@
     super.reuseSocket(socket, req);
   }
 }
+
+/** Connection pools of an entry. */
+export class ConnectionPools {
+  private readonly reusable: UpstreamConnections;
+  private readonly singleUse: UpstreamConnections;
+
+  /** @param clock - measures idle times */
+  constructor(clock: Clock) {
+    this.reusable = new UpstreamConnections(clock);
+    this.singleUse = new UpstreamConnections(clock, {keepAlive: false});
+  }
+
+  /**
+   * Returns the pool for requests of a route.
+   * @param route - the route
+   */
+  for({repeat}: Route): UpstreamConnections {
+    // A request that crosses the close of a reused connection is lost, and must
+    // not be retried if it runs at most once.
+    return repeat === 'at_most_once' ? this.singleUse : this.reusable;
+  }
+}
