Count since_first_ms from the moment the first attempt is written

test/attempt_lines.test.ts failed at load 20: left_ms plus since_first_ms of a repeated attempt was 7 ms more than the first had handed on (at most 2), as the time left is that of the connect since, and since_first_ms began before it. It begins at the first connect now; the test passes.

--- a/src/daemons/direct/attempt_sequence.ts
+++ b/src/daemons/direct/attempt_sequence.ts
@@ -20,7 +20,7 @@
   readonly charge: AttemptCharge;
   /** Time that is handed on to the upstream. */
   readonly timeLeft: Millis;
-  /** Time from the begin of the first attempt until it was connected. */
+  /** Time since the first attempt that was connected. */
   readonly sinceFirst: Millis;
   /** How the attempt before ended; undefined for the first. */
   readonly after: string | undefined;
@@ -98,7 +98,6 @@
     this.upstream = incarnation;
     this.triedIncarnations.add(incarnation);
     this.queuedFor += now - this.queuedAt;
-    this.firstAt ??= now;
     this.begunAt = now;
     this.lastConnectTime = undefined;
     const tries = (this.begun?.tries ?? 0) + 1;
@@ -108,7 +107,7 @@
       number: this.sendCount + 1,
       charge: this.sendCount > 0 ? 'retry_budget' : unsent,
       timeLeft,
-      sinceFirst: now - this.firstAt,
+      sinceFirst: now - (this.firstAt ?? now),
       after: this.lastFailure,
     };
   }
@@ -126,7 +125,8 @@
     const timeLeft = begun.timeLeft - connectTime;
     if (connectTime > CONNECT_TIMEOUT || timeLeft <= 0) return undefined;
     this.lastConnectTime = connectTime;
-    const sinceFirst = begun.sinceFirst + connectTime;
+    this.firstAt ??= now;
+    const sinceFirst = now - this.firstAt;
     this.begun = {...begun, timeLeft, sinceFirst};
     this.firstTimeLeft ??= timeLeft;
     return this.begun;
