Count a retry that was given up until its upstream has read it

Upstreams got more retries in a window than the bound allows (BUDGET) when they stood still for longer than 10 s: a retry that was given up counted as read 10 s later and left the window 10 s after that, while its bytes were read as late as the upstream woke, beside the retries that had taken its place.

Such a retry now counts until its upstream answers a request that was sent later, which it cannot before it runs again, or until it has been silent for 30 s, when the retry is taken to be lost. At upstreams that answer, it leaves the window earlier than before.

--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -218,6 +218,7 @@
     metadata: ResponseMetadata,
   ): void {
     const {isLeaving, backOff, limit} = metadata;
+    this.retries.recordResponse(this.clock.now(), upstream, sentAt);
     if (limit !== undefined || metadata.isSealed || metadata.isNotRun) {
       this.limits.applyResponse(upstream.incarnation, sentAt, limit);
     }
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -366,7 +366,7 @@
     this.attempts.recordGivenUp(this.attempt?.mayHaveBeenSent === true);
     const {clock, retries} = this.context;
     this.attempt?.cancel();
-    retries.abandon(clock.now(), this.request);
+    retries.abandon(clock.now(), this.request, this.account.upstream);
     this.recordOutcome('neutral');
   }
 
--- a/src/daemons/direct/retry_accounting.ts
+++ b/src/daemons/direct/retry_accounting.ts
@@ -5,6 +5,7 @@
   KnownEntries,
   RetryBound,
   RetryBudgetState,
+  Upstream,
 } from '../../direct/index.js';
 import type {Logger, Metrics} from '../../observability/index.js';
 import type {AdmittedRequest} from './admitted_request.js';
@@ -112,9 +113,22 @@
    * Records that the open attempt of a request was given up.
    * @param now - current time
    * @param request - the request
+   * @param upstream - the upstream
    */
-  abandon(now: Millis, request: AdmittedRequest): void {
-    this.budget.abandon(now, request.service, request);
+  abandon(now: Millis, request: AdmittedRequest, upstream: Upstream): void {
+    const {incarnation} = upstream;
+    this.budget.abandon(now, request.service, request, incarnation);
+  }
+
+  /**
+   * Records a response of an upstream.
+   * @param now - current time
+   * @param upstream - the upstream
+   * @param sentAt - time at which its request was sent
+   */
+  recordResponse(now: Millis, upstream: Upstream, sentAt: Millis): void {
+    const {incarnation, registration} = upstream;
+    this.budget.recordResponse(now, registration.service, incarnation, sentAt);
   }
 
   private logChange({phase, entryCount, share}: RetryBudgetState): void {
--- a/src/direct/shared_retry_budget.test.ts
+++ b/src/direct/shared_retry_budget.test.ts
@@ -72,10 +72,27 @@
     budget.settle(62_000, ASSISTANT, request);
     expect(spend(budget, 70_999)).toBe(false);
     expect(budget.trySpend(71_001, ASSISTANT, request)).toBe(true);
-    budget.abandon(72_000, ASSISTANT, request);
+    budget.abandon(72_000, ASSISTANT, request, 'i-1');
     budget.settle(72_000, ASSISTANT, request);
-    expect(spend(budget, 91_999)).toBe(false);
-    expect(spend(budget, 92_001)).toBe(true);
+    expect(spend(budget, 111_999)).toBe(false);
+    expect(spend(budget, 112_001)).toBe(true);
+  });
+
+  it('counts a retry that was given up until its upstream has read it', () => {
+    const one = {count: 1, readAt: Infinity};
+    const least = {...bound, slack: 1.2, ratio: 0};
+    const budget = new SharedRetryBudget(least, () => one);
+    budget.startServing(0);
+    budget.join(0, 'restarted');
+    const request = {};
+    expect(budget.trySpend(30_000, ASSISTANT, request)).toBe(true);
+    budget.abandon(31_000, ASSISTANT, request, 'i-1');
+    budget.recordResponse(32_000, ASSISTANT, 'i-1', 30_500);
+    budget.recordResponse(32_000, ASSISTANT, 'i-2', 31_500);
+    expect(spend(budget, 53_001)).toBe(false);
+    budget.recordResponse(54_000, ASSISTANT, 'i-1', 53_500);
+    expect(spend(budget, 64_999)).toBe(false);
+    expect(spend(budget, 65_001)).toBe(true);
   });
 
   it('allows for as many entries again while it cannot read of them', () => {
--- a/src/direct/shared_retry_budget.ts
+++ b/src/direct/shared_retry_budget.ts
@@ -13,8 +13,10 @@
 const DELIVERY_TIME: Millis = SECOND;
 /** Time after which all entries that read the directory know of a new one. */
 const LEARNING_TIME: Millis = INTERNAL_TIMING.bound;
-/** Time in which an upstream that stands still reads what was sent to it. */
+/** Time in which an upstream that stands still reads what an ended process sent. */
 const UNREAD_TIME: Millis = 10 * SECOND;
+/** Time after which a retry that a silent upstream may read is taken to be lost. */
+const LOST_TIME: Millis = 30 * SECOND;
 /** Assumed growth of an estate whose entries cannot be read. */
 const UNREAD_GROWTH = 2;
 
@@ -64,14 +66,20 @@
   readonly age: Millis | undefined;
 }
 
+/** A retry that was given up and may still arrive. */
+interface AbandonedRetry {
+  readonly upstream: string;
+  readonly abandonedAt: Millis;
+  arrivesUntil: Millis;
+}
+
 interface ServiceWindow {
   readonly requests: RequestSpans;
   /** Retries that may still arrive at their upstream. */
   readonly openRetries: Set<object>;
   /** Times at which the others were known to have arrived or failed. */
   readonly settledRetries: Millis[];
-  /** Times at which attempts were given up that may still arrive. */
-  readonly abandonedRetries: Millis[];
+  abandonedRetries: AbandonedRetry[];
 }
 
 /**
@@ -168,11 +176,38 @@
    * @param now - current time
    * @param service - the service
    * @param request - the request
+   * @param upstream - incarnation of the upstream
    */
-  abandon(now: Millis, service: ServiceName, request: object): void {
+  abandon(
+    now: Millis,
+    service: ServiceName,
+    request: object,
+    upstream: string,
+  ): void {
     const counted = this.windows.get(service);
-    if (counted?.openRetries.delete(request)) {
-      counted.abandonedRetries.push(now);
+    if (!counted?.openRetries.delete(request)) return;
+    const arrivesUntil = now + LOST_TIME;
+    counted.abandonedRetries.push({upstream, abandonedAt: now, arrivesUntil});
+  }
+
+  /**
+   * Records a response of an upstream: it has read what was given up before the
+   * request was sent.
+   * @param now - current time
+   * @param service - its service
+   * @param upstream - its incarnation
+   * @param sentAt - time at which the request was sent
+   */
+  recordResponse(
+    now: Millis,
+    service: ServiceName,
+    upstream: string,
+    sentAt: Millis,
+  ): void {
+    const abandoned = this.windows.get(service)?.abandonedRetries ?? [];
+    for (const one of abandoned) {
+      if (one.upstream !== upstream || one.abandonedAt > sentAt) continue;
+      one.arrivesUntil = Math.min(one.arrivesUntil, now + DELIVERY_TIME);
     }
   }
 
@@ -244,7 +279,9 @@
     }
     const from = now - this.bound.window;
     dropBefore(counted.settledRetries, from);
-    dropBefore(counted.abandonedRetries, from - UNREAD_TIME);
+    counted.abandonedRetries = counted.abandonedRetries.filter(
+      ({arrivesUntil}) => arrivesUntil >= from,
+    );
     return counted;
   }
 }
--- a/src/direct/shared_retry_budget_estate.test.ts
+++ b/src/direct/shared_retry_budget_estate.test.ts
@@ -162,6 +162,25 @@
     },
   );
 
+  // Upstreams got up to 1.7 times the retries that are allowed in a window (BUDGET).
+  it.each([
+    [15, 1],
+    [15, 0.5],
+    [15, 0.2],
+    [30, 1],
+  ])(
+    'stay within the bound when upstreams stand still once for %i s with %d of the retries',
+    (seconds, unreadPart) => {
+      const wakesAt = WARM_UP + seconds * SECOND;
+      const {load} = largestLoad({
+        ...{rate: 40, unreadPart},
+        suspendedUntil: now =>
+          now >= WARM_UP && now < wakesAt ? wakesAt : undefined,
+      });
+      expect(load).toBeLessThanOrEqual(1);
+    },
+  );
+
   // Upstreams got up to 1.2 times the retries that are allowed in a window (BUDGET).
   it.each([6, 8, 10])(
     'stay within the bound when entries are killed of whose retries half wait %s s at suspended upstreams',
--- a/test/support/retry_budget_simulation.ts
+++ b/test/support/retry_budget_simulation.ts
@@ -5,6 +5,9 @@
 
 const SERVICE = serviceName('app');
 const TICK: Millis = 20;
+/** Upstream that is suspended at times, and another one. */
+const SUSPENDED = 'i-1';
+const OTHER = 'i-2';
 /** Time in which the estate starts, and in which nothing fails. */
 export const WARM_UP: Millis = 40 * SECOND;
 
@@ -45,6 +48,8 @@
   readonly request: object;
   readonly attempts: number;
   readonly at: Millis;
+  readonly sentAt: Millis;
+  readonly upstream: string;
   /** Whether it ends by patience, before its upstream has read it. */
   readonly isUnread: boolean;
 }
@@ -196,6 +201,8 @@
       request,
       attempts: 1,
       at: now + 40,
+      sentAt: now,
+      upstream: this.upstreamAt(now),
       isUnread: false,
     });
   }
@@ -210,8 +217,13 @@
         this.pending.push(attempt);
         continue;
       }
-      if (attempt.isUnread) entry.budget.abandon(now, SERVICE, request);
-      else entry.budget.settle(now, SERVICE, request);
+      const {sentAt, upstream} = attempt;
+      if (attempt.isUnread)
+        entry.budget.abandon(now, SERVICE, request, upstream);
+      else {
+        entry.budget.recordResponse(now, SERVICE, upstream, sentAt);
+        entry.budget.settle(now, SERVICE, request);
+      }
       if (attempts >= scenario.maxAttempts) continue;
       if (!entry.budget.trySpend(now, SERVICE, request)) continue;
       const wakesAt = this.arrivalTime(now);
@@ -223,11 +235,18 @@
       const isUnread = wakesAt !== undefined && endsAt < wakesAt;
       this.pending.push({
         ...{entry, request, attempts: attempts + 1},
-        ...{at: endsAt, isUnread},
+        ...{at: endsAt, sentAt: now, isUnread},
+        upstream: wakesAt === undefined ? this.upstreamAt(now) : SUSPENDED,
       });
     }
   }
 
+  /** Returns an upstream that is not suspended. */
+  private upstreamAt(now: Millis): string {
+    const isSuspended = this.scenario.suspendedUntil?.(now) !== undefined;
+    return isSuspended ? OTHER : this.chance.pick([SUSPENDED, OTHER]);
+  }
+
   /** Returns when an upstream reads a retry, if that is not at once. */
   private arrivalTime(now: Millis): Millis | undefined {
     const {suspendedUntil, unreadPart = 1} = this.scenario;
