Read a caller's end before its request is sent on

Upstreams received requests whose callers had left, more than 0.5 s before if the entry had been held up that long (GONE). The bytes of a connection and its end are read in two passes of the event loop, and a request was sent on between them.

Both forms wait in CallerConnections.turnOf until all connections were polled once more, and a response that has been destroyed has no turn: its close event comes a phase later.

--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -1,7 +1,6 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import {setImmediate} from 'node:timers/promises';
 
 import type {Result} from 'neverthrow';
 
@@ -296,8 +295,6 @@
     }
     const {value} = body;
     res.once('close', value.release);
-    // The end of a caller that left meanwhile is read behind a body that waited.
-    if (value.bytes.length > MAX_DISCARDED_BYTES) await setImmediate();
     if (!(await this.connections.turnOf(req, res))) {
       value.release();
       this.recordUnserved(req, arrivedAt);
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -135,8 +135,8 @@
    * @returns whether it can be sent
    */
   async turnOf(res: ServerResponse): Promise<boolean> {
+    if (res.destroyed || !this.responses.has(res)) return false;
     if (this.first === res) return true;
-    if (!this.responses.has(res)) return false;
     return new Promise(resolve => this.waiting.set(res, resolve));
   }
 
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -8,6 +8,7 @@
 import {Fault} from '../../errors/index.js';
 import {CallerConnection} from './caller_connection.js';
 import type {ConnectionEvents} from './connection_events.js';
+import {nextRead} from './next_read.js';
 import {unreadableReason} from './unreadable_message.js';
 
 const CHECK_INTERVAL: Millis = SECOND / 20;
@@ -123,12 +124,14 @@
   }
 
   /**
-   * Waits until a response is the first on its connection.
+   * Waits until a response is the first on its connection. The end of a caller that
+   * left while the process was held up waits behind its request and is read first.
    * @param req - its request, which was accepted
    * @param res - the response
    * @returns whether it can be sent; false if the connection ends before
    */
   async turnOf(req: IncomingMessage, res: ServerResponse): Promise<boolean> {
+    await nextRead();
     return (await this.connections.get(req.socket)?.turnOf(res)) === true;
   }
 
