Let the balancer of the soak ask entries whether they are ready

It now does what PROTOCOL.md says of the platform: a question a second at the readiness port, out after two misses, all entries below half.

--- a/test/support/soak/fleet.ts
+++ b/test/support/soak/fleet.ts
@@ -6,8 +6,6 @@
 
 /** Time after a disturbance in which its effects are excused, ms. */
 export const AFTERMATH_MS = 1_000;
-/** Time after SIGTERM in which the balancer stops routing connections, ms. */
-const UNLISTING_MS = 2_000;
 /** Time after which a process that ended by itself is started again, ms. */
 const RESTART_MS = 500;
 /** Memory of the VM of an entry, MB. */
@@ -65,17 +63,6 @@
     return !this.process.hasEnded && this.process.catchesReload();
   }
 
-  /** Whether the balancer routes new connections here. */
-  get isInRotation(): boolean {
-    const live = this.processes.filter(one => !one.hasEnded);
-    const [first] = live;
-    if (first === undefined || !first.hasLogged('ready')) return false;
-    const termedAt = this.termedAt.get(first);
-    return (
-      termedAt === undefined || performance.now() - termedAt < UNLISTING_MS
-    );
-  }
-
   /** Starts a process at the ports of the entry. */
   startProcess(): void {
     const options = {
--- a/test/support/soak/soak_play.ts
+++ b/test/support/soak/soak_play.ts
@@ -1,6 +1,7 @@
 import {Chance} from '../../../src/core/index.js';
 import {KeyedLogServer} from '../../../standins/keyed_log_server.js';
 import {pause} from '../direct_estate.js';
+import {Balancer} from './balancer.js';
 import {EntrySlot} from './fleet.js';
 import {mixOf} from './mix.js';
 import type {Mix} from './mix.js';
@@ -49,6 +50,7 @@
   private readonly records = new Map<string, RequestRecord>();
   private readonly gone: SoakUpstream[] = [];
   private readonly faults: SoakFaults;
+  private readonly balancer = new Balancer(this.slots);
   private upstreamCount = 0;
   /** Times at which this process was held up, from and to. */
   private readonly stalls: [number, number][] = [];
@@ -108,6 +110,7 @@
   /** Ends the processes of the play. */
   async close(): Promise<void> {
     clearInterval(this.watch);
+    this.balancer.close();
     this.endsAt = 0;
     await Promise.all(this.slots.map(slot => slot.close()));
     for (const one of [...this.upstreams, ...this.gone]) one.close();
@@ -146,10 +149,7 @@
   }
 
   pickEntry(): {slot: number; port: number} {
-    const listed = this.slots.filter(slot => slot.isInRotation);
-    const {number, ports} = this.chance.pick(
-      listed.length > 0 ? listed : this.slots,
-    );
+    const {number, ports} = this.balancer.pick(this.chance);
     return {slot: number, port: ports.callers};
   }
 
