Add callers that pipeline many small requests to the soak

Pipelines had five requests at most. A deep one has 21 to 201, safe and unsafe, whose answers have a length or chunks; its upstreams answer within 5 ms and whole, since one that breaks off ends the connection with all that waits behind it. Each answer has to be whole, in order and of its own request, as for all sound callers (MIXED, LOST, TWICE).

--- a/test/support/soak/mix.ts
+++ b/test/support/soak/mix.ts
@@ -10,6 +10,7 @@
   | 'stalled'
   | 'slow_pipelines'
   | 'pipelines'
+  | 'deep_pipelines'
   | 'early_finished'
   | 'early_unfinished'
   | 'garbage'
@@ -215,6 +216,7 @@
       slow: 1,
       stalled: 1,
       pipelines: 3,
+      deep_pipelines: 1,
       early_finished: 3,
       early_unfinished: 3,
       garbage: 3,
@@ -253,6 +255,7 @@
   {
     theme: 'bytes',
     abusers: 3,
+    callerKinds: {...BASE.callerKinds, deep_pipelines: 2},
     maxBodyBytes: 4_000_000,
     maxConnections: 256,
     endings: {whole: 30, reset: 1, error: 1, busy: 1},
--- a/test/support/soak/records.ts
+++ b/test/support/soak/records.ts
@@ -100,6 +100,11 @@
     return ['slow', 'slow_pipelines', 'stalled'].includes(this.caller);
   }
 
+  /** Whether it is one of many behind one another, which run for a moment each. */
+  get isBrief(): boolean {
+    return this.caller === 'deep_pipelines';
+  }
+
   /** Time that its caller waits, ms. */
   get deadlineMs(): number {
     return this.readsSlowly ? SLOW_DEADLINE_MS : CALLER_DEADLINE_MS;
--- a/test/support/soak/soak_caller.ts
+++ b/test/support/soak/soak_caller.ts
@@ -18,12 +18,19 @@
 const BESIDE_MS = [0, 700] as const;
 /** Time that a connection stays open behind an unfinished request, ms. */
 const UNFINISHED_MS = 4_500;
-const MAX_PIPELINED = 4;
+const PIPELINED: Range = [1, 4];
+/** Requests of a caller that sends many small ones behind one another. */
+const DEEP: Range = [20, 200];
+const DEEP_KINDS = {unsafe: 1, safe: 1} as const;
+/** An answer without a length ends its connection. */
+const DEEP_FRAMINGS = {length: 1, chunks: 1} as const;
 const MAX_EVENTS = 25;
 /** Requests that a caller sends on a connection before it opens another. */
 const MAX_REQUESTS = 20;
 const GARBAGE = ['\x16\x03\x01\x02\x00\x01\xfc', 'load\r\n\r\n', '{"a": 1}\n'];
 
+type Range = readonly [number, number];
+
 /** What a caller asks and tells the soak. */
 export interface CallerHost extends ConnectionEvents {
   readonly mix: Mix;
@@ -100,10 +107,11 @@
     const beside = () => pause(chance.between(...BESIDE_MS));
     switch (kind) {
       case 'slow_pipelines':
-      case 'pipelines': {
-        const more = Array.from(
-          {length: chance.between(1, MAX_PIPELINED)},
-          () => connection.send(this.next(kind, slot)),
+      case 'pipelines':
+      case 'deep_pipelines': {
+        const range: Range = kind === 'deep_pipelines' ? DEEP : PIPELINED;
+        const more = Array.from({length: chance.between(...range)}, () =>
+          connection.send(this.next(kind, slot)),
         );
         await Promise.all([answered, ...more]);
         return;
@@ -157,13 +165,14 @@
     const {chance, mix} = this.host;
     this.count += 1;
     const id = `c${this.number}-${this.count}`;
-    const kind = draw(chance, mix.kinds);
+    const isDeep = caller === 'deep_pipelines';
+    const kind = draw(chance, isDeep ? DEEP_KINDS : mix.kinds);
     const isStream = kind === 'stream' || kind === 'once_stream';
-    const [low, high] = SIZES[draw(chance, mix.sizes)];
+    const [low, high] = SIZES[isDeep ? 'small' : draw(chance, mix.sizes)];
     const bytes = isStream
       ? chance.between(1, MAX_EVENTS)
       : chance.between(low, high);
-    const framing = draw(chance, mix.framings);
+    const framing = draw(chance, isDeep ? DEEP_FRAMINGS : mix.framings);
     const isOld = caller === 'old';
     const record = new RequestRecord(id, kind, caller, framing, bytes, isOld);
     record.slot = slot;
--- a/test/support/soak/soak_upstream.ts
+++ b/test/support/soak/soak_upstream.ts
@@ -11,6 +11,7 @@
 /** Longest work before an answer, ms: of large requests, and of others. */
 const MAX_LARGE_WORK_MS = 3_000;
 const MAX_WORK_MS = 250;
+const MAX_BRIEF_WORK_MS = 5;
 /** Longest pause between two pieces of an answer, ms. */
 const MAX_GAP_MS = 60;
 const MAX_PIECES = 6;
@@ -95,7 +96,9 @@
 
   private async answer(record: RequestRecord, head: string): Promise<void> {
     const {chance, mix} = this.host;
-    const ending = this.host.isFailing ? draw(chance, mix.endings) : 'whole';
+    // One that breaks off ends its connection, with all that waits behind it.
+    const isFailing = this.host.isFailing && !record.isBrief;
+    const ending = isFailing ? draw(chance, mix.endings) : 'whole';
     const last = Number(/last-event-id: (\d+)/i.exec(head)?.[1] ?? '0');
     const run: Run = {
       seal: `${record.id}.${this.name}.${record.runs.length}`,
@@ -120,8 +123,7 @@
       this.socket.write(this.owed, 'latin1');
       this.owed = '';
     }
-    const work = record.fillerBytes > 0 ? MAX_LARGE_WORK_MS : MAX_WORK_MS;
-    await pause(chance.between(0, ending === 'refusal' ? 5 : work));
+    await pause(chance.between(0, ending === 'refusal' ? 5 : workOf(record)));
     if (this.socket.destroyed) return;
     const isOver = await this.writeAnswer(record, run, ending);
     run.endedAt ??= performance.now();
@@ -152,7 +154,8 @@
       : pieces;
     for (const piece of kept) {
       this.socket.write(piece);
-      if (pieces.length > 1) await pause(chance.between(0, MAX_GAP_MS));
+      const hasGap = pieces.length > 1 && !record.isBrief;
+      if (hasGap) await pause(chance.between(0, MAX_GAP_MS));
       if (this.socket.destroyed) return true;
     }
     if (isCut) {
@@ -201,7 +204,8 @@
       }
     } else {
       const body = bodyOf(run.seal, record.bytes);
-      const size = Math.ceil(body.length / chance.between(1, MAX_PIECES));
+      const most = record.isBrief ? 1 : MAX_PIECES;
+      const size = Math.ceil(body.length / chance.between(1, most));
       for (let i = 0; i < body.length; i += size) {
         parts.push(body.subarray(i, i + size));
       }
@@ -230,6 +234,11 @@
   refusal: '503 Full',
 };
 
+function workOf({isBrief, fillerBytes}: RequestRecord): number {
+  if (isBrief) return MAX_BRIEF_WORK_MS;
+  return fillerBytes > 0 ? MAX_LARGE_WORK_MS : MAX_WORK_MS;
+}
+
 const chunkOf = (part: Buffer) =>
   Buffer.concat([
     Buffer.from(`${part.length.toString(16)}\r\n`),
