Run the upstreams of the soak in a thread of their own

Requests that an entry had sent in time lay in the accept queue of an upstream, and were stamped when they were read. A reset does not take such bytes back (Linux 6.18).

The upstreams now stamp, answer and end their runs in a thread that has nothing else to do; the path of a request tells them how to answer, and the soak checks what arrived against what was sent, as before. A pass of that thread over 250 ms excuses arrivals, as one of the soak did. No bound changes.

--- a/test/support/soak/records.ts
+++ b/test/support/soak/records.ts
@@ -75,9 +75,35 @@
     readonly isOld: boolean,
   ) {}
 
-  /** Path on its route. */
+  /**
+   * Returns the request that a path tells of, as an upstream knows it.
+   * @param path - path of any caller
+   * @returns undefined for a path that no request of the soak has
+   */
+  static ofPath(path: string): RequestRecord | undefined {
+    const [, prefix, id = '', told = ''] = PATH.exec(path) ?? [];
+    const kind = (Object.keys(KINDS) as Kind[]).find(
+      one => KINDS[one].prefix === prefix,
+    );
+    const [caller = '', framing, bytes, isOld, fillerBytes] = told.split('.');
+    if (kind === undefined || fillerBytes === undefined) return undefined;
+    const record = new RequestRecord(
+      id,
+      kind,
+      caller,
+      framing as Framing,
+      Number(bytes),
+      isOld === '1',
+    );
+    record.fillerBytes = Number(fillerBytes);
+    return record;
+  }
+
+  /** Path on its route, which tells an upstream how to answer. */
   get path(): string {
-    return `${KINDS[this.kind].prefix}${this.id}?q=1`;
+    const {kind, id, caller, framing, bytes, isOld, fillerBytes} = this;
+    const told = [caller, framing, bytes, isOld ? 1 : 0, fillerBytes];
+    return `${KINDS[kind].prefix}${id}?${told.join('.')}`;
   }
 
   /** Body of the request, up to its filler. */
@@ -138,6 +164,8 @@
   }
 }
 
+const PATH = /^(\/\w+\/)([^?]+)\?(\S+)$/;
+
 const NOISE_BYTES = 10 * 2 ** 20;
 let noise: Buffer | undefined;
 
--- a/test/support/soak/soak_faults.ts
+++ b/test/support/soak/soak_faults.ts
@@ -3,7 +3,7 @@
 import type {EntrySlot} from './fleet.js';
 import {draw} from './records.js';
 import type {Fault, Mix} from './mix.js';
-import type {SoakUpstream} from './soak_upstream.js';
+import type {Upstreams} from './upstreams.js';
 import type {StoreTrouble} from './store_proxy.js';
 
 /** Durations of faults, ms. */
@@ -30,7 +30,8 @@
   readonly mix: Mix;
   readonly chance: Chance;
   readonly slots: readonly EntrySlot[];
-  readonly upstreams: readonly SoakUpstream[];
+  readonly upstreams: Upstreams;
+  readonly upstreamNames: readonly string[];
   /** What was played, in the order in which it began. */
   readonly played: string[];
   /** Whether an answer is under way that a killed entry would leave looking whole. */
@@ -65,7 +66,7 @@
   }
 
   private async play(fault: Fault): Promise<void> {
-    const {chance, slots, upstreams} = this.host;
+    const {chance, slots, upstreams, upstreamNames} = this.host;
     const slot = chance.pick(slots);
     this.host.played.push(fault);
     switch (fault) {
@@ -98,9 +99,10 @@
       case 'store':
         return this.troubleStore();
       case 'upstream_pause':
-        return chance
-          .pick(upstreams)
-          .pauseReading(chance.between(...UPSTREAM_PAUSE_MS));
+        return upstreams.pauseReading(
+          chance.pick(upstreamNames),
+          chance.between(...UPSTREAM_PAUSE_MS),
+        );
       case 'upstream_leave':
         return this.host.replaceUpstream();
     }
--- a/test/support/soak/soak_play.ts
+++ b/test/support/soak/soak_play.ts
@@ -7,14 +7,15 @@
 import type {Mix} from './mix.js';
 import {Oracle, isFragile} from './oracle.js';
 import type {RequestRecord, Seen} from './records.js';
+import {nextRead} from '../../../src/daemons/shared/next_read.js';
 import {HEADER_TIMEOUT_MS, SLOW_DEADLINE_MS, SOAK_ROUTES} from './routes.js';
 import {SoakAbuser} from './soak_abuser.js';
 import {SoakCaller} from './soak_caller.js';
 import type {CallerHost} from './soak_caller.js';
 import {SoakFaults} from './soak_faults.js';
 import type {FaultHost} from './soak_faults.js';
-import {SoakUpstream} from './soak_upstream.js';
-import type {UpstreamHost} from './soak_upstream.js';
+import {Upstreams} from './upstreams.js';
+import type {UpstreamsHost} from './upstreams.js';
 
 const LIMITS = {
   MaxHeaderBytes: 16_384,
@@ -38,17 +39,17 @@
 const SHOWN_LINES = 6;
 
 /** One seed of the soak: entries as processes, callers, upstreams and faults. */
-export class SoakPlay implements CallerHost, UpstreamHost, FaultHost {
+export class SoakPlay implements CallerHost, UpstreamsHost, FaultHost {
   readonly mix: Mix;
   readonly chance: Chance;
   readonly slots: EntrySlot[] = [];
-  readonly upstreams: SoakUpstream[] = [];
+  readonly upstreamNames: string[] = [];
+  readonly upstreams: Upstreams;
   readonly played: string[] = [];
   endsAt = Infinity;
   private readonly store = new KeyedLogServer();
   private readonly oracle: Oracle;
   private readonly records = new Map<string, RequestRecord>();
-  private readonly gone: SoakUpstream[] = [];
   private readonly faults: SoakFaults;
   private readonly balancer = new Balancer(this.slots);
   private upstreamCount = 0;
@@ -69,27 +70,24 @@
       last = now;
       for (const slot of this.slots) slot.watchMemory();
     }, WATCH_INTERVAL_MS);
-    this.oracle = new Oracle(this.slots, () =>
-      [...this.upstreams, ...this.gone]
-        .flatMap(one => one.pauses)
-        .concat(this.stalls),
-    );
+    this.upstreams = new Upstreams(this.mix, seed, this);
+    this.oracle = new Oracle(this.slots, () => [
+      ...this.upstreams.pauses,
+      ...this.stalls,
+    ]);
   }
 
   get isOver(): boolean {
     return performance.now() >= this.endsAt;
   }
 
-  get isFailing(): boolean {
-    const {lengthMs, failsAfterMs} = this.mix;
-    return performance.now() >= this.endsAt - lengthMs + failsAfterMs;
-  }
-
   /** Plays the seed and returns a line for each violation. */
   async run(): Promise<string[]> {
     await this.start();
     const {mix} = this;
-    this.endsAt = performance.now() + mix.lengthMs;
+    const startsAt = performance.now();
+    await this.upstreams.failFrom(startsAt + mix.failsAfterMs);
+    this.endsAt = startsAt + mix.lengthMs;
     const callers = Array.from({length: mix.callers}, (_, i) =>
       new SoakCaller(i, this).run(),
     );
@@ -113,7 +111,7 @@
     this.balancer.close();
     this.endsAt = 0;
     await Promise.all(this.slots.map(slot => slot.close()));
-    for (const one of [...this.upstreams, ...this.gone]) one.close();
+    await this.upstreams.closeAll();
     await this.store.close();
   }
 
@@ -167,6 +165,12 @@
 
   onSeen(record: RequestRecord, seen: Seen): void {
     record.seen = seen;
+    void this.judge(record, seen);
+  }
+
+  private async judge(record: RequestRecord, seen: Seen): Promise<void> {
+    // What the upstream told of its run before it answered may be read after it.
+    await nextRead();
     this.oracle.judge(record, seen);
     // Its bytes were compared; thousands of bodies don't fit in memory.
     record.seen = {...seen, body: Buffer.alloc(0)};
@@ -191,13 +195,12 @@
   }
 
   async replaceUpstream(): Promise<void> {
-    const one = this.upstreams.shift();
-    if (one === undefined) return;
-    this.gone.push(one);
-    this.store.put('keyed.servers', one.name);
+    const name = this.upstreamNames.shift();
+    if (name === undefined) return;
+    this.store.put('keyed.servers', name);
     await this.addUpstream();
     await pause(LEAVING_MS);
-    one.close();
+    await this.upstreams.close(name);
   }
 
   private async start(): Promise<void> {
@@ -224,19 +227,18 @@
   private async addUpstream(): Promise<void> {
     this.upstreamCount += 1;
     const name = `u${this.upstreamCount}`;
-    const upstream = new SoakUpstream(name, this);
     const {callers, abusers, upstreams} = this.mix;
     const slots = SLOTS_PER_CALLER * callers + SLOTS_PER_ABUSER * abusers;
     this.store.put('keyed.servers', name, {
       Service: 'app',
-      Address: await upstream.listen(),
+      Address: await this.upstreams.listen(name),
       Zone: 'a',
       Slots: Math.ceil(slots / upstreams),
       State: 'ready',
       Sequence: 1,
       born: 5,
     });
-    this.upstreams.push(upstream);
+    this.upstreamNames.push(name);
   }
 
   private report(): string[] {
--- a/test/support/soak/soak_upstream.ts
+++ b/test/support/soak/soak_upstream.ts
@@ -24,7 +24,10 @@
   readonly chance: Chance;
   /** Whether runs end in the ways of the mix, or whole. */
   readonly isFailing: boolean;
-  find(id: string): RequestRecord | undefined;
+  /** Returns the request of a path; its first arrival decides what it is. */
+  find(path: string): RequestRecord | undefined;
+  /** Told of a run when it begins, and before what follows from a change of it. */
+  onRun(record: RequestRecord, run: Run): void;
   flag(rule: string, id: string, detail: string): void;
 }
 
@@ -35,6 +38,7 @@
   private needed = 0;
   private isBusy = false;
   private run: Run | undefined;
+  private record: RequestRecord | undefined;
   /** Whether bytes that belong to no request were sent on this connection. */
   private isStained = false;
   /** Bytes that come before the next answer on this connection. */
@@ -56,11 +60,18 @@
   /** Records that the upstream itself ends the connection. */
   breakOff(): void {
     if (this.run !== undefined) this.run.isUnsound = true;
+    this.report();
     this.socket.resetAndDestroy();
   }
 
+  private report(): void {
+    const {record, run} = this;
+    if (record !== undefined && run !== undefined) this.host.onRun(record, run);
+  }
+
   private end(): void {
     if (this.run !== undefined) this.run.endedAt ??= performance.now();
+    this.report();
     this.run = undefined;
   }
 
@@ -76,8 +87,8 @@
     const body = this.input.slice(end + 4, end + 4 + length);
     this.input = this.input.slice(end + 4 + length);
     const id = requestIdOf(head);
-    const record = this.host.find(id);
-    if (record === undefined) {
+    const record = this.host.find(head.split(' ', 2)[1]!);
+    if (record?.id !== id) {
       this.host.flag('UNASKED', id, head.split('\r\n', 1)[0]!);
       this.socket.resetAndDestroy();
       return;
@@ -110,6 +121,7 @@
       hasRun: ending !== 'refusal',
       isUnsound:
         this.isStained ||
+        this.owed !== '' ||
         ending === 'reset' ||
         ending === 'closed' ||
         (record.framing === 'close' && ending.startsWith('twice')),
@@ -117,8 +129,9 @@
     };
     record.runs.push(run);
     this.run = run;
+    this.record = record;
+    this.report();
     if (this.owed !== '') {
-      run.isUnsound = true;
       this.isStained = true;
       this.socket.write(this.owed, 'latin1');
       this.owed = '';
@@ -127,6 +140,7 @@
     if (this.socket.destroyed) return;
     const isOver = await this.writeAnswer(record, run, ending);
     run.endedAt ??= performance.now();
+    this.host.onRun(record, run);
     this.run = undefined;
     this.isBusy = false;
     if (!isOver) this.readRequest();
@@ -142,10 +156,12 @@
     const failure = FAILURES[ending];
     if (failure !== undefined) {
       run.status = Number(failure.slice(0, 3));
+      this.host.onRun(record, run);
       this.socket.write(this.failureOf(record, run, failure));
       return false;
     }
     run.status = 200;
+    this.host.onRun(record, run);
     const pieces = this.piecesOf(record, run);
     // An orderly close amid a body without a length is its end, to any reader.
     const isCut = ending === 'reset' || ending === 'closed';
@@ -165,6 +181,7 @@
       return true;
     }
     run.endedAt = performance.now();
+    this.host.onRun(record, run);
     const again = () => {
       const second = {...run, seal: `${run.seal}x`};
       return Buffer.concat(this.piecesOf(record, second));
@@ -253,9 +270,6 @@
   private readonly server: Server;
   private readonly connections = new Map<Socket, UpstreamConnection>();
   private isPaused = false;
-  /** Times at which it read nothing, from and to. */
-  readonly pauses: [number, number][] = [];
-
   /**
    * @param name - its id
    * @param host - the soak
@@ -283,14 +297,11 @@
    * @param ms - the time
    */
   async pauseReading(ms: number): Promise<void> {
-    const span: [number, number] = [performance.now(), Infinity];
-    this.pauses.push(span);
     this.isPaused = true;
     for (const socket of this.connections.keys()) socket.pause();
     await pause(ms);
     this.isPaused = false;
     for (const socket of this.connections.keys()) socket.resume();
-    span[1] = performance.now();
   }
 
   /** Resets its connections and stops listening. */
