--- a/src/daemons/shared/response_queue.ts
+++ b/src/daemons/shared/response_queue.ts
@@ -95,8 +95,8 @@
    * @returns whether it can be sent
    */
   async turnOf(res: ServerResponse): Promise<boolean> {
+    if (res.destroyed || !this.charges.has(res)) return false;
     if (this.first === res) return true;
-    if (!this.charges.has(res)) return false;
     return new Promise(resolve => this.waiting.set(res, resolve));
   }
 
--- a/test/support/soak/mix.ts
+++ b/test/support/soak/mix.ts
@@ -10,6 +10,7 @@
   | 'stalled'
   | 'slow_pipelines'
   | 'pipelines'
+  | 'deep_pipelines'
   | 'early_finished'
   | 'early_unfinished'
   | 'garbage'
@@ -87,6 +88,8 @@
   /** Share of the faults after which the next one comes at once. */
   readonly overlapShare: number;
   readonly callerKinds: Weights<CallerKind>;
+  /** Weight of callers with deep pipelines, which is not varied. */
+  readonly deepWeight: number;
   readonly endings: Weights<RunEnding>;
   readonly sizes: Weights<Size>;
   readonly framings: Weights<Framing>;
@@ -144,6 +147,7 @@
   sizes: {small: 20, medium: 3, large: 1},
   framings: {length: 3, chunks: 3, close: 3},
   kinds: {unsafe: 2, safe: 3, stream: 2, once_stream: 1},
+  deepWeight: 0,
   faults: {reload: 2, restart: 2},
 };
 
@@ -222,6 +226,7 @@
       leaves: 2,
     },
     endings: {whole: 1},
+    deepWeight: 1,
   },
   {theme: 'storm', ...STORM, faults: {roll: 4, restart: 1, kill: 2, reload: 1}},
   {
@@ -253,6 +258,7 @@
   {
     theme: 'bytes',
     abusers: 3,
+    deepWeight: 2,
     maxBodyBytes: 4_000_000,
     maxConnections: 256,
     endings: {whole: 30, reset: 1, error: 1, busy: 1},
@@ -287,7 +293,10 @@
   return {
     ...mix,
     faults,
-    callerKinds: vary(mix.callerKinds),
+    callerKinds: {
+      ...vary(mix.callerKinds),
+      deep_pipelines: mix.deepWeight,
+    },
     endings: vary(mix.endings),
     sizes: vary(mix.sizes),
     framings: vary(mix.framings),
--- a/test/support/soak/soak_upstream.ts
+++ b/test/support/soak/soak_upstream.ts
@@ -11,6 +11,7 @@
 /** Longest work before an answer, ms: of large requests, and of others. */
 const MAX_LARGE_WORK_MS = 3_000;
 const MAX_WORK_MS = 250;
+const MAX_BRIEF_WORK_MS = 5;
 /** Longest pause between two pieces of an answer, ms. */
 const MAX_GAP_MS = 60;
 const MAX_PIECES = 6;
@@ -23,7 +24,10 @@
   readonly chance: Chance;
   /** Whether runs end in the ways of the mix, or whole. */
   readonly isFailing: boolean;
-  find(id: string): RequestRecord | undefined;
+  /** Returns the request of a path; its first arrival decides what it is. */
+  find(path: string): RequestRecord | undefined;
+  /** Told of a run when it begins, and before what follows from a change of it. */
+  onRun(record: RequestRecord, run: Run): void;
   flag(rule: string, id: string, detail: string): void;
 }
 
@@ -34,6 +38,7 @@
   private needed = 0;
   private isBusy = false;
   private run: Run | undefined;
+  private record: RequestRecord | undefined;
   /** Whether bytes that belong to no request were sent on this connection. */
   private isStained = false;
   /** Bytes that come before the next answer on this connection. */
@@ -55,11 +60,18 @@
   /** Records that the upstream itself ends the connection. */
   breakOff(): void {
     if (this.run !== undefined) this.run.isUnsound = true;
+    this.report();
     this.socket.resetAndDestroy();
   }
 
+  private report(): void {
+    const {record, run} = this;
+    if (record !== undefined && run !== undefined) this.host.onRun(record, run);
+  }
+
   private end(): void {
     if (this.run !== undefined) this.run.endedAt ??= performance.now();
+    this.report();
     this.run = undefined;
   }
 
@@ -75,8 +87,8 @@
     const body = this.input.slice(end + 4, end + 4 + length);
     this.input = this.input.slice(end + 4 + length);
     const id = requestIdOf(head);
-    const record = this.host.find(id);
-    if (record === undefined) {
+    const record = this.host.find(head.split(' ', 2)[1]!);
+    if (record?.id !== id) {
       this.host.flag('UNASKED', id, head.split('\r\n', 1)[0]!);
       this.socket.resetAndDestroy();
       return;
@@ -95,7 +107,9 @@
 
   private async answer(record: RequestRecord, head: string): Promise<void> {
     const {chance, mix} = this.host;
-    const ending = this.host.isFailing ? draw(chance, mix.endings) : 'whole';
+    // One that breaks off ends its connection, with all that waits behind it.
+    const isFailing = this.host.isFailing && !record.isBrief;
+    const ending = isFailing ? draw(chance, mix.endings) : 'whole';
     const last = Number(/last-event-id: (\d+)/i.exec(head)?.[1] ?? '0');
     const run: Run = {
       seal: `${record.id}.${this.name}.${record.runs.length}`,
@@ -107,6 +121,7 @@
       hasRun: ending !== 'refusal',
       isUnsound:
         this.isStained ||
+        this.owed !== '' ||
         ending === 'reset' ||
         ending === 'closed' ||
         (record.framing === 'close' && ending.startsWith('twice')),
@@ -114,17 +129,18 @@
     };
     record.runs.push(run);
     this.run = run;
+    this.record = record;
+    this.report();
     if (this.owed !== '') {
-      run.isUnsound = true;
       this.isStained = true;
       this.socket.write(this.owed, 'latin1');
       this.owed = '';
     }
-    const work = record.fillerBytes > 0 ? MAX_LARGE_WORK_MS : MAX_WORK_MS;
-    await pause(chance.between(0, ending === 'refusal' ? 5 : work));
+    await pause(chance.between(0, ending === 'refusal' ? 5 : workOf(record)));
     if (this.socket.destroyed) return;
     const isOver = await this.writeAnswer(record, run, ending);
     run.endedAt ??= performance.now();
+    this.host.onRun(record, run);
     this.run = undefined;
     this.isBusy = false;
     if (!isOver) this.readRequest();
@@ -140,10 +156,12 @@
     const failure = FAILURES[ending];
     if (failure !== undefined) {
       run.status = Number(failure.slice(0, 3));
+      this.host.onRun(record, run);
       this.socket.write(this.failureOf(record, run, failure));
       return false;
     }
     run.status = 200;
+    this.host.onRun(record, run);
     const pieces = this.piecesOf(record, run);
     // An orderly close amid a body without a length is its end, to any reader.
     const isCut = ending === 'reset' || ending === 'closed';
@@ -152,7 +170,8 @@
       : pieces;
     for (const piece of kept) {
       this.socket.write(piece);
-      if (pieces.length > 1) await pause(chance.between(0, MAX_GAP_MS));
+      const hasGap = pieces.length > 1 && !record.isBrief;
+      if (hasGap) await pause(chance.between(0, MAX_GAP_MS));
       if (this.socket.destroyed) return true;
     }
     if (isCut) {
@@ -162,6 +181,7 @@
       return true;
     }
     run.endedAt = performance.now();
+    this.host.onRun(record, run);
     const again = () => {
       const second = {...run, seal: `${run.seal}x`};
       return Buffer.concat(this.piecesOf(record, second));
@@ -201,7 +221,8 @@
       }
     } else {
       const body = bodyOf(run.seal, record.bytes);
-      const size = Math.ceil(body.length / chance.between(1, MAX_PIECES));
+      const most = record.isBrief ? 1 : MAX_PIECES;
+      const size = Math.ceil(body.length / chance.between(1, most));
       for (let i = 0; i < body.length; i += size) {
         parts.push(body.subarray(i, i + size));
       }
@@ -230,6 +251,11 @@
   refusal: '503 Full',
 };
 
+function workOf({isBrief, fillerBytes}: RequestRecord): number {
+  if (isBrief) return MAX_BRIEF_WORK_MS;
+  return fillerBytes > 0 ? MAX_LARGE_WORK_MS : MAX_WORK_MS;
+}
+
 const chunkOf = (part: Buffer) =>
   Buffer.concat([
     Buffer.from(`${part.length.toString(16)}\r\n`),
@@ -244,9 +270,6 @@
   private readonly server: Server;
   private readonly connections = new Map<Socket, UpstreamConnection>();
   private isPaused = false;
-  /** Times at which it read nothing, from and to. */
-  readonly pauses: [number, number][] = [];
-
   /**
    * @param name - its id
    * @param host - the soak
@@ -274,14 +297,11 @@
    * @param ms - the time
    */
   async pauseReading(ms: number): Promise<void> {
-    const span: [number, number] = [performance.now(), Infinity];
-    this.pauses.push(span);
     this.isPaused = true;
     for (const socket of this.connections.keys()) socket.pause();
     await pause(ms);
     this.isPaused = false;
     for (const socket of this.connections.keys()) socket.resume();
-    span[1] = performance.now();
   }
 
   /** Resets its connections and stops listening. */
