Close a new connection whose request takes an idle one

An entry kept connections to upstreams that no request used, in no pool and without a listener for errors: each took a descriptor at both, and its reset was an uncaught exception.

Node's agent takes an idle connection for the request if one was freed meanwhile, and left the new one open. It is closed now.

--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -209,6 +209,8 @@
       maxHeaderSize: MAX_HEAD_BYTES,
     });
     this.req = req;
+    // Node prefers a connection that became idle while this one was connecting.
+    if (req.reusedSocket) this.unused?.destroy();
     // The request has its own listener, and the connection outlives it.
     this.unused?.off('error', this.onConnectionError);
     this.unused = undefined;
