Close connections that a CONNECT has detached with their control server

A drain of the product's own form waited for a client of its operators' port that had sent CONNECT, for as long as it sent bytes and up to 30 s.

Node lists no connection that a CONNECT has detached, so that closeAllConnections leaves it open.

--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -154,6 +154,11 @@
       connection.closeIfIdle();
   }
 
+  /** Closes all connections at once, also those that a CONNECT has detached. */
+  destroyAll(): void {
+    for (const socket of this.connections.keys()) socket.destroy();
+  }
+
   /**
    * Waits until all responses were sent.
    * @param timeout - maximum time to wait
--- a/src/daemons/shared/control_server.ts
+++ b/src/daemons/shared/control_server.ts
@@ -97,6 +97,7 @@
   /** Closes the server and all its connections at once. */
   async close(): Promise<void> {
     this.server.closeAllConnections();
+    this.connections.destroyAll();
     await new Promise(resolve => this.server.close(resolve));
   }
 }
--- a/src/daemons/shared/operator_server.test.ts
+++ b/src/daemons/shared/operator_server.test.ts
@@ -77,6 +77,22 @@
     },
   );
 
+  // Its end was held back by up to 30 s, for as long as the client sent bytes.
+  it('closes at once beside a client that sent CONNECT', async () => {
+    const socket = connect({
+      port: Number(address.split(':')[1]),
+      host: '127.0.0.1',
+      allowHalfOpen: true,
+    });
+    socket.on('error', () => undefined);
+    socket.write('CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n');
+    await once(socket, 'data');
+    const closedAt = performance.now();
+    await server.close();
+    expect(performance.now() - closedAt).toBeLessThan(1_000);
+    socket.destroy();
+  });
+
   it('keeps serving after the status handler throws', async () => {
     status = () => {
       throw new Error('status unavailable');
