Count requests from no hold-up that is long over

Since a process that ran for less than 50 ms between hold-ups refused every request with a limit: each hold-up put off the end of the ones before, so that all counted from the first. 60 cycles of 260 ms held up and 30 ms of running: requests counted as 17.4 s old (the test failed with it).

--- a/src/daemons/shared/hold_up_tracker.test.ts
+++ b/src/daemons/shared/hold_up_tracker.test.ts
@@ -74,6 +74,26 @@
     expect(tracker.earliestArrival(3_200)).toBe(1_780);
   });
 
+  // All requests counted from the first hold-up, 17.4 s before, and were refused.
+  it('counts from no earlier hold-up for good if it runs for less than an interval', () => {
+    const tracker = heldUpTracker();
+    const run = 30;
+    let now = 1_000;
+    let longest = 0;
+    for (let cycle = 0; cycle < 60; cycle++) {
+      now += 260;
+      tracker.recordPass(now);
+      for (const until = now + run; now < until; now += 5)
+        longest = Math.max(longest, now - tracker.earliestArrival(now));
+    }
+    expect(longest).toBeLessThan(2_000);
+  });
+
+  it('counts from a hold-up that takes longer than any series', () => {
+    const tracker = heldUpTracker();
+    expect(tracker.earliestArrival(4_000)).toBe(1_000);
+  });
+
   it('takes no time before its first pass for a hold-up', () => {
     const tracker = new HoldUpTracker();
     expect(tracker.earliestArrival(5_000)).toBe(5_000);
--- a/src/daemons/shared/hold_up_tracker.ts
+++ b/src/daemons/shared/hold_up_tracker.ts
@@ -9,6 +9,8 @@
 const IDLE_TIME: Millis = SECOND / 10;
 /** Longest time in which what has waited is read, if requests go on to come. */
 const MAX_CATCH_UP_TIME: Millis = SECOND / 4;
+/** Time before which only the latest hold-up counts: what waited then was read. */
+const MAX_SERIES_TIME: Millis = 1.5 * SECOND;
 
 interface HoldUp {
   /** Last pass before it. */
@@ -54,7 +56,9 @@
   earliestArrival(now: Millis): Millis {
     this.detect(now);
     this.lastReadAt = now;
-    return this.holdUps[0]?.startedAt ?? now;
+    const from = now - MAX_SERIES_TIME;
+    const inSeries = this.holdUps.find(({startedAt}) => startedAt >= from);
+    return (inSeries ?? this.holdUps.at(-1))?.startedAt ?? now;
   }
 
   private detect(now: Millis): void {
