--- a/test/held_up_connects.test.ts
+++ b/test/held_up_connects.test.ts
@@ -44,7 +44,8 @@
     const [options] = args.flat() as [{port?: number}];
     if (isNext && options.port === upstreamPort) {
       isNext = false;
-      setImmediate(() => {
+      // Before the next poll, which completes a connection on loopback.
+      process.nextTick(() => {
         const until = performance.now() + holdUpMs;
         while (performance.now() < until);
       });
