--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -147,6 +147,20 @@
    */
   async turnOf(req: IncomingMessage, res: ServerResponse): Promise<boolean> {
     await nextRead();
+    return this.queuedTurnOf(req, res);
+  }
+
+  /**
+   * Waits as `turnOf` does, without a read in between: a client that half-closes its
+   * connection after a request has not left yet.
+   * @param req - the request, which was accepted
+   * @param res - its response
+   * @returns whether it can be sent; false if the connection ends before
+   */
+  async queuedTurnOf(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<boolean> {
     const connection = this.connections.get(req.socket);
     return (await connection?.open.turnOf(res)) === true;
   }
--- a/src/daemons/shared/control_server.ts
+++ b/src/daemons/shared/control_server.ts
@@ -48,7 +48,7 @@
     this.server = createServer((req, res) => {
       if (!this.connections.accept(req, res)) return;
       // Also with a body: a response before its turn would wait in memory.
-      void this.connections.turnOf(req, res).then(isTurn => {
+      void this.connections.queuedTurnOf(req, res).then(isTurn => {
         if (isTurn) handle(req, res);
       });
     });
