Split the selection of upstreams from the dispatcher

The dispatcher, its request type, the limits of groups and the selection now stand in src/daemons/direct/dispatch. No behaviour changes: the 17 tests of the folder pass unchanged.

--- a/src/daemons/direct/admitted_request.ts
+++ b/src/daemons/direct/admitted_request.ts
@@ -7,7 +7,7 @@
 } from '../../direct/index.js';
 
 import type {BufferedBody} from '../shared/buffered_body.js';
-import type {DispatchRequest} from './dispatch_request.js';
+import type {DispatchRequest} from './dispatch/index.js';
 
 /** Time before the caller's timeout at which the final response is due. */
 const RESPONSE_MARGIN: Millis = 25;
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -25,7 +25,7 @@
 import {OperatorServer} from '../shared/operator_server.js';
 import {BufferBudget} from './buffer_budget.js';
 import type {DirectContext} from './context.js';
-import {Dispatcher} from './dispatcher.js';
+import {Dispatcher} from './dispatch/index.js';
 import type {DirectParts, DirectSettings} from './estate.js';
 import {bindEntryPorts} from './entry_ports.js';
 import {EstateTracker} from './estate_tracker.js';
--- a/src/daemons/direct/dispatch_request.ts
+++ b/src/daemons/direct/dispatch/dispatch_request.ts
@@ -1,10 +1,10 @@
-import type {Millis, ServiceName} from '../../core/index.js';
+import type {Millis, ServiceName} from '../../../core/index.js';
 import type {
   GroupKey,
   PendingRequest,
   RankInfo,
   Upstream,
-} from '../../direct/index.js';
+} from '../../../direct/index.js';
 
 /** A request to send to an upstream. */
 export interface DispatchRequest extends PendingRequest {
--- a/src/daemons/direct/dispatcher.test.ts
+++ b/src/daemons/direct/dispatch/dispatcher.test.ts
@@ -1,13 +1,13 @@
 import {describe, expect, it} from 'vitest';
 
-import {testRegistration} from '../../../test/support/direct_samples.js';
-import {Chance, availabilityZone, serviceName} from '../../core/index.js';
-import {UpstreamTable} from '../../direct/index.js';
+import {testRegistration} from '../../../../test/support/direct_samples.js';
+import {Chance, availabilityZone, serviceName} from '../../../core/index.js';
+import {UpstreamTable} from '../../../direct/index.js';
 import {
   Containment,
   Metrics,
   SILENT_LOGGER,
-} from '../../observability/index.js';
+} from '../../../observability/index.js';
 import type {DispatchRequest} from './dispatch_request.js';
 import {Dispatcher} from './dispatcher.js';
 
--- a/src/daemons/direct/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -1,35 +1,32 @@
-import type {AvailabilityZone, Chance, Millis} from '../../core/index.js';
+import type {AvailabilityZone, Chance, Millis} from '../../../core/index.js';
 import {
-  LeastLoadedGroupPolicy,
-  ExpectedWaitPolicy,
   GroupCircuitBreaker,
   AdaptiveLifoOrder,
   LoadTracker,
-  ConcurrencyLimiter,
-  StreamLimiter,
   PendingQueue,
   UpstreamLimits,
-} from '../../direct/index.js';
-import type {GroupKey, PlacementPolicy, Upstream} from '../../direct/index.js';
-import type {Containment, Logger} from '../../observability/index.js';
+} from '../../../direct/index.js';
+import type {GroupKey, Upstream} from '../../../direct/index.js';
+import type {Containment, Logger} from '../../../observability/index.js';
 import type {
   DispatchRejection,
   DispatchRequest,
   Unplaced,
   UpstreamDirectory,
 } from './dispatch_request.js';
+import {GroupLimiters} from './group_limiters.js';
+import {UpstreamSelector} from './upstream_selector.js';
 
 /** Balances the requests of an entry and queues those beyond the capacity. */
 export class Dispatcher {
   readonly loads = new LoadTracker();
   readonly limits = new UpstreamLimits();
   private readonly groupBreaker = new GroupCircuitBreaker();
-  private readonly limiters = new Map<GroupKey, GroupLimiters>();
+  private readonly limiters: GroupLimiters;
+  private readonly selector: UpstreamSelector;
   private readonly queue = new PendingQueue<DispatchRequest>(
     new AdaptiveLifoOrder(),
   );
-  private readonly plainPolicy: PlacementPolicy;
-  private readonly rankPolicy: PlacementPolicy;
 
   /**
    * @param directory - the upstreams
@@ -41,12 +38,22 @@
   constructor(
     private readonly directory: UpstreamDirectory,
     zone: AvailabilityZone,
-    private readonly chance: Chance,
+    chance: Chance,
     private readonly logger: Logger,
     private readonly containment: Containment,
   ) {
-    this.plainPolicy = new ExpectedWaitPolicy(this.loads, zone);
-    this.rankPolicy = new LeastLoadedGroupPolicy(this.loads, zone, directory);
+    this.limiters = new GroupLimiters(() => directory.entryCount(), chance);
+    this.selector = new UpstreamSelector(
+      directory,
+      {
+        loads: this.loads,
+        limits: this.limits,
+        groupBreaker: this.groupBreaker,
+        limiters: this.limiters,
+      },
+      zone,
+      chance,
+    );
   }
 
   /** Number of queued requests. */
@@ -56,7 +63,7 @@
 
   /** Fields of `/status`. */
   get status(): object {
-    const groups = [...this.limiters].map(([group, limiter]) => ({
+    const groups = [...this.limiters.entries()].map(([group, limiter]) => ({
       group,
       isUnavailable: this.groupBreaker.isUnavailable(group),
       ...limiter.starts.status,
@@ -93,7 +100,7 @@
       this.dispatchQueued(now);
       return;
     }
-    const chosen = this.chooseUpstream(now, req);
+    const chosen = this.selector.select(now, req);
     if (typeof chosen === 'object') this.dispatch(now, req, chosen);
     else if (this.waits(now, req, chosen)) this.queue.enqueue(req);
     else this.reject(now, req, chosen);
@@ -115,7 +122,7 @@
   dispatchQueued(now: Millis): void {
     for (const req of this.queue.shedExpired(now)) {
       this.contain(req, () => {
-        const chosen = this.chooseUpstream(now, req);
+        const chosen = this.selector.select(now, req);
         this.reject(now, req, typeof chosen === 'object' ? 'full' : chosen);
       });
     }
@@ -125,7 +132,7 @@
       if (req === undefined) break;
       this.queue.remove(req);
       this.contain(req, () => {
-        const chosen = this.chooseUpstream(now, req);
+        const chosen = this.selector.select(now, req);
         if (typeof chosen === 'object') {
           this.queue.recordSent(now);
           this.dispatch(now, req, chosen);
@@ -149,11 +156,11 @@
     sentAt: Millis,
     target: Millis,
   ): void {
-    this.limiters.get(group)?.starts.recordStarted(now, now - sentAt, target);
+    this.limiters.find(group)?.starts.recordStarted(now, now - sentAt, target);
     const downMs = Math.round(this.groupBreaker.downtime(now, group));
     if (this.groupBreaker.markAvailable(group, sentAt)) {
       this.logger.info('group_formed', {group, down_ms: downMs});
-      this.limiters.get(group)?.starts.reset();
+      this.limiters.find(group)?.starts.reset();
     }
     this.dispatchQueued(now);
   }
@@ -166,7 +173,7 @@
    * @param target - longest time with which the stream is in time
    */
   recordGap(now: Millis, group: GroupKey, gap: Millis, target: Millis): void {
-    const streams = this.limiters.get(group)?.streams;
+    const streams = this.limiters.find(group)?.streams;
     if (streams === undefined) return;
     const wasLimiting = streams.isLimiting;
     streams.recordGap(now, gap, target);
@@ -182,7 +189,7 @@
    * @param hasStarted - whether it had started there
    */
   recordEnded(now: Millis, group: GroupKey, hasStarted: boolean): void {
-    const limiters = this.limiters.get(group);
+    const limiters = this.limiters.find(group);
     limiters?.streams.recordEnded();
     if (!hasStarted) {
       limiters?.starts.recordEndedUnstarted();
@@ -225,7 +232,7 @@
     const group = this.directory.groupOf(upstream);
     this.groupBreaker.recordRequest(now, group);
     if (this.directory.hasEngines(req.service)) {
-      const {starts, streams} = this.limitersOf(group);
+      const {starts, streams} = this.limiters.of(group);
       starts.recordSent();
       streams.recordSent();
     }
@@ -233,62 +240,6 @@
     req.send(now, upstream, group);
   }
 
-  private chooseUpstream(
-    now: Millis,
-    req: DispatchRequest,
-  ): Upstream | Unplaced {
-    const untried = this.untriedUpstreams(req);
-    if (untried.length === 0) return 'none';
-    const available = untried.filter(upstream =>
-      this.isAvailable(now, req, this.directory.groupOf(upstream)),
-    );
-    if (available.length === 0) {
-      const isRecovering = untried.some(upstream =>
-        this.groupBreaker.isRecovering(now, this.directory.groupOf(upstream)),
-      );
-      return isRecovering ? 'full' : 'down';
-    }
-    const accepting = available.filter(
-      ({incarnation}) => this.loads.backoffUntil(incarnation) <= now,
-    );
-    if (accepting.length === 0) return 'backed_off';
-    const withinLimit = accepting.filter(({incarnation}) =>
-      this.limits.allows(now, incarnation),
-    );
-    if (withinLimit.length === 0) return 'limited';
-    const hasEngines = this.directory.hasEngines(req.service);
-    const withCapacity = hasEngines
-      ? withinLimit.filter(upstream => this.hasCapacity(now, upstream))
-      : withinLimit;
-    if (withCapacity.length === 0) return 'full';
-    const reachable = withCapacity.filter(
-      ({incarnation}) => !this.loads.isSuspended(now, incarnation),
-    );
-    const candidates = reachable.length > 0 ? reachable : withCapacity;
-    const policy = hasEngines ? this.rankPolicy : this.plainPolicy;
-    return policy.choose(now, req, candidates, this.chance) ?? 'none';
-  }
-
-  private untriedUpstreams({
-    service,
-    triedIncarnations,
-  }: DispatchRequest): Upstream[] {
-    return this.directory
-      .upstreamsOf(service)
-      .filter(({incarnation}) => !triedIncarnations.has(incarnation));
-  }
-
-  /** Returns when the first of the untried upstreams accepts a request again. */
-  private acceptingFrom(now: Millis, req: DispatchRequest): Millis {
-    const times = this.untriedUpstreams(req).map(({incarnation}) =>
-      Math.max(
-        this.loads.backoffUntil(incarnation),
-        this.limits.nextAt(now, incarnation),
-      ),
-    );
-    return Math.min(...times.filter(time => time > -Infinity));
-  }
-
   /**
    * Returns whether a request that cannot be placed now waits. It does not wait
    * for a group that is down, whose recovery time is unknown: the caller's retry
@@ -297,53 +248,26 @@
   private waits(now: Millis, req: DispatchRequest, reason: Unplaced): boolean {
     if (!req.mayWait || !PendingQueue.canStartInTime(now, req)) return false;
     if (reason === 'limited')
-      return this.acceptingFrom(now, req) <= req.targetAt;
+      return this.selector.acceptingFrom(now, req) <= req.targetAt;
     return reason === 'full';
   }
 
   private reject(now: Millis, req: DispatchRequest, reason: Unplaced): void {
-    const downtimes = this.untriedUpstreams(req).map(upstream =>
-      this.groupBreaker.downtime(now, this.directory.groupOf(upstream)),
-    );
+    const downtimes = this.selector
+      .untriedUpstreams(req)
+      .map(upstream =>
+        this.groupBreaker.downtime(now, this.directory.groupOf(upstream)),
+      );
     req.reject(REJECTIONS[reason], {
       queueLength: this.queue.length,
       downtime: Math.max(0, ...downtimes),
       reason,
       notBefore:
         reason === 'backed_off' || reason === 'limited'
-          ? this.acceptingFrom(now, req)
+          ? this.selector.acceptingFrom(now, req)
           : undefined,
     });
   }
-
-  /** Whether a group is available, or the request may probe it. */
-  private isAvailable(
-    now: Millis,
-    {triedIncarnations}: DispatchRequest,
-    group: GroupKey,
-  ): boolean {
-    if (!this.groupBreaker.isUnavailable(group)) return true;
-    // A retry costs budget.
-    const isRetry = triedIncarnations.size > 0;
-    return !isRetry && this.groupBreaker.allowsRequest(now, group);
-  }
-
-  private hasCapacity(now: Millis, upstream: Upstream): boolean {
-    const limiters = this.limitersOf(this.directory.groupOf(upstream));
-    return limiters.starts.hasCapacity && limiters.streams.hasCapacity(now);
-  }
-
-  private limitersOf(group: GroupKey): GroupLimiters {
-    let limiters = this.limiters.get(group);
-    if (limiters === undefined) {
-      limiters = {
-        starts: new ConcurrencyLimiter(() => this.directory.entryCount()),
-        streams: new StreamLimiter(this.chance),
-      };
-      this.limiters.set(group, limiters);
-    }
-    return limiters;
-  }
 }
 
 const REJECTIONS = {
@@ -354,14 +278,6 @@
   full: 'overloaded',
 } as const satisfies Record<Unplaced, DispatchRejection>;
 
-/** Limits on the requests of this entry at one group. */
-interface GroupLimiters {
-  /** On requests that have not started. */
-  readonly starts: ConcurrencyLimiter;
-  /** On all requests. */
-  readonly streams: StreamLimiter;
-}
-
 /**
  * Maximum number of queued requests skipped in one pass because their service
  * has no capacity: those behind them may be for another service.
--- a/src/daemons/direct/dispatcher_replay.test.ts
+++ b/src/daemons/direct/dispatch/dispatcher_replay.test.ts
@@ -4,12 +4,12 @@
   BALANCED_SKEW,
   replay,
   shiftingSkew,
-} from '../../../test/support/entry_replay.js';
+} from '../../../../test/support/entry_replay.js';
 import type {
   ReplayLoad,
   ReplayPolicies,
   ReplayResult,
-} from '../../../test/support/entry_replay.js';
+} from '../../../../test/support/entry_replay.js';
 
 const SEEDS = [1, 2, 3, 4];
 
--- /dev/null
+++ b/src/daemons/direct/dispatch/upstream_selector.ts
@@ -0,0 +1,135 @@
+import type {AvailabilityZone, Chance, Millis} from '../../../core/index.js';
+import {
+  ExpectedWaitPolicy,
+  LeastLoadedGroupPolicy,
+} from '../../../direct/index.js';
+import type {
+  GroupCircuitBreaker,
+  GroupKey,
+  LoadTracker,
+  PlacementPolicy,
+  Upstream,
+  UpstreamLimits,
+} from '../../../direct/index.js';
+import type {
+  DispatchRequest,
+  Unplaced,
+  UpstreamDirectory,
+} from './dispatch_request.js';
+import type {GroupLimiters} from './group_limiters.js';
+
+/** What an entry knows of its upstreams besides their registrations. */
+interface UpstreamState {
+  readonly loads: LoadTracker;
+  readonly limits: UpstreamLimits;
+  readonly groupBreaker: GroupCircuitBreaker;
+  readonly limiters: GroupLimiters;
+}
+
+/** Selects the upstream of a request, or the reason why there is none now. */
+export class UpstreamSelector {
+  private readonly plainPolicy: PlacementPolicy;
+  private readonly rankPolicy: PlacementPolicy;
+
+  /**
+   * @param directory - the upstreams
+   * @param state - their load, limits and availability
+   * @param zone - zone of this entry
+   * @param chance - random source for ties
+   */
+  constructor(
+    private readonly directory: UpstreamDirectory,
+    private readonly state: UpstreamState,
+    zone: AvailabilityZone,
+    private readonly chance: Chance,
+  ) {
+    const {loads} = state;
+    this.plainPolicy = new ExpectedWaitPolicy(loads, zone);
+    this.rankPolicy = new LeastLoadedGroupPolicy(loads, zone, directory);
+  }
+
+  /**
+   * Selects the upstream of a request.
+   * @param now - current time
+   * @param req - the request
+   * @returns why there is none, if so
+   */
+  select(now: Millis, req: DispatchRequest): Upstream | Unplaced {
+    const untried = this.untriedUpstreams(req);
+    if (untried.length === 0) return 'none';
+    const available = untried.filter(upstream =>
+      this.isAvailable(now, req, this.directory.groupOf(upstream)),
+    );
+    if (available.length === 0) {
+      const isRecovering = untried.some(upstream =>
+        this.state.groupBreaker.isRecovering(
+          now,
+          this.directory.groupOf(upstream),
+        ),
+      );
+      return isRecovering ? 'full' : 'down';
+    }
+    const accepting = available.filter(
+      ({incarnation}) => this.state.loads.backoffUntil(incarnation) <= now,
+    );
+    if (accepting.length === 0) return 'backed_off';
+    const withinLimit = accepting.filter(({incarnation}) =>
+      this.state.limits.allows(now, incarnation),
+    );
+    if (withinLimit.length === 0) return 'limited';
+    const hasEngines = this.directory.hasEngines(req.service);
+    const withCapacity = hasEngines
+      ? withinLimit.filter(upstream => this.hasCapacity(now, upstream))
+      : withinLimit;
+    if (withCapacity.length === 0) return 'full';
+    const reachable = withCapacity.filter(
+      ({incarnation}) => !this.state.loads.isSuspended(now, incarnation),
+    );
+    const candidates = reachable.length > 0 ? reachable : withCapacity;
+    const policy = hasEngines ? this.rankPolicy : this.plainPolicy;
+    return policy.choose(now, req, candidates, this.chance) ?? 'none';
+  }
+
+  /**
+   * Returns the upstreams to which a request was not sent yet.
+   * @param req - the request
+   */
+  untriedUpstreams({service, triedIncarnations}: DispatchRequest): Upstream[] {
+    return this.directory
+      .upstreamsOf(service)
+      .filter(({incarnation}) => !triedIncarnations.has(incarnation));
+  }
+
+  /**
+   * Returns when the first of the untried upstreams accepts a request again.
+   * @param now - current time
+   * @param req - the request
+   */
+  acceptingFrom(now: Millis, req: DispatchRequest): Millis {
+    const times = this.untriedUpstreams(req).map(({incarnation}) =>
+      Math.max(
+        this.state.loads.backoffUntil(incarnation),
+        this.state.limits.nextAt(now, incarnation),
+      ),
+    );
+    return Math.min(...times.filter(time => time > -Infinity));
+  }
+
+  /** Whether a group is available, or the request may probe it. */
+  private isAvailable(
+    now: Millis,
+    {triedIncarnations}: DispatchRequest,
+    group: GroupKey,
+  ): boolean {
+    if (!this.state.groupBreaker.isUnavailable(group)) return true;
+    // A retry costs budget.
+    const isRetry = triedIncarnations.size > 0;
+    return !isRetry && this.state.groupBreaker.allowsRequest(now, group);
+  }
+
+  private hasCapacity(now: Millis, upstream: Upstream): boolean {
+    const group = this.directory.groupOf(upstream);
+    const {starts, streams} = this.state.limiters.of(group);
+    return starts.hasCapacity && streams.hasCapacity(now);
+  }
+}
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -25,7 +25,7 @@
 import {AttemptSequence} from './attempt_sequence.js';
 import type {ResponseHead, WholeResponse} from './attempt.js';
 import type {DirectContext} from './context.js';
-import type {DispatchRequest, DispatchState} from './dispatch_request.js';
+import type {DispatchRequest, DispatchState} from './dispatch/index.js';
 import {RequestContainment} from './request_containment.js';
 import {ResponseForwarder} from './response_forwarder.js';
 import {ResponseWriter} from './response_writer.js';
--- a/test/support/entry_replay.ts
+++ b/test/support/entry_replay.ts
@@ -6,8 +6,8 @@
   serviceName,
 } from '../../src/core/index.js';
 import type {Millis} from '../../src/core/index.js';
-import type {DispatchRequest} from '../../src/daemons/direct/dispatch_request.js';
-import {Dispatcher} from '../../src/daemons/direct/dispatcher.js';
+import type {DispatchRequest} from '../../src/daemons/direct/dispatch/index.js';
+import {Dispatcher} from '../../src/daemons/direct/dispatch/index.js';
 import {retryAfter} from '../../src/direct/index.js';
 import type {RejectionCause, Upstream} from '../../src/direct/index.js';
 import {
