Report the removal of a key whose record the store had lost

Cause: after a listing of a new era a follower forgot a key that it lacked. A tombstone for the key in that era was then no change, so a reader that holds on to what was lost, as entries do, never learnt of the removal. Change: KeyedTable remembers lost keys until a record of theirs arrives. Result: the new case fails without the change and passes with it; src/direct and the followers' tests pass (435 tests in 30 files, with the tests of the platform and of restored stores).

--- a/src/direct/keyed_table.test.ts
+++ b/src/direct/keyed_table.test.ts
@@ -46,6 +46,16 @@
     ]);
   });
 
+  // A follower held on to a lost record that operators had removed.
+  it('reports the removal of a key whose record was lost, once', () => {
+    const table = new KeyedTable();
+    table.apply([record('a', 9, 'old', 1)]);
+    table.applyListing([], position(3, 2));
+    const removal = [record('a', 4, undefined, 2)];
+    expect(table.apply(removal)).toEqual([{key: 'a', value: undefined}]);
+    expect(table.apply([record('a', 5, undefined, 2)])).toEqual([]);
+  });
+
   it('removes keys missing from a listing, unless they are newer than it', () => {
     const table = new KeyedTable();
     table.apply([record('old', 3, 'x'), record('new', 9, 'y')]);
--- a/src/direct/keyed_table.ts
+++ b/src/direct/keyed_table.ts
@@ -28,6 +28,8 @@
  */
 export class KeyedTable {
   private readonly latest = new Map<string, LatestRecord>();
+  /** Keys without a record since the store lost theirs. */
+  private readonly lost = new Set<string>();
 
   /**
    * Applies records of the log, or pages of an unfinished listing.
@@ -40,7 +42,10 @@
       const known = this.latest.get(key);
       if (known && comparePositions(known.position, position) >= 0) continue;
       this.latest.set(key, {position, value});
-      if (value === undefined && known?.value === undefined) continue;
+      // The removal of a key whose record was lost is news to its reader.
+      const wasLost = this.lost.delete(key);
+      if (value === undefined && known?.value === undefined && !wasLost)
+        continue;
       changes.push({key, value});
     }
     return changes;
@@ -66,6 +71,7 @@
       this.latest.delete(key);
       if (value === undefined) continue;
       const isLost = position.era < startedAt.era;
+      if (isLost) this.lost.add(key);
       changes.push({key, value: undefined, ...(isLost ? {isLost} : {})});
     }
     return changes;
