Keep requests away from evacuated availability zones

Cause: operators evacuate a zone by a record in their topic, which no part read: with one zone evacuated, requests were sent there 171 times after the bound (docs/design/hard_load.md). Upstreams of such zones are excluded before any other criterion; if none is left, requests are rejected at once with the reason "evacuated", queued ones too. The zone is checked again when a connection is ready: the attempt then ends as not run, and the next one is charged as this one was. The topic is read by the smaller one of the bounds of configurations and evacuations. onZoneReturned has no effect yet. The check of the settings template compares the recorded part byte for byte as before, and the added setting with a list of additions.

--- a/src/daemons/direct/admitted_request.ts
+++ b/src/daemons/direct/admitted_request.ts
@@ -1,4 +1,5 @@
 import type {Millis, OrganisationName, ServiceName} from '../../core/index.js';
+import {requestFingerprint} from '../../direct/index.js';
 import type {
   HeaderLines,
   PromptPartId,
@@ -8,6 +9,8 @@
 
 import type {BufferedBody} from '../shared/buffered_body.js';
 import type {DispatchRequest} from './dispatch/index.js';
+import type {BufferedRequest} from './front_server.js';
+import type {AllowedHead} from './head_decision.js';
 
 /** Time before the caller's timeout at which the final response is due. */
 const RESPONSE_MARGIN: Millis = 25;
@@ -29,6 +32,31 @@
   readonly version: number;
 }
 
+/**
+ * Returns a request that the configuration in force allows.
+ * @param received - the request as it was received
+ * @param metadata - metadata of its head
+ * @param head - the decision on its head
+ * @param service - service that serves it
+ */
+export function admitRequest(
+  {req, headers, body, arrivedAt}: BufferedRequest,
+  metadata: RequestMetadata,
+  {table, decision}: AllowedHead,
+  service: ServiceName,
+): AdmittedRequest {
+  const {route, organisation, priority} = decision;
+  const {method = 'GET', url: path = '/'} = req;
+  const target = {method, path, organisation, body: body.bytes};
+  const hasPrompt = metadata.ownPart !== undefined;
+  return {
+    metadata,
+    fingerprint: hasPrompt ? undefined : requestFingerprint(target),
+    ...{route, service, organisation, priority, headers, body, arrivedAt},
+    version: table.configuration.version,
+  };
+}
+
 /**
  * Returns the time at which the final response is due.
  * @param request - the request
--- a/src/daemons/direct/attempt_sequence.test.ts
+++ b/src/daemons/direct/attempt_sequence.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 
-import {AttemptSequence} from './attempt_sequence.js';
+import {AttemptSequence, EVACUATED} from './attempt_sequence.js';
 
 describe('AttemptSequence', () => {
   it('hands on the time that is left at the connect', () => {
@@ -29,6 +29,20 @@
     });
   });
 
+  // A request was sent to a zone that was evacuated while it connected.
+  it('sends nothing to an evacuated zone, and charges nothing for it', () => {
+    const attempts = new AttemptSequence(0);
+    attempts.begin(1_000, 'i-1#5', 1_200);
+    expect(attempts.connect(1_010, true)).toBeUndefined();
+    attempts.recordFailure(EVACUATED);
+    expect(attempts.sends).toBe(0);
+    expect(attempts.triedIncarnations).toEqual(new Set());
+    attempts.begin(1_011, 'i-2#5', 1_189);
+    expect(attempts.connect(1_012, false)).toMatchObject({
+      ...{tries: 2, number: 1, charge: 'unsent_before', after: 'evacuated'},
+    });
+  });
+
   it('sends nothing once the time of its request is over', () => {
     const attempts = new AttemptSequence(0);
     attempts.begin(1_000, 'i-1#5', 200);
--- a/src/daemons/direct/attempt_sequence.ts
+++ b/src/daemons/direct/attempt_sequence.ts
@@ -2,11 +2,16 @@
 import type {AttemptFailure} from '../../direct/index.js';
 import {CONNECT_TIMEOUT} from './attempt.js';
 
+/** End of an attempt whose connection came after a hold-up of this process. */
+export const HELD_UP: AttemptFailure = {kind: 'not_run', reason: 'held_up'};
+/** End of an attempt whose connection came after its zone was evacuated. */
+export const EVACUATED: AttemptFailure = {kind: 'not_run', reason: 'evacuated'};
+
 /** What an attempt is charged to. */
 export type AttemptCharge =
   /** The first of its request: nothing. */
   | 'first'
-  /** All before it were unreachable, so it is the first that is sent: nothing. */
+  /** None before it was sent, as those were unreachable for example: nothing. */
   | 'unsent_before'
   /** The retry budget. */
   | 'retry_budget';
@@ -115,10 +120,13 @@
   /**
    * Records that the latest attempt is connected.
    * @param now - current time
-   * @returns the attempt as it is sent; undefined if it took longer than a connect
-   *     may, as this process was held up: what it was decided by is too old
+   * @param isEvacuated - whether the zone of its upstream is evacuated by now
+   * @returns the attempt as it is sent; undefined if it must not be sent: its zone
+   *     is evacuated, or it took longer than a connect may, as this process was held
+   *     up: what it was decided by is too old
    */
-  connect(now: Millis): BegunAttempt | undefined {
+  connect(now: Millis, isEvacuated = false): BegunAttempt | undefined {
+    if (isEvacuated) return undefined;
     const {begun, begunAt} = this;
     if (begun === undefined) return undefined;
     const connectTime = now - begunAt;
@@ -139,10 +147,10 @@
    */
   recordFailure(failure: AttemptFailure): BegunAttempt | undefined {
     const notRun = failure.kind === 'not_run' ? failure.reason : undefined;
-    const isHeldUp = notRun === 'held_up';
-    if (isHeldUp && this.upstream !== undefined)
+    const isUntried = notRun === 'held_up' || notRun === 'evacuated';
+    if (isUntried && this.upstream !== undefined)
       this.triedIncarnations.delete(this.upstream);
-    if (!isHeldUp && notRun !== 'unreachable') this.sendCount += 1;
+    if (!isUntried && notRun !== 'unreachable') this.sendCount += 1;
     this.lastFailure =
       failure.kind === 'failed_answer' ? `${failure.status}` : failure.reason;
     return this.begun;
--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -16,7 +16,7 @@
 import type {AttemptSequence, BegunAttempt} from './attempt_sequence.js';
 import type {DispatchState} from './dispatch/index.js';
 import type {BufferBudget} from './buffer_budget.js';
-import type {Dispatcher} from './dispatch/index.js';
+import type {Dispatcher, ZoneFilter} from './dispatch/index.js';
 import type {QuarantineKeeper} from './quarantine_keeper.js';
 import type {RequestLog} from './request_log.js';
 import type {RetryAccounting} from './retry_accounting.js';
@@ -54,6 +54,8 @@
   readonly clock: Clock;
   readonly dialect: HeaderDialect;
   readonly dispatcher: Dispatcher;
+  /** Zones that requests are kept away from. */
+  readonly evacuation: ZoneFilter;
   readonly retries: RetryAccounting;
   readonly quarantine: QuarantineKeeper;
   readonly log: RequestLog;
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -4,11 +4,7 @@
 
 import type {Clock, Millis, ServiceName} from '../../core/index.js';
 import {hostPort} from '../../core/index.js';
-import {
-  requestFingerprint,
-  retryAfter,
-  pickService,
-} from '../../direct/index.js';
+import {retryAfter, pickService} from '../../direct/index.js';
 import type {
   ResponseMetadata,
   RejectionCause,
@@ -26,11 +22,13 @@
 import {BufferBudget} from './buffer_budget.js';
 import type {DirectContext} from './context.js';
 import {Dispatcher} from './dispatch/index.js';
+import {EvacuationKeeper} from './evacuation/index.js';
 import type {DirectParts, DirectSettings} from './estate.js';
 import {bindEntryPorts} from './entry_ports.js';
 import {EstateTracker} from './estate_tracker.js';
 import type {EstateListener} from './estate_tracker.js';
 import {Exchange} from './exchange.js';
+import {admitRequest} from './admitted_request.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import {FrontServer} from './front_server.js';
 import type {BufferedRequest} from './front_server.js';
@@ -50,6 +48,7 @@
 export class DirectEntry implements DirectContext {
   readonly clock: Clock;
   readonly dialect;
+  readonly evacuation: EvacuationKeeper;
   readonly dispatcher: Dispatcher;
   readonly retries: RetryAccounting;
   readonly quarantine: QuarantineKeeper;
@@ -102,6 +101,7 @@
     );
     this.connections = new ConnectionPools(clock);
     this.holdUps = new HoldUpMonitor(clock, logger);
+    this.evacuation = this.createEvacuationKeeper();
     this.dispatcher = new Dispatcher(
       {
         upstreamsOf: service => this.estate.upstreams.forService(service),
@@ -114,6 +114,7 @@
       parts.chance,
       logger,
       this.containment,
+      this.evacuation,
     );
     this.limits = new LimitKeeper(
       this.dispatcher.limits,
@@ -168,9 +169,10 @@
     this.retries.startServing(this.clock.now());
     this.timer = setInterval(
       () =>
-        this.containment.run('timer', {}, () =>
-          this.dispatcher.dispatchQueued(this.clock.now()),
-        ),
+        this.containment.run('timer', {}, () => {
+          this.evacuation.tick(this.clock.now());
+          this.dispatcher.dispatchQueued(this.clock.now());
+        }),
       QUEUE_CHECK_INTERVAL,
     );
   }
@@ -226,12 +228,25 @@
     if (backOff !== undefined) this.recordBackoff(upstream, backOff);
   }
 
+  private createEvacuationKeeper(): EvacuationKeeper {
+    const view = {
+      contactAt: () => this.estate.operatorContact,
+      upstreams: () =>
+        this.estate.notReadyReason ? undefined : this.estate.upstreams,
+    };
+    return new EvacuationKeeper(this.parts, view, {
+      onChanged: now => this.dispatcher.reexamineQueue(now),
+      onZoneReturned: () => undefined,
+    });
+  }
+
   private estateListener(metrics: Metrics): EstateListener {
     return {
       onConfiguration: ({version, limits}) => {
         this.front.setLimits(limits);
         metrics.versionInForce.set(version);
       },
+      onOperatorRecord: (...args) => this.evacuation.apply(...args),
       onUpstreamRemoved: () => {
         const {upstreams} = this.estate;
         const {loads, limits} = this.dispatcher;
@@ -303,7 +318,8 @@
     return decideOnHead({isAccepting, table, host, path, key});
   }
 
-  private serve({req, res, headers, body, arrivedAt}: BufferedRequest): void {
+  private serve(received: BufferedRequest): void {
+    const {req, res, headers, arrivedAt} = received;
     const reply = new ResponseWriter(res, this.dialect, () =>
       this.closesAfter(res),
     );
@@ -315,27 +331,9 @@
       this.recordRejected(metadata.id, fault.reason, arrivedAt);
       return;
     }
-    const {table, decision} = admitted.value;
-    const {route, organisation, priority} = decision;
-    const {method = 'GET', url: path = '/'} = req;
-    const request: AdmittedRequest = {
-      metadata,
-      fingerprint:
-        metadata.ownPart === undefined
-          ? requestFingerprint({
-              ...{method, path, organisation},
-              body: body.bytes,
-            })
-          : undefined,
-      route,
-      service: pickService(route, this.parts.chance),
-      organisation,
-      priority,
-      headers,
-      body,
-      arrivedAt,
-      version: table.configuration.version,
-    };
+    const {route} = admitted.value.decision;
+    const service = pickService(route, this.parts.chance);
+    const request = admitRequest(received, metadata, admitted.value, service);
     const quarantine = this.quarantine.match(request);
     if (quarantine !== undefined) {
       const parts = quarantine.parts.join(',');
@@ -383,6 +381,7 @@
       vm: this.settings.vm,
       notReady: this.notReady(),
       ...this.estate.status(now),
+      ...this.evacuation.status(now),
       openRequests: this.front.openRequests,
       ...this.front.bodyStatus,
       ...this.dispatcher.status,
--- a/src/daemons/direct/dispatch/dispatch_request.ts
+++ b/src/daemons/direct/dispatch/dispatch_request.ts
@@ -34,6 +34,8 @@
   readonly queueLength: number;
   /** Time for which its group has been down; 0 if it is available. */
   readonly downtime: Millis;
+  /** Evacuated zones of its service, if no other upstreams are left. */
+  readonly evacuatedZones?: string | undefined;
   /** Earliest time of a retry, if it is known. */
   readonly notBefore?: Millis | undefined;
 }
@@ -47,10 +49,32 @@
   hasEngines(service: ServiceName): boolean;
 }
 
+/** What became of a request that was kept away from an evacuated zone. */
+export type KeptAwayResult = 'placed_elsewhere' | 'rejected';
+
+/** Zones that requests are kept away from. */
+export interface ZoneFilter {
+  /** Whether no zone is evacuated. */
+  readonly isEmpty: boolean;
+  /** Returns whether no requests may be sent to an upstream for its zone. */
+  isEvacuated(upstream: Upstream): boolean;
+  /** Counts a request that an evacuation has kept away from its zone. */
+  recordKeptAway(service: ServiceName, result: KeptAwayResult): void;
+}
+
+/** Filter of an entry without evacuations. */
+export const NO_EVACUATIONS: ZoneFilter = {
+  isEmpty: true,
+  isEvacuated: () => false,
+  recordKeptAway: () => undefined,
+};
+
 /** Why a request cannot be placed on an upstream now. */
 export type Unplaced =
   /** No upstream is left that it was not sent to. */
   | 'none'
+  /** The zones of all upstreams are evacuated. */
+  | 'evacuated'
   /** The groups of all upstreams are down. */
   | 'down'
   /** All upstreams requested a backoff. */
--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -13,7 +13,9 @@
   DispatchRequest,
   Unplaced,
   UpstreamDirectory,
+  ZoneFilter,
 } from './dispatch_request.js';
+import {NO_EVACUATIONS} from './dispatch_request.js';
 import {GroupLimiters} from './group_limiters.js';
 import {UpstreamSelector} from './upstream_selector.js';
 
@@ -34,6 +36,7 @@
    * @param chance - random source for ties
    * @param logger - logs availability changes of groups
    * @param containment - contains exceptions to their request
+   * @param evacuation - zones that requests are kept away from
    */
   constructor(
     private readonly directory: UpstreamDirectory,
@@ -41,6 +44,7 @@
     chance: Chance,
     private readonly logger: Logger,
     private readonly containment: Containment,
+    private readonly evacuation: ZoneFilter = NO_EVACUATIONS,
   ) {
     this.limiters = new GroupLimiters(() => directory.entryCount(), chance);
     this.selector = new UpstreamSelector(
@@ -50,6 +54,7 @@
         limits: this.limits,
         groupBreaker: this.groupBreaker,
         limiters: this.limiters,
+        evacuation,
       },
       zone,
       chance,
@@ -143,6 +148,21 @@
     for (const req of skipped) this.queue.enqueue(req);
   }
 
+  /**
+   * Examines all queued requests again after zones were evacuated or taken back:
+   * sends those that can be placed, rejects those that no upstream is left for.
+   * @param now - current time
+   */
+  reexamineQueue(now: Millis): void {
+    for (const req of [...this.queue.requests]) {
+      if (this.selector.permittedUpstreams(req).length > 0) continue;
+      if (this.selector.evacuatedZones(req).length === 0) continue;
+      this.queue.remove(req);
+      this.contain(req, () => this.reject(now, req, 'evacuated'));
+    }
+    this.dispatchQueued(now);
+  }
+
   /**
    * Records that a request has started.
    * @param now - current time
@@ -229,6 +249,8 @@
       this.reject(now, req, 'full');
       return;
     }
+    if (this.selector.evacuatedZones(req).length > 0)
+      this.evacuation.recordKeptAway(req.service, 'placed_elsewhere');
     const group = this.directory.groupOf(upstream);
     this.groupBreaker.recordRequest(now, group);
     if (this.directory.hasEngines(req.service)) {
@@ -254,14 +276,19 @@
 
   private reject(now: Millis, req: DispatchRequest, reason: Unplaced): void {
     const downtimes = this.selector
-      .untriedUpstreams(req)
+      .permittedUpstreams(req)
       .map(upstream =>
         this.groupBreaker.downtime(now, this.directory.groupOf(upstream)),
       );
+    const isEvacuated = reason === 'evacuated';
+    if (isEvacuated) this.evacuation.recordKeptAway(req.service, 'rejected');
     req.reject(REJECTIONS[reason], {
       queueLength: this.queue.length,
       downtime: Math.max(0, ...downtimes),
       reason,
+      evacuatedZones: isEvacuated
+        ? this.selector.evacuatedZones(req).join(',')
+        : undefined,
       notBefore:
         reason === 'backed_off' || reason === 'limited'
           ? this.selector.acceptingFrom(now, req)
@@ -272,6 +299,7 @@
 
 const REJECTIONS = {
   none: 'no_upstream',
+  evacuated: 'no_upstream',
   down: 'group_down',
   backed_off: 'overloaded',
   limited: 'overloaded',
--- a/src/daemons/direct/dispatch/index.ts
+++ b/src/daemons/direct/dispatch/index.ts
@@ -3,6 +3,8 @@
   DispatchRejection,
   DispatchRequest,
   DispatchState,
+  KeptAwayResult,
   Unplaced,
   UpstreamDirectory,
+  ZoneFilter,
 } from './dispatch_request.js';
--- a/src/daemons/direct/dispatch/upstream_selector.ts
+++ b/src/daemons/direct/dispatch/upstream_selector.ts
@@ -15,6 +15,7 @@
   DispatchRequest,
   Unplaced,
   UpstreamDirectory,
+  ZoneFilter,
 } from './dispatch_request.js';
 import type {GroupLimiters} from './group_limiters.js';
 
@@ -24,6 +25,7 @@
   readonly limits: UpstreamLimits;
   readonly groupBreaker: GroupCircuitBreaker;
   readonly limiters: GroupLimiters;
+  readonly evacuation: ZoneFilter;
 }
 
 /** Selects the upstream of a request, or the reason why there is none now. */
@@ -57,11 +59,13 @@
   select(now: Millis, req: DispatchRequest): Upstream | Unplaced {
     const untried = this.untriedUpstreams(req);
     if (untried.length === 0) return 'none';
-    const available = untried.filter(upstream =>
+    const permitted = this.permittedUpstreams(req);
+    if (permitted.length === 0) return 'evacuated';
+    const available = permitted.filter(upstream =>
       this.isAvailable(now, req, this.directory.groupOf(upstream)),
     );
     if (available.length === 0) {
-      const isRecovering = untried.some(upstream =>
+      const isRecovering = permitted.some(upstream =>
         this.state.groupBreaker.isRecovering(
           now,
           this.directory.groupOf(upstream),
@@ -101,12 +105,36 @@
   }
 
   /**
-   * Returns when the first of the untried upstreams accepts a request again.
+   * Returns the untried upstreams of a request whose zones are not evacuated.
+   * @param req - the request
+   */
+  permittedUpstreams(req: DispatchRequest): Upstream[] {
+    const {evacuation} = this.state;
+    const untried = this.untriedUpstreams(req);
+    if (evacuation.isEmpty) return untried;
+    return untried.filter(upstream => !evacuation.isEvacuated(upstream));
+  }
+
+  /**
+   * Returns the evacuated zones of a request's untried upstreams.
+   * @param req - the request
+   */
+  evacuatedZones(req: DispatchRequest): AvailabilityZone[] {
+    const {evacuation} = this.state;
+    if (evacuation.isEmpty) return [];
+    const zones = this.untriedUpstreams(req)
+      .filter(upstream => evacuation.isEvacuated(upstream))
+      .map(({registration}) => registration.availabilityZone);
+    return [...new Set(zones)].sort();
+  }
+
+  /**
+   * Returns when the first of the permitted upstreams accepts a request again.
    * @param now - current time
    * @param req - the request
    */
   acceptingFrom(now: Millis, req: DispatchRequest): Millis {
-    const times = this.untriedUpstreams(req).map(({incarnation}) =>
+    const times = this.permittedUpstreams(req).map(({incarnation}) =>
       Math.max(
         this.state.loads.backoffUntil(incarnation),
         this.state.limits.nextAt(now, incarnation),
--- a/src/daemons/direct/estate.ts
+++ b/src/daemons/direct/estate.ts
@@ -15,6 +15,7 @@
   UpstreamRegistration,
 } from '../../direct/index.js';
 import type {Fault} from '../../errors/index.js';
+import type {EvacuationRecord} from '../../evacuation/index.js';
 import type {DaemonParts} from '../shared/start_context.js';
 
 /** Staleness bounds: maximum time until an update is in force at an entry. */
@@ -23,6 +24,11 @@
   readonly configuration: Millis;
   /** From the announced departure of an upstream to its last new request. */
   readonly leavingUpstream: Millis;
+  /**
+   * From the acknowledgement of a zone's evacuation to the last request that
+   * arrives there; undefined if the deployment has no such bound.
+   */
+  readonly evacuation?: Millis | undefined;
 }
 
 /** Settings of a process of the direct deployment. */
@@ -76,6 +82,15 @@
     change: KeyedChange,
   ): Result<DirectConfiguration, Fault> | undefined;
 
+  /**
+   * Parses a request to evacuate a zone.
+   * @param change - record of the configuration topic
+   * @returns undefined if the record is none
+   */
+  abstract parseEvacuation(
+    change: KeyedChange,
+  ): Result<EvacuationRecord, Fault> | undefined;
+
   /**
    * Parses a registration.
    * @param change - a record with a value
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -21,6 +21,7 @@
   Upstream,
   UpstreamChange,
 } from '../../direct/index.js';
+import {operatorsTopicBound} from '../../evacuation/index.js';
 import {Containment} from '../../observability/index.js';
 import type {Logger, Metrics} from '../../observability/index.js';
 import {bindWhenFree} from './bind_when_free.js';
@@ -50,6 +51,8 @@
 export interface EstateListener {
   /** Called when another version is in force. */
   onConfiguration(configuration: DirectConfiguration): void;
+  /** Called with each record of the operators' topic, before `onConfiguration`. */
+  onOperatorRecord(change: KeyedChange, origin: UpdateOrigin): void;
   /** Called when an upstream accepts no new requests. */
   onUpstreamRemoved(): void;
   /** Called once, when the other entries can read of this one. */
@@ -138,13 +141,17 @@
         // An overdue response reveals an unresponsive connection.
         {
           topic: topics.configuration,
-          wait: bounds.configuration,
+          wait: operatorsTopicBound(bounds),
           spacing: 0,
         },
-        (changes, origin) =>
+        (changes, origin) => {
+          this.forEachRecord(changes, change =>
+            listener.onOperatorRecord(change, origin),
+          );
           this.forEachRecord(changes, change =>
             this.applyConfiguration(change, origin),
-          ),
+          );
+        },
       ),
       upstreams: this.createFollower(
         {
@@ -200,6 +207,11 @@
     return this.hasUpstreams ? undefined : 'no_upstreams';
   }
 
+  /** Time of the last read of the operators' records. */
+  get operatorContact(): Millis | undefined {
+    return this.followers.configuration.lastContact;
+  }
+
   /** Number of entries that may be running, including this one. */
   get entryCount(): number {
     return this.entries.count;
@@ -369,12 +381,12 @@
 
 /** Returns the timing of each topic that entries read through each other. */
 function topicTimings(
-  {configuration, leavingUpstream}: StalenessBounds,
+  bounds: StalenessBounds,
   topics: Estate['topics'],
 ): ReadonlyMap<string, TopicTiming> {
   return new Map([
-    [topics.configuration, configurationTiming(configuration)],
-    [topics.upstreams, registrationTiming(leavingUpstream)],
+    [topics.configuration, configurationTiming(operatorsTopicBound(bounds))],
+    [topics.upstreams, registrationTiming(bounds.leavingUpstream)],
     [topics.entries, INTERNAL_TIMING],
     [topics.ranks, INTERNAL_TIMING],
     [topics.quarantines, INTERNAL_TIMING],
--- /dev/null
+++ b/src/daemons/direct/evacuation/index.ts
@@ -0,0 +1,1 @@
+export {EvacuationKeeper} from './evacuation_keeper.js';
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -22,7 +22,7 @@
 import type {AdmittedRequest} from './admitted_request.js';
 import {AttemptAccount} from './attempt_account.js';
 import {Attempt, attemptRequest} from './attempt.js';
-import {AttemptSequence} from './attempt_sequence.js';
+import {AttemptSequence, EVACUATED, HELD_UP} from './attempt_sequence.js';
 import type {ResponseHead, WholeResponse} from './attempt.js';
 import type {DirectContext} from './context.js';
 import type {DispatchRequest, DispatchState} from './dispatch/index.js';
@@ -30,8 +30,6 @@
 import {ResponseForwarder} from './response_forwarder.js';
 import {ResponseWriter} from './response_writer.js';
 
-const HELD_UP: AttemptFailure = {kind: 'not_run', reason: 'held_up'};
-
 /** Handles a caller's request from its admission to its final response. */
 export class Exchange {
   private readonly response: ResponseWriter;
@@ -166,14 +164,16 @@
     if (this.isFinished) this.attempt.cancel();
   }
 
-  /** Sends the request, unless the connection came too late. */
+  /** Sends the request, unless the connection came too late for its upstream. */
   private onConnect(write: (lines: HeaderLines) => void): void {
     const {request, context, account, containment} = this;
-    const attempt = this.attempts.connect(context.clock.now());
     if (account === undefined) return;
+    const isEvacuated = context.evacuation.isEvacuated(account.upstream);
+    const attempt = this.attempts.connect(context.clock.now(), isEvacuated);
     if (attempt === undefined) {
       // The caller may have left meanwhile, which is read first.
-      const end = () => account.isOpen && this.abortAttempt(HELD_UP);
+      const failure = isEvacuated ? EVACUATED : HELD_UP;
+      const end = () => account.isOpen && this.abortAttempt(failure);
       setImmediate(containment.wrap(end));
       return;
     }
--- a/src/daemons/direct/request_log.ts
+++ b/src/daemons/direct/request_log.ts
@@ -174,6 +174,7 @@
       waited_ms: Math.round(attempts.queueTime),
       ms: since(now),
       unplaced: result.rejectedIn?.reason,
+      evacuated: result.rejectedIn?.evacuatedZones,
       queued: result.rejectedIn?.queueLength,
       down_ms: result.rejectedIn && Math.round(result.rejectedIn.downtime),
       retry_after_ms: result.retryAfter && Math.round(result.retryAfter),
--- a/src/direct/attempt_policy.ts
+++ b/src/direct/attempt_policy.ts
@@ -19,6 +19,8 @@
   | 'unreachable'
   /** This process was held up until its connection came too late. */
   | 'held_up'
+  /** The zone was evacuated while its connection was being opened. */
+  | 'evacuated'
   | 'busy'
   | 'group_down'
   | 'wrong_upstream'
--- a/src/direct/pending_queue.ts
+++ b/src/direct/pending_queue.ts
@@ -62,6 +62,11 @@
     return this.waiting.size;
   }
 
+  /** Returns the queued requests, in any order. */
+  get requests(): Iterable<T> {
+    return this.waiting;
+  }
+
   /**
    * Returns whether a request sent now can start before it expires.
    * @param now - current time
--- a/src/direct/upstream_table.ts
+++ b/src/direct/upstream_table.ts
@@ -1,5 +1,10 @@
 import {SECOND, incarnation} from '../core/index.js';
-import type {Incarnation, Millis, ServiceName} from '../core/index.js';
+import type {
+  AvailabilityZone,
+  Incarnation,
+  Millis,
+  ServiceName,
+} from '../core/index.js';
 import type {UpstreamRegistration, UpstreamId} from './types.js';
 
 /** Grace period after a registry outage for lapsed registrations to return. */
@@ -119,6 +124,16 @@
     return found;
   }
 
+  /**
+   * Returns the upstreams of a zone.
+   * @param zone - the zone
+   */
+  inZone(zone: AvailabilityZone): Upstream[] {
+    return this.all().filter(
+      ({registration}) => registration.availabilityZone === zone,
+    );
+  }
+
   /**
    * Returns whether an incarnation accepts requests.
    * @param wanted - the incarnation
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -475,6 +475,7 @@
       new Metrics(),
       {
         onConfiguration: () => undefined,
+        onOperatorRecord: () => undefined,
         onUpstreamRemoved: () => undefined,
         onJoined: () => undefined,
         onShare: () => undefined,
@@ -586,6 +587,8 @@
   /** Sample values by the names of the template. */
   readonly values: Readonly<Record<string, unknown>>;
   readonly rendered: string;
+  /** Settings that later builds render after the recorded ones. */
+  readonly added: readonly (readonly [string, unknown])[];
   /** Decoded values by the names in the file. */
   readonly decoded: object;
   /** The same with null for every value that may be absent. */
@@ -626,7 +629,13 @@
       /\{\{([^|}]+)\|json\}\}/g,
       (_, name: string) => JSON.stringify(settings.values[name]),
     );
-    expect(rendered).toBe(settings.rendered);
+    const added = settings.added.map(
+      ([name, value]) => `,\n  "${name}": ${JSON.stringify(value)}`,
+    );
+    const end = '\n}\n';
+    expect(settings.rendered.endsWith(end)).toBe(true);
+    const recordedPart = settings.rendered.slice(0, -end.length);
+    expect(rendered).toBe(`${recordedPart}${added.join('')}${end}`);
   });
 
   it('are decoded as recorded', () => {
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -346,8 +346,9 @@
   /**
    * Starts an upstream and registers it.
    * @param script - answers each request
+   * @param zone - its availability zone
    */
-  async addUpstream(script: Script): Promise<ScriptedUpstream> {
+  async addUpstream(script: Script, zone = 'a'): Promise<ScriptedUpstream> {
     const upstream = new ScriptedUpstream(script);
     const address = await upstream.listen();
     this.upstreams.push(upstream);
@@ -355,7 +356,7 @@
     this.store.put('keyed.servers', id, {
       Service: 'app',
       Address: address,
-      Zone: 'a',
+      Zone: zone,
       Slots: 6,
       State: 'ready',
       Sequence: 1,
