Take the listing of a restored store from peers if the store does not list

Cause: found while the reads of evacuations were reviewed. An entry that has learnt of a new era answers its reads of the earlier one by itself as expired. If the store then turned its listings away, it asked no peer and kept its records past every bound, as such a read counted as a success. Change: ZoneStore lists an expired topic as part of the read, so that a failed listing goes on to the peers, whose buffers have the listing of the new era.

--- a/src/daemons/direct/zone_store.test.ts
+++ b/src/daemons/direct/zone_store.test.ts
@@ -75,6 +75,34 @@
   }
 }
 
+/** A store that came back in another era, and may not list what it has. */
+class RestoredStore extends CountingStore {
+  era = 1;
+
+  override list(): ResultAsync<KeyedListing, Fault> {
+    if (this.isUnavailable) return errAsync(new Fault('store_unavailable'));
+    const startedAt = position(1, this.era);
+    const record = {key: 'k', position: position(0, this.era)};
+    return okAsync({
+      records: [{...record, value: Buffer.from(`era ${this.era}`)}],
+      startedAt,
+    });
+  }
+
+  override read(
+    _topic: string,
+    from: LogPosition,
+  ): ResultAsync<KeyedPage, Fault> {
+    const isExpired = from.era < this.era;
+    const {era} = position(0, this.era);
+    return okAsync(
+      isExpired
+        ? {kind: 'expired', era}
+        : {kind: 'records', records: [], next: from},
+    );
+  }
+}
+
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 interface Entry {
@@ -288,6 +316,32 @@
     expect(lost.isErr()).toBe(true);
   });
 
+  // An entry that knew of the new era asked only the store, which did not list.
+  it('lists a topic of a restored store from a peer if the store does not', async () => {
+    const clock = new SystemClock();
+    const addresses = [await freePort(), await freePort()].map(port =>
+      hostPort('127.0.0.1', port),
+    );
+    const stores = [new RestoredStore([]), new RestoredStore([])] as const;
+    const timings = new Map([[TOPIC, configurationTiming(BOUND)]]);
+    const [turnedAway, peer] = stores.map(
+      (store, i) =>
+        new ZoneStore(store, vmName(`z-${i}`), timings, clock, SILENT_LOGGER),
+    ) as [ZoneStore, ZoneStore];
+    const both = addresses.map((relay, i) => ({name: vmName(`z-${i}`), relay}));
+    turnedAway.setEntries(both, () => true);
+    await peer.listen(addresses[1]!);
+    for (const store of stores) store.era = 2;
+    await peer.list(TOPIC);
+    await peer.read(TOPIC, position(1, 2), 0);
+    stores[0].isUnavailable = true;
+    const page = (await turnedAway.read(TOPIC, position(7, 1), 0)).unwrapOr(
+      undefined,
+    );
+    await Promise.all([turnedAway.close(), peer.close()]);
+    expect(page).toMatchObject({kind: 'listing', relayedBy: 'z-1'});
+  });
+
   it('survives a record that coincides with a poll timeout on a slow connection', async () => {
     log.push('first');
     await timeUntilReceived('first', entries);
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -13,7 +13,13 @@
   withTimeout,
 } from '../../clients/index.js';
 import type {KeyedListing, KeyedPage} from '../../clients/index.js';
-import type {Clock, LogPosition, Millis, VmName} from '../../core/index.js';
+import type {
+  Clock,
+  Era,
+  LogPosition,
+  Millis,
+  VmName,
+} from '../../core/index.js';
 import {era, offset} from '../../core/index.js';
 import {RelaySelector, nextReadStep, peerSpacing} from '../../direct/index.js';
 import type {
@@ -212,6 +218,8 @@
     if (this.storeFailures.delete(topic)) {
       this.logger.info('store_reachable', {topic});
     }
+    if (read.value.kind === 'expired')
+      return this.listExpired(topic, from, read.value.era);
     if (read.value.kind !== 'records') return read;
     const now = this.clock.now();
     this.append(topic, from, {page: read.value, contactAt: now});
@@ -220,6 +228,24 @@
     return ok({...read.value, spacing: isBusy ? busySpacing : 0});
   }
 
+  /**
+   * Lists a topic whose position the store no longer has. If the store does not
+   * respond, peers may have a listing of its era.
+   */
+  private async listExpired(
+    topic: string,
+    {offset: from, era: before}: LogPosition,
+    era: Era,
+  ): Promise<Result<KeyedPage, Fault>> {
+    this.logger.warn('topic_history_expired', {topic, from, before, era});
+    const listing = await this.list(topic);
+    return listing.map(page => ({
+      ...page,
+      kind: 'listing',
+      relayedBy: 'listing',
+    }));
+  }
+
   private async readEntry(
     position: ReadPosition,
     step: ReadStep,
