--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,6 +11,7 @@
   'expert_groups',
   'direct',
   'evacuation',
+  'configuration_review',
 ].map(folder => `src/${folder}/**/*.ts`);
 
 const CLOCKS_AND_CHANCE = [
