Say when no upstream of a route's services is registered

Cause: the check compared attempts with 0 upstreams, which says the lesser fault. Change: a remark of its own. Result: npx vitest run src/configuration_review platform/configuration_check: 36 tests pass.

--- a/src/configuration_review/route_rules.ts
+++ b/src/configuration_review/route_rules.ts
@@ -128,7 +128,9 @@
       add('warning', 'only streams can be resumed');
     const counts = servicesOf(route).map(name => upstreams?.get(name) ?? 0);
     const most = Math.max(0, ...counts);
-    if (upstreams !== undefined && maxAttempts > most)
+    if (upstreams !== undefined && most === 0)
+      add('warning', 'no upstream of its services is registered');
+    else if (upstreams !== undefined && maxAttempts > most)
       add(
         'warning',
         `${maxAttempts} attempts at different upstreams, and ${most} are registered`,
