--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,6 +10,8 @@
   'admission',
   'expert_groups',
   'direct',
+  'evacuation',
+  'configuration_review',
 ].map(folder => `src/${folder}/**/*.ts`);
 
 const CLOCKS_AND_CHANCE = [
