Bound the requests of all entries to cold upstreams

Cause: an upstream that starts during traffic, or whose zone was taken back, takes few requests and crashes at a rate well above. Placement only doubled its cost; nothing bounded the sum over the entries.

Change: time is divided into permits, each for one request of one entry, whose owner all entries compute from its number (rendezvous hashing over the entries' names). The selector drops cold upstreams without an own permit after the limits that upstreams name; the reason is `warming_up`, and a request waits for the next permit or is rejected with its time. Rate and duration come from the configuration, factor and slack from the settings. UpstreamTable tells when a registration was read and whether its incarnation replaced another. The recorded settings get the two names by hand; the file without them still decodes.

--- a/src/daemons/direct/admitted_request.ts
+++ b/src/daemons/direct/admitted_request.ts
@@ -45,6 +45,7 @@
 /** What a dispatcher places and queues a request by. */
 export type DispatchTerms = Pick<
   DispatchRequest,
+  | 'id'
   | 'service'
   | 'promptTokens'
   | 'priority'
@@ -67,6 +68,7 @@
   const {latencyTarget: target, repeat, silencePatience} = route;
   return {
     ...{service, priority, target, promptTokens: metadata.promptTokens},
+    id: metadata.id,
     targetAt: arrivedAt + target,
     expiresAt: Math.min(lastDeliveryAt + silencePatience, deadlineOf(request)),
     mayWait: repeat === 'stream',
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -2,7 +2,7 @@
 
 import type {Result} from 'neverthrow';
 
-import type {Clock, Millis, ServiceName} from '../../core/index.js';
+import type {Clock, Millis} from '../../core/index.js';
 import {hostPort} from '../../core/index.js';
 import {
   requestFingerprint,
@@ -24,6 +24,7 @@
 import {HoldUpMonitor} from '../shared/hold_up_monitor.js';
 import {OperatorServer} from '../shared/operator_server.js';
 import {BufferBudget} from './buffer_budget.js';
+import {ColdStartKeeper} from './cold_start/index.js';
 import type {DirectContext} from './context.js';
 import {Dispatcher} from './dispatch/index.js';
 import type {DirectParts, DirectSettings} from './estate.js';
@@ -58,6 +59,7 @@
   readonly buffers = new BufferBudget();
   private readonly peers: PeerChannel;
   private readonly limits: LimitKeeper;
+  readonly coldStart: ColdStartKeeper;
   private readonly estate: EstateTracker;
   readonly front: FrontServer;
   private readonly shutdown: Shutdown;
@@ -105,7 +107,7 @@
     this.dispatcher = new Dispatcher(
       {
         upstreamsOf: service => this.estate.upstreams.forService(service),
-        hasEngines: service => this.hasEngines(service),
+        hasEngines: service => this.estate.hasEngines(service),
         groupOf: upstream => this.estate.groupOf(upstream),
         slowdownOf: upstream => this.estate.slowdownOf(upstream),
         entryCount: () => this.estate.entryCount,
@@ -122,6 +124,11 @@
       logger,
       metrics,
     );
+    this.coldStart = new ColdStartKeeper(
+      () => ({settings: this.settings, estate: this.estate}),
+      this.dispatcher,
+      parts,
+    );
     this.front = new FrontServer(
       clock,
       this.dialect,
@@ -168,9 +175,10 @@
     this.retries.startServing(this.clock.now());
     this.timer = setInterval(
       () =>
-        this.containment.run('timer', {}, () =>
-          this.dispatcher.dispatchQueued(this.clock.now()),
-        ),
+        this.containment.run('timer', {}, () => {
+          this.coldStart.tick();
+          this.dispatcher.dispatchQueued(this.clock.now());
+        }),
       QUEUE_CHECK_INTERVAL,
     );
   }
@@ -187,9 +195,9 @@
    * Applies changed settings, except for addresses.
    * @param settings - the settings
    */
-  reload({retryBound, grace}: DirectSettings): void {
+  reload({retryBound, grace, coldRateBound}: DirectSettings): void {
     this.retries.setBound(retryBound);
-    this.settings = {...this.settings, retryBound, grace};
+    this.settings = {...this.settings, retryBound, grace, coldRateBound};
     this.logger.info('reload', {...retryBound, grace_ms: grace});
   }
 
@@ -223,13 +231,15 @@
       this.limits.applyResponse(upstream.incarnation, sentAt, limit);
     }
     if (isLeaving) this.markLeaving(upstream);
-    if (backOff !== undefined) this.recordBackoff(upstream, backOff);
+    if (backOff === undefined) return;
+    this.dispatcher.recordBackoff(this.clock.now(), upstream, backOff);
   }
 
   private estateListener(metrics: Metrics): EstateListener {
     return {
       onConfiguration: ({version, limits}) => {
         this.front.setLimits(limits);
+        this.coldStart.tick();
         metrics.versionInForce.set(version);
       },
       onUpstreamRemoved: () => {
@@ -265,17 +275,6 @@
     this.logger.info('upstream', fields);
   }
 
-  private recordBackoff(
-    {registration, incarnation}: Upstream,
-    backOff: Millis,
-  ): void {
-    this.dispatcher.loads.recordBackoff(this.clock.now(), incarnation, backOff);
-    this.logger.info('upstream_backs_off', {
-      upstream: registration.id,
-      ms: Math.round(backOff),
-    });
-  }
-
   markReplaced(upstream: Upstream): void {
     this.estate.upstreams.markGone(this.clock.now(), upstream);
     const {id, address} = upstream.registration;
@@ -364,13 +363,6 @@
     this.log.recordRejected(id, reason, arrivedAt, {version, ...fields});
   }
 
-  private hasEngines(service: ServiceName): boolean {
-    const services = this.estate.holder.current?.configuration.services ?? [];
-    return services.some(
-      ({name, hasEngines}) => hasEngines && name === service,
-    );
-  }
-
   private notReady(): string | undefined {
     if (this.shutdown.isDraining) return 'draining';
     const isBound = this.timer !== undefined;
@@ -386,6 +378,7 @@
       openRequests: this.front.openRequests,
       ...this.front.bodyStatus,
       ...this.dispatcher.status,
+      ...this.coldStart.status(now),
       promptQuarantine: this.quarantine.status,
       upstreams: this.estate.upstreams
         .all()
--- a/src/daemons/direct/dispatch/dispatch_request.ts
+++ b/src/daemons/direct/dispatch/dispatch_request.ts
@@ -8,6 +8,8 @@
 
 /** A request to send to an upstream. */
 export interface DispatchRequest extends PendingRequest {
+  /** Id for the log, if its caller gave one. */
+  readonly id?: string | undefined;
   readonly service: ServiceName;
   readonly promptTokens: number;
   /** Upstreams that it was already sent to. */
@@ -57,5 +59,7 @@
   | 'backed_off'
   /** The limits that the upstreams name leave no request for this entry now. */
   | 'limited'
+  /** Only cold upstreams are left, and this entry may not send to them now. */
+  | 'warming_up'
   /** The limits of all groups are reached. */
   | 'full';
--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -1,3 +1,4 @@
+import {ColdStartBound} from '../../../cold_start/index.js';
 import type {AvailabilityZone, Chance, Millis} from '../../../core/index.js';
 import {
   GroupCircuitBreaker,
@@ -8,6 +9,7 @@
 } from '../../../direct/index.js';
 import type {GroupKey, Upstream} from '../../../direct/index.js';
 import type {Containment, Logger} from '../../../observability/index.js';
+import {ColdRequestLog} from '../cold_start/index.js';
 import type {
   DispatchRejection,
   DispatchRequest,
@@ -21,6 +23,8 @@
 export class Dispatcher {
   readonly loads = new LoadTracker();
   readonly limits = new UpstreamLimits();
+  readonly coldStart = new ColdStartBound();
+  readonly coldRequests: ColdRequestLog;
   private readonly groupBreaker = new GroupCircuitBreaker();
   private readonly limiters: GroupLimiters;
   private readonly selector: UpstreamSelector;
@@ -42,12 +46,14 @@
     private readonly logger: Logger,
     private readonly containment: Containment,
   ) {
+    this.coldRequests = new ColdRequestLog(logger);
     this.limiters = new GroupLimiters(() => directory.entryCount(), chance);
     this.selector = new UpstreamSelector(
       directory,
       {
         loads: this.loads,
         limits: this.limits,
+        coldStart: this.coldStart,
         groupBreaker: this.groupBreaker,
         limiters: this.limiters,
       },
@@ -212,6 +218,24 @@
     this.logger.warn('group_fell', {group, upstream: id, culprit});
   }
 
+  /**
+   * Records a backoff that an upstream requested.
+   * @param now - current time
+   * @param upstream - the upstream
+   * @param span - duration of the backoff
+   */
+  recordBackoff(
+    now: Millis,
+    {registration, incarnation}: Upstream,
+    span: Millis,
+  ): void {
+    this.loads.recordBackoff(now, incarnation, span);
+    this.logger.info('upstream_backs_off', {
+      upstream: registration.id,
+      ms: Math.round(span),
+    });
+  }
+
   /** Runs a step of a queued request, which another request may have caused. */
   private contain(req: DispatchRequest, work: () => void): void {
     this.containment.run('queue', {service: req.service}, work, () => {
@@ -237,15 +261,25 @@
       streams.recordSent();
     }
     this.limits.recordSent(now, upstream.incarnation);
+    if (this.coldStart.recordSent(now, upstream)) {
+      this.coldRequests.recordSent(req, upstream);
+    }
     req.send(now, upstream, group);
   }
 
   /**
    * Returns whether a request that cannot be placed now waits. It does not wait
    * for a group that is down, whose recovery time is unknown: the caller's retry
-   * covers a longer time, and for a limit only up to its latency target.
+   * covers a longer time, and for a limit only up to its latency target. For a
+   * permit of a cold upstream, whose time is known, any request waits.
    */
   private waits(now: Millis, req: DispatchRequest, reason: Unplaced): boolean {
+    if (reason === 'warming_up') {
+      const nextAt = this.selector.acceptingFrom(now, req);
+      if (!PendingQueue.canStartInTime(nextAt, req)) return false;
+      this.coldRequests.recordKept(now, req, nextAt, 'waits');
+      return true;
+    }
     if (!req.mayWait || !PendingQueue.canStartInTime(now, req)) return false;
     if (reason === 'limited')
       return this.selector.acceptingFrom(now, req) <= req.targetAt;
@@ -258,14 +292,16 @@
       .map(upstream =>
         this.groupBreaker.downtime(now, this.directory.groupOf(upstream)),
       );
+    const notBefore = KNOWN_ENDS.has(reason)
+      ? this.selector.acceptingFrom(now, req)
+      : undefined;
+    if (reason === 'warming_up') {
+      this.coldRequests.recordKept(now, req, notBefore ?? now, 'rejected');
+    }
     req.reject(REJECTIONS[reason], {
       queueLength: this.queue.length,
       downtime: Math.max(0, ...downtimes),
-      reason,
-      notBefore:
-        reason === 'backed_off' || reason === 'limited'
-          ? this.selector.acceptingFrom(now, req)
-          : undefined,
+      ...{reason, notBefore},
     });
   }
 }
@@ -275,9 +311,17 @@
   down: 'group_down',
   backed_off: 'overloaded',
   limited: 'overloaded',
+  warming_up: 'overloaded',
   full: 'overloaded',
 } as const satisfies Record<Unplaced, DispatchRejection>;
 
+/** Reasons whose end is known. */
+const KNOWN_ENDS: ReadonlySet<Unplaced> = new Set([
+  'backed_off',
+  'limited',
+  'warming_up',
+]);
+
 /**
  * Maximum number of queued requests skipped in one pass because their service
  * has no capacity: those behind them may be for another service.
--- a/src/daemons/direct/dispatch/upstream_selector.ts
+++ b/src/daemons/direct/dispatch/upstream_selector.ts
@@ -1,3 +1,4 @@
+import type {ColdStartBound} from '../../../cold_start/index.js';
 import type {AvailabilityZone, Chance, Millis} from '../../../core/index.js';
 import {
   ExpectedWaitPolicy,
@@ -22,6 +23,7 @@
 interface UpstreamState {
   readonly loads: LoadTracker;
   readonly limits: UpstreamLimits;
+  readonly coldStart: ColdStartBound;
   readonly groupBreaker: GroupCircuitBreaker;
   readonly limiters: GroupLimiters;
 }
@@ -77,10 +79,14 @@
       this.state.limits.allows(now, incarnation),
     );
     if (withinLimit.length === 0) return 'limited';
+    const allowed = withinLimit.filter(upstream =>
+      this.state.coldStart.allows(now, upstream),
+    );
+    if (allowed.length === 0) return 'warming_up';
     const hasEngines = this.directory.hasEngines(req.service);
     const withCapacity = hasEngines
-      ? withinLimit.filter(upstream => this.hasCapacity(now, upstream))
-      : withinLimit;
+      ? allowed.filter(upstream => this.hasCapacity(now, upstream))
+      : allowed;
     if (withCapacity.length === 0) return 'full';
     const reachable = withCapacity.filter(
       ({incarnation}) => !this.state.loads.isSuspended(now, incarnation),
@@ -106,10 +112,11 @@
    * @param req - the request
    */
   acceptingFrom(now: Millis, req: DispatchRequest): Millis {
-    const times = this.untriedUpstreams(req).map(({incarnation}) =>
+    const times = this.untriedUpstreams(req).map(upstream =>
       Math.max(
-        this.state.loads.backoffUntil(incarnation),
-        this.state.limits.nextAt(now, incarnation),
+        this.state.loads.backoffUntil(upstream.incarnation),
+        this.state.limits.nextAt(now, upstream.incarnation),
+        this.state.coldStart.nextAt(now, upstream),
       ),
     );
     return Math.min(...times.filter(time => time > -Infinity));
--- a/src/daemons/direct/entry_directory.ts
+++ b/src/daemons/direct/entry_directory.ts
@@ -37,6 +37,9 @@
   readonly relay: string;
 }
 
+/** Entries that may be running, as this one knows them. */
+export type EntryNames = Pick<EntryDirectory, 'names' | 'storedAt'>;
+
 /** Callbacks of an entry directory. */
 export interface EntryDirectoryListener {
   /** Called once, when the other entries can read of this one. */
@@ -57,9 +60,10 @@
   private readonly entries = new Map<string, EntryRecord | undefined>();
   private readonly startedAt: Millis;
   private isStopped = false;
-  private isJoined = false;
+  private joinedAt: Millis | undefined;
   /** Whether the first listing had a record of this entry. */
   private hadRecord: boolean | undefined;
+  private sortedNames: readonly string[] = [];
   private onListed: (() => void) | undefined;
   private readonly listed = new Promise<void>(
     resolve => (this.onListed = resolve),
@@ -89,6 +93,19 @@
     return Math.max(1, this.entries.size);
   }
 
+  /** Names of the entries that may be running, including this one. */
+  get names(): readonly string[] {
+    return this.sortedNames;
+  }
+
+  /**
+   * Time at which the record of this entry was stored, -Infinity if before its
+   * process started; undefined if it is not known to be stored.
+   */
+  get storedAt(): Millis | undefined {
+    return this.hadRecord === true ? -Infinity : this.joinedAt;
+  }
+
   /** Stops announcing. */
   stop(): void {
     this.isStopped = true;
@@ -110,6 +127,7 @@
     const {startedAt} = this;
     this.entries.set(vm, {startedAt, availabilityZone, relay});
     const names = [...this.entries.keys()].sort();
+    this.sortedNames = names;
     this.listener.onShare({index: names.indexOf(vm), count: names.length});
     const readers: RelayEntry[] = [];
     for (const [name, entry] of this.entries) {
@@ -149,8 +167,8 @@
   }
 
   private recordJoined(): void {
-    if (this.isJoined) return;
-    this.isJoined = true;
+    if (this.joinedAt !== undefined) return;
+    this.joinedAt = this.clock.now();
     this.listener.onJoined(this.history);
   }
 
--- a/src/daemons/direct/estate.ts
+++ b/src/daemons/direct/estate.ts
@@ -1,6 +1,7 @@
 import type {Result} from 'neverthrow';
 
 import type {KeyedStore, RankClient} from '../../clients/index.js';
+import type {ColdRateBound} from '../../cold_start/index.js';
 import type {
   AvailabilityZone,
   Millis,
@@ -48,6 +49,8 @@
   readonly enginesCheckTokens?: boolean;
   readonly retryBound: RetryBound;
   readonly stalenessBounds: StalenessBounds;
+  /** Bound on the requests to a cold upstream; its rate itself if absent. */
+  readonly coldRateBound?: ColdRateBound;
   /** Time from the termination signal until the process is killed. */
   readonly grace: Millis;
 }
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import type {Clock, Millis} from '../../core/index.js';
+import type {Clock, Millis, ServiceName} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import {
   ConfigurationHolder,
@@ -25,7 +25,7 @@
 import type {Logger, Metrics} from '../../observability/index.js';
 import {bindWhenFree} from './bind_when_free.js';
 import {EntryDirectory} from './entry_directory.js';
-import type {EntryLocation} from './entry_directory.js';
+import type {EntryLocation, EntryNames} from './entry_directory.js';
 import type {Estate, StalenessBounds} from './estate.js';
 import {KeyedFollower, internalTopic} from './keyed_follower.js';
 import type {
@@ -206,8 +206,17 @@
   }
 
   /** Entries that may be running, with the time of their last read. */
-  get knownEntries(): KnownEntries {
-    return {count: this.entryCount, readAt: this.followers.entries.lastContact};
+  get knownEntries(): KnownEntries & EntryNames {
+    const {count, names, storedAt} = this.entries;
+    return {count, names, storedAt, readAt: this.followers.entries.lastContact};
+  }
+
+  /**
+   * Returns whether a service's upstreams run model engines.
+   * @param service - the service
+   */
+  hasEngines(service: ServiceName): boolean {
+    return this.holder.current?.profileOf(service)?.hasEngines === true;
   }
 
   /**
--- a/src/direct/route_table.ts
+++ b/src/direct/route_table.ts
@@ -1,5 +1,5 @@
 import type {Chance, OrganisationName, ServiceName} from '../core/index.js';
-import type {DirectConfiguration, Route} from './types.js';
+import type {DirectConfiguration, Route, ServiceProfile} from './types.js';
 
 /** Result of matching a request to a route and checking its key. */
 export type RouteDecision =
@@ -61,6 +61,14 @@
     };
   }
 
+  /**
+   * Returns the profile of a service.
+   * @param service - the service
+   */
+  profileOf(service: ServiceName): ServiceProfile | undefined {
+    return this.configuration.services.find(({name}) => name === service);
+  }
+
   private match(host: string, path: string): Route | undefined {
     const name = host.toLowerCase().replace(/:\d+$/, '');
     const [plain = ''] = path.split('?', 1);
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -6,6 +6,7 @@
   ServiceName,
   Version,
 } from '../core/index.js';
+import type {RequestRate} from './upstream_limits.js';
 
 /** Id that a caller assigns to one attempt of its request. */
 export type RequestId = Branded<string, 'RequestId'>;
@@ -89,6 +90,14 @@
   readonly copyTime: Millis;
 }
 
+/** Cold start of the upstreams of a service. */
+export interface ColdStartProfile {
+  /** Time for which an upstream is cold after it started during traffic. */
+  readonly duration: Millis;
+  /** Requests per second that a cold upstream takes from all entries together. */
+  readonly rate: RequestRate;
+}
+
 /** A service as the operators declare it. */
 export interface ServiceProfile {
   readonly name: ServiceName;
@@ -96,6 +105,8 @@
   readonly hasEngines: boolean;
   /** Defined only for services whose ranks share experts. */
   readonly experts: ExpertProfile | undefined;
+  /** Undefined if requests to its cold upstreams are not bounded. */
+  readonly coldStart?: ColdStartProfile | undefined;
 }
 
 /** Size and time limits of callers' requests. */
--- a/src/direct/upstream_table.ts
+++ b/src/direct/upstream_table.ts
@@ -13,6 +13,13 @@
   readonly incarnation: Incarnation;
   /** End of its warm-up. */
   readonly warmAt: Millis;
+  /** Time at which its registration was read. */
+  readonly registeredAt: Millis;
+  /**
+   * Whether this is the first registration of an incarnation that replaced
+   * another one: it started while there was traffic.
+   */
+  readonly isRestart: boolean;
 }
 
 /** Effect of a registration on the table. */
@@ -61,10 +68,14 @@
     }
     const isSameIncarnation =
       known?.upstream.registration.bornAt === entry.bornAt;
+    const earlier =
+      known?.upstream.registration ?? this.tombstones.get(entry.id);
     const upstream: Upstream = {
       registration: entry,
       incarnation: incarnation(`${entry.id}@${entry.bornAt}`),
       warmAt: now + entry.warmUpLeft,
+      registeredAt: now,
+      isRestart: earlier !== undefined && earlier.bornAt < entry.bornAt,
     };
     this.rows.set(entry.id, {upstream, lapsesAt: undefined});
     return isSameIncarnation ? 'changed' : 'came';
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -618,6 +618,8 @@
       configurationAppliesMs: given.stalenessBounds.configuration,
       upstreamLeavesMs: given.stalenessBounds.leavingUpstream,
       graceMs: given.grace,
+      coldRateFactor: given.coldRateBound?.factor,
+      coldRateSlack: given.coldRateBound?.slack,
     };
   }
 
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -328,16 +328,18 @@
    * @param version - version of the configuration
    * @param routes - routes in the platform's format
    * @param organisation - name of the callers' organisation
+   * @param service - further fields of the service
    */
   configure(
     version: number,
     routes: readonly object[],
     organisation = 'depot',
+    service: object = {},
   ): void {
     this.store.put('keyed.op', 'config', {
       Version: version,
       Routes: routes,
-      Services: [{Name: 'app', MaxConnections: 8}],
+      Services: [{Name: 'app', MaxConnections: 8, ...service}],
       Limits: LIMITS,
       Tenants: [{Name: organisation, ApiKeys: ['k1']}],
     });
@@ -346,22 +348,36 @@
   /**
    * Starts an upstream and registers it.
    * @param script - answers each request
+   * @param change - fields that override its registration
    */
-  async addUpstream(script: Script): Promise<ScriptedUpstream> {
+  async addUpstream(
+    script: Script,
+    change: object = {},
+  ): Promise<ScriptedUpstream> {
     const upstream = new ScriptedUpstream(script);
-    const address = await upstream.listen();
+    await upstream.listen();
     this.upstreams.push(upstream);
-    const id = `i-${this.upstreams.length}`;
-    this.store.put('keyed.servers', id, {
+    this.register(this.upstreams.length, change);
+    return upstream;
+  }
+
+  /**
+   * Stores the registration of an upstream.
+   * @param number - number of the upstream, from 1
+   * @param change - fields that override the defaults
+   */
+  register(number: number, change: object = {}): void {
+    const {port} = this.upstreams[number - 1]!;
+    this.store.put('keyed.servers', `i-${number}`, {
       Service: 'app',
-      Address: address,
+      Address: hostPort('127.0.0.1', port),
       Zone: 'a',
       Slots: 6,
       State: 'ready',
       Sequence: 1,
       born: 5,
+      ...change,
     });
-    return upstream;
   }
 
   /** Waits until all entries are ready. */
--- a/test/support/entry_replay.ts
+++ b/test/support/entry_replay.ts
@@ -101,6 +101,8 @@
       registration: testRegistration(`rank-${i}`, {slots}),
       incarnation: incarnation(`rank-${i}@1`),
       warmAt: 0,
+      registeredAt: 0,
+      isRestart: false,
     }));
     const directory = {
       upstreamsOf: () => this.ranks,
