Count registrations after a zone's return only if they were written after it

Cause: entries read registrations up to 1.8 s late. One that was written before a zone was taken back, and read after it, ended the cold phase of an upstream that is cold. Change: a registration decides from 2 s after the return on. Test: src/cold_start, 42 of 42; the new case fails without the change.

--- a/src/cold_start/cold_start_bound.test.ts
+++ b/src/cold_start/cold_start_bound.test.ts
@@ -224,8 +224,11 @@
       'zone_returned',
       undefined,
     ]);
-    register(6_000, {sequence: 7});
-    expect(causeAt(6_000)).toBeUndefined();
+    // This one may have been written before.
+    register(6_999, {sequence: 7});
+    expect(causeAt(6_999)).toBe('zone_returned');
+    register(7_000, {sequence: 8});
+    expect(causeAt(7_000)).toBeUndefined();
     register(9_000, {bornAt: 2_000});
     expect([causeAt(11_999), causeAt(12_000)]).toEqual(['restart', undefined]);
     register(10_200, {bornAt: 2_000, sequence: 2});
--- a/src/cold_start/cold_start_bound.ts
+++ b/src/cold_start/cold_start_bound.ts
@@ -4,6 +4,7 @@
   Millis,
   ServiceName,
 } from '../core/index.js';
+import {SECOND} from '../core/index.js';
 import type {
   ColdStartProfile,
   ServiceProfile,
@@ -14,6 +15,12 @@
 import {DEFAULT_COLD_RATE_BOUND, permitTiming} from './permit_timing.js';
 import type {ColdRateBound, PermitTiming} from './permit_timing.js';
 
+/**
+ * Age that a registration may have when it is read; entries read each 1.8 s. One
+ * that is read earlier after an event may have been written before it.
+ */
+const REGISTRATION_AGE: Millis = 2 * SECOND;
+
 interface ColdService {
   readonly profile: ColdStartProfile;
   readonly timing: PermitTiming;
@@ -106,7 +113,7 @@
 
   /**
    * Records that an evacuated zone was taken back. Its upstreams count as cold
-   * until a registration that is read later says otherwise.
+   * until a registration that was written later says otherwise.
    * @param now - current time
    * @param zone - the zone
    */
@@ -146,7 +153,10 @@
     };
     if (isRestart) extend(registeredAt, 'restart');
     const returnedAt = this.zonesReturnedAt.get(registration.availabilityZone);
-    if (returnedAt !== undefined && returnedAt >= registeredAt) {
+    if (
+      returnedAt !== undefined &&
+      registeredAt < returnedAt + REGISTRATION_AGE
+    ) {
       extend(returnedAt, 'zone_returned');
     }
     return now < phase.until ? phase : undefined;
