Take no status below 200 or above 599 for an answer

Cause: a replica with a fault answered with status 000, and a client took it. Checked with 000 (with and without a reason), 0, 099, 150, 600 and 999: relays, peer messages, the store, the sidecars' calls to their rank, the engine client and the upstream request of the product's own form, and the entry's direct form.

An entry of the product's own form passed a head with a status of 100 to 199 from a sidecar on to its caller, who waits for another one; it is now a broken answer.

--- a/src/calls/answer_reader.test.ts
+++ b/src/calls/answer_reader.test.ts
@@ -57,6 +57,13 @@
 
 describe('AnswerReader', () => {
   const plain = head(undefined, 'application/json');
+
+  // An entry passed such a status on to its caller, who waits for another.
+  it.each([100, 150, 199])('takes no head with status %i', status => {
+    expect(read([{...head(), status}])).toBe('broken');
+    expect(read([{...plain, status}, data(1), end(1, 2)])).toBe('broken');
+  });
+
   it.each([
     {
       title: 'a whole answer',
--- a/src/calls/answer_reader.ts
+++ b/src/calls/answer_reader.ts
@@ -1,3 +1,4 @@
+import {isFinalStatus} from '../core/index.js';
 import type {AnswerMessage} from './messages.js';
 import type {EntryEffect} from './types.js';
 
@@ -55,6 +56,7 @@
    */
   readHead({status, headers, firstEvent}: Head): ReadResult {
     if (this.expectedSeq !== 0) return [{type: 'drop', why: 'repeated'}];
+    if (!isFinalStatus(status)) return 'broken';
     this.expectedSeq = 1;
     if (this.delivering) return this.resume(firstEvent);
     this.buffered.push({type: 'head', status, headers});
--- a/src/daemons/direct/zone_store.ts
+++ b/src/daemons/direct/zone_store.ts
@@ -36,6 +36,7 @@
 const CONNECT_TIMEOUT: Millis = 400;
 const OK = 200;
 const NO_CONTENT = 204;
+const UNAVAILABLE = 503;
 
 const responseSchema = z.object({
   next: z.int().nonnegative(),
@@ -271,6 +272,8 @@
         return {age, era: its, next: from.offset, records: []};
       if (status === OK)
         return {age, era: its, ...responseSchema.parse(unpack(body))};
+      if (status !== UNAVAILABLE)
+        throw new Error(`responded with status ${status}`);
       return {miss: `${String(headers[MISS_HEADER])}`};
     });
     return ResultAsync.fromPromise(response, thrown => {
--- a/src/daemons/sidecar/upstream_request.test.ts
+++ b/src/daemons/sidecar/upstream_request.test.ts
@@ -87,7 +87,11 @@
   // The entry that is given such a head throws as it writes it to the caller.
   it.each([
     ['status 000', headOf('000 OK', '')],
+    ['status 000 without a reason', headOf('000', '')],
+    ['status 0', headOf('0 OK', '')],
     ['status 042', headOf('042 OK', '')],
+    ['status 099', headOf('099 OK', '')],
+    ['status 150', headOf('150 OK', '')],
     ['status 600', headOf('600 OK', '')],
     ['a space before a colon', headOf('200 OK', 'X : a\r\n')],
     ['a line without a name', headOf('200 OK', ': a\r\n')],
--- a/test/malformed_heads.test.ts
+++ b/test/malformed_heads.test.ts
@@ -49,6 +49,8 @@
 describe('an upstream whose response has a malformed head', () => {
   const heads: [string, (head: string) => string][] = [
     ['status 000', answerWith('HTTP/1.1 000 OK')],
+    ['status 000 without a reason', answerWith('HTTP/1.1 000')],
+    ['status 0', answerWith('HTTP/1.1 0 OK')],
     ['status 042 in chunks', answerWith('HTTP/1.1 042 OK', '', 'chunks')],
     ['status 099', answerWith('HTTP/1.1 099 OK')],
     ['status 600', answerWith('HTTP/1.1 600 OK')],
