Bound the number of permits of a cold upstream a second

Cause: with a configured rate of 1e12 the numbers of permits passed the integers that a number holds exactly, and the search for the next own permit never ended. Change: permits begin at least 1 ms apart.

--- a/src/cold_start/cold_start_bound.test.ts
+++ b/src/cold_start/cold_start_bound.test.ts
@@ -248,6 +248,9 @@
     bound.update(START, WALL, {...view, readAt: undefined});
     expect(bound.nextAt(START, upstream)).toBeLessThanOrEqual(END);
     expect(bound.allows(END, upstream)).toBe(true);
+    // The search for the next permit had no end.
+    bound.configure([service(1e12)], BOUND);
+    expect(bound.nextAt(START, upstream)).toBeLessThanOrEqual(END);
     bound.configure([], BOUND);
     expect(bound.allows(START, upstream)).toBe(true);
   });
--- a/src/cold_start/permit_timing.ts
+++ b/src/cold_start/permit_timing.ts
@@ -30,6 +30,8 @@
 /** Requests are sent on events of the process, and by a timer of 50 ms. */
 const MIN_VALIDITY: Millis = 100;
 const MAX_VALIDITY: Millis = 500;
+/** Bounds the search for the next own permit, whatever rate is configured. */
+const MIN_SPACING: Millis = 1;
 
 /**
  * Derives the timing of permits. Permits that overlap with a window, widened by
@@ -45,7 +47,7 @@
   if (!(rate > 0) || most < 1) return {spacing: Infinity, validity: 0};
   const usable = most / VIEW_MARGIN;
   const narrowest = (WINDOW + MIN_VALIDITY + TIMING_SPREAD) / usable;
-  const spacing = Math.max(SECOND / rate, narrowest);
+  const spacing = Math.max(MIN_SPACING, SECOND / rate, narrowest);
   const validity = usable * spacing - WINDOW - TIMING_SPREAD;
   return {spacing, validity: Math.min(MAX_VALIDITY, validity)};
 }
