--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,6 +12,7 @@
   'direct',
   'evacuation',
   'configuration_review',
+  'cold_start',
 ].map(folder => `src/${folder}/**/*.ts`);
 
 const CLOCKS_AND_CHANCE = [
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -2,7 +2,7 @@
 
 import type {Result} from 'neverthrow';
 
-import type {Clock, Millis, ServiceName} from '../../core/index.js';
+import type {Clock, Millis} from '../../core/index.js';
 import {hostPort} from '../../core/index.js';
 import {retryAfter, pickService} from '../../direct/index.js';
 import type {
@@ -20,6 +20,7 @@
 import {HoldUpMonitor} from '../shared/hold_up_monitor.js';
 import {OperatorServer} from '../shared/operator_server.js';
 import {BufferBudget} from './buffer_budget.js';
+import {ColdStartKeeper} from './cold_start/index.js';
 import type {DirectContext} from './context.js';
 import {Dispatcher} from './dispatch/index.js';
 import {EvacuationKeeper} from './evacuation/index.js';
@@ -57,6 +58,7 @@
   readonly buffers = new BufferBudget();
   private readonly peers: PeerChannel;
   private readonly limits: LimitKeeper;
+  readonly coldStart: ColdStartKeeper;
   private readonly estate: EstateTracker;
   readonly front: FrontServer;
   private readonly shutdown: Shutdown;
@@ -102,20 +104,7 @@
     this.connections = new ConnectionPools(clock);
     this.holdUps = new HoldUpMonitor(clock, logger);
     this.evacuation = this.createEvacuationKeeper();
-    this.dispatcher = new Dispatcher(
-      {
-        upstreamsOf: service => this.estate.upstreams.forService(service),
-        hasEngines: service => this.hasEngines(service),
-        groupOf: upstream => this.estate.groupOf(upstream),
-        slowdownOf: upstream => this.estate.slowdownOf(upstream),
-        entryCount: () => this.estate.entryCount,
-      },
-      settings.availabilityZone,
-      parts.chance,
-      logger,
-      this.containment,
-      this.evacuation,
-    );
+    this.dispatcher = this.createDispatcher();
     this.limits = new LimitKeeper(
       this.dispatcher.limits,
       this.peers,
@@ -123,6 +112,11 @@
       logger,
       metrics,
     );
+    this.coldStart = new ColdStartKeeper(
+      () => ({settings: this.settings, estate: this.estate}),
+      this.dispatcher,
+      parts,
+    );
     this.front = new FrontServer(
       clock,
       this.dialect,
@@ -171,6 +165,7 @@
       () =>
         this.containment.run('timer', {}, () => {
           this.evacuation.tick(this.clock.now());
+          this.coldStart.tick();
           this.dispatcher.dispatchQueued(this.clock.now());
         }),
       QUEUE_CHECK_INTERVAL,
@@ -189,9 +184,9 @@
    * Applies changed settings, except for addresses.
    * @param settings - the settings
    */
-  reload({retryBound, grace}: DirectSettings): void {
+  reload({retryBound, grace, coldRateBound}: DirectSettings): void {
     this.retries.setBound(retryBound);
-    this.settings = {...this.settings, retryBound, grace};
+    this.settings = {...this.settings, retryBound, grace, coldRateBound};
     this.logger.info('reload', {...retryBound, grace_ms: grace});
   }
 
@@ -225,7 +220,26 @@
       this.limits.applyResponse(upstream.incarnation, sentAt, limit);
     }
     if (isLeaving) this.markLeaving(upstream);
-    if (backOff !== undefined) this.recordBackoff(upstream, backOff);
+    if (backOff === undefined) return;
+    this.dispatcher.recordBackoff(this.clock.now(), upstream, backOff);
+  }
+
+  private createDispatcher(): Dispatcher {
+    const {chance, logger} = this.parts;
+    return new Dispatcher(
+      {
+        upstreamsOf: service => this.estate.upstreams.forService(service),
+        hasEngines: service => this.estate.hasEngines(service),
+        groupOf: upstream => this.estate.groupOf(upstream),
+        slowdownOf: upstream => this.estate.slowdownOf(upstream),
+        entryCount: () => this.estate.entryCount,
+      },
+      this.settings.availabilityZone,
+      chance,
+      logger,
+      this.containment,
+      this.evacuation,
+    );
   }
 
   private createEvacuationKeeper(): EvacuationKeeper {
@@ -236,7 +250,7 @@
     };
     return new EvacuationKeeper(this.parts, view, {
       onChanged: now => this.dispatcher.reexamineQueue(now),
-      onZoneReturned: () => undefined,
+      onZoneReturned: (now, zone) => this.coldStart.onZoneReturned(now, zone),
     });
   }
 
@@ -244,6 +258,7 @@
     return {
       onConfiguration: ({version, limits}) => {
         this.front.setLimits(limits);
+        this.coldStart.tick();
         metrics.versionInForce.set(version);
       },
       onOperatorRecord: (...args) => this.evacuation.apply(...args),
@@ -280,17 +295,6 @@
     this.logger.info('upstream', fields);
   }
 
-  private recordBackoff(
-    {registration, incarnation}: Upstream,
-    backOff: Millis,
-  ): void {
-    this.dispatcher.loads.recordBackoff(this.clock.now(), incarnation, backOff);
-    this.logger.info('upstream_backs_off', {
-      upstream: registration.id,
-      ms: Math.round(backOff),
-    });
-  }
-
   markReplaced(upstream: Upstream): void {
     this.estate.upstreams.markGone(this.clock.now(), upstream);
     const {id, address} = upstream.registration;
@@ -362,13 +366,6 @@
     this.log.recordRejected(id, reason, arrivedAt, {version, ...fields});
   }
 
-  private hasEngines(service: ServiceName): boolean {
-    const services = this.estate.holder.current?.configuration.services ?? [];
-    return services.some(
-      ({name, hasEngines}) => hasEngines && name === service,
-    );
-  }
-
   private notReady(): string | undefined {
     if (this.shutdown.isDraining) return 'draining';
     const isBound = this.timer !== undefined;
@@ -385,6 +382,7 @@
       openRequests: this.front.openRequests,
       ...this.front.bodyStatus,
       ...this.dispatcher.status,
+      ...this.coldStart.status(now),
       promptQuarantine: this.quarantine.status,
       upstreams: this.estate.upstreams
         .all()
--- a/src/daemons/direct/estate.ts
+++ b/src/daemons/direct/estate.ts
@@ -1,6 +1,7 @@
 import type {Result} from 'neverthrow';
 
 import type {KeyedStore, RankClient} from '../../clients/index.js';
+import type {ColdRateBound} from '../../cold_start/index.js';
 import type {
   AvailabilityZone,
   Millis,
@@ -12,9 +13,16 @@
   HeaderDialect,
   KeyedChange,
   RetryBound,
+  TopicTiming,
   UpstreamRegistration,
 } from '../../direct/index.js';
+import {
+  INTERNAL_TIMING,
+  configurationTiming,
+  registrationTiming,
+} from '../../direct/index.js';
 import type {Fault} from '../../errors/index.js';
+import {operatorsTopicBound} from '../../evacuation/index.js';
 import type {EvacuationRecord} from '../../evacuation/index.js';
 import type {DaemonParts} from '../shared/start_context.js';
 
@@ -54,6 +62,8 @@
   readonly enginesCheckTokens?: boolean;
   readonly retryBound: RetryBound;
   readonly stalenessBounds: StalenessBounds;
+  /** Bound on the requests to a cold upstream; its rate itself if absent. */
+  readonly coldRateBound?: ColdRateBound;
   /** Time from the termination signal until the process is killed. */
   readonly grace: Millis;
 }
@@ -116,3 +126,21 @@
 export interface DirectParts extends DaemonParts {
   readonly estate: Estate;
 }
+
+/**
+ * Returns the timing of each topic that entries read through each other.
+ * @param bounds - staleness bounds
+ * @param topics - names of the topics
+ */
+export function topicTimings(
+  bounds: StalenessBounds,
+  topics: Estate['topics'],
+): ReadonlyMap<string, TopicTiming> {
+  return new Map([
+    [topics.configuration, configurationTiming(operatorsTopicBound(bounds))],
+    [topics.upstreams, registrationTiming(bounds.leavingUpstream)],
+    [topics.entries, INTERNAL_TIMING],
+    [topics.ranks, INTERNAL_TIMING],
+    [topics.quarantines, INTERNAL_TIMING],
+  ]);
+}
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -1,12 +1,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import type {Clock, Millis} from '../../core/index.js';
+import type {Clock, Millis, ServiceName} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import {
   ConfigurationHolder,
-  INTERNAL_TIMING,
-  configurationTiming,
-  registrationTiming,
   UpstreamTable,
   upstreamId,
 } from '../../direct/index.js';
@@ -17,7 +14,6 @@
   GroupKey,
   KeyedChange,
   KnownEntries,
-  TopicTiming,
   Upstream,
   UpstreamChange,
 } from '../../direct/index.js';
@@ -26,7 +22,8 @@
 import type {Logger, Metrics} from '../../observability/index.js';
 import {bindWhenFree} from './bind_when_free.js';
 import {EntryDirectory} from './entry_directory.js';
-import type {EntryLocation} from './entry_directory.js';
+import type {EntryLocation, EntryNames} from './entry_directory.js';
+import {topicTimings} from './estate.js';
 import type {Estate, StalenessBounds} from './estate.js';
 import {KeyedFollower, internalTopic} from './keyed_follower.js';
 import type {
@@ -218,8 +215,17 @@
   }
 
   /** Entries that may be running, with the time of their last read. */
-  get knownEntries(): KnownEntries {
-    return {count: this.entryCount, readAt: this.followers.entries.lastContact};
+  get knownEntries(): KnownEntries & EntryNames {
+    const {count, names, storedAt} = this.entries;
+    return {count, names, storedAt, readAt: this.followers.entries.lastContact};
+  }
+
+  /**
+   * Returns whether a service's upstreams run model engines.
+   * @param service - the service
+   */
+  hasEngines(service: ServiceName): boolean {
+    return this.holder.current?.profileOf(service)?.hasEngines === true;
   }
 
   /**
@@ -378,17 +384,3 @@
     if (expired.length > 0) this.listener.onUpstreamRemoved();
   }
 }
-
-/** Returns the timing of each topic that entries read through each other. */
-function topicTimings(
-  bounds: StalenessBounds,
-  topics: Estate['topics'],
-): ReadonlyMap<string, TopicTiming> {
-  return new Map([
-    [topics.configuration, configurationTiming(operatorsTopicBound(bounds))],
-    [topics.upstreams, registrationTiming(bounds.leavingUpstream)],
-    [topics.entries, INTERNAL_TIMING],
-    [topics.ranks, INTERNAL_TIMING],
-    [topics.quarantines, INTERNAL_TIMING],
-  ]);
-}
--- a/test/evacuation.test.ts
+++ b/test/evacuation.test.ts
@@ -36,8 +36,8 @@
     estate = new DirectEstate();
     await estate.start(2);
     estate.configure(1, ROUTES);
-    await estate.addUpstream(answer, 'a');
-    await estate.addUpstream(answerSlowly, 'b');
+    await estate.addUpstream(answer, {Zone: 'a'});
+    await estate.addUpstream(answerSlowly, {Zone: 'b'});
     await estate.waitUntilReady();
   });
   afterEach(async () => {
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -589,6 +589,8 @@
   readonly rendered: string;
   /** Settings that later builds render after the recorded ones. */
   readonly added: readonly (readonly [string, unknown])[];
+  /** Decoded values of these settings. */
+  readonly addedDecoded: object;
   /** Decoded values by the names in the file. */
   readonly decoded: object;
   /** The same with null for every value that may be absent. */
@@ -621,6 +623,9 @@
       configurationAppliesMs: given.stalenessBounds.configuration,
       upstreamLeavesMs: given.stalenessBounds.leavingUpstream,
       graceMs: given.grace,
+      coldRateFactor: given.coldRateBound?.factor,
+      coldRateSlack: given.coldRateBound?.slack,
+      zoneEvacuatesMs: given.stalenessBounds.evacuation ?? null,
     };
   }
 
@@ -636,6 +641,8 @@
     expect(settings.rendered.endsWith(end)).toBe(true);
     const recordedPart = settings.rendered.slice(0, -end.length);
     expect(rendered).toBe(`${recordedPart}${added.join('')}${end}`);
+    const {decoded: before, addedDecoded} = settings;
+    expect(decoded(rendered)).toEqual({...before, ...addedDecoded});
   });
 
   it('are decoded as recorded', () => {
