Order and shed queued requests by value

Cause: priority decided neither between a late urgent request and an early one of low urgency, nor which request is rejected; organisations and work did not count, the queue had no bound, and each decision scanned it.

Change: src/overload has the queue and its policy (docs/design/overload.md). One model of value gives the order and the cost of a rejection. Where routes or organisations of a service differ in priority, requests that can't have their turn are shed at once, with a Retry-After by the drain rate; elsewhere the order and Retry-After stay, and organisations and work decide between equals. The dispatcher has one queue for each service, so that requests of one service don't wait for the capacity of another. The scanned queue moves to bench/queue, where benchmark and tests compare with it; its tests run on the new one unchanged but for the calls.

--- a/src/direct/pending_queue.ts
+++ b/bench/queue/scanned_queue.ts
@@ -1,23 +1,13 @@
-import type {Millis} from '../core/index.js';
-import {SECOND} from '../core/index.js';
+import type {Millis} from '../../src/core/index.js';
+import {SECOND} from '../../src/core/index.js';
+import {MIN_START_DELAY, canStartInTime} from '../../src/overload/index.js';
+import type {PendingRequest} from '../../src/overload/index.js';
 
-/** A request in the queue. */
-export interface PendingRequest {
-  /** Latest start that is within the latency target. */
-  readonly targetAt: Millis;
-  /** Time at which its caller disconnects unless the request has started. */
-  readonly expiresAt: Millis;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-}
-
-/** Minimum time from sending a request to its start. */
-export const MIN_START_DELAY: Millis = 150;
 /** Window of the dequeue rate. */
 const RATE_WINDOW: Millis = SECOND;
 
 /** Dequeue order of pending requests. */
-export abstract class QueueOrder {
+abstract class QueueOrder {
   /**
    * Returns whether one request precedes another in the queue.
    * @param now - current time
@@ -49,8 +39,11 @@
   }
 }
 
-/** Queue of requests whose group is full or unavailable. */
-export class PendingQueue<T extends PendingRequest> {
+/**
+ * The queue that entries had before `OverloadQueue`, which benchmarks and tests
+ * compare with it.
+ */
+export class ScannedQueue<T extends PendingRequest> {
   private readonly waiting = new Set<T>();
   private readonly sentTimes: Millis[] = [];
 
@@ -62,15 +55,6 @@
     return this.waiting.size;
   }
 
-  /**
-   * Returns whether a request sent now can start before it expires.
-   * @param now - current time
-   * @param req - the request
-   */
-  static canStartInTime(now: Millis, {expiresAt}: PendingRequest): boolean {
-    return now + MIN_START_DELAY < expiresAt;
-  }
-
   /**
    * Adds a request to the queue.
    * @param req - the request
@@ -116,9 +100,7 @@
    * @param now - current time
    */
   shedExpired(now: Millis): T[] {
-    const expired = [...this.waiting].filter(
-      req => !PendingQueue.canStartInTime(now, req),
-    );
+    const expired = [...this.waiting].filter(req => !canStartInTime(now, req));
     const rate = this.dequeueRate(now);
     if (rate > 0)
       expired.push(...this.unreachableByDeadline(now, rate, expired));
--- a/src/daemons/direct/admitted_request.ts
+++ b/src/daemons/direct/admitted_request.ts
@@ -45,12 +45,19 @@
 /** What a dispatcher places and queues a request by. */
 export type DispatchTerms = Pick<
   DispatchRequest,
+  | 'id'
   | 'service'
+  | 'route'
+  | 'organisation'
   | 'promptTokens'
+  | 'expectedTokens'
+  | 'bytes'
   | 'priority'
   | 'target'
   | 'targetAt'
   | 'expiresAt'
+  | 'deadlineAt'
+  | 'callerTimeout'
   | 'mayWait'
 >;
 
@@ -64,9 +71,15 @@
   lastDeliveryAt: Millis,
 ): DispatchTerms {
   const {arrivedAt, metadata, priority, route, service} = request;
+  const {id, promptTokens, expectedTokens, callerTimeout} = metadata;
   const {latencyTarget: target, repeat, silencePatience} = route;
   return {
-    ...{service, priority, target, promptTokens: metadata.promptTokens},
+    ...{id, service, priority, target, promptTokens, expectedTokens},
+    route: route.name,
+    organisation: request.organisation,
+    bytes: request.body.size,
+    callerTimeout,
+    deadlineAt: arrivedAt + (callerTimeout ?? route.timeout),
     targetAt: arrivedAt + target,
     expiresAt: Math.min(lastDeliveryAt + silencePatience, deadlineOf(request)),
     mayWait: repeat === 'stream',
--- a/src/daemons/direct/context.ts
+++ b/src/daemons/direct/context.ts
@@ -87,6 +87,6 @@
     now: Millis,
     request: AdmittedRequest,
     cause: RejectionCause,
-    notBefore: Millis | undefined,
+    rejectedIn: DispatchState | undefined,
   ): Millis;
 }
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -2,7 +2,7 @@
 
 import type {Result} from 'neverthrow';
 
-import type {Clock, Millis, ServiceName} from '../../core/index.js';
+import type {Clock, Millis} from '../../core/index.js';
 import {hostPort} from '../../core/index.js';
 import {
   requestFingerprint,
@@ -25,7 +25,8 @@
 import {OperatorServer} from '../shared/operator_server.js';
 import {BufferBudget} from './buffer_budget.js';
 import type {DirectContext} from './context.js';
-import {Dispatcher} from './dispatch/index.js';
+import {Dispatcher, ServiceView} from './dispatch/index.js';
+import type {DispatchState} from './dispatch/index.js';
 import type {DirectParts, DirectSettings} from './estate.js';
 import {bindEntryPorts} from './entry_ports.js';
 import {EstateTracker} from './estate_tracker.js';
@@ -67,6 +68,9 @@
   readonly readiness: OperatorServer;
   private readonly logger: Logger;
   private readonly openExchanges = new Set<Exchange>();
+  private readonly services = new ServiceView(
+    () => this.estate.holder.current?.configuration,
+  );
   /** Set once the start has ended, so that the balancer may route here. */
   private timer: NodeJS.Timeout | undefined;
 
@@ -105,7 +109,8 @@
     this.dispatcher = new Dispatcher(
       {
         upstreamsOf: service => this.estate.upstreams.forService(service),
-        hasEngines: service => this.hasEngines(service),
+        hasEngines: service => this.services.hasEngines(service),
+        isByPriority: service => this.services.isByPriority(service),
         groupOf: upstream => this.estate.groupOf(upstream),
         slowdownOf: upstream => this.estate.slowdownOf(upstream),
         entryCount: () => this.estate.entryCount,
@@ -114,6 +119,7 @@
       parts.chance,
       logger,
       this.containment,
+      metrics,
     );
     this.limits = new LimitKeeper(
       this.dispatcher.limits,
@@ -286,11 +292,12 @@
     now: Millis,
     {metadata, route, arrivedAt}: AdmittedRequest,
     cause: RejectionCause,
-    notBefore: Millis | undefined,
+    rejectedIn: DispatchState | undefined,
   ): Millis {
+    if (rejectedIn?.retryIn !== undefined) return rejectedIn.retryIn;
     const timeLeft =
       arrivedAt + (metadata.callerTimeout ?? route.timeout) - now;
-    const earliest = (notBefore ?? now) - now;
+    const earliest = (rejectedIn?.notBefore ?? now) - now;
     return retryAfter(cause, timeLeft, this.parts.chance, earliest);
   }
 
@@ -364,13 +371,6 @@
     this.log.recordRejected(id, reason, arrivedAt, {version, ...fields});
   }
 
-  private hasEngines(service: ServiceName): boolean {
-    const services = this.estate.holder.current?.configuration.services ?? [];
-    return services.some(
-      ({name, hasEngines}) => hasEngines && name === service,
-    );
-  }
-
   private notReady(): string | undefined {
     if (this.shutdown.isDraining) return 'draining';
     const isBound = this.timer !== undefined;
@@ -385,7 +385,7 @@
       ...this.estate.status(now),
       openRequests: this.front.openRequests,
       ...this.front.bodyStatus,
-      ...this.dispatcher.status,
+      ...this.dispatcher.statusAt(now),
       promptQuarantine: this.quarantine.status,
       upstreams: this.estate.upstreams
         .all()
--- a/src/daemons/direct/dispatch/dispatch_request.ts
+++ b/src/daemons/direct/dispatch/dispatch_request.ts
@@ -1,13 +1,15 @@
 import type {Millis, ServiceName} from '../../../core/index.js';
 import type {
   GroupKey,
-  PendingRequest,
   RankInfo,
+  RequestId,
   Upstream,
 } from '../../../direct/index.js';
+import type {PendingRequest, ShedReason} from '../../../overload/index.js';
 
 /** A request to send to an upstream. */
 export interface DispatchRequest extends PendingRequest {
+  readonly id?: RequestId | undefined;
   readonly service: ServiceName;
   readonly promptTokens: number;
   /** Upstreams that it was already sent to. */
@@ -36,6 +38,10 @@
   readonly downtime: Millis;
   /** Earliest time of a retry, if it is known. */
   readonly notBefore?: Millis | undefined;
+  /** Delay of a retry, if the queue has planned it. */
+  readonly retryIn?: Millis | undefined;
+  /** Why the queue shed it, if so. */
+  readonly shed?: ShedReason | undefined;
 }
 
 /** Registered upstreams and their groups, as a dispatcher queries them. */
@@ -45,6 +51,8 @@
   upstreamsOf(service: ServiceName): readonly Upstream[];
   /** Returns whether a service's upstreams run model engines. */
   hasEngines(service: ServiceName): boolean;
+  /** Returns whether the requests of a service differ in priority. */
+  isByPriority(service: ServiceName): boolean;
 }
 
 /** Why a request cannot be placed on an upstream now. */
--- a/src/daemons/direct/dispatch/dispatcher.test.ts
+++ b/src/daemons/direct/dispatch/dispatcher.test.ts
@@ -24,11 +24,13 @@
       groupOf: () => 'g',
       slowdownOf: () => 1,
       entryCount: () => 6,
+      isByPriority: () => false,
     },
     availabilityZone('a'),
     new Chance(1),
     SILENT_LOGGER,
     new Containment(SILENT_LOGGER, new Metrics()),
+    new Metrics(),
   );
   const log: string[] = [];
   const request = (name: string, arrivedAt: number): DispatchRequest => ({
@@ -106,7 +108,7 @@
     const {dispatcher, log, submit} = createDispatcher();
     submit('a', 0, {trySpend: () => false});
     expect(log).toEqual(['overloaded a']);
-    expect(dispatcher.status).toMatchObject({waiting: 0});
+    expect(dispatcher.statusAt(0)).toMatchObject({waiting: 0});
   });
 
   it('skips an upstream during its backoff and reports the end of the backoff', () => {
--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -1,13 +1,22 @@
-import type {AvailabilityZone, Chance, Millis} from '../../../core/index.js';
+import type {
+  AvailabilityZone,
+  Chance,
+  Millis,
+  ServiceName,
+} from '../../../core/index.js';
 import {
   GroupCircuitBreaker,
-  AdaptiveLifoOrder,
   LoadTracker,
-  PendingQueue,
   UpstreamLimits,
 } from '../../../direct/index.js';
 import type {GroupKey, Upstream} from '../../../direct/index.js';
-import type {Containment, Logger} from '../../../observability/index.js';
+import type {
+  Containment,
+  Logger,
+  Metrics,
+} from '../../../observability/index.js';
+import {OverloadQueue, canStartInTime} from '../../../overload/index.js';
+import type {Shed, Waiting} from '../../../overload/index.js';
 import type {
   DispatchRejection,
   DispatchRequest,
@@ -15,6 +24,7 @@
   UpstreamDirectory,
 } from './dispatch_request.js';
 import {GroupLimiters} from './group_limiters.js';
+import {OverloadLog} from './overload_log.js';
 import {UpstreamSelector} from './upstream_selector.js';
 
 /** Balances the requests of an entry and queues those beyond the capacity. */
@@ -24,9 +34,11 @@
   private readonly groupBreaker = new GroupCircuitBreaker();
   private readonly limiters: GroupLimiters;
   private readonly selector: UpstreamSelector;
-  private readonly queue = new PendingQueue<DispatchRequest>(
-    new AdaptiveLifoOrder(),
-  );
+  private readonly queues = new Map<
+    ServiceName,
+    OverloadQueue<DispatchRequest>
+  >();
+  private readonly overloadLog: OverloadLog;
 
   /**
    * @param directory - the upstreams
@@ -34,14 +46,17 @@
    * @param chance - random source for ties
    * @param logger - logs availability changes of groups
    * @param containment - contains exceptions to their request
+   * @param metrics - counts delayed and shed requests
    */
   constructor(
     private readonly directory: UpstreamDirectory,
     zone: AvailabilityZone,
-    chance: Chance,
+    private readonly chance: Chance,
     private readonly logger: Logger,
     private readonly containment: Containment,
+    metrics: Metrics,
   ) {
+    this.overloadLog = new OverloadLog(logger, metrics);
     this.limiters = new GroupLimiters(() => directory.entryCount(), chance);
     this.selector = new UpstreamSelector(
       directory,
@@ -58,18 +73,27 @@
 
   /** Number of queued requests. */
   get queueLength(): number {
-    return this.queue.length;
+    let length = 0;
+    for (const queue of this.queues.values()) length += queue.length;
+    return length;
   }
 
-  /** Fields of `/status`. */
-  get status(): object {
+  /**
+   * Returns the fields of `/status`.
+   * @param now - current time
+   */
+  statusAt(now: Millis): object {
     const groups = [...this.limiters.entries()].map(([group, limiter]) => ({
       group,
       isUnavailable: this.groupBreaker.isUnavailable(group),
       ...limiter.starts.status,
       ...limiter.streams.status,
     }));
-    return {waiting: this.queue.length, groups};
+    const queues = [...this.queues].map(([service, queue]) => ({
+      service,
+      ...queue.statusAt(now),
+    }));
+    return {waiting: this.queueLength, queues, groups};
   }
 
   /**
@@ -94,15 +118,19 @@
    * @param req - the request
    */
   submit(now: Millis, req: DispatchRequest): void {
+    const queue = this.queueOf(now, req.service);
+    if (req.mayWait) queue.recordArrival(now, req);
     // Queued requests are sent in queue order, not in order of arrival.
-    if (req.mayWait && this.queue.length > 0) {
-      this.queue.enqueue(req);
-      this.dispatchQueued(now);
+    if (req.mayWait && queue.length > 0) {
+      this.enqueue(now, queue, req);
+      this.dispatchFrom(now, queue);
       return;
     }
     const chosen = this.selector.select(now, req);
-    if (typeof chosen === 'object') this.dispatch(now, req, chosen);
-    else if (this.waits(now, req, chosen)) this.queue.enqueue(req);
+    if (typeof chosen === 'object') {
+      if (req.mayWait) queue.recordSent(now, req);
+      this.dispatch(now, req, chosen);
+    } else if (this.waits(now, req, chosen)) this.enqueue(now, queue, req);
     else this.reject(now, req, chosen);
   }
 
@@ -111,7 +139,7 @@
    * @param req - the request
    */
   withdraw(req: DispatchRequest): void {
-    this.queue.remove(req);
+    this.queues.get(req.service)?.remove(req);
   }
 
   /**
@@ -120,27 +148,8 @@
    * @param now - current time
    */
   dispatchQueued(now: Millis): void {
-    for (const req of this.queue.shedExpired(now)) {
-      this.contain(req, () => {
-        const chosen = this.selector.select(now, req);
-        this.reject(now, req, typeof chosen === 'object' ? 'full' : chosen);
-      });
-    }
-    const skipped: DispatchRequest[] = [];
-    while (this.queue.length > 0 && skipped.length < MAX_SKIPPED) {
-      const req = this.queue.peek(now);
-      if (req === undefined) break;
-      this.queue.remove(req);
-      this.contain(req, () => {
-        const chosen = this.selector.select(now, req);
-        if (typeof chosen === 'object') {
-          this.queue.recordSent(now);
-          this.dispatch(now, req, chosen);
-        } else if (this.waits(now, req, chosen)) skipped.push(req);
-        else this.reject(now, req, chosen);
-      });
-    }
-    for (const req of skipped) this.queue.enqueue(req);
+    for (const service of this.queues.keys())
+      this.dispatchFrom(now, this.queueOf(now, service));
   }
 
   /**
@@ -212,10 +221,66 @@
     this.logger.warn('group_fell', {group, upstream: id, culprit});
   }
 
+  /** Returns the queue of a service, in its present order. */
+  private queueOf(
+    now: Millis,
+    service: ServiceName,
+  ): OverloadQueue<DispatchRequest> {
+    let queue = this.queues.get(service);
+    if (queue === undefined) {
+      queue = new OverloadQueue(this.chance);
+      this.queues.set(service, queue);
+    }
+    queue.setByPriority(now, this.directory.isByPriority(service));
+    return queue;
+  }
+
+  private enqueue(
+    now: Millis,
+    queue: OverloadQueue<DispatchRequest>,
+    req: DispatchRequest,
+  ): void {
+    for (const shed of queue.enqueue(now, req)) this.rejectShed(now, shed);
+  }
+
+  private dispatchFrom(
+    now: Millis,
+    queue: OverloadQueue<DispatchRequest>,
+  ): void {
+    if (queue.length === 0) return;
+    for (const shed of queue.shedExpired(now)) this.rejectShed(now, shed);
+    const skipped: Waiting<DispatchRequest>[] = [];
+    while (queue.length > 0 && skipped.length < MAX_SKIPPED) {
+      const req = queue.peek(now);
+      const waiting = req && queue.remove(req);
+      if (req === undefined || waiting === undefined) break;
+      this.contain(req, () => {
+        const chosen = this.selector.select(now, req);
+        if (typeof chosen === 'object') {
+          queue.recordSent(now, req, waiting);
+          this.overloadLog.recordDelayed(now, waiting);
+          this.dispatch(now, req, chosen);
+        } else if (this.waits(now, req, chosen)) skipped.push(waiting);
+        else this.reject(now, req, chosen);
+      });
+    }
+    for (const waiting of skipped) queue.putBack(now, waiting);
+  }
+
+  private rejectShed(now: Millis, shed: Shed<DispatchRequest>): void {
+    const {req} = shed;
+    this.overloadLog.recordShed(now, shed);
+    this.contain(req, () => {
+      const chosen = this.selector.select(now, req);
+      const reason = typeof chosen === 'object' ? 'full' : chosen;
+      this.reject(now, req, reason, shed);
+    });
+  }
+
   /** Runs a step of a queued request, which another request may have caused. */
   private contain(req: DispatchRequest, work: () => void): void {
     this.containment.run('queue', {service: req.service}, work, () => {
-      const queueLength = this.queue.length;
+      const {queueLength} = this;
       req.reject('overloaded', {reason: 'full', queueLength, downtime: 0});
     });
   }
@@ -246,20 +311,27 @@
    * covers a longer time, and for a limit only up to its latency target.
    */
   private waits(now: Millis, req: DispatchRequest, reason: Unplaced): boolean {
-    if (!req.mayWait || !PendingQueue.canStartInTime(now, req)) return false;
+    if (!req.mayWait || !canStartInTime(now, req)) return false;
     if (reason === 'limited')
       return this.selector.acceptingFrom(now, req) <= req.targetAt;
     return reason === 'full';
   }
 
-  private reject(now: Millis, req: DispatchRequest, reason: Unplaced): void {
+  private reject(
+    now: Millis,
+    req: DispatchRequest,
+    reason: Unplaced,
+    shed?: Shed<DispatchRequest>,
+  ): void {
     const downtimes = this.selector
       .untriedUpstreams(req)
       .map(upstream =>
         this.groupBreaker.downtime(now, this.directory.groupOf(upstream)),
       );
     req.reject(REJECTIONS[reason], {
-      queueLength: this.queue.length,
+      queueLength: this.queueLength,
+      shed: shed?.reason,
+      retryIn: reason === 'full' ? shed?.retryIn : undefined,
       downtime: Math.max(0, ...downtimes),
       reason,
       notBefore:
--- a/src/daemons/direct/dispatch/index.ts
+++ b/src/daemons/direct/dispatch/index.ts
@@ -1,4 +1,5 @@
 export {Dispatcher} from './dispatcher.js';
+export {ServiceView} from './service_view.js';
 export type {
   DispatchRejection,
   DispatchRequest,
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -327,8 +327,7 @@
     const fault = new Fault(reason);
     const {context, request, cause, rejectedIn} = this;
     const now = context.clock.now();
-    const notBefore = rejectedIn?.notBefore;
-    const retryAfter = context.retryAfter(now, request, cause, notBefore);
+    const retryAfter = context.retryAfter(now, request, cause, rejectedIn);
     this.response.sendError(fault, retryAfter);
     this.finish(reason, fault.status, retryAfter);
   }
--- a/src/daemons/shared/buffered_body.ts
+++ b/src/daemons/shared/buffered_body.ts
@@ -26,6 +26,11 @@
     return this.content;
   }
 
+  /** Number of bytes; 0 if no user holds the body. */
+  get size(): number {
+    return this.content?.length ?? 0;
+  }
+
   /**
    * Holds the body for a further user.
    * @returns ends the hold; further calls have no effect
--- a/src/direct/dialect.ts
+++ b/src/direct/dialect.ts
@@ -15,6 +15,8 @@
   /** Id of the event after which the caller resumes its stream. */
   readonly resumedAfter: number | undefined;
   readonly promptTokens: number;
+  /** The caller's estimate of the output; undefined if it sent none. */
+  readonly expectedTokens?: number | undefined;
   /** Parts of the prompt that other requests may share, in prompt order. */
   readonly sharedParts: readonly PromptPartId[];
   /** Last part of the prompt, the same only in repeats of the request. */
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -25,5 +25,4 @@
 export * from './types.js';
 export * from './upstream_limits.js';
 export * from './upstream_table.js';
-export * from './pending_queue.js';
 export * from './relay_selector.js';
--- a/src/direct/pending_queue.test.ts
+++ b/src/overload/overload_queue.test.ts
@@ -1,7 +1,8 @@
 import {describe, expect, it} from 'vitest';
 
 import {Chance} from '../core/index.js';
-import {AdaptiveLifoOrder, ConcurrencyLimiter, PendingQueue} from './index.js';
+import {ConcurrencyLimiter} from '../direct/index.js';
+import {OverloadQueue} from './index.js';
 import type {PendingRequest} from './index.js';
 
 interface Request extends PendingRequest {
@@ -26,11 +27,10 @@
   priority,
 });
 
-function take(queue: PendingQueue<Request>, now: number): Request | undefined {
+function take(queue: OverloadQueue<Request>, now: number): Request | undefined {
   const req = queue.peek(now);
   if (req === undefined) return undefined;
-  queue.remove(req);
-  queue.recordSent(now);
+  queue.recordSent(now, req, queue.remove(req));
   return req;
 }
 
@@ -77,7 +77,7 @@
 }
 
 class Entry {
-  private readonly queue = new PendingQueue<Request>(new AdaptiveLifoOrder());
+  private readonly queue = new OverloadQueue<Request>(new Chance(1));
   private readonly limit = new ConcurrencyLimiter(() => ENTRIES);
 
   constructor(
@@ -86,7 +86,7 @@
   ) {}
 
   ask(now: number, req: Request): void {
-    if (this.waits) this.queue.enqueue(req);
+    if (this.waits) this.queue.enqueue(now, req);
     else this.group.arrive(now, req, this);
   }
 
@@ -133,60 +133,38 @@
   });
 });
 
-describe('PendingQueue', () => {
+describe('OverloadQueue with equal priorities', () => {
   it('dequeues by priority, newest first, and late requests last', () => {
-    const queue = new PendingQueue<Request>(new AdaptiveLifoOrder());
+    const queue = new OverloadQueue<Request>(new Chance(1));
     const [late, older, newer, urgent] = [
       request(0),
       request(500),
       request(600),
       request(550, 0),
     ];
-    for (const req of [late!, older!, newer!, urgent!]) queue.enqueue(req);
+    for (const req of [late!, older!, newer!, urgent!]) queue.enqueue(700, req);
     const order = [1, 2, 3, 4].map(() => take(queue, 700));
     expect(order).toEqual([urgent, newer, older, late]);
     expect(take(queue, 700)).toBeUndefined();
   });
 
   it('sheds requests that cannot be dequeued in time', () => {
-    const queue = new PendingQueue<Request>(new AdaptiveLifoOrder());
+    const queue = new OverloadQueue<Request>(new Chance(1));
     // One is dequeued every 100 ms; thirty late ones would take three seconds.
     for (let now = 0; now < 1_000; now += 100) {
-      queue.enqueue(request(now));
+      queue.enqueue(now, request(now));
       take(queue, now);
     }
-    for (let i = 0; i < 30; i++) queue.enqueue(request(300 + i));
+    for (let i = 0; i < 30; i++) queue.enqueue(1_000, request(300 + i));
     const refused = queue.shedExpired(1_000);
     expect(refused.length).toBeGreaterThan(15);
     expect(queue.length).toBeGreaterThan(8);
   });
 
   it('retains all requests while none is sent, until they expire', () => {
-    const queue = new PendingQueue<Request>(new AdaptiveLifoOrder());
-    for (let i = 0; i < 30; i++) queue.enqueue(request(i));
+    const queue = new OverloadQueue<Request>(new Chance(1));
+    for (let i = 0; i < 30; i++) queue.enqueue(i, request(i));
     expect(queue.shedExpired(1_500)).toEqual([]);
     expect(queue.shedExpired(1_900)).toHaveLength(30);
   });
 });
-
-describe('ConcurrencyLimiter', () => {
-  it('lowers the limit on late starts and raises it on quick ones', () => {
-    let entries = 6;
-    const limit = new ConcurrencyLimiter(() => entries);
-    const sendAll = () => {
-      let sent = 0;
-      for (; limit.hasCapacity; sent++) limit.recordSent();
-      return sent;
-    };
-    expect(sendAll()).toBe(4);
-    for (let i = 0; i < 4; i++) limit.recordStarted(i, 100, TARGET);
-    expect(sendAll()).toBe(8);
-    for (let i = 0; i < 8; i++) limit.recordStarted(i * 400, 900, TARGET);
-    expect(sendAll()).toBe(2);
-    // With many entries, one request each is enough to fill a group.
-    entries = 38;
-    for (let i = 0; i < 2; i++)
-      limit.recordStarted(9_000 + i * 400, 900, TARGET);
-    expect(sendAll()).toBe(1);
-  });
-});
--- a/test/support/entry_replay.ts
+++ b/test/support/entry_replay.ts
@@ -108,6 +108,7 @@
       groupOf: () => GROUP,
       slowdownOf: () => 1,
       entryCount: () => entries,
+      isByPriority: () => false,
     };
     const zone = availabilityZone('a');
     this.dispatchers = Array.from(
@@ -119,6 +120,7 @@
           this.chance,
           SILENT_LOGGER,
           new Containment(SILENT_LOGGER, new Metrics()),
+          new Metrics(),
         ),
     );
   }
