Shed late first attempts before repeated requests; benchmark of the queue

Cause: in the order of the queue, repeated requests of the most urgent priority come after late first attempts, so that they were shed before them, although their callers are lost. A rate of arrivals taken from 0.25 s was four times too high as a low estimate. Requests that waited until their group went down had no line with their priority and place.

Change: in place of an unreachable repeated request, a late first attempt of its priority is shed while one goes before it. Low estimates count over the whole window. Rejections of requests that waited are logged and counted with the reason why they can't be placed. bench:queue prints time and memory, and the value served of each named load.

--- a/bench/queue.ts
+++ b/bench/queue.ts
@@ -3,6 +3,7 @@
 import {OverloadQueue} from '../src/overload/index.js';
 import type {PendingRequest} from '../src/overload/index.js';
 import {AdaptiveLifoOrder, ScannedQueue} from './queue/scanned_queue.js';
+import {valuesBeforeAndAfter} from './queue/values.js';
 
 const LENGTHS = [10, 100, 1_000, 10_000];
 const ORGANISATIONS = 40;
@@ -131,3 +132,4 @@
 console.table(
   LENGTHS.flatMap(length => names.map(name => measure(name, length))),
 );
+console.table(valuesBeforeAndAfter());
--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -261,7 +261,11 @@
           this.overloadLog.recordDelayed(now, waiting);
           this.dispatch(now, req, chosen);
         } else if (this.waits(now, req, chosen)) skipped.push(waiting);
-        else this.reject(now, req, chosen);
+        else {
+          const ahead = skipped.length;
+          this.overloadLog.recordShed(now, {...waiting, reason: chosen, ahead});
+          this.reject(now, req, chosen);
+        }
       });
     }
     for (const waiting of skipped) queue.putBack(now, waiting);
--- a/src/daemons/direct/dispatch/dispatcher_overload.test.ts
+++ b/src/daemons/direct/dispatch/dispatcher_overload.test.ts
@@ -76,7 +76,7 @@
   const fill = () => {
     for (let i = 0; i < INITIAL_LIMIT; i++) submit(`first ${i}`, 0);
   };
-  return {dispatcher, lines, metrics, sent, rejected, submit, fill};
+  return {dispatcher, table, lines, metrics, sent, rejected, submit, fill};
 }
 
 const count = async (metrics: Metrics, name: string) =>
@@ -132,6 +132,22 @@
     expect(dispatcher.queueLength).toBe(0);
   });
 
+  it('rejects those that wait as their group goes down, with that reason', () => {
+    // Fails if the line of a request that waited does not lead to the group.
+    const {dispatcher, table, lines, rejected, submit, fill} =
+      createDispatcher();
+    fill();
+    submit('waiting', 10);
+    const [rank] = table.forService(MODEL);
+    dispatcher.markGroupUnavailable(100, rank!, 'another rank');
+    dispatcher.dispatchQueued(110);
+    expect(rejected.get('waiting')).toMatchObject({reason: 'down'});
+    const shed = lines.filter(({event}) => event === 'request_shed');
+    expect(shed.map(({fields}) => fields)).toMatchObject([
+      {id: 'waiting', reason: 'down', priority: 1, waited_ms: 100, ahead: 0},
+    ]);
+  });
+
   it('keeps the others in the queue if the step of one throws', () => {
     // Fails if an exception of one request loses those that wait with it.
     const {dispatcher, sent, rejected, submit, fill} = createDispatcher();
--- a/src/daemons/direct/dispatch/overload_log.ts
+++ b/src/daemons/direct/dispatch/overload_log.ts
@@ -1,7 +1,16 @@
 import type {Millis} from '../../../core/index.js';
-import type {Shed, Waiting} from '../../../overload/index.js';
+import type {ShedReason, Waiting} from '../../../overload/index.js';
 import type {Logger, Metrics} from '../../../observability/index.js';
-import type {DispatchRequest} from './dispatch_request.js';
+import type {DispatchRequest, Unplaced} from './dispatch_request.js';
+
+/** A request that was taken from a queue and rejected. */
+export interface RejectedWaiting extends Waiting<DispatchRequest> {
+  /** Why the queue shed it, or why it can't be placed and can't wait. */
+  readonly reason: ShedReason | Unplaced;
+  /** Number of requests that were ahead of it. */
+  readonly ahead: number;
+  readonly retryIn?: Millis | undefined;
+}
 
 /** Logs and counts the requests that a queue delays and sheds. */
 export class OverloadLog {
@@ -45,11 +54,11 @@
   }
 
   /**
-   * Records that a request was shed.
+   * Records that a request was rejected after it had waited.
    * @param now - current time
    * @param shed - the request
    */
-  recordShed(now: Millis, shed: Shed<DispatchRequest>): void {
+  recordShed(now: Millis, shed: RejectedWaiting): void {
     const {reason, ahead, retryIn, req} = shed;
     const {priority, service} = req;
     this.sheds.inc({reason, priority, service});
--- a/src/overload/overload_load.test.ts
+++ b/src/overload/overload_load.test.ts
@@ -1,7 +1,16 @@
 import {describe, expect, it} from 'vitest';
 
 import {
-  AJU,
+  AJU_WAVES,
+  BURST_OF_ALL,
+  CAPACITY,
+  FLOOD,
+  LEAST_URGENT_BURST,
+  PRIORITY_LOADS,
+  STEADY,
+  isBurst,
+} from '../../test/support/overload_loads.js';
+import {
   HEARTHLINE,
   replayOverload,
   servedFraction,
@@ -15,59 +24,11 @@
 } from '../../test/support/overload_replay.js';
 
 const SEEDS = [1, 2, 3];
-const DURATION = 12_000;
-/** Starts per second; the usual load of Hearthline is 156.6. */
-const CAPACITY = 165;
 /** Largest difference of the fractions served of two routes. */
 const SERVED_INVERSION = 0.05;
 /** The same for the fractions served in time. */
 const IN_TIME_INVERSION = 0.15;
 
-const isBurst = (now: number) => now >= 3_000 && now < 7_000;
-
-const steady: OverloadLoad = {
-  routes: HEARTHLINE,
-  entries: 8,
-  duration: DURATION,
-  capacity: () => CAPACITY,
-};
-
-const leastUrgentBurst: OverloadLoad = {
-  ...steady,
-  maxFactor: 2.3,
-  factor: (now, {priority}) => (isBurst(now) && priority === 2 ? 2.3 : 1),
-};
-
-const burstOfAll: OverloadLoad = {
-  ...steady,
-  maxFactor: 1.7,
-  factor: now => (isBurst(now) ? 1.7 : 1),
-};
-
-const slowGroup: OverloadLoad = {
-  ...steady,
-  capacity: now => (isBurst(now) ? CAPACITY / 2 : CAPACITY),
-};
-
-const PERIOD = 13_000;
-const waves = (routes: readonly LoadRoute[], capacity: number) => ({
-  ...steady,
-  routes,
-  duration: 2 * PERIOD,
-  entries: 9,
-  capacity: () => capacity,
-  maxFactor: 1.55,
-  factor: (now: number, _route: LoadRoute, entry: number) =>
-    1 + 0.55 * Math.sin(2 * Math.PI * (now / PERIOD + (entry % 3) / 12)),
-});
-
-const hotKey: OverloadLoad = {
-  ...steady,
-  maxFactor: 5,
-  // The callers of one key reach the group through one entry.
-  factor: (now, _route, entry) => (isBurst(now) && entry === 0 ? 5 : 1),
-};
-
 function replayAll(load: OverloadLoad, kind: QueueKind): CallerResult[] {
   return SEEDS.flatMap(seed => replayOverload(load, kind, seed));
 }
@@ -75,14 +36,6 @@
 const ofRoute = (results: readonly CallerResult[], name: string) =>
   results.filter(({route}) => route.name === name);
 
-const PRIORITY_LOADS: [string, OverloadLoad][] = [
-  ['a burst of the least urgent route (x 2.3)', leastUrgentBurst],
-  ['a burst of all routes (x 1.7)', burstOfAll],
-  ['a group that slows down', slowGroup],
-  ['waves of zones out of phase', waves(HEARTHLINE, CAPACITY)],
-  ['a hot key at one entry', hotKey],
-];
-
 const cache = new Map<string, CallerResult[]>();
 function resultsOf(name: string, load: OverloadLoad, kind: QueueKind) {
   const key = `${name}/${kind}`;
@@ -143,7 +96,7 @@
 describe('OverloadQueue under a burst of the least urgent route', () => {
   // Entries share the capacity equally, whatever the priorities of their
   // requests are; at one entry the order of the queue alone decides.
-  const load: OverloadLoad = {...leastUrgentBurst, entries: 1};
+  const load: OverloadLoad = {...LEAST_URGENT_BURST, entries: 1};
   const results = replayAll(load, 'by_priority');
   const isInBurst = ({at}: CallerResult) => isBurst(at);
 
@@ -159,9 +112,8 @@
 describe('OverloadQueue with equal priorities', () => {
   it('serves waves of zones out of phase as the scanned queue does', () => {
     // Fails if deployments with equal priorities are served otherwise.
-    const load = waves(AJU, 190);
     const served = (kind: QueueKind, isInTime: boolean) =>
-      servedFraction(replayAll(load, kind), isInTime);
+      servedFraction(replayAll(AJU_WAVES, kind), isInTime);
     for (const isInTime of [false, true]) {
       const before = served('scanned', isInTime);
       expect(served('equal', isInTime)).toBeGreaterThan(before - 0.02);
@@ -174,7 +126,7 @@
     'lets no request starve (%s)',
     kind => {
       // Fails if requests of low value wait although there is capacity.
-      const load = {...steady, capacity: () => 1.25 * CAPACITY};
+      const load = {...STEADY, capacity: () => 1.25 * CAPACITY};
       const results = replayAll(load, kind);
       expect(servedFraction(results)).toBeGreaterThan(0.999);
       expect(servedFraction(results, true)).toBeGreaterThan(0.99);
@@ -183,25 +135,11 @@
 });
 
 describe('OverloadQueue under one organisation that floods', () => {
-  const oneRoute: LoadRoute = {...HEARTHLINE[1]!, perSecond: 120};
-  const flood: OverloadLoad = {
-    ...steady,
-    routes: [oneRoute],
-    entries: 1,
-    maxFactor: 2.5,
-    factor: now => (isBurst(now) ? 2.5 : 1),
-    // In the burst, 180 of 300 a second are the flood.
-    organisation: (now, chance) =>
-      isBurst(now) && chance.fraction() < 0.6
-        ? 'flood'
-        : `o${chance.between(1, 6)}`,
-  };
-
   it.each(['equal', 'by_priority'] as const)(
     'delays and rejects the flood first (%s)',
     kind => {
       // Fails if a flood takes the share of the other organisations.
-      const inBurst = replayAll(flood, kind).filter(({at}) => isBurst(at));
+      const inBurst = replayAll(FLOOD, kind).filter(({at}) => isBurst(at));
       const isFlood = ({organisation}: CallerResult) =>
         organisation === 'flood';
       const others = inBurst.filter(one => !isFlood(one));
@@ -216,7 +154,7 @@
 
   it('serves the others more often than the scanned queue does', () => {
     const others = (kind: QueueKind) =>
-      replayAll(flood, kind).filter(
+      replayAll(FLOOD, kind).filter(
         ({at, organisation}) => isBurst(at) && organisation !== 'flood',
       );
     expect(servedFraction(others('equal'), true)).toBeGreaterThan(
@@ -227,7 +165,7 @@
 
 describe('OverloadQueue and repeated requests', () => {
   // At one entry the group's capacity is that of its queue.
-  const load: OverloadLoad = {...burstOfAll, entries: 1, capacity: () => 185};
+  const load: OverloadLoad = {...BURST_OF_ALL, entries: 1, capacity: () => 185};
 
   it('serves more value if it recognizes them', () => {
     // Fails if a request that is late already takes the place of one in time.
--- a/src/overload/overload_policy.test.ts
+++ b/src/overload/overload_policy.test.ts
@@ -122,6 +122,26 @@
     expect(shed?.req.name).toBe('late');
   });
 
+  it('sheds them after late first attempts that go before them', () => {
+    // Fails if a most urgent caller is lost while one that can return is kept.
+    const queue = createQueue();
+    observeFirstAttempts(queue);
+    const patient = {targetAt: 1e5, expiresAt: 1e5};
+    for (let i = 0; i < 10; i++)
+      queue.enqueue(0, request('patient', 0, {...patient, priority: 1}));
+    for (let now = 1_000; now < 2_000; now += 100) take(queue, now);
+    const urgent = {priority: 0};
+    // Repeated requests go after those in time of this priority.
+    queue.enqueue(2_000, request('patient', 0, {...patient, priority: 2}));
+    for (let i = 0; i < 10; i++)
+      queue.enqueue(2_000, request('late', 1_300, urgent));
+    for (let i = 0; i < 8; i++)
+      queue.enqueue(2_000, repeated('repeated', 2_000, urgent));
+    const names = queue.shedExpired(2_000).map(({req}) => req.name);
+    expect(names.length).toBeGreaterThan(0);
+    expect(new Set(names)).toEqual(new Set(['late']));
+  });
+
   it('sheds a late request that more valuable arrivals keep from its turn', () => {
     // Fails if a request waits to its end although its turn will not come.
     const queue = createQueue();
--- a/src/overload/overload_queue.ts
+++ b/src/overload/overload_queue.ts
@@ -219,7 +219,12 @@
       findUnreachable({now, classes, sends, isByPriority});
     for (let found = unreachable(); found !== undefined; found = unreachable())
       if (found.standing === 'in_time') this.move(found, 'late');
-      else shed.push(this.shed(now, found, 'unreachable'));
+      else {
+        // A caller that is rejected twice is lost, so a first attempt goes.
+        const isRepeated = found.standing === 'repeated';
+        const first = isRepeated ? classes.lateAhead(found) : undefined;
+        shed.push(this.shed(now, first ?? found, 'unreachable'));
+      }
     return shed;
   }
 
--- a/src/overload/rate_window.ts
+++ b/src/overload/rate_window.ts
@@ -42,7 +42,9 @@
    */
   rate(now: Millis, deviations = 0): number {
     const count = this.count(now);
-    const observed = Math.max(MIN_OBSERVED, this.observed(now));
+    // A low estimate doesn't extrapolate from a short time.
+    const observed =
+      deviations < 0 ? WINDOW : Math.max(MIN_OBSERVED, this.observed(now));
     return Math.max(0, count + deviations * Math.sqrt(count)) / observed;
   }
 
--- a/src/overload/value_classes.ts
+++ b/src/overload/value_classes.ts
@@ -80,6 +80,19 @@
     return ahead;
   }
 
+  /**
+   * Returns the last late first attempt of the priority of a repeated request,
+   * if such requests go before it.
+   * @param item - the repeated request
+   */
+  lateAhead({req}: QueuedItem<T>): QueuedItem<T> | undefined {
+    for (const {standing, priority, turns} of this.ordered) {
+      if (priority !== req.priority || standing === 'in_time') continue;
+      return standing === 'late' ? turns.last : undefined;
+    }
+    return undefined;
+  }
+
   /**
    * Returns the rate at which requests arrive that go before a class, per ms.
    * @param now - current time
