--- a/src/overload/shedding.ts
+++ b/src/overload/shedding.ts
@@ -70,20 +70,23 @@
 ): QueuedItem<T> | undefined {
   const isInTime = standing === 'in_time';
   if (isInTime && !isByPriority) return undefined;
-  const isUnreachable = (item: QueuedItem<T>) => {
-    const {targetAt, expiresAt} = item.req;
-    const left = (isInTime ? targetAt : expiresAt) - MIN_START_DELAY - now;
-    return ahead + turns.ahead(item) > rate * left;
-  };
+  const startsUntil = ({req: {targetAt, expiresAt}}: QueuedItem<T>) =>
+    rate * ((isInTime ? targetAt : expiresAt) - MIN_START_DELAY - now);
+  const isUnreachable = (item: QueuedItem<T>) =>
+    ahead + turns.ahead(item) > startsUntil(item);
   for (const items of turns.nextToCheck(CHECKED_ORGANISATIONS)) {
+    const {first, last} = items;
+    if (first === undefined || last === undefined) continue;
+    const isShort = ahead + turns.size - 1 <= startsUntil(first);
+    if (!isInTime && isShort) continue;
     // The newest of the requests in time is first, so the last one tells. Of
     // late ones the earliest that is unreachable may make others reachable.
     for (const horizon of isInTime ? [] : HORIZONS) {
       const item = items.lastUpTo(now + horizon);
+      if (item === last) break;
       if (item !== undefined && isUnreachable(item)) return item;
     }
-    const {last} = items;
-    if (last !== undefined && isUnreachable(last)) return last;
+    if (isUnreachable(last)) return last;
   }
   return undefined;
 }
