Compare the overload queue with a plain model in random use

Cause: its order is kept in several trees that must agree. Change: random enqueues, sends, removals and expiries with five seeds against a search of all requests; at the end the accounts are empty.

--- a/src/overload/overload_policy.test.ts
+++ b/src/overload/overload_policy.test.ts
@@ -3,6 +3,7 @@
 import {Chance, organisationName, serviceName} from '../core/index.js';
 import type {Millis} from '../core/index.js';
 import {
+  MIN_START_DELAY,
   OverloadQueue,
   PriorityIndex,
   RepeatDetector,
@@ -10,6 +11,8 @@
   hasUnequalPriorities,
 } from './index.js';
 import type {PendingRequest} from './index.js';
+import {EqualValueModel, PriorityValueModel} from './value_model.js';
+import type {ValueModel} from './value_model.js';
 import {WorkScale} from './work_scale.js';
 
 interface Request extends PendingRequest {
@@ -221,6 +224,74 @@
   });
 });
 
+describe('OverloadQueue in random use', () => {
+  /** The next request, found by comparing all of them. */
+  function nextOf(waiting: readonly Request[], now: Millis, model: ValueModel) {
+    const rankOf = ({targetAt, expiresAt, priority}: Request) => {
+      const isInTime = now + MIN_START_DELAY <= targetAt;
+      const standing = isInTime ? 'in_time' : 'late';
+      const value = model.startValue(standing, priority, 2);
+      return {value, rank: isInTime ? targetAt : -expiresAt};
+    };
+    return [...waiting].sort((a, b) => {
+      const [one, other] = [rankOf(a), rankOf(b)];
+      return other.value - one.value || other.rank - one.rank;
+    })[0];
+  }
+
+  it.each([
+    ['equal priorities', new EqualValueModel()],
+    ['priorities', new PriorityValueModel()],
+  ])('keeps its order and accounts with %s', (_name, model) => {
+    // Fails if a tree, a class or an account disagrees with the requests.
+    for (let seed = 1; seed <= 5; seed++) {
+      const chance = new Chance(seed);
+      const queue = createQueue(model.isByPriority);
+      let waiting: Request[] = [];
+      const drop = (one: Request) => {
+        waiting = waiting.filter(other => other !== one);
+      };
+      for (let now = 0; now < 6_000; now += chance.between(0, 20)) {
+        const step = chance.fraction();
+        if (step < 0.55) {
+          // Unique times, so that the order has no ties.
+          const at = now + chance.fraction();
+          const req = request('r', at, {
+            priority: chance.between(0, 2),
+            expiresAt: at + PATIENCE * (0.5 + chance.fraction()),
+          });
+          waiting.push(req);
+          queue.enqueue(now, req);
+        } else if (step < 0.85) {
+          const next = queue.peek(now);
+          expect(next).toBe(nextOf(waiting, now, model));
+          if (next === undefined) continue;
+          const held = queue.remove(next)!;
+          if (chance.fraction() < 0.3) queue.putBack(now, held);
+          else drop(next);
+        } else if (step < 0.95 && waiting.length > 0) {
+          const left = chance.pick(waiting);
+          expect(queue.remove(left)?.req).toBe(left);
+          drop(left);
+        } else {
+          for (const {req, reason} of queue.shedExpired(now)) {
+            expect(reason).toBe('expired');
+            drop(req);
+          }
+          const late = ({expiresAt}: Request) =>
+            now + MIN_START_DELAY >= expiresAt;
+          expect(waiting.some(late)).toBe(false);
+        }
+        expect(queue.length).toBe(waiting.length);
+      }
+      for (const req of waiting) queue.remove(req);
+      expect(queue.statusAt(6_000)).toMatchObject({
+        ...{waiting: {}, bytes: 0, organisations: 0},
+      });
+    }
+  });
+});
+
 describe('OverloadQueue and organisations', () => {
   const of = (name: string, at: Millis, change: Partial<Request> = {}) =>
     request(name, at, {organisation: organisationName(name), ...change});
