Move the replay of queue loads to bench/queue

Cause: bench:queue prints the value served by it; the tests use it as well. Change: overload_loads.ts and overload_replay.ts stand beside the scanned queue.

--- a/test/support/overload_replay.ts
+++ b/bench/queue/overload_replay.ts
@@ -1,13 +1,10 @@
-import {
-  AdaptiveLifoOrder,
-  ScannedQueue,
-} from '../../bench/queue/scanned_queue.js';
+import {AdaptiveLifoOrder, ScannedQueue} from './scanned_queue.js';
 import {Chance, SECOND, organisationName} from '../../src/core/index.js';
 import type {Millis} from '../../src/core/index.js';
 import {retryAfter} from '../../src/direct/index.js';
 import {OverloadQueue} from '../../src/overload/index.js';
 import type {PendingRequest} from '../../src/overload/index.js';
-import {poissonArrivals} from './stepping_group.js';
+import {poissonArrivals} from '../../test/support/stepping_group.js';
 
 /** A route of the load, as its operators and callers describe it. */
 export interface LoadRoute {
--- a/bench/queue/values.ts
+++ b/bench/queue/values.ts
@@ -4,13 +4,13 @@
   FLOOD,
   LEAST_URGENT_BURST,
   PRIORITY_LOADS,
-} from '../../test/support/overload_loads.js';
+} from './overload_loads.js';
 import {
   replayOverload,
   servedFraction,
   valueServed,
-} from '../../test/support/overload_replay.js';
-import type {OverloadLoad} from '../../test/support/overload_replay.js';
+} from './overload_replay.js';
+import type {OverloadLoad} from './overload_replay.js';
 
 const SEEDS = [1, 2, 3];
 const DECIMALS = 3;
--- a/src/overload/overload_load.test.ts
+++ b/src/overload/overload_load.test.ts
@@ -9,20 +9,20 @@
   PRIORITY_LOADS,
   STEADY,
   isBurst,
-} from '../../test/support/overload_loads.js';
+} from '../../bench/queue/overload_loads.js';
 import {
   AJU,
   HEARTHLINE,
   replayOverload,
   servedFraction,
   valueServed,
-} from '../../test/support/overload_replay.js';
+} from '../../bench/queue/overload_replay.js';
 import type {
   CallerResult,
   LoadRoute,
   OverloadLoad,
   QueueKind,
-} from '../../test/support/overload_replay.js';
+} from '../../bench/queue/overload_replay.js';
 
 const SEEDS = [1, 2, 3];
 /** Largest difference of the fractions served of two routes. */
