--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,6 +13,7 @@
   'evacuation',
   'configuration_review',
   'cold_start',
+  'overload',
 ].map(folder => `src/${folder}/**/*.ts`);
 
 const CLOCKS_AND_CHANCE = [
--- a/src/daemons/direct/admitted_request.ts
+++ b/src/daemons/direct/admitted_request.ts
@@ -75,11 +75,17 @@
   DispatchRequest,
   | 'id'
   | 'service'
+  | 'route'
+  | 'organisation'
   | 'promptTokens'
+  | 'expectedTokens'
+  | 'bytes'
   | 'priority'
   | 'target'
   | 'targetAt'
   | 'expiresAt'
+  | 'deadlineAt'
+  | 'callerTimeout'
   | 'mayWait'
 >;
 
@@ -93,10 +99,15 @@
   lastDeliveryAt: Millis,
 ): DispatchTerms {
   const {arrivedAt, metadata, priority, route, service} = request;
+  const {id, promptTokens, expectedTokens, callerTimeout} = metadata;
   const {latencyTarget: target, repeat, silencePatience} = route;
   return {
-    ...{service, priority, target, promptTokens: metadata.promptTokens},
-    id: metadata.id,
+    ...{id, service, priority, target, promptTokens, expectedTokens},
+    route: route.name,
+    organisation: request.organisation,
+    bytes: request.body.size,
+    callerTimeout,
+    deadlineAt: arrivedAt + (callerTimeout ?? route.timeout),
     targetAt: arrivedAt + target,
     expiresAt: Math.min(lastDeliveryAt + silencePatience, deadlineOf(request)),
     mayWait: repeat === 'stream',
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -18,14 +18,15 @@
 import {Containment} from '../../observability/index.js';
 import type {Fields, Logger, Metrics} from '../../observability/index.js';
 import {HoldUpMonitor} from '../shared/hold_up_monitor.js';
-import {OperatorServer} from '../shared/operator_server.js';
+import type {OperatorServer} from '../shared/operator_server.js';
 import {BufferBudget} from './buffer_budget.js';
 import {ColdStartKeeper} from './cold_start/index.js';
 import type {DirectContext} from './context.js';
-import {Dispatcher} from './dispatch/index.js';
+import {Dispatcher, ServiceView} from './dispatch/index.js';
+import type {DispatchState} from './dispatch/index.js';
 import {EvacuationKeeper} from './evacuation/index.js';
 import type {DirectParts, DirectSettings} from './estate.js';
-import {bindEntryPorts} from './entry_ports.js';
+import {bindEntryPorts, createOperatorServers} from './entry_ports.js';
 import {EstateTracker} from './estate_tracker.js';
 import type {EstateListener} from './estate_tracker.js';
 import {Exchange} from './exchange.js';
@@ -68,6 +69,9 @@
   readonly readiness: OperatorServer;
   private readonly logger: Logger;
   private readonly openExchanges = new Set<Exchange>();
+  private readonly services = new ServiceView(
+    () => this.estate.holder.current?.configuration,
+  );
   /** Set once the start has ended, so that the balancer may route here. */
   private timer: NodeJS.Timeout | undefined;
 
@@ -130,17 +134,11 @@
       },
     );
     this.shutdown = new Shutdown(this.front, clock, logger, this.containment);
-    const operatorView = {
-      ...parts,
-      notReadyReason: () => this.notReady(),
-      status: () => this.status(),
-      readinessPath: estate.readinessPath,
-    };
-    this.operators = new OperatorServer({
-      ...operatorView,
-      actions: {'/quarantine/lift': query => this.quarantine.lift(query)},
-    });
-    this.readiness = new OperatorServer(operatorView);
+    [this.operators, this.readiness] = createOperatorServers(
+      parts,
+      {notReadyReason: () => this.notReady(), status: () => this.status()},
+      {'/quarantine/lift': query => this.quarantine.lift(query)},
+    );
     const {vm, availabilityZone, ip, internalPorts, stalenessBounds} = settings;
     const relay = hostPort(ip, internalPorts[0]);
     const location = {vm, availabilityZone, relay};
@@ -225,11 +223,12 @@
   }
 
   private createDispatcher(): Dispatcher {
-    const {chance, logger} = this.parts;
+    const {chance, logger, metrics} = this.parts;
     return new Dispatcher(
       {
         upstreamsOf: service => this.estate.upstreams.forService(service),
-        hasEngines: service => this.estate.hasEngines(service),
+        hasEngines: service => this.services.hasEngines(service),
+        isByPriority: service => this.services.isByPriority(service),
         groupOf: upstream => this.estate.groupOf(upstream),
         slowdownOf: upstream => this.estate.slowdownOf(upstream),
         entryCount: () => this.estate.entryCount,
@@ -238,6 +237,7 @@
       chance,
       logger,
       this.containment,
+      metrics,
       this.evacuation,
     );
   }
@@ -305,11 +305,12 @@
     now: Millis,
     {metadata, route, arrivedAt}: AdmittedRequest,
     cause: RejectionCause,
-    notBefore: Millis | undefined,
+    rejectedIn: DispatchState | undefined,
   ): Millis {
+    if (rejectedIn?.retryIn !== undefined) return rejectedIn.retryIn;
     const timeLeft =
       arrivedAt + (metadata.callerTimeout ?? route.timeout) - now;
-    const earliest = (notBefore ?? now) - now;
+    const earliest = (rejectedIn?.notBefore ?? now) - now;
     return retryAfter(cause, timeLeft, this.parts.chance, earliest);
   }
 
@@ -381,7 +382,7 @@
       ...this.evacuation.status(now),
       openRequests: this.front.openRequests,
       ...this.front.bodyStatus,
-      ...this.dispatcher.status,
+      ...this.dispatcher.statusAt(now),
       ...this.coldStart.status(now),
       promptQuarantine: this.quarantine.status,
       upstreams: this.estate.upstreams
--- a/src/daemons/direct/dispatch/dispatch_request.ts
+++ b/src/daemons/direct/dispatch/dispatch_request.ts
@@ -1,15 +1,15 @@
 import type {Millis, ServiceName} from '../../../core/index.js';
 import type {
   GroupKey,
-  PendingRequest,
   RankInfo,
+  RequestId,
   Upstream,
 } from '../../../direct/index.js';
+import type {PendingRequest, ShedReason} from '../../../overload/index.js';
 
 /** A request to send to an upstream. */
 export interface DispatchRequest extends PendingRequest {
-  /** Id for the log, if its caller gave one. */
-  readonly id?: string | undefined;
+  readonly id?: RequestId | undefined;
   readonly service: ServiceName;
   readonly promptTokens: number;
   /** Upstreams that it was already sent to. */
@@ -40,6 +40,10 @@
   readonly evacuatedZones?: string | undefined;
   /** Earliest time of a retry, if it is known. */
   readonly notBefore?: Millis | undefined;
+  /** Delay of a retry, if the queue has planned it. */
+  readonly retryIn?: Millis | undefined;
+  /** Why the queue shed it, if so. */
+  readonly shed?: ShedReason | undefined;
 }
 
 /** Registered upstreams and their groups, as a dispatcher queries them. */
@@ -49,6 +53,8 @@
   upstreamsOf(service: ServiceName): readonly Upstream[];
   /** Returns whether a service's upstreams run model engines. */
   hasEngines(service: ServiceName): boolean;
+  /** Returns whether the requests of a service differ in priority. */
+  isByPriority(service: ServiceName): boolean;
 }
 
 /** What became of a request that was kept away from an evacuated zone. */
@@ -87,3 +93,14 @@
   | 'warming_up'
   /** The limits of all groups are reached. */
   | 'full';
+
+/** Rejection of a request, by the reason why it cannot be placed. */
+export const REJECTIONS = {
+  none: 'no_upstream',
+  evacuated: 'no_upstream',
+  down: 'group_down',
+  backed_off: 'overloaded',
+  limited: 'overloaded',
+  warming_up: 'overloaded',
+  full: 'overloaded',
+} as const satisfies Record<Unplaced, DispatchRejection>;
--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -2,23 +2,28 @@
 import type {AvailabilityZone, Chance, Millis} from '../../../core/index.js';
 import {
   GroupCircuitBreaker,
-  AdaptiveLifoOrder,
   LoadTracker,
-  PendingQueue,
   UpstreamLimits,
 } from '../../../direct/index.js';
 import type {GroupKey, Upstream} from '../../../direct/index.js';
-import type {Containment, Logger} from '../../../observability/index.js';
+import type {
+  Containment,
+  Logger,
+  Metrics,
+} from '../../../observability/index.js';
+import {canStartInTime} from '../../../overload/index.js';
+import type {OverloadQueue, Shed, Waiting} from '../../../overload/index.js';
 import {ColdRequestLog} from '../cold_start/index.js';
 import type {
-  DispatchRejection,
   DispatchRequest,
   Unplaced,
   UpstreamDirectory,
   ZoneFilter,
 } from './dispatch_request.js';
-import {NO_EVACUATIONS} from './dispatch_request.js';
+import {NO_EVACUATIONS, REJECTIONS} from './dispatch_request.js';
 import {GroupLimiters} from './group_limiters.js';
+import {OverloadLog} from './overload_log.js';
+import {ServiceQueues} from './service_queues.js';
 import {UpstreamSelector} from './upstream_selector.js';
 
 /** Balances the requests of an entry and queues those beyond the capacity. */
@@ -30,9 +35,8 @@
   private readonly groupBreaker = new GroupCircuitBreaker();
   private readonly limiters: GroupLimiters;
   private readonly selector: UpstreamSelector;
-  private readonly queue = new PendingQueue<DispatchRequest>(
-    new AdaptiveLifoOrder(),
-  );
+  private readonly queues: ServiceQueues;
+  private readonly overloadLog: OverloadLog;
 
   /**
    * @param directory - the upstreams
@@ -40,6 +44,7 @@
    * @param chance - random source for ties
    * @param logger - logs availability changes of groups
    * @param containment - contains exceptions to their request
+   * @param metrics - counts delayed and shed requests
    * @param evacuation - zones that requests are kept away from
    */
   constructor(
@@ -48,9 +53,12 @@
     chance: Chance,
     private readonly logger: Logger,
     private readonly containment: Containment,
+    metrics: Metrics,
     private readonly evacuation: ZoneFilter = NO_EVACUATIONS,
   ) {
     this.coldRequests = new ColdRequestLog(logger);
+    this.overloadLog = new OverloadLog(logger, metrics);
+    this.queues = new ServiceQueues(directory, chance);
     this.limiters = new GroupLimiters(() => directory.entryCount(), chance);
     this.selector = new UpstreamSelector(
       directory,
@@ -69,18 +77,22 @@
 
   /** Number of queued requests. */
   get queueLength(): number {
-    return this.queue.length;
+    return this.queues.length;
   }
 
-  /** Fields of `/status`. */
-  get status(): object {
+  /**
+   * Returns the fields of `/status`.
+   * @param now - current time
+   */
+  statusAt(now: Millis): object {
     const groups = [...this.limiters.entries()].map(([group, limiter]) => ({
       group,
       isUnavailable: this.groupBreaker.isUnavailable(group),
       ...limiter.starts.status,
       ...limiter.streams.status,
     }));
-    return {waiting: this.queue.length, groups};
+    const queues = this.queues.statusAt(now);
+    return {waiting: this.queueLength, queues, groups};
   }
 
   /**
@@ -105,15 +117,19 @@
    * @param req - the request
    */
   submit(now: Millis, req: DispatchRequest): void {
+    const queue = this.queues.of(now, req.service);
+    if (req.mayWait) queue.recordArrival(now, req);
     // Queued requests are sent in queue order, not in order of arrival.
-    if (req.mayWait && this.queue.length > 0) {
-      this.queue.enqueue(req);
-      this.dispatchQueued(now);
+    if (req.mayWait && queue.length > 0) {
+      this.enqueue(now, queue, req);
+      this.dispatchFrom(now, queue);
       return;
     }
     const chosen = this.selector.select(now, req);
-    if (typeof chosen === 'object') this.dispatch(now, req, chosen);
-    else if (this.waits(now, req, chosen)) this.queue.enqueue(req);
+    if (typeof chosen === 'object') {
+      if (req.mayWait) queue.recordSent(now, req);
+      this.dispatch(now, req, chosen);
+    } else if (this.waits(now, req, chosen)) this.enqueue(now, queue, req);
     else this.reject(now, req, chosen);
   }
 
@@ -122,7 +138,7 @@
    * @param req - the request
    */
   withdraw(req: DispatchRequest): void {
-    this.queue.remove(req);
+    this.queues.find(req.service)?.remove(req);
   }
 
   /**
@@ -131,27 +147,7 @@
    * @param now - current time
    */
   dispatchQueued(now: Millis): void {
-    for (const req of this.queue.shedExpired(now)) {
-      this.contain(req, () => {
-        const chosen = this.selector.select(now, req);
-        this.reject(now, req, typeof chosen === 'object' ? 'full' : chosen);
-      });
-    }
-    const skipped: DispatchRequest[] = [];
-    while (this.queue.length > 0 && skipped.length < MAX_SKIPPED) {
-      const req = this.queue.peek(now);
-      if (req === undefined) break;
-      this.queue.remove(req);
-      this.contain(req, () => {
-        const chosen = this.selector.select(now, req);
-        if (typeof chosen === 'object') {
-          this.queue.recordSent(now);
-          this.dispatch(now, req, chosen);
-        } else if (this.waits(now, req, chosen)) skipped.push(req);
-        else this.reject(now, req, chosen);
-      });
-    }
-    for (const req of skipped) this.queue.enqueue(req);
+    for (const queue of this.queues.all(now)) this.dispatchFrom(now, queue);
   }
 
   /**
@@ -160,11 +156,13 @@
    * @param now - current time
    */
   reexamineQueue(now: Millis): void {
-    for (const req of [...this.queue.requests]) {
-      if (this.selector.permittedUpstreams(req).length > 0) continue;
-      if (this.selector.evacuatedZones(req).length === 0) continue;
-      this.queue.remove(req);
-      this.contain(req, () => this.reject(now, req, 'evacuated'));
+    for (const queue of this.queues.all(now)) {
+      for (const req of [...queue.requests]) {
+        if (this.selector.permittedUpstreams(req).length > 0) continue;
+        if (this.selector.evacuatedZones(req).length === 0) continue;
+        queue.remove(req);
+        this.contain(req, () => this.reject(now, req, 'evacuated'));
+      }
     }
     this.dispatchQueued(now);
   }
@@ -256,10 +254,56 @@
     });
   }
 
+  private enqueue(
+    now: Millis,
+    queue: OverloadQueue<DispatchRequest>,
+    req: DispatchRequest,
+  ): void {
+    for (const shed of queue.enqueue(now, req)) this.rejectShed(now, shed);
+  }
+
+  private dispatchFrom(
+    now: Millis,
+    queue: OverloadQueue<DispatchRequest>,
+  ): void {
+    if (queue.length === 0) return;
+    for (const shed of queue.shedExpired(now)) this.rejectShed(now, shed);
+    const skipped: Waiting<DispatchRequest>[] = [];
+    while (queue.length > 0 && skipped.length < MAX_SKIPPED) {
+      const req = queue.peek(now);
+      const waiting = req && queue.remove(req);
+      if (req === undefined || waiting === undefined) break;
+      this.contain(req, () => {
+        const chosen = this.selector.select(now, req);
+        if (typeof chosen === 'object') {
+          queue.recordSent(now, req, waiting);
+          this.overloadLog.recordDelayed(now, waiting);
+          this.dispatch(now, req, chosen);
+        } else if (this.waits(now, req, chosen)) skipped.push(waiting);
+        else {
+          const ahead = skipped.length;
+          this.overloadLog.recordShed(now, {...waiting, reason: chosen, ahead});
+          this.reject(now, req, chosen);
+        }
+      });
+    }
+    for (const waiting of skipped) queue.putBack(now, waiting);
+  }
+
+  private rejectShed(now: Millis, shed: Shed<DispatchRequest>): void {
+    const {req} = shed;
+    this.overloadLog.recordShed(now, shed);
+    this.contain(req, () => {
+      const chosen = this.selector.select(now, req);
+      const reason = typeof chosen === 'object' ? 'full' : chosen;
+      this.reject(now, req, reason, shed);
+    });
+  }
+
   /** Runs a step of a queued request, which another request may have caused. */
   private contain(req: DispatchRequest, work: () => void): void {
     this.containment.run('queue', {service: req.service}, work, () => {
-      const queueLength = this.queue.length;
+      const {queueLength} = this;
       req.reject('overloaded', {reason: 'full', queueLength, downtime: 0});
     });
   }
@@ -298,17 +342,22 @@
   private waits(now: Millis, req: DispatchRequest, reason: Unplaced): boolean {
     if (reason === 'warming_up') {
       const nextAt = this.selector.acceptingFrom(now, req);
-      if (!PendingQueue.canStartInTime(nextAt, req)) return false;
+      if (!canStartInTime(nextAt, req)) return false;
       this.coldRequests.recordKept(now, req, nextAt, 'waits');
       return true;
     }
-    if (!req.mayWait || !PendingQueue.canStartInTime(now, req)) return false;
+    if (!req.mayWait || !canStartInTime(now, req)) return false;
     if (reason === 'limited')
       return this.selector.acceptingFrom(now, req) <= req.targetAt;
     return reason === 'full';
   }
 
-  private reject(now: Millis, req: DispatchRequest, reason: Unplaced): void {
+  private reject(
+    now: Millis,
+    req: DispatchRequest,
+    reason: Unplaced,
+    shed?: Shed<DispatchRequest>,
+  ): void {
     const downtimes = this.selector
       .permittedUpstreams(req)
       .map(upstream =>
@@ -323,7 +372,9 @@
       this.coldRequests.recordKept(now, req, notBefore ?? now, 'rejected');
     }
     req.reject(REJECTIONS[reason], {
-      queueLength: this.queue.length,
+      queueLength: this.queueLength,
+      shed: shed?.reason,
+      retryIn: reason === 'full' ? shed?.retryIn : undefined,
       downtime: Math.max(0, ...downtimes),
       evacuatedZones: isEvacuated
         ? this.selector.evacuatedZones(req).join(',')
@@ -333,16 +384,6 @@
   }
 }
 
-const REJECTIONS = {
-  none: 'no_upstream',
-  evacuated: 'no_upstream',
-  down: 'group_down',
-  backed_off: 'overloaded',
-  limited: 'overloaded',
-  warming_up: 'overloaded',
-  full: 'overloaded',
-} as const satisfies Record<Unplaced, DispatchRejection>;
-
 /** Reasons whose end is known. */
 const KNOWN_ENDS: ReadonlySet<Unplaced> = new Set([
   'backed_off',
--- a/src/daemons/direct/dispatch/dispatcher_cold_start.test.ts
+++ b/src/daemons/direct/dispatch/dispatcher_cold_start.test.ts
@@ -30,6 +30,7 @@
     const directory = {
       upstreamsOf: () => this.table.forService(SERVICE),
       hasEngines: () => false,
+      isByPriority: () => false,
       groupOf: () => 'app',
       slowdownOf: () => 1,
       entryCount: () => entries,
@@ -38,7 +39,8 @@
     const plain = {hasEngines: false, experts: undefined};
     this.dispatchers = names.map((self, i) => {
       const zone = availabilityZone('abc'[i % 3]!);
-      const containment = new Containment(SILENT_LOGGER, new Metrics());
+      const metrics = new Metrics();
+      const containment = new Containment(SILENT_LOGGER, metrics);
       const one = new Dispatcher(
         ...([
           directory,
@@ -46,6 +48,7 @@
           this.chance,
           SILENT_LOGGER,
           containment,
+          metrics,
         ] as const),
       );
       const services = [{name: SERVICE, ...plain, coldStart}];
--- a/src/daemons/direct/entry_ports.ts
+++ b/src/daemons/direct/entry_ports.ts
@@ -1,9 +1,10 @@
 import {hostPort} from '../../core/index.js';
 import type {Containment, Logger} from '../../observability/index.js';
-import type {OperatorServer} from '../shared/operator_server.js';
+import {OperatorServer} from '../shared/operator_server.js';
+import type {OperatorHandlers} from '../shared/operator_server.js';
 import {splitAddress} from './attempt.js';
 import {bindWhenFree} from './bind_when_free.js';
-import type {DirectSettings} from './estate.js';
+import type {DirectParts, DirectSettings} from './estate.js';
 import type {FrontServer} from './front_server.js';
 
 /** Servers of an entry. */
@@ -42,3 +43,23 @@
     servers.readiness.listen(host, port),
   );
 }
+
+/**
+ * Creates the servers of the operators' and the readiness port.
+ * @param parts - clock, logger, metrics and platform services
+ * @param view - readiness and status of the entry
+ * @param actions - actions of the operators' port
+ * @returns the operators' server, then the readiness server
+ */
+export function createOperatorServers(
+  parts: DirectParts,
+  view: Pick<OperatorHandlers, 'notReadyReason' | 'status'>,
+  actions: NonNullable<OperatorHandlers['actions']>,
+): [OperatorServer, OperatorServer] {
+  const {readinessPath} = parts.estate;
+  const handlers = {...parts, ...view, readinessPath};
+  return [
+    new OperatorServer({...handlers, actions}),
+    new OperatorServer(handlers),
+  ];
+}
--- a/src/daemons/direct/estate_tracker.ts
+++ b/src/daemons/direct/estate_tracker.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import type {Clock, Millis, ServiceName} from '../../core/index.js';
+import type {Clock, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import {
   ConfigurationHolder,
@@ -220,14 +220,6 @@
     return {count, names, storedAt, readAt: this.followers.entries.lastContact};
   }
 
-  /**
-   * Returns whether a service's upstreams run model engines.
-   * @param service - the service
-   */
-  hasEngines(service: ServiceName): boolean {
-    return this.holder.current?.profileOf(service)?.hasEngines === true;
-  }
-
   /**
    * Returns the group of an upstream; its service if the group is unknown.
    * @param upstream - the upstream
--- a/src/daemons/direct/evacuation/evacuation_load.test.ts
+++ b/src/daemons/direct/evacuation/evacuation_load.test.ts
@@ -86,6 +86,7 @@
       {
         upstreamsOf: service => table.forService(service),
         hasEngines: () => true,
+        isByPriority: () => false,
         groupOf: () => 'model',
         slowdownOf: () => 1,
         entryCount: () => 38,
@@ -94,6 +95,7 @@
       new Chance(7),
       SILENT_LOGGER,
       new Containment(SILENT_LOGGER, metrics),
+      metrics,
       keeper,
     );
   });
--- a/test/support/entry_replay.ts
+++ b/test/support/entry_replay.ts
@@ -110,6 +110,7 @@
       groupOf: () => GROUP,
       slowdownOf: () => 1,
       entryCount: () => entries,
+      isByPriority: () => false,
     };
     const zone = availabilityZone('a');
     this.dispatchers = Array.from(
@@ -121,6 +122,7 @@
           this.chance,
           SILENT_LOGGER,
           new Containment(SILENT_LOGGER, new Metrics()),
+          new Metrics(),
         ),
     );
   }
