Show what a text differs in from the version in force before it is published

Cause: the line diff was printed by publish alone, just before it sent the text. A log that can't be read ends it with exit code 1 after the findings. reportFault is shared by both commands.

--- a/src/cli/publish/index.ts
+++ b/src/cli/publish/index.ts
@@ -14,6 +14,7 @@
 import {EXIT, printError, defineCommand, print} from '../shared/command.js';
 import {COMMAND_FLAGS, SHARED_FLAGS} from '../shared/flags.js';
 import type {Flag} from '../shared/flags.js';
+import {reportFault} from '../shared/report_fault.js';
 import {EstateCrawler} from '../status/estate_crawler.js';
 import {lineDiff} from './line_diff.js';
 import {Publisher} from './publisher.js';
@@ -48,12 +49,6 @@
   fallback: '',
 };
 
-function reportFault({reason, message, hint}: Fault): number {
-  printError(`${reason}: ${message}`);
-  printError(hint);
-  return EXIT.failure;
-}
-
 /**
  * Creates a publication. Its id is a digest of its content, so that a retry is
  * a duplicate of the first attempt.
--- a/test/command_line.test.ts
+++ b/test/command_line.test.ts
@@ -10,7 +10,9 @@
 
 import {COMMANDS} from '../src/cli/commands.js';
 import {envName} from '../src/cli/shared/settings.js';
+import {CONFIGURATION_STREAM} from '../src/configuration/index.js';
 import {PROGRAM_VERSION} from '../src/version.js';
+import {PlatformServer} from '../standins/platform_server.js';
 
 const ROOT = fileURLToPath(new URL('../', import.meta.url));
 const MAIN = 'dist/src/cli/main.js';
@@ -81,6 +83,33 @@
     },
   );
 
+  it('shows what differs from the version in force before it is published', async () => {
+    const platform = new PlatformServer();
+    const url = await platform.listen();
+    const text = readFileSync(`${ROOT}examples/kivuli.yaml`, 'utf8');
+    const publication = {
+      ...{kind: 'publication', id: 'first', base: 0, author: 'operator'},
+      text: text.replace('deadline: 5 s', 'deadline: 4 s'),
+    };
+    platform.append(CONFIGURATION_STREAM, publication);
+    const args = ['check', 'examples/kivuli.yaml', '--log-url', url];
+    const changes = ['-     deadline: 4 s', '+     deadline: 5 s'];
+    const {code, stdout} = await run(...args);
+    expect([code, stdout.trimEnd().split('\n')]).toEqual([
+      0,
+      ['changes to version 1:', ...changes],
+    ]);
+    const asJson = await run(...args, '--json');
+    expect(JSON.parse(asJson.stdout)).toMatchObject({
+      ...{findings: [], inForce: {version: 1, changes}},
+    });
+    platform.faults.down = true;
+    const unread = await run(...args);
+    expect([unread.code, unread.stdout]).toEqual([1, '']);
+    expect(unread.stderr).toMatch(/^log_unavailable: /);
+    await platform.close();
+  });
+
   it('exits when a listener cannot be opened although others are open', async () => {
     const taken = createServer().listen(0, '127.0.0.1');
     await once(taken, 'listening');
