--- a/src/daemons/direct/dispatch/dispatch_request.ts
+++ b/src/daemons/direct/dispatch/dispatch_request.ts
@@ -3,6 +3,7 @@
   GroupKey,
   PendingRequest,
   RankInfo,
+  RejectionCause,
   Upstream,
 } from '../../../direct/index.js';
 
@@ -49,6 +50,20 @@
   hasEngines(service: ServiceName): boolean;
 }
 
+/**
+ * Returns the cause that the Retry-After of a rejected request depends on. A zone
+ * stays evacuated for an unknown time, as a group stays down.
+ * @param rejection - the rejection
+ * @param state - what the dispatcher knew
+ */
+export function rejectionCause(
+  rejection: DispatchRejection,
+  {reason}: DispatchState,
+): RejectionCause {
+  const isLasting = rejection === 'group_down' || reason === 'evacuated';
+  return isLasting ? 'group_down' : 'busy';
+}
+
 /** What became of a request that was kept away from an evacuated zone. */
 export type KeptAwayResult = 'placed_elsewhere' | 'rejected';
 
--- a/src/daemons/direct/dispatch/index.ts
+++ b/src/daemons/direct/dispatch/index.ts
@@ -1,3 +1,4 @@
+export {rejectionCause} from './dispatch_request.js';
 export {Dispatcher} from './dispatcher.js';
 export type {
   DispatchRejection,
--- a/src/daemons/direct/exchange.ts
+++ b/src/daemons/direct/exchange.ts
@@ -25,6 +25,7 @@
 import {AttemptSequence, EVACUATED, HELD_UP} from './attempt_sequence.js';
 import type {ResponseHead, WholeResponse} from './attempt.js';
 import type {DirectContext} from './context.js';
+import {rejectionCause} from './dispatch/index.js';
 import type {DispatchRequest, DispatchState} from './dispatch/index.js';
 import {RequestContainment} from './request_containment.js';
 import {ResponseForwarder} from './response_forwarder.js';
@@ -127,7 +128,7 @@
         this.send(now, upstream, group),
       ),
       reject: containment.wrap((cause, state) => {
-        this.cause = cause === 'group_down' ? cause : 'busy';
+        this.cause = rejectionCause(cause, state);
         this.rejectedIn = state;
         this.respondFinal(cause);
       }),
--- a/test/evacuation.test.ts
+++ b/test/evacuation.test.ts
@@ -127,9 +127,12 @@
     evacuate('b');
     await waitForZones(['a', 'b']);
     for (const path of ['/load/1', '/sheet/1', '/plan/1']) {
-      const {status, headers, ms} = await estate.call(path);
+      const patience = {'Deadline-Ms': '9000'};
+      const {status, headers, ms} = await estate.call(path, patience);
       expect(status).toBe(503);
-      expect(Number(headers['retry-after'])).toBeGreaterThan(0);
+      // Nearly as late as callers honour: a third of their time.
+      const delay = Number(headers['retry-after']);
+      expect([delay > 2, delay <= 3]).toEqual([true, true]);
       expect(ms).toBeLessThan(600);
     }
     takeBack('a');
