Start an entry while the store is away in the test of evacuations

Cause: the entry of the test started after the store was back, so that the test did not show that one that starts before serves nothing. Change: it starts before, and is neither ready nor serves requests.

--- a/test/evacuation.test.ts
+++ b/test/evacuation.test.ts
@@ -91,8 +91,10 @@
     expect(await received()).toEqual([0, 16]);
     await pause(600);
     expect(await received()).toEqual([0, 16]);
-    estate.store.failureStatus = undefined;
     await estate.addEntry();
+    expect(await estate.readinessStatus(2)).toBe(503);
+    expect((await estate.call('/load/1', {}, 'POST', 2)).status).toBe(503);
+    estate.store.failureStatus = undefined;
     await estate.waitUntilReady();
     expect(await received([2])).toEqual([0, 8]);
     expect((await statusOf(2)).evacuations).toMatchObject([
