Limit the streams at a group by the length of its passes

StreamLimiter reacts to gaps that are already too long, gives up after 2 s, and does not see single long passes, each of which makes all running streams late.

Change: PassLimiter in src/pacing computes, from the measured pass length and the engine's figures of the configuration, by which factor the streams of an entry may grow, so that the longest passes stay below the gap target. It holds requests past their start target only while recent passes are near the target, and gives up where fewer streams do not shorten the passes. It applies to services whose full ranks need over 0.55 of the gap target by the figures (pacingOf); others keep StreamLimiter.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,6 +10,7 @@
   'admission',
   'expert_groups',
   'direct',
+  'pacing',
 ].map(folder => `src/${folder}/**/*.ts`);
 
 const CLOCKS_AND_CHANCE = [
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -2,7 +2,7 @@
 
 import type {Result} from 'neverthrow';
 
-import type {Clock, Millis, ServiceName} from '../../core/index.js';
+import type {Clock, Millis} from '../../core/index.js';
 import {hostPort} from '../../core/index.js';
 import {
   requestFingerprint,
@@ -37,6 +37,7 @@
 import {decideOnHead} from './head_decision.js';
 import type {AllowedHead, HeadRejection} from './head_decision.js';
 import {LIMITS_PATH, LimitKeeper} from './limit_keeper.js';
+import {PacingDirectory} from './pacing/index.js';
 import {PeerChannel} from './peer_channel.js';
 import {QuarantineKeeper, ageOf} from './quarantine_keeper.js';
 import {RequestLog} from './request_log.js';
@@ -58,6 +59,7 @@
   readonly buffers = new BufferBudget();
   private readonly peers: PeerChannel;
   private readonly limits: LimitKeeper;
+  private readonly pacing: PacingDirectory;
   private readonly estate: EstateTracker;
   readonly front: FrontServer;
   private readonly shutdown: Shutdown;
@@ -102,10 +104,12 @@
     );
     this.connections = new ConnectionPools(clock);
     this.holdUps = new HoldUpMonitor(clock, logger);
+    this.pacing = new PacingDirectory(logger);
     this.dispatcher = new Dispatcher(
       {
         upstreamsOf: service => this.estate.upstreams.forService(service),
-        hasEngines: service => this.hasEngines(service),
+        hasEngines: service => this.estate.holder.hasEngines(service),
+        pacingOf: service => this.pacing.of(service),
         groupOf: upstream => this.estate.groupOf(upstream),
         slowdownOf: upstream => this.estate.slowdownOf(upstream),
         entryCount: () => this.estate.entryCount,
@@ -114,6 +118,7 @@
       parts.chance,
       logger,
       this.containment,
+      metrics,
     );
     this.limits = new LimitKeeper(
       this.dispatcher.limits,
@@ -228,9 +233,10 @@
 
   private estateListener(metrics: Metrics): EstateListener {
     return {
-      onConfiguration: ({version, limits}) => {
-        this.front.setLimits(limits);
-        metrics.versionInForce.set(version);
+      onConfiguration: configuration => {
+        this.front.setLimits(configuration.limits);
+        this.pacing.apply(configuration);
+        metrics.versionInForce.set(configuration.version);
       },
       onUpstreamRemoved: () => {
         const {upstreams} = this.estate;
@@ -364,13 +370,6 @@
     this.log.recordRejected(id, reason, arrivedAt, {version, ...fields});
   }
 
-  private hasEngines(service: ServiceName): boolean {
-    const services = this.estate.holder.current?.configuration.services ?? [];
-    return services.some(
-      ({name, hasEngines}) => hasEngines && name === service,
-    );
-  }
-
   private notReady(): string | undefined {
     if (this.shutdown.isDraining) return 'draining';
     const isBound = this.timer !== undefined;
--- a/src/daemons/direct/dispatch/dispatch_request.ts
+++ b/src/daemons/direct/dispatch/dispatch_request.ts
@@ -5,6 +5,7 @@
   RankInfo,
   Upstream,
 } from '../../../direct/index.js';
+import type {PacingSettings} from '../../../pacing/index.js';
 
 /** A request to send to an upstream. */
 export interface DispatchRequest extends PendingRequest {
@@ -45,6 +46,8 @@
   upstreamsOf(service: ServiceName): readonly Upstream[];
   /** Returns whether a service's upstreams run model engines. */
   hasEngines(service: ServiceName): boolean;
+  /** Returns how the streams of a service are paced; undefined if they are not. */
+  pacingOf?(service: ServiceName): PacingSettings | undefined;
 }
 
 /** Why a request cannot be placed on an upstream now. */
--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -7,7 +7,12 @@
   UpstreamLimits,
 } from '../../../direct/index.js';
 import type {GroupKey, Upstream} from '../../../direct/index.js';
-import type {Containment, Logger} from '../../../observability/index.js';
+import type {
+  Containment,
+  Logger,
+  Metrics,
+} from '../../../observability/index.js';
+import {StreamLimitMonitor} from '../pacing/index.js';
 import type {
   DispatchRejection,
   DispatchRequest,
@@ -24,6 +29,7 @@
   private readonly groupBreaker = new GroupCircuitBreaker();
   private readonly limiters: GroupLimiters;
   private readonly selector: UpstreamSelector;
+  private readonly streamLimits: StreamLimitMonitor;
   private readonly queue = new PendingQueue<DispatchRequest>(
     new AdaptiveLifoOrder(),
   );
@@ -34,6 +40,7 @@
    * @param chance - random source for ties
    * @param logger - logs availability changes of groups
    * @param containment - contains exceptions to their request
+   * @param metrics - metrics of the limits on streams
    */
   constructor(
     private readonly directory: UpstreamDirectory,
@@ -41,8 +48,10 @@
     chance: Chance,
     private readonly logger: Logger,
     private readonly containment: Containment,
+    metrics?: Metrics,
   ) {
-    this.limiters = new GroupLimiters(() => directory.entryCount(), chance);
+    this.streamLimits = new StreamLimitMonitor(logger, metrics);
+    this.limiters = new GroupLimiters(directory, chance);
     this.selector = new UpstreamSelector(
       directory,
       {
@@ -175,11 +184,8 @@
   recordGap(now: Millis, group: GroupKey, gap: Millis, target: Millis): void {
     const streams = this.limiters.find(group)?.streams;
     if (streams === undefined) return;
-    const wasLimiting = streams.isLimiting;
     streams.recordGap(now, gap, target);
-    if (streams.isLimiting === wasLimiting) return;
-    const event = wasLimiting ? 'streams_unlimited' : 'streams_limited';
-    this.logger.info(event, {group, ...streams.status});
+    this.streamLimits.observe(now, group, streams);
   }
 
   /**
@@ -232,7 +238,7 @@
     const group = this.directory.groupOf(upstream);
     this.groupBreaker.recordRequest(now, group);
     if (this.directory.hasEngines(req.service)) {
-      const {starts, streams} = this.limiters.of(group);
+      const {starts, streams} = this.limiters.of(group, req.service);
       starts.recordSent();
       streams.recordSent();
     }
--- a/src/daemons/direct/dispatch/group_limiters.ts
+++ b/src/daemons/direct/dispatch/group_limiters.ts
@@ -1,41 +1,61 @@
-import type {Chance} from '../../../core/index.js';
+import type {Chance, ServiceName} from '../../../core/index.js';
 import {ConcurrencyLimiter, StreamLimiter} from '../../../direct/index.js';
 import type {GroupKey} from '../../../direct/index.js';
+import {PassLimiter} from '../../../pacing/index.js';
+import type {PacingSettings, StreamLimit} from '../../../pacing/index.js';
+import type {UpstreamDirectory} from './dispatch_request.js';
 
 /** Limits on the requests of this entry at one group. */
 export interface GroupLimiter {
   /** On requests that have not started. */
   readonly starts: ConcurrencyLimiter;
   /** On all requests. */
-  readonly streams: StreamLimiter;
+  readonly streams: StreamLimit;
+}
+
+interface LimiterRow extends GroupLimiter {
+  /** Undefined if the streams are limited by gaps alone. */
+  readonly pacing: PacingSettings | undefined;
 }
 
 /** Limits on the requests of this entry, per group. */
 export class GroupLimiters {
-  private readonly limiters = new Map<GroupKey, GroupLimiter>();
+  private readonly limiters = new Map<GroupKey, LimiterRow>();
 
   /**
-   * @param entryCount - returns the number of entries that send to a group
+   * @param directory - the upstreams and entries
    * @param chance - rounds limits
    */
   constructor(
-    private readonly entryCount: () => number,
+    private readonly directory: UpstreamDirectory,
     private readonly chance: Chance,
   ) {}
 
   /**
-   * Returns the limits at a group, which are created on first use.
+   * Returns the limits at a group, which are created on first use. A change of
+   * the configuration that affects them replaces the limit on streams.
    * @param group - the group
+   * @param service - service of its ranks
    */
-  of(group: GroupKey): GroupLimiter {
-    let limiter = this.limiters.get(group);
-    if (limiter === undefined) {
-      limiter = {
-        starts: new ConcurrencyLimiter(this.entryCount),
-        streams: new StreamLimiter(this.chance),
-      };
-      this.limiters.set(group, limiter);
-    }
+  of(group: GroupKey, service: ServiceName): GroupLimiter {
+    const known = this.limiters.get(group);
+    const pacing = this.directory.pacingOf?.(service);
+    if (known !== undefined && known.pacing === pacing) return known;
+    const starts =
+      known?.starts ??
+      new ConcurrencyLimiter(() => this.directory.entryCount());
+    const running = known?.streams.running ?? 0;
+    const streams =
+      pacing === undefined
+        ? new StreamLimiter(this.chance, running)
+        : new PassLimiter(
+            pacing,
+            () => this.sizeOf(group, service),
+            this.chance,
+            running,
+          );
+    const limiter = {starts, streams, pacing};
+    this.limiters.set(group, limiter);
     return limiter;
   }
 
@@ -51,4 +71,11 @@
   entries(): Iterable<[GroupKey, GroupLimiter]> {
     return this.limiters.entries();
   }
+
+  private sizeOf(group: GroupKey, service: ServiceName) {
+    const ranks = this.directory
+      .upstreamsOf(service)
+      .filter(upstream => this.directory.groupOf(upstream) === group);
+    return {ranks: ranks.length, entries: this.directory.entryCount()};
+  }
 }
--- a/src/daemons/direct/dispatch/upstream_selector.ts
+++ b/src/daemons/direct/dispatch/upstream_selector.ts
@@ -79,7 +79,7 @@
     if (withinLimit.length === 0) return 'limited';
     const hasEngines = this.directory.hasEngines(req.service);
     const withCapacity = hasEngines
-      ? withinLimit.filter(upstream => this.hasCapacity(now, upstream))
+      ? withinLimit.filter(upstream => this.hasCapacity(now, req, upstream))
       : withinLimit;
     if (withCapacity.length === 0) return 'full';
     const reachable = withCapacity.filter(
@@ -127,9 +127,13 @@
     return !isRetry && this.state.groupBreaker.allowsRequest(now, group);
   }
 
-  private hasCapacity(now: Millis, upstream: Upstream): boolean {
+  private hasCapacity(
+    now: Millis,
+    req: DispatchRequest,
+    upstream: Upstream,
+  ): boolean {
     const group = this.directory.groupOf(upstream);
-    const {starts, streams} = this.state.limiters.of(group);
-    return starts.hasCapacity && streams.hasCapacity(now);
+    const {starts, streams} = this.state.limiters.of(group, req.service);
+    return starts.hasCapacity && streams.hasCapacity(now, req);
   }
 }
--- a/src/direct/route_table.ts
+++ b/src/direct/route_table.ts
@@ -98,6 +98,17 @@
     return this.table;
   }
 
+  /**
+   * Returns whether the upstreams of a service run model engines.
+   * @param service - the service
+   */
+  hasEngines(service: ServiceName): boolean {
+    const services = this.table?.configuration.services ?? [];
+    return services.some(
+      ({name, hasEngines}) => hasEngines && name === service,
+    );
+  }
+
   /**
    * Puts a version in force if it is newer than the current one.
    * @param configuration - the version
--- a/src/direct/stream_limiter.ts
+++ b/src/direct/stream_limiter.ts
@@ -31,7 +31,6 @@
  * one: a new random threshold rounds it at each change.
  */
 export class StreamLimiter {
-  private streams = 0;
   private limit = Infinity;
   private floor = 0;
   /** Longest gap in the present pass, as a fraction of its target. */
@@ -43,8 +42,14 @@
   private pausedUntil: Millis = -Infinity;
   private rounding = 0;
 
-  /** @param chance - rounds limits */
-  constructor(private readonly chance: Chance) {}
+  /**
+   * @param chance - rounds limits
+   * @param streams - number of streams that run already
+   */
+  constructor(
+    private readonly chance: Chance,
+    private streams = 0,
+  ) {}
 
   /**
    * Returns whether one more stream may be sent.
@@ -60,6 +65,16 @@
     return this.limit !== Infinity;
   }
 
+  /** The limit; undefined if there is none. */
+  get value(): number | undefined {
+    return this.isLimiting ? this.limit : undefined;
+  }
+
+  /** Number of streams. */
+  get running(): number {
+    return this.streams;
+  }
+
   /** Fields for `/status`. */
   get status(): object {
     const streamLimit = this.isLimiting ? this.limit : undefined;
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -89,6 +89,25 @@
   readonly copyTime: Millis;
 }
 
+/** How long the passes of an engine take, as the operators declare it. */
+export interface EngineProfile {
+  /** Number of requests that a rank runs concurrently. */
+  readonly slots: number;
+  /** Token steps of a pass, in which each running stream makes one event. */
+  readonly stepsPerPass: number;
+  /** Duration of a step without streams. */
+  readonly stepTime: Millis;
+  /** Additional duration of a step for each running stream of the rank. */
+  readonly stepTimePerStream: Millis;
+  /** Additional duration of a step for each token of the streams' contexts. */
+  readonly stepTimePerContextToken: Millis;
+  readonly promptTokensPerSecond: number;
+  /** Maximum number of prompt tokens that are read between two passes. */
+  readonly promptChunk: number;
+  readonly usualPromptTokens: number;
+  readonly usualAnswerTokens: number;
+}
+
 /** A service as the operators declare it. */
 export interface ServiceProfile {
   readonly name: ServiceName;
@@ -96,6 +115,8 @@
   readonly hasEngines: boolean;
   /** Defined only for services whose ranks share experts. */
   readonly experts: ExpertProfile | undefined;
+  /** Undefined if the configuration lacks one of the figures. */
+  readonly engine?: EngineProfile | undefined;
 }
 
 /** Size and time limits of callers' requests. */
--- /dev/null
+++ b/src/pacing/index.ts
@@ -0,0 +1,4 @@
+/** Number and placement of the streams at groups whose passes may be too long. */
+export * from './pass_limiter.js';
+export {needsPacing, pacingOf} from './pass_model.js';
+export type {PacingSettings} from './pass_model.js';
--- a/test/support/stepping_group.ts
+++ b/test/support/stepping_group.ts
@@ -59,11 +59,13 @@
    * @param shape - engine parameters
    * @param skew - returns the load of the most loaded rank over the mean
    * @param isStalled - returns whether no pass begins or ends
+   * @param slowdown - returns the factor by which a rank is slower
    */
   constructor(
     private readonly shape: GroupShape,
     private readonly skew: (now: Millis) => number,
     private readonly isStalled: (now: Millis) => boolean = () => false,
+    private readonly slowdown: (rank: number, now: Millis) => number = () => 1,
   ) {
     this.ranks = Array.from({length: shape.ranks}, () => ({
       queued: [],
@@ -110,9 +112,14 @@
       return;
     }
     const mean = work.reduce((sum, ms) => sum + ms, 0) / work.length;
-    const own = (1 - shape.expertShare) * Math.max(...work);
+    const steps = shape.stepsPerPass * shape.stepTime;
     const experts = shape.expertShare * mean * this.skew(now);
-    this.passEndsAt = now + shape.stepsPerPass * shape.stepTime + own + experts;
+    const times = work.map(
+      (ms, i) =>
+        this.slowdown(i, now) *
+        (steps + (1 - shape.expertShare) * ms + experts),
+    );
+    this.passEndsAt = now + Math.max(...times);
   }
 
   private endPass(now: Millis): void {
