Place the streams of all entries so that they complement one another

Cause: 14 to 38 entries choose the ranks of a group independently, so a rank's load is that of a random choice; the most loaded rank had 1.6 to 2 times the mean load, and all ranks wait for it.

Change: ComplementaryPolicy fills the ranks in an order of the entry's own that follows from its index and the number of entries (RankOrder). Slow ranks take the streams that they run in the time of the others at full load, failing ones the square of their success rate. It is used for services whose streams are paced; others keep LeastLoadedGroupPolicy. The pacing replay was split into its loads and its driver.

--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -245,7 +245,7 @@
         limits.prune(incarnation => upstreams.has(incarnation));
       },
       onJoined: history => this.retries.join(this.clock.now(), history),
-      onShare: share => this.dispatcher.limits.setShare(share),
+      onShare: share => this.dispatcher.setShare(share),
       onPeers: peers => this.peers.setPeers(peers),
       onPeerMessage: (req, res) =>
         this.containment.run(
--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -6,7 +6,7 @@
   PendingQueue,
   UpstreamLimits,
 } from '../../../direct/index.js';
-import type {GroupKey, Upstream} from '../../../direct/index.js';
+import type {EntryShare, GroupKey, Upstream} from '../../../direct/index.js';
 import type {
   Containment,
   Logger,
@@ -65,6 +65,15 @@
     );
   }
 
+  /**
+   * Sets the position of this entry among all entries.
+   * @param share - its position
+   */
+  setShare(share: EntryShare): void {
+    this.limits.setShare(share);
+    this.selector.setShare(share);
+  }
+
   /** Number of queued requests. */
   get queueLength(): number {
     return this.queue.length;
--- a/src/daemons/direct/dispatch/upstream_selector.ts
+++ b/src/daemons/direct/dispatch/upstream_selector.ts
@@ -1,9 +1,16 @@
-import type {AvailabilityZone, Chance, Millis} from '../../../core/index.js';
+import type {
+  AvailabilityZone,
+  Chance,
+  Millis,
+  ServiceName,
+} from '../../../core/index.js';
 import {
   ExpectedWaitPolicy,
   LeastLoadedGroupPolicy,
 } from '../../../direct/index.js';
+import {ComplementaryPolicy} from '../../../pacing/index.js';
 import type {
+  EntryShare,
   GroupCircuitBreaker,
   GroupKey,
   LoadTracker,
@@ -30,6 +37,8 @@
 export class UpstreamSelector {
   private readonly plainPolicy: PlacementPolicy;
   private readonly rankPolicy: PlacementPolicy;
+  /** For ranks whose streams are paced. */
+  private readonly pacedPolicy: ComplementaryPolicy;
 
   /**
    * @param directory - the upstreams
@@ -46,6 +55,15 @@
     const {loads} = state;
     this.plainPolicy = new ExpectedWaitPolicy(loads, zone);
     this.rankPolicy = new LeastLoadedGroupPolicy(loads, zone, directory);
+    this.pacedPolicy = new ComplementaryPolicy(loads, zone, directory);
+  }
+
+  /**
+   * Sets the position of this entry among all entries.
+   * @param share - its position
+   */
+  setShare(share: EntryShare): void {
+    this.pacedPolicy.setShare(share);
   }
 
   /**
@@ -86,8 +104,14 @@
       ({incarnation}) => !this.state.loads.isSuspended(now, incarnation),
     );
     const candidates = reachable.length > 0 ? reachable : withCapacity;
-    const policy = hasEngines ? this.rankPolicy : this.plainPolicy;
-    return policy.choose(now, req, candidates, this.chance) ?? 'none';
+    return (
+      this.policyFor(req.service, hasEngines).choose(
+        now,
+        req,
+        candidates,
+        this.chance,
+      ) ?? 'none'
+    );
   }
 
   /**
@@ -115,6 +139,15 @@
     return Math.min(...times.filter(time => time > -Infinity));
   }
 
+  private policyFor(
+    service: ServiceName,
+    hasEngines: boolean,
+  ): PlacementPolicy {
+    if (!hasEngines) return this.plainPolicy;
+    const isPaced = this.directory.pacingOf?.(service) !== undefined;
+    return isPaced ? this.pacedPolicy : this.rankPolicy;
+  }
+
   /** Whether a group is available, or the request may probe it. */
   private isAvailable(
     now: Millis,
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -101,7 +101,7 @@
    * @param rankInfo - groups and slowdown factors of the ranks
    */
   constructor(
-    private readonly loads: LoadTracker,
+    protected readonly loads: LoadTracker,
     private readonly zone: AvailabilityZone,
     private readonly rankInfo: RankInfo,
   ) {
@@ -125,7 +125,21 @@
       this.groupCost(ranks),
     );
     if (group === undefined) return undefined;
-    return pickCheapest(group, chance, rank => this.rankCost(req, rank));
+    return this.chooseRank(req, group, chance);
+  }
+
+  /**
+   * Chooses one of the ranks of a group.
+   * @param req - the request
+   * @param candidates - eligible ranks of the group
+   * @param chance - breaks ties
+   */
+  protected chooseRank(
+    req: PlacementRequest,
+    candidates: readonly Upstream[],
+    chance: Chance,
+  ): Upstream | undefined {
+    return pickCheapest(candidates, chance, rank => this.rankCost(req, rank));
   }
 
   private groupCost(ranks: readonly Upstream[]): number {
--- a/src/pacing/pass_model.test.ts
+++ b/src/pacing/pass_model.test.ts
@@ -4,7 +4,7 @@
   testConfiguration,
   testRoute,
 } from '../../test/support/direct_samples.js';
-import {ENGINE} from '../../test/support/pacing_replay.js';
+import {ENGINE} from '../../test/support/pacing_load.js';
 import {serviceName} from '../core/index.js';
 import {needsPacing, pacingOf} from './index.js';
 
