Bound held requests by the streams that recent passes have borne

Cause: the limit for requests that would start late was the present number of streams times a factor of the longest recent pass. While streams became fewer, that pass stayed in the window, so the limit went on to fall and held requests past their start targets although passes were short again.

Change: each pass is kept with the number of streams as of then; the limit is the number with which the longest of the last 10 passes but one would have taken 0.97 of the gap target.

--- a/src/pacing/pass_estimator.ts
+++ b/src/pacing/pass_estimator.ts
@@ -20,8 +20,6 @@
  * in the window count.
  */
 const LONGEST_IGNORED = 1;
-/** Passes of the recent peak; a stream lasts about as many. */
-const PEAK_WINDOW = 20;
 /** Tail before enough passes are known. */
 const DEFAULT_TAIL = 1.3;
 const MIN_TAIL_SAMPLES = 20;
@@ -35,8 +33,8 @@
   readonly trend: number;
   /** Streams' part of the longest passes, as a multiple of that of the length. */
   readonly tail: number;
-  /** Length of the longest of the last passes but one. */
-  readonly recentPeak: Millis;
+  /** Length of the last pass. */
+  readonly last: Millis;
 }
 
 /**
@@ -56,7 +54,6 @@
   private longBefore: Millis | undefined;
   /** Streams' parts of the last passes, as multiples of the smoothed part. */
   private factors: number[] = [];
-  private recent: Millis[] = [];
 
   /** @param idle - length of a pass without streams */
   constructor(private readonly idle: Millis) {}
@@ -99,10 +96,9 @@
   private add(at: Millis, sample: Millis): void {
     const before = this.current;
     if (before === undefined) {
-      this.recent = [sample];
       this.current = {
         ...{length: sample, trend: 0},
-        ...{tail: this.tail(), recentPeak: sample},
+        ...{tail: this.tail(), last: sample},
       };
       this.updatedAt = at;
       return;
@@ -114,10 +110,7 @@
     const length = before.length + LENGTH_WEIGHT * (counted - before.length);
     const slope = (length - before.length) / Math.max(1, at - this.updatedAt);
     const trend = before.trend + TREND_WEIGHT * (slope - before.trend);
-    this.recent.push(sample);
-    if (this.recent.length > PEAK_WINDOW) this.recent.shift();
-    const recentPeak = [...this.recent].sort((a, b) => b - a)[1]!;
-    this.current = {length, trend, tail: this.tail(), recentPeak};
+    this.current = {length, trend, tail: this.tail(), last: sample};
     this.updatedAt = at;
   }
 
--- a/src/pacing/pass_limiter.ts
+++ b/src/pacing/pass_limiter.ts
@@ -13,12 +13,14 @@
 /** Growth per pass, as a fraction of the equal share, by which limits converge. */
 const FAIRNESS_GROWTH = 0.03;
 /** EWMA weight of one pass in the number of streams. */
-const LOAD_WEIGHT = 0.4;
+const LOAD_WEIGHT = 0.3;
 /**
  * Part of the gap target up to which recent passes may be long while a request
  * that would start late otherwise exceeds the limit.
  */
-const URGENT_PART = 0.95;
+const URGENT_PART = 0.97;
+/** Last passes from which the streams that fit the gap target are known. */
+const BOUND_WINDOW = 10;
 /** A limit that exceeds the streams by this factor is not needed. */
 const RELEASE_FACTOR = 1.25;
 /** Passes shorter than this fraction of the wanted length need no limit. */
@@ -96,6 +98,8 @@
   private floor = 1;
   private rounding = 0;
   private roundedAt: Millis = -Infinity;
+  /** Streams with which each of the last passes would have fit. */
+  private readonly bounds: number[] = [];
   private pressure: Pressure | undefined;
   private pausedUntil: Millis = -Infinity;
   private readonly passes: PassEstimator;
@@ -185,10 +189,13 @@
 
   /** Adapts the limit after a pass. */
   private adjust(now: Millis): void {
-    const {length, trend, tail, recentPeak} = this.passes.estimate!;
+    const {length, trend, tail, last} = this.passes.estimate!;
     const {engine, gapTarget} = this.settings;
     const idle = idlePass(engine);
     this.load += LOAD_WEIGHT * (this.streams - this.load);
+    const urgentRoom = URGENT_PART * gapTarget - idle;
+    this.bounds.push((this.load * urgentRoom) / Math.max(1, last - idle));
+    if (this.bounds.length > BOUND_WINDOW) this.bounds.shift();
     const expected = length + Math.max(0, trend) * TREND_HORIZON;
     const room = WANTED_PART * gapTarget - idle;
     // Length with which the longest passes have the wanted part of the target.
@@ -215,9 +222,7 @@
       }
     }
     this.limit = Math.max(this.floor, this.limit);
-    const urgentRoom = URGENT_PART * gapTarget - idle;
-    const urgentRatio = urgentRoom / Math.max(1, recentPeak - idle);
-    this.urgentLimit = Math.max(this.limit, this.load * urgentRatio);
+    this.urgentLimit = Math.max(this.limit, this.borne());
     if (now - this.roundedAt < ROUNDING_INTERVAL) return;
     this.roundedAt = now;
     this.rounding = this.chance.fraction();
@@ -246,6 +251,12 @@
     return achieved <= MIN_EFFECT * expected;
   }
 
+  /** Streams with which the longest of the last passes but one would have fit. */
+  private borne(): number {
+    const sorted = [...this.bounds].sort((a, b) => a - b);
+    return sorted[1] ?? Infinity;
+  }
+
   /** Whether a request would start late if it waited until the next check. */
   private isUrgent(
     now: Millis,
