--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,6 +14,7 @@
   'configuration_review',
   'cold_start',
   'overload',
+  'pacing',
 ].map(folder => `src/${folder}/**/*.ts`);
 
 const CLOCKS_AND_CHANCE = [
--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -22,7 +22,7 @@
 import {BufferBudget} from './buffer_budget.js';
 import {ColdStartKeeper} from './cold_start/index.js';
 import type {DirectContext} from './context.js';
-import {Dispatcher, ServiceView} from './dispatch/index.js';
+import {Dispatcher, priorityLookup, upstreamStatus} from './dispatch/index.js';
 import type {DispatchState} from './dispatch/index.js';
 import {EvacuationKeeper} from './evacuation/index.js';
 import type {DirectParts, DirectSettings} from './estate.js';
@@ -37,6 +37,7 @@
 import {decideOnHead} from './head_decision.js';
 import type {AllowedHead, HeadRejection} from './head_decision.js';
 import {LIMITS_PATH, LimitKeeper} from './limit_keeper.js';
+import {PacingDirectory} from './pacing/index.js';
 import {PeerChannel} from './peer_channel.js';
 import {QuarantineKeeper, ageOf} from './quarantine_keeper.js';
 import {RequestLog} from './request_log.js';
@@ -60,6 +61,7 @@
   private readonly peers: PeerChannel;
   private readonly limits: LimitKeeper;
   readonly coldStart: ColdStartKeeper;
+  private readonly pacing: PacingDirectory;
   private readonly estate: EstateTracker;
   readonly front: FrontServer;
   private readonly shutdown: Shutdown;
@@ -69,9 +71,6 @@
   readonly readiness: OperatorServer;
   private readonly logger: Logger;
   private readonly openExchanges = new Set<Exchange>();
-  private readonly services = new ServiceView(
-    () => this.estate.holder.current?.configuration,
-  );
   /** Set once the start has ended, so that the balancer may route here. */
   private timer: NodeJS.Timeout | undefined;
 
@@ -108,6 +107,7 @@
     this.connections = new ConnectionPools(clock);
     this.holdUps = new HoldUpMonitor(clock, logger);
     this.evacuation = this.createEvacuationKeeper();
+    this.pacing = new PacingDirectory(logger);
     this.dispatcher = this.createDispatcher();
     this.limits = new LimitKeeper(
       this.dispatcher.limits,
@@ -227,8 +227,9 @@
     return new Dispatcher(
       {
         upstreamsOf: service => this.estate.upstreams.forService(service),
-        hasEngines: service => this.services.hasEngines(service),
-        isByPriority: service => this.services.isByPriority(service),
+        hasEngines: service => this.estate.holder.hasEngines(service),
+        isByPriority: priorityLookup(() => this.estate.holder.current),
+        pacingOf: service => this.pacing.of(service),
         groupOf: upstream => this.estate.groupOf(upstream),
         slowdownOf: upstream => this.estate.slowdownOf(upstream),
         entryCount: () => this.estate.entryCount,
@@ -256,10 +257,11 @@
 
   private estateListener(metrics: Metrics): EstateListener {
     return {
-      onConfiguration: ({version, limits}) => {
-        this.front.setLimits(limits);
+      onConfiguration: configuration => {
+        this.front.setLimits(configuration.limits);
+        this.pacing.apply(configuration);
         this.coldStart.tick();
-        metrics.versionInForce.set(version);
+        metrics.versionInForce.set(configuration.version);
       },
       onOperatorRecord: (...args) => this.evacuation.apply(...args),
       onUpstreamRemoved: () => {
@@ -269,7 +271,7 @@
         limits.prune(incarnation => upstreams.has(incarnation));
       },
       onJoined: history => this.retries.join(this.clock.now(), history),
-      onShare: share => this.dispatcher.limits.setShare(share),
+      onShare: share => this.dispatcher.setShare(share),
       onPeers: peers => this.peers.setPeers(peers),
       onPeerMessage: (req, res) =>
         this.containment.run(
@@ -387,7 +389,7 @@
       promptQuarantine: this.quarantine.status,
       upstreams: this.estate.upstreams
         .all()
-        .map(upstream => this.dispatcher.statusOf(now, upstream)),
+        .map(upstream => upstreamStatus(now, this.dispatcher, upstream)),
     };
   }
 }
--- a/src/daemons/direct/dispatch/dispatch_request.ts
+++ b/src/daemons/direct/dispatch/dispatch_request.ts
@@ -7,6 +7,7 @@
   Upstream,
 } from '../../../direct/index.js';
 import type {PendingRequest, ShedReason} from '../../../overload/index.js';
+import type {PacingSettings} from '../../../pacing/index.js';
 
 /** A request to send to an upstream. */
 export interface DispatchRequest extends PendingRequest {
@@ -56,6 +57,8 @@
   hasEngines(service: ServiceName): boolean;
   /** Returns whether the requests of a service differ in priority. */
   isByPriority(service: ServiceName): boolean;
+  /** Returns how the streams of a service are paced; undefined if they are not. */
+  pacingOf?(service: ServiceName): PacingSettings | undefined;
 }
 
 /**
--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -5,7 +5,7 @@
   LoadTracker,
   UpstreamLimits,
 } from '../../../direct/index.js';
-import type {GroupKey, Upstream} from '../../../direct/index.js';
+import type {EntryShare, GroupKey, Upstream} from '../../../direct/index.js';
 import type {
   Containment,
   Logger,
@@ -14,6 +14,7 @@
 import {canStartInTime} from '../../../overload/index.js';
 import type {OverloadQueue, Shed, Waiting} from '../../../overload/index.js';
 import {ColdRequestLog} from '../cold_start/index.js';
+import {StreamLimitMonitor} from '../pacing/index.js';
 import type {
   DispatchRequest,
   Unplaced,
@@ -37,6 +38,7 @@
   private readonly selector: UpstreamSelector;
   private readonly queues: ServiceQueues;
   private readonly overloadLog: OverloadLog;
+  private readonly streamLimits: StreamLimitMonitor;
 
   /**
    * @param directory - the upstreams
@@ -44,7 +46,7 @@
    * @param chance - random source for ties
    * @param logger - logs availability changes of groups
    * @param containment - contains exceptions to their request
-   * @param metrics - counts delayed and shed requests
+   * @param metrics - measures queues and limits on streams
    * @param evacuation - zones that requests are kept away from
    */
   constructor(
@@ -59,7 +61,8 @@
     this.coldRequests = new ColdRequestLog(logger);
     this.overloadLog = new OverloadLog(logger, metrics);
     this.queues = new ServiceQueues(directory, chance);
-    this.limiters = new GroupLimiters(() => directory.entryCount(), chance);
+    this.streamLimits = new StreamLimitMonitor(logger, metrics);
+    this.limiters = new GroupLimiters(directory, chance);
     this.selector = new UpstreamSelector(
       directory,
       {
@@ -75,6 +78,15 @@
     );
   }
 
+  /**
+   * Sets the position of this entry among all entries.
+   * @param share - its position
+   */
+  setShare(share: EntryShare): void {
+    this.limits.setShare(share);
+    this.selector.setShare(share);
+  }
+
   /** Number of queued requests. */
   get queueLength(): number {
     return this.queues.length;
@@ -95,22 +107,6 @@
     return {waiting: this.queueLength, queues, groups};
   }
 
-  /**
-   * Returns the fields of an upstream in `/status`.
-   * @param now - current time
-   * @param upstream - the upstream
-   */
-  statusOf(now: Millis, {registration, incarnation}: Upstream): object {
-    return {
-      id: registration.id,
-      service: registration.service,
-      address: registration.address,
-      suspended: this.loads.isSuspended(now, incarnation),
-      limit: this.limits.rateOf(incarnation),
-      ...this.loads.loadOf(incarnation),
-    };
-  }
-
   /**
    * Sends, queues or rejects a request.
    * @param now - current time
@@ -199,11 +195,8 @@
   recordGap(now: Millis, group: GroupKey, gap: Millis, target: Millis): void {
     const streams = this.limiters.find(group)?.streams;
     if (streams === undefined) return;
-    const wasLimiting = streams.isLimiting;
     streams.recordGap(now, gap, target);
-    if (streams.isLimiting === wasLimiting) return;
-    const event = wasLimiting ? 'streams_unlimited' : 'streams_limited';
-    this.logger.info(event, {group, ...streams.status});
+    this.streamLimits.observe(now, group, streams);
   }
 
   /**
@@ -322,7 +315,7 @@
     const group = this.directory.groupOf(upstream);
     this.groupBreaker.recordRequest(now, group);
     if (this.directory.hasEngines(req.service)) {
-      const {starts, streams} = this.limiters.of(group);
+      const {starts, streams} = this.limiters.of(group, req.service);
       starts.recordSent();
       streams.recordSent();
     }
--- a/src/daemons/direct/dispatch/index.ts
+++ b/src/daemons/direct/dispatch/index.ts
@@ -1,6 +1,5 @@
 export {rejectionCause} from './dispatch_request.js';
 export {Dispatcher} from './dispatcher.js';
-export {ServiceView} from './service_view.js';
 export type {
   DispatchRejection,
   DispatchRequest,
@@ -10,3 +9,5 @@
   UpstreamDirectory,
   ZoneFilter,
 } from './dispatch_request.js';
+export {upstreamStatus} from './upstream_status.js';
+export {priorityLookup} from './priority_lookup.js';
--- a/src/daemons/direct/dispatch/upstream_selector.ts
+++ b/src/daemons/direct/dispatch/upstream_selector.ts
@@ -1,10 +1,17 @@
 import type {ColdStartBound} from '../../../cold_start/index.js';
-import type {AvailabilityZone, Chance, Millis} from '../../../core/index.js';
+import type {
+  AvailabilityZone,
+  Chance,
+  Millis,
+  ServiceName,
+} from '../../../core/index.js';
 import {
   ExpectedWaitPolicy,
   LeastLoadedGroupPolicy,
 } from '../../../direct/index.js';
+import {ComplementaryPolicy} from '../../../pacing/index.js';
 import type {
+  EntryShare,
   GroupCircuitBreaker,
   GroupKey,
   LoadTracker,
@@ -34,6 +41,8 @@
 export class UpstreamSelector {
   private readonly plainPolicy: PlacementPolicy;
   private readonly rankPolicy: PlacementPolicy;
+  /** For ranks whose streams are paced. */
+  private readonly pacedPolicy: ComplementaryPolicy;
 
   /**
    * @param directory - the upstreams
@@ -50,6 +59,15 @@
     const {loads} = state;
     this.plainPolicy = new ExpectedWaitPolicy(loads, zone);
     this.rankPolicy = new LeastLoadedGroupPolicy(loads, zone, directory);
+    this.pacedPolicy = new ComplementaryPolicy(loads, zone, directory);
+  }
+
+  /**
+   * Sets the position of this entry among all entries.
+   * @param share - its position
+   */
+  setShare(share: EntryShare): void {
+    this.pacedPolicy.setShare(share);
   }
 
   /**
@@ -89,15 +107,21 @@
     if (allowed.length === 0) return 'warming_up';
     const hasEngines = this.directory.hasEngines(req.service);
     const withCapacity = hasEngines
-      ? allowed.filter(upstream => this.hasCapacity(now, upstream))
+      ? allowed.filter(upstream => this.hasCapacity(now, req, upstream))
       : allowed;
     if (withCapacity.length === 0) return 'full';
     const reachable = withCapacity.filter(
       ({incarnation}) => !this.state.loads.isSuspended(now, incarnation),
     );
     const candidates = reachable.length > 0 ? reachable : withCapacity;
-    const policy = hasEngines ? this.rankPolicy : this.plainPolicy;
-    return policy.choose(now, req, candidates, this.chance) ?? 'none';
+    return (
+      this.policyFor(req.service, hasEngines).choose(
+        now,
+        req,
+        candidates,
+        this.chance,
+      ) ?? 'none'
+    );
   }
 
   /**
@@ -150,6 +174,15 @@
     return Math.min(...times.filter(time => time > -Infinity));
   }
 
+  private policyFor(
+    service: ServiceName,
+    hasEngines: boolean,
+  ): PlacementPolicy {
+    if (!hasEngines) return this.plainPolicy;
+    const isPaced = this.directory.pacingOf?.(service) !== undefined;
+    return isPaced ? this.pacedPolicy : this.rankPolicy;
+  }
+
   /** Whether a group is available, or the request may probe it. */
   private isAvailable(
     now: Millis,
@@ -162,9 +195,13 @@
     return !isRetry && this.state.groupBreaker.allowsRequest(now, group);
   }
 
-  private hasCapacity(now: Millis, upstream: Upstream): boolean {
+  private hasCapacity(
+    now: Millis,
+    req: DispatchRequest,
+    upstream: Upstream,
+  ): boolean {
     const group = this.directory.groupOf(upstream);
-    const {starts, streams} = this.state.limiters.of(group);
-    return starts.hasCapacity && streams.hasCapacity(now);
+    const {starts, streams} = this.state.limiters.of(group, req.service);
+    return starts.hasCapacity && streams.hasCapacity(now, req);
   }
 }
