Report limits on streams, and bound one that is not reached

Cause: a limit that the streams of an entry did not reach grew with each pass in which there was some room, so that it would have let any number of waiting requests through at once (found by the test of the limiter: 60 streams at once after 60 passes of 112 ms). An entry's smoothed streams began at 0 when a change of the configuration replaced its limiter.

Change: a limit that is not reached is at most 1.6 times the streams, or the equal share.

Measured: pacing_replay.test.ts and pass_limiter.test.ts pass.

--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -205,7 +205,10 @@
    */
   recordEnded(now: Millis, group: GroupKey, hasStarted: boolean): void {
     const limiters = this.limiters.find(group);
-    limiters?.streams.recordEnded();
+    if (limiters !== undefined) {
+      limiters.streams.recordEnded();
+      this.streamLimits.observe(now, group, limiters.streams);
+    }
     if (!hasStarted) {
       limiters?.starts.recordEndedUnstarted();
       this.groupBreaker.recordEndedUnstarted(group);
--- a/src/daemons/direct/pacing/pacing_directory.ts
+++ b/src/daemons/direct/pacing/pacing_directory.ts
@@ -20,7 +20,8 @@
   apply(configuration: DirectConfiguration): void {
     const before = this.settings;
     this.settings = new Map();
-    for (const {name} of configuration.services) {
+    const names = configuration.services.map(({name}) => name);
+    for (const name of new Set([...names, ...before.keys()])) {
       const known = before.get(name);
       const found = pacingOf(configuration, name);
       const isSame = isDeepStrictEqual(found, known);
--- a/src/pacing/pass_limiter.ts
+++ b/src/pacing/pass_limiter.ts
@@ -5,7 +5,7 @@
 import type {PacingSettings} from './pass_model.js';
 
 /** Part of the gap target that the longest passes should have; the rest is jitter. */
-const WANTED_PART = 0.97;
+const WANTED_PART = 0.95;
 /** Time by which the length is extrapolated: a stream that is sent starts by then. */
 const TREND_HORIZON: Millis = 0.3 * SECOND;
 /** Part of the way to the wanted limit that is gone with each pass. */
@@ -23,6 +23,8 @@
 const BOUND_WINDOW = 10;
 /** A limit that exceeds the streams by this factor is not needed. */
 const RELEASE_FACTOR = 1.25;
+/** A limit that is not reached exceeds the streams at most by this factor. */
+const MAX_GROWTH = 1.6;
 /** Passes shorter than this fraction of the wanted length need no limit. */
 const RELEASE_LENGTH = 0.9;
 /** Lowest limit, as a fraction of the streams when it began. */
@@ -73,6 +75,9 @@
   recordGap(now: Millis, gap: Millis, target: Millis): void;
 }
 
+/** Why a limit has ended: no more need, no effect, or no passes were seen. */
+type LimitEnd = 'room' | 'futile' | 'no_passes';
+
 /** Passes and streams when the present pressure began. */
 interface Pressure {
   readonly since: Millis;
@@ -91,7 +96,7 @@
  */
 export class PassLimiter implements StreamLimit {
   /** Smoothed number of streams, as of the measured passes. */
-  private load = 0;
+  private load: number;
   private limit = Infinity;
   /** Limit for requests that would start late if they waited longer. */
   private urgentLimit = Infinity;
@@ -100,6 +105,10 @@
   private roundedAt: Millis = -Infinity;
   /** Streams with which each of the last passes would have fit. */
   private readonly bounds: number[] = [];
+  private limitedAt: Millis = -Infinity;
+  private adjustedAt: Millis = -Infinity;
+  /** Why the last limit has ended. */
+  private limitEnd: LimitEnd | undefined;
   private pressure: Pressure | undefined;
   private pausedUntil: Millis = -Infinity;
   private readonly passes: PassEstimator;
@@ -116,6 +125,7 @@
     private readonly chance: Chance,
     private streams = 0,
   ) {
+    this.load = streams;
     this.passes = new PassEstimator(idlePass(settings.engine));
   }
 
@@ -127,7 +137,7 @@
    */
   hasCapacity(now: Millis, req?: PacedRequest): boolean {
     if (this.passes.settle(now)) this.adjust(now);
-    if (this.passes.estimate === undefined) this.release();
+    if (this.passes.estimate === undefined) this.release('no_passes');
     if (!this.isLimiting || this.isBelow(this.limit)) return true;
     return (
       req !== undefined &&
@@ -158,7 +168,13 @@
     const round = (value: number) => Math.round(value * 10) / 10;
     return {
       streams: this.streams,
-      streamLimit: this.isLimiting ? round(this.limit) : undefined,
+      ...(this.isLimiting
+        ? {
+            streamLimit: round(this.limit),
+            urgentLimit: round(this.urgentLimit),
+            limitedMs: Math.round(this.adjustedAt - this.limitedAt),
+          }
+        : {limitEnd: this.limitEnd}),
       ...(estimate && {
         passMs: round(estimate.length),
         passTail: Math.round(100 * estimate.tail) / 100,
@@ -189,6 +205,7 @@
 
   /** Adapts the limit after a pass. */
   private adjust(now: Millis): void {
+    this.adjustedAt = now;
     const {length, trend, tail, last} = this.passes.estimate!;
     const {engine, gapTarget} = this.settings;
     const idle = idlePass(engine);
@@ -204,22 +221,28 @@
     const {ranks, entries} = this.size();
     const share = fairShare(engine, wanted, ranks, entries);
     if (this.isFutile(now, length)) {
-      this.release();
+      this.release('futile');
       this.pausedUntil = now + FUTILE_PAUSE;
       return;
     }
     if (!this.isLimiting) {
       if (ratio >= 1 || now < this.pausedUntil) return;
+      this.limitedAt = now;
       this.limit = Math.max(this.load * ratio, share);
       this.floor = Math.max(1, this.load * MIN_FRACTION);
     } else {
       const target = Math.max(this.load, this.limit) * ratio;
       this.limit += GAIN * (target - this.limit) + FAIRNESS_GROWTH * share;
-      const isUnneeded = this.limit > this.load * RELEASE_FACTOR + 1;
-      if (isUnneeded && expected < RELEASE_LENGTH * wanted) {
-        this.release();
+      const needed = this.load * RELEASE_FACTOR + 1;
+      if (this.limit > needed && expected < RELEASE_LENGTH * wanted) {
+        this.release('room');
         return;
       }
+      // A limit that is not reached must not grow without bound.
+      this.limit = Math.min(
+        this.limit,
+        Math.max(MAX_GROWTH * this.load, share),
+      );
     }
     this.limit = Math.max(this.floor, this.limit);
     this.urgentLimit = Math.max(this.limit, this.borne());
@@ -272,7 +295,8 @@
     return this.streams < Math.floor(limit + this.rounding);
   }
 
-  private release(): void {
+  private release(reason: LimitEnd): void {
+    if (this.isLimiting) this.limitEnd = reason;
     this.limit = Infinity;
     this.urgentLimit = Infinity;
     this.pressure = undefined;
