--- /dev/null
+++ b/test/untrusted_clients/processes.ts
@@ -0,0 +1,203 @@
+/** The system's own processes, with the memory of their machines. */
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+import {request} from 'undici';
+
+import {hostPort} from '../../src/core/index.js';
+import {
+  DirectEstate,
+  freePort,
+  sealedAnswer,
+  wireRoute,
+} from '../support/direct_estate.js';
+import {EntryProcess, MAIN, freePorts} from '../support/entry_process.js';
+import {Processes, TestProcess, until} from '../support/processes.js';
+import type {WatchedProcess} from './crowd.js';
+
+const HOST = '127.0.0.1';
+/** Memory of the smallest machines of entries and of sidecars, MB. */
+const ENTRY_MB = 250;
+const SIDECAR_MB = 218;
+/** Heap limits that the processes are deployed with, MB. */
+const ENTRY_HEAP_MB = 128;
+const SIDECAR_HEAP_MB = 96;
+
+export const LIMITS = {
+  MaxHeaderBytes: 16_384,
+  MaxBodyBytes: 4 * 2 ** 20,
+  HeaderTimeoutMs: 3_000,
+  IdleTimeoutMs: 15_000,
+};
+
+/** A process on its machine; `close` ends it with all that it needs. */
+export interface Running {
+  readonly watched: WatchedProcess;
+  /** Ports that clients connect to, by name. */
+  readonly ports: Readonly<Record<string, number>>;
+  close(): Promise<void>;
+}
+
+/** Starts an entry of the direct form, with two upstreams. */
+export async function startDirectEntry(): Promise<Running> {
+  const estate = new DirectEstate();
+  await estate.start(0);
+  for (let i = 0; i < 2; i++) {
+    await estate.addUpstream(({head, socket}) =>
+      socket.write(sealedAnswer(head, 'done')),
+    );
+  }
+  estate.store.put('keyed.op', 'config', {
+    Version: 1,
+    Routes: [wireRoute('/sheet/', 'safe', {TimeoutMs: 9_000})],
+    Services: [{Name: 'app', MaxConnections: 64}],
+    Limits: LIMITS,
+    Tenants: [{Name: 'depot', ApiKeys: ['k1']}],
+  });
+  const entry = new EntryProcess(estate.addressOfStore, await freePorts(), 5, {
+    heapMb: ENTRY_HEAP_MB,
+  });
+  await until(() => entry.isReady());
+  const patient = {'Deadline-Ms': '8000'};
+  return {
+    ports: {...entry.ports},
+    watched: {
+      pid: entry.child.pid!,
+      machineMb: ENTRY_MB,
+      hasEnded: () => entry.hasEnded,
+      isServing: async () => {
+        const answer = await estate.callAt(entry.callers, '/sheet/1', patient);
+        return answer.status === 200;
+      },
+    },
+    close: async () => {
+      await entry.end('SIGKILL');
+      await estate.close();
+    },
+  };
+}
+
+/** Starts a sidecar of the direct form, whose engine and store do not answer. */
+export async function startDirectSidecar(): Promise<Running> {
+  const folder = mkdtempSync(join(tmpdir(), 'baobabspan-'));
+  const boot = join(folder, 'boot.json');
+  const [links, operators] = [await freePort(), await freePort()];
+  const settings = {
+    vm: 'side-1',
+    availabilityZone: 'a',
+    ip: HOST,
+    internalPorts: [links, links],
+    upstream: hostPort(HOST, await freePort()),
+    upstreamService: 'llm',
+    operatorPort: operators,
+    store: hostPort(HOST, await freePort()),
+    retryRatio: 1,
+    retryWindowS: 10,
+    retrySlack: 1,
+    graceS: 5,
+  };
+  writeFileSync(boot, JSON.stringify(settings));
+  const child = spawn(
+    process.execPath,
+    [`--max-old-space-size=${SIDECAR_HEAP_MB}`, MAIN, 'sidecar'],
+    {env: {...process.env, BAOBABSPAN_BOOT: boot}, stdio: 'ignore'},
+  );
+  const isServing = () => isHealthy(operators);
+  await until(() => isServing().catch(() => false));
+  return {
+    ports: {links, operators},
+    watched: {
+      pid: child.pid!,
+      machineMb: SIDECAR_MB,
+      hasEnded: () => child.exitCode !== null || child.signalCode !== null,
+      isServing,
+    },
+    close: async () => {
+      const exit = once(child, 'exit');
+      if (child.kill('SIGKILL')) await exit;
+      rmSync(folder, {recursive: true, force: true});
+    },
+  };
+}
+
+const ZONE = 'dar-kariakoo';
+const EXAMPLE = fileURLToPath(
+  new URL('../../examples/kivuli.yaml', import.meta.url),
+);
+const CLI = fileURLToPath(
+  new URL('../../dist/src/cli/main.js', import.meta.url),
+);
+export const TOKEN = 'kariakoo-rounds-token';
+
+/** Starts an entry of the product's own form, with one service. */
+export async function startOwnEntry(): Promise<Running> {
+  const processes = new Processes();
+  const platform = processes.standin('platform');
+  const plain = processes.standin('plain');
+  const platformUrl = (await platform.waitForEvent('ready'))['url'] ?? '';
+  const plainUrl = (await plain.waitForEvent('ready'))['url'] ?? '';
+  const common = [
+    ...['--availability-zone', ZONE, '--link-key', 'test-link-key-0123456789'],
+    ...['--log-url', platformUrl, '--vm-list-url', platformUrl],
+  ];
+  const publish = processes.cli(
+    ...['publish', EXAMPLE, '--base', '0', '--log-url', platformUrl],
+  );
+  await once(publish.child, 'exit');
+  const sidecar = processes.cli(
+    ...['sidecar', '--vm', 'depot-1', '--service', 'depot'],
+    ...['--upstream-url', plainUrl, ...common],
+  );
+  const address = (await sidecar.waitForEvent('ready'))['links'];
+  const vm = {vm: 'depot-1', availabilityZone: ZONE, address, service: 'depot'};
+  const body = JSON.stringify([{...vm, state: 'live', role: 'sidecar'}]);
+  await request(`${platformUrl}/vms`, {method: 'PUT', body});
+  const child = spawn(
+    process.execPath,
+    [
+      ...[`--max-old-space-size=${ENTRY_HEAP_MB}`, CLI, 'entry'],
+      ...['--vm', 'entry-1', '--port', '0', ...common],
+    ],
+    {stdio: ['ignore', 'pipe', 'pipe']},
+  );
+  const entry = new TestProcess(child);
+  const ready = await entry.waitForEvent('ready');
+  await entry.waitForEvent('configuration_in_force');
+  const isServing = async () => {
+    const url = `http://${ready['callers']}/services/depot/sheets/1`;
+    const headers = {authorization: `Bearer ${TOKEN}`};
+    const res = await fetch(url, {headers, signal: AbortSignal.timeout(8_000)});
+    await res.text();
+    return res.ok;
+  };
+  await until(() => isServing().catch(() => false));
+  const portOf = (name: string) => Number(ready[name]?.split(':').at(-1));
+  return {
+    ports: {
+      callers: portOf('callers'),
+      operators: portOf('operators'),
+      links: portOf('links'),
+    },
+    watched: {
+      pid: child.pid!,
+      machineMb: ENTRY_MB,
+      hasEnded: () => child.exitCode !== null || child.signalCode !== null,
+      isServing,
+    },
+    close: async () => {
+      await entry.kill('SIGKILL');
+      await processes.close();
+    },
+  };
+}
+
+async function isHealthy(port: number): Promise<boolean> {
+  const url = `http://${hostPort(HOST, port)}/healthz`;
+  const res = await fetch(url, {signal: AbortSignal.timeout(5_000)});
+  await res.text();
+  return res.ok;
+}
