Bound what small chunks and short header lines cost a process

Cause, by profiling Node's server with chunks of one byte: a chunk costs 1.2 us of processor time whatever its length, nearly all in the parser's binding and the garbage collector, also if its body is discarded; one read of 64 KB has 10,900 of them, and up to 32 reads of a connection follow one another before any other. A head of short lines was kept up to the parser's limit of 128 KB, eight times the configured one, as strings of several times its length, and copied with each 32 lines. A small body was kept as the list of its chunks.

Change: - ChunkMeter: 256 chunks with less than 64 KB are costly. A connection that sends them is read once in its turn (CostlyReads), one connection at a time, with 16 ms between turns if several wait; alone it is read in each pass of the event loop. - Bodies with such chunks are held to the existing progress rule (64 KB in a second, or 408, not run) if there are several of them; one alone is not. - What an ended connection still sends is discarded without being parsed (0.04 us in place of 0.9 a chunk). - The parser's limit is the configured one and 16 KB for the address, and lines beyond what the limit can hold are dropped from a head that is rejected anyway. - The internal port collects bodies in one buffer, charges them to its budget, and gives up requests that are not whole after 10 s, as the operators' port did. - Line caller_throttled, counter baobabspan_callers_throttled_total, field bodies_costly.

The tests of src/daemons, src/admission and ten files of test/ pass (488).

--- a/src/admission/body_admission.ts
+++ b/src/admission/body_admission.ts
@@ -46,6 +46,13 @@
     return this.incomplete.size;
   }
 
+  /** Number of incomplete bodies whose chunks are so small that they share a turn. */
+  get costlyCount(): number {
+    let count = 0;
+    for (const body of this.incomplete) count += body.isCostly ? 1 : 0;
+    return count;
+  }
+
   /** Bytes that bodies hold, complete or not. */
   get reservedBytes(): number {
     return this.reserved;
@@ -146,8 +153,14 @@
     this.recordCheck(now);
     const stallTimeout = this.stallTimeout;
     const at = this.runTime(now);
+    // Those that share processor time are not to hold it for good.
+    const costlyTimeout =
+      this.costlyCount > 1
+        ? Math.min(stallTimeout, STALL_TIMEOUT)
+        : stallTimeout;
     for (const body of this.incomplete) {
-      if (!body.isTooSlow(now, at, stallTimeout)) continue;
+      const timeout = body.isCostly ? costlyTimeout : stallTimeout;
+      if (!body.isTooSlow(now, at, timeout)) continue;
       this.reject(body);
       decisions.set(body, 'request_timeout');
     }
--- a/src/admission/incoming_body.ts
+++ b/src/admission/incoming_body.ts
@@ -1,4 +1,5 @@
 import type {Millis} from '../core/index.js';
+import {ChunkMeter} from './chunk_meter.js';
 
 /** Bytes that count as progress of a body that other bodies wait for. */
 const PROGRESS_STEP = 64 * 2 ** 10;
@@ -26,6 +27,7 @@
   private lastByteAt: Millis;
   private lastProgressAt: Millis;
   private bytesSinceProgress = 0;
+  private readonly chunks = new ChunkMeter();
 
   /**
    * @param holder - connection that its bytes are charged to
@@ -51,6 +53,11 @@
     return this.wait?.bytes;
   }
 
+  /** Whether its chunks are so small that its connection is read in turns. */
+  get isCostly(): boolean {
+    return this.chunks.isCostly;
+  }
+
   /** Whether it waits for memory. */
   get isWaiting(): boolean {
     return this.wait !== undefined;
@@ -85,6 +92,7 @@
    */
   recordBytes(at: Millis, bytes: number): void {
     this.lastByteAt = at;
+    this.chunks.record(bytes);
     this.bytesSinceProgress += bytes;
     if (this.bytesSinceProgress < PROGRESS_STEP) return;
     this.bytesSinceProgress = 0;
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -3,6 +3,7 @@
 export * from './admission_queue.js';
 export * from './body_admission.js';
 export * from './caller_memory.js';
+export * from './chunk_meter.js';
 export * from './drain_rate.js';
 export * from './fair_queue.js';
 export * from './incoming_body.js';
--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 
 import type {Result} from 'neverthrow';
 
@@ -38,8 +39,13 @@
   headerTimeout: 3 * SECOND,
   idleTimeout: 15 * SECOND,
 };
-/** Header limit of the parser; the configured limit is checked below. */
-const PARSER_HEADER_BYTES = 128 * 2 ** 10;
+/**
+ * Bytes by which the parser's limit exceeds the configured one, for the address of a
+ * request, which does not count as its header. The limit itself is checked below.
+ */
+const MAX_URL_BYTES = 16 * 2 ** 10;
+/** Fewest bytes that a header line counts: a name of one byte and separators. */
+const MIN_LINE_BYTES = 5;
 /** Interval at which the server checks for callers that are too slow. */
 const TIMEOUT_CHECK_INTERVAL: Millis = SECOND;
 /** Number of open requests that the line of an unreadable one names. */
@@ -89,6 +95,8 @@
   private limits = DEFAULT_LIMITS;
   private readonly connections: CallerConnections;
   private readonly bodies: BodyReader<CallerConnection>;
+  /** Header limit of each connection's parser, which does not change. */
+  private readonly headerLimits = new WeakMap<Socket, number>();
   private isClosing = false;
   private isEnding = false;
 
@@ -110,14 +118,15 @@
   ) {
     this.server = createServer(
       {
-        maxHeaderSize: PARSER_HEADER_BYTES,
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL,
         noDelay: true,
         requireHostHeader: false,
       },
       (req, res) => this.accept(req, res),
     );
-    this.server.maxHeadersCount = 0;
+    this.server.on('connection', socket =>
+      this.headerLimits.set(socket, this.limits.maxHeaderBytes),
+    );
     this.server.on('checkContinue', (req, res) => {
       deferContinue(req, res);
       this.accept(req, res);
@@ -135,6 +144,7 @@
         const ids = open.slice(0, MAX_LOGGED_IDS).map(req => this.idOf(req));
         log.recordOverBudget(heldBytes, open.length, ids.join(','));
       },
+      onThrottled: req => log.recordThrottled(this.idOf(req)),
     };
     this.connections = new CallerConnections(this.server, events, clock);
     this.bodies = new BodyReader(clock, this.connections.memory);
@@ -157,6 +167,7 @@
    */
   setLimits(limits: EdgeLimits): void {
     this.limits = limits;
+    limitHeads(this.server, limits.maxHeaderBytes);
     this.server.keepAliveTimeout = limits.idleTimeout;
     this.server.headersTimeout = limits.headerTimeout + SECOND;
     this.server.requestTimeout = 0;
@@ -280,7 +291,11 @@
       if (!hasBoundedRest(req, reason)) res.shouldKeepAlive = false;
       reply.sendError(fault, retryAfter);
     };
-    if (headerBytes(req) > this.limits.maxHeaderBytes) {
+    const {maxHeaderBytes} = this.limits;
+    const parserLimit = this.headerLimits.get(req.socket) ?? maxHeaderBytes;
+    // A new connection takes heads up to a limit that was raised.
+    if (parserLimit < maxHeaderBytes) res.shouldKeepAlive = false;
+    if (headerBytes(req) > Math.min(parserLimit, maxHeaderBytes)) {
       reject(new Fault('headers_too_large'));
       return;
     }
@@ -328,6 +343,18 @@
   return (declaredLength(req) ?? Infinity) <= MAX_DISCARDED_BYTES;
 }
 
+/**
+ * Limits the heads that a server's parsers read. Lines beyond the count are dropped;
+ * a head with so many exceeds the limit, and is rejected.
+ */
+function limitHeads(
+  server: Server & {maxHeaderSize?: number},
+  maxHeaderBytes: number,
+): void {
+  server.maxHeaderSize = maxHeaderBytes + MAX_URL_BYTES;
+  server.maxHeadersCount = Math.floor(maxHeaderBytes / MIN_LINE_BYTES) + 1;
+}
+
 function headerBytes(req: IncomingMessage): number {
   // Each line adds a colon, a space and a line end.
   return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
--- a/src/daemons/direct/request_log.ts
+++ b/src/daemons/direct/request_log.ts
@@ -13,6 +13,7 @@
   private readonly attemptFailures;
   private readonly extraResponses;
   private readonly attempts;
+  private readonly throttled;
 
   /**
    * @param clock - the clock
@@ -34,6 +35,10 @@
       'Attempts at upstreams, by what they were charged to',
       ['charge', 'service'],
     );
+    this.throttled = metrics.counter(
+      'baobabspan_callers_throttled_total',
+      'Connections that are read in turns since their chunks are very small',
+    );
     this.extraResponses = metrics.counter(
       'baobabspan_extra_responses_total',
       'Responses found within the body of another one, by result',
@@ -228,4 +233,13 @@
       open_ids: ids,
     });
   }
+
+  /**
+   * Records a connection that is read in turns, since its chunks are very small.
+   * @param id - id of the request that it sends
+   */
+  recordThrottled(id: RequestId | undefined): void {
+    this.throttled.inc();
+    this.logger.info('caller_throttled', {id});
+  }
 }
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -129,6 +129,8 @@
       onUnreadable: (fault, open) => this.recordUnreadable(fault, open),
       onCut: cut => this.recordCut(cut),
       onOverBudget: state => this.recordOverBudget(state),
+      onThrottled: req =>
+        context.logger.info('caller_throttled', {call: this.callIds.get(req)}),
     };
     const {clock} = context;
     this.connections = new CallerConnections(this.server, events, clock);
--- a/src/daemons/shared/body_reader.ts
+++ b/src/daemons/shared/body_reader.ts
@@ -64,6 +64,7 @@
       bodies_bytes: this.admission.reservedBytes,
       bodies_waiting: this.admission.waitingCount,
       bodies_incomplete: this.admission.incompleteCount,
+      bodies_costly: this.admission.costlyCount,
     };
   }
 
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -9,12 +9,14 @@
 import {HeadMeter, headBytes} from './head_meter.js';
 import {hasDiscardedMost, mayReadOn} from './read_decision.js';
 import {ReadGate} from './read_gate.js';
+import {ReadThrottle} from './read_throttle.js';
 import {failBody, hasBody, isReadingBody} from './request_body.js';
+import {onParsedChunk} from './request_body.js';
 import {abortResponse} from './response_framing.js';
 import {ResponseQueue} from './response_queue.js';
 import {SendStall} from './send_stall.js';
-import {isResetByPeer, pendingBytes} from './socket_handle.js';
-import type {TurnScheduler} from './turn_scheduler.js';
+import {discardInput, isResetByPeer, pendingBytes} from './socket_handle.js';
+import type {SharedParts} from './shared_parts.js';
 import {actionAfterUnreadable} from './unreadable_message.js';
 import type {UnreadableAction} from './unreadable_message.js';
 
@@ -53,22 +55,28 @@
   private headCharge = 0;
   /** Whether the connection was not read for a time since `takePaused`. */
   private wasPaused = false;
+  private readonly throttle: ReadThrottle;
+  private readonly memory: CallerMemory<CallerConnection>;
 
   /**
    * @param socket - the connection
-   * @param memory - memory budget of all connections
+   * @param shared - what all connections share
    * @param events - callbacks
    * @param clock - the clock
-   * @param turns - schedules the turns of all connections
    */
   constructor(
     private readonly socket: Socket,
-    private readonly memory: CallerMemory<CallerConnection>,
+    private readonly shared: SharedParts,
     private readonly events: ConnectionEvents,
     clock: Clock,
-    turns: TurnScheduler,
   ) {
-    this.responses = new ResponseQueue(turns);
+    this.memory = shared.memory;
+    this.responses = new ResponseQueue(shared.turns);
+    this.throttle = new ReadThrottle(
+      shared.reads,
+      () => this.updateReading(),
+      () => this.latest && events.onThrottled(this.latest),
+    );
     this.gate = new ReadGate(socket, clock);
     this.heads = new HeadMeter(socket);
     // Node destroys the connection after its last response.
@@ -121,6 +129,7 @@
     this.latestRequest = req;
     this.responses.add(res, charge);
     this.addBytes(charge);
+    if (hasBody(req)) onParsedChunk(req, size => this.onChunk(res, size));
     req.once('end', () => this.onRequestEnd(req));
     res.once('finish', () => {
       // Node also emits it for what a broken connection drops.
@@ -176,8 +185,10 @@
     if (this.isLingering || this.socket.destroyed) return;
     this.isClosing = true;
     this.isLingering = true;
-    this.updateReading();
+    this.throttle.stop();
     const {socket} = this;
+    discardInput(socket);
+    this.updateReading();
     socket.end(bytes);
     this.responses.closeWaiting();
     socket.setTimeout(LINGER_IDLE_TIMEOUT);
@@ -279,9 +290,18 @@
     this.recordCut('caller_gone');
     this.isClosing = true;
     this.responses.closeWaiting();
+    this.throttle.stop();
     this.memory.removeHolder(this);
   }
 
+  private onChunk(res: ServerResponse, bytes: number): void {
+    this.throttle.record(bytes);
+    if (!this.shared.chargesBodies) return;
+    this.responses.addCharge(res, bytes);
+    this.addBytes(bytes);
+    this.shared.enforceBudget();
+  }
+
   /** Whether the connection is read further. */
   private get mayRead(): boolean {
     const {latest} = this;
@@ -289,6 +309,7 @@
     return mayReadOn({
       isDetached: this.isDetached,
       isSuspended: this.isSuspended,
+      isThrottled: this.throttle.isHeld,
       isLingering: this.isLingering,
       discardedRequests: this.discarded,
       isReadingBody:
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -8,7 +8,9 @@
 import {Fault} from '../../errors/index.js';
 import {CallerConnection} from './caller_connection.js';
 import type {ConnectionEvents} from './connection_events.js';
+import {CostlyReads} from './costly_reads.js';
 import {nextRead} from './next_read.js';
+import type {SharedParts} from './shared_parts.js';
 import {TurnScheduler} from './turn_scheduler.js';
 import {unreadableReason} from './unreadable_message.js';
 
@@ -36,7 +38,7 @@
 /** Connections of a server for callers, with their open responses. */
 export class CallerConnections {
   private readonly connections = new Map<Duplex, CallerConnection>();
-  private readonly turns = new TurnScheduler();
+  private readonly shared: SharedParts;
   private sendTimeout: Millis = DEFAULT_SEND_TIMEOUT;
   private timer: NodeJS.Timeout | undefined;
   private isSuspended = false;
@@ -47,13 +49,22 @@
    * @param events - callbacks
    * @param clock - the clock
    * @param memory - memory budget of the connections
+   * @param chargesBodies - whether bodies are charged to it as they are read
    */
   constructor(
     server: Server,
     private readonly events: CallerEvents,
     private readonly clock: Clock,
     readonly memory = new CallerMemory<CallerConnection>(),
+    chargesBodies = false,
   ) {
+    this.shared = {
+      memory,
+      turns: new TurnScheduler(),
+      reads: new CostlyReads(),
+      chargesBodies,
+      enforceBudget: () => this.enforceBudget(),
+    };
     server.on('connection', (socket: Socket) => this.add(socket));
     server.on('timeout', (socket: Socket) =>
       afterRead(socket, () => this.connections.get(socket)?.onTimeout()),
@@ -196,10 +207,9 @@
   private add(socket: Socket): void {
     const connection = new CallerConnection(
       socket,
-      this.memory,
+      this.shared,
       this.events,
       this.clock,
-      this.turns,
     );
     this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
--- a/src/daemons/shared/connection_events.ts
+++ b/src/daemons/shared/connection_events.ts
@@ -24,4 +24,6 @@
   onCut(cut: CutResponse): void;
   /** Called as the connection is closed for the memory that it holds. */
   onOverBudget(state: OverBudget): void;
+  /** Called once for a connection whose chunks are so small that it is read in turns. */
+  onThrottled(req: IncomingMessage): void;
 }
--- a/src/daemons/shared/control_server.ts
+++ b/src/daemons/shared/control_server.ts
@@ -5,11 +5,13 @@
 
 import {CallerMemory} from '../../admission/index.js';
 import type {CallerMemoryLimits} from '../../admission/index.js';
-import type {Clock} from '../../core/index.js';
+import type {Clock, Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
 import type {Logger} from '../../observability/index.js';
 import type {CallerConnection} from './caller_connection.js';
 import {CallerConnections} from './caller_connections.js';
+import {declaredLength} from './request_body.js';
 
 /** Memory of a control server's requests; a waiting one counts as some 12 KiB. */
 const MEMORY_LIMITS: CallerMemoryLimits = {
@@ -19,6 +21,11 @@
   pipeliningFrom: 32 * 2 ** 10,
 };
 
+/** Time for receiving a whole request. */
+const REQUEST_TIMEOUT: Millis = 10 * SECOND;
+/** Length of a body up to which its connection is used further, bytes. */
+const MAX_BODY_BYTES = 256 * 2 ** 10;
+
 /** What a control server depends on. */
 export interface ControlParts {
   readonly clock: Clock;
@@ -37,23 +44,22 @@
   /**
    * @param parts - clock and logger
    * @param handle - responds to a request
-   * @param requestTimeout - time for receiving a whole request, ms; Node's default
-   * if it is omitted
    */
   constructor(
     {clock, logger}: ControlParts,
     handle: (req: IncomingMessage, res: ServerResponse) => void,
-    requestTimeout?: number,
   ) {
     this.server = createServer((req, res) => {
       if (!this.connections.accept(req, res)) return;
+      // The rest of such a body may have no end.
+      const length = declaredLength(req) ?? Infinity;
+      if (length > MAX_BODY_BYTES) res.shouldKeepAlive = false;
       // Also with a body: a response before its turn would wait in memory.
       void this.connections.queuedTurnOf(req, res).then(isTurn => {
         if (isTurn) handle(req, res);
       });
     });
-    if (requestTimeout !== undefined)
-      this.server.requestTimeout = requestTimeout;
+    this.server.requestTimeout = REQUEST_TIMEOUT;
     this.connections = new CallerConnections(
       this.server,
       {
@@ -73,9 +79,11 @@
             held_bytes: heldBytes,
             open: open.length,
           }),
+        onThrottled: () => logger.info('caller_throttled', {port: this.port}),
       },
       clock,
       new CallerMemory<CallerConnection>(MEMORY_LIMITS),
+      true,
     );
   }
 
--- a/src/daemons/shared/held_up_connections.test.ts
+++ b/src/daemons/shared/held_up_connections.test.ts
@@ -42,6 +42,7 @@
     onUnreadable: () => undefined,
     onCut: () => undefined,
     onOverBudget: () => undefined,
+    onThrottled: () => undefined,
   };
   const connections = new CallerConnections(server, events, new SystemClock());
   server.listen(0, '127.0.0.1');
--- a/src/daemons/shared/operator_server.ts
+++ b/src/daemons/shared/operator_server.ts
@@ -21,8 +21,6 @@
 /** Action of an operator; returns whether its arguments are valid. */
 export type OperatorAction = (query: URLSearchParams) => boolean;
 
-const OPERATOR_REQUEST_TIMEOUT_MS = 10_000;
-
 async function respond(
   handlers: OperatorHandlers,
   {method, url = ''}: IncomingMessage,
@@ -70,7 +68,6 @@
     this.server = new ControlServer(
       handlers,
       (req, res) => void respond(handlers, req, res).catch(() => res.destroy()),
-      OPERATOR_REQUEST_TIMEOUT_MS,
     );
   }
 
--- a/src/daemons/shared/read_decision.test.ts
+++ b/src/daemons/shared/read_decision.test.ts
@@ -6,6 +6,7 @@
 const IDLE: ReadState = {
   isDetached: false,
   isSuspended: false,
+  isThrottled: false,
   isLingering: false,
   discardedRequests: 0,
   isReadingBody: false,
--- a/src/daemons/shared/read_decision.ts
+++ b/src/daemons/shared/read_decision.ts
@@ -9,6 +9,8 @@
   readonly isDetached: boolean;
   /** Whether all connections are suspended. */
   readonly isSuspended: boolean;
+  /** Whether the connection waits for its turn, since its reads are costly. */
+  readonly isThrottled: boolean;
   /** Whether the connection was ended, and what its caller sends is discarded. */
   readonly isLingering: boolean;
   /** Number of requests that came too late to be served. */
@@ -32,6 +34,7 @@
   if (state.isSuspended) return false;
   if (state.isLingering)
     return state.discardedRequests < MAX_DISCARDED_REQUESTS;
+  if (state.isThrottled) return false;
   // The memory of a body is reserved before it is read.
   if (state.isReadingBody) return true;
   if (state.openRequests >= MAX_OPEN_REQUESTS) return false;
--- a/src/daemons/shared/request_body.ts
+++ b/src/daemons/shared/request_body.ts
@@ -4,6 +4,10 @@
 import type {Result} from 'neverthrow';
 
 import {Fault} from '../../errors/index.js';
+import {BodyBuffer} from './buffered_body.js';
+
+/** First capacity for a small body without a length, bytes. */
+const FIRST_CAPACITY = 4 * 2 ** 10;
 
 /** Requests whose callers wait for `100 Continue` to send the body. */
 const pendingContinues = new WeakMap<IncomingMessage, ServerResponse>();
@@ -46,6 +50,23 @@
   return Number(headers['content-length'] ?? 0);
 }
 
+/**
+ * Registers a listener for the chunks of a body, as they are parsed and whoever reads
+ * it; a listener for `data` would start the reading.
+ * @param req - the request
+ * @param onChunk - called with the length of each chunk
+ */
+export function onParsedChunk(
+  req: IncomingMessage,
+  onChunk: (bytes: number) => void,
+): void {
+  const push = req.push.bind(req);
+  req.push = (chunk: Buffer | null, encoding) => {
+    if (chunk !== null) onChunk(chunk.length);
+    return push(chunk, encoding);
+  };
+}
+
 /** Receives the bytes of a body. */
 export interface BodySink {
   /**
@@ -108,16 +129,19 @@
   const tooLarge = new Fault('body_too_large');
   if ((declaredLength(req) ?? 0) > limit) return Promise.resolve(err(tooLarge));
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    // Kept chunks of one byte would take a hundred times their length.
+    const buffer = new BodyBuffer(declaredLength(req) ?? FIRST_CAPACITY);
     const start = receiveBody(req, {
       onChunk: chunk => {
-        length += chunk.length;
-        chunks.push(chunk);
-        return length > limit ? tooLarge : undefined;
+        const size = buffer.size + chunk.length;
+        if (size > limit) return tooLarge;
+        if (chunk.length > buffer.free)
+          buffer.grow(Math.max(size, Math.min(2 * buffer.capacity, limit)));
+        buffer.add(chunk);
+        return undefined;
       },
       onEnd: fault =>
-        resolve(fault === undefined ? ok(Buffer.concat(chunks)) : err(fault)),
+        resolve(fault === undefined ? ok(buffer.take()) : err(fault)),
     });
     start();
   });
--- a/src/daemons/shared/response_queue.ts
+++ b/src/daemons/shared/response_queue.ts
@@ -54,6 +54,16 @@
     this.latest = res;
   }
 
+  /**
+   * Adds to what the request of an open response is charged.
+   * @param res - the response
+   * @param bytes - what is added
+   */
+  addCharge(res: ServerResponse, bytes: number): void {
+    const charge = this.charges.get(res);
+    if (charge !== undefined) this.charges.set(res, charge + bytes);
+  }
+
   /**
    * Removes a response that was sent or closed.
    * @param res - the response
--- a/src/daemons/shared/socket_handle.ts
+++ b/src/daemons/shared/socket_handle.ts
@@ -26,6 +26,16 @@
   return code !== undefined && code !== 0;
 }
 
+/**
+ * Discards what a connection still receives, without parsing it: a chunk of one byte
+ * costs the parser some thirty times as much as its discarded bytes.
+ * @param socket - the connection
+ */
+export function discardInput(socket: Socket): void {
+  socket.removeAllListeners('data');
+  socket.on('data', () => undefined);
+}
+
 function handleOf(socket: Socket): Handle | null | undefined {
   return (socket as {_handle?: Handle | null})._handle;
 }
--- a/src/daemons/shared/unread_answers.test.ts
+++ b/src/daemons/shared/unread_answers.test.ts
@@ -33,6 +33,7 @@
     onUnreadable: () => undefined,
     onCut: (cut: CutResponse) => void cuts.push(cut),
     onOverBudget: () => undefined,
+    onThrottled: () => undefined,
   };
   connections = new CallerConnections(server, events, new SystemClock());
   connections.setSendTimeout(SEND_TIMEOUT_MS);
