Collect small chunks before their reader, and pace what is discarded

Fast senders whose requests were rejected left a buffer of 64 KB to the garbage collector with each read.

Change: ChunkCollector copies chunks under 1 KB into parts of 2 KB and passes these on after the read. A connection that was ended is discarded at 10 MB a second.

--- a/src/admission/incoming_body.ts
+++ b/src/admission/incoming_body.ts
@@ -1,5 +1,4 @@
 import type {Millis} from '../core/index.js';
-import {ChunkMeter} from './chunk_meter.js';
 
 /** Bytes that count as progress of a body that other bodies wait for. */
 const PROGRESS_STEP = 64 * 2 ** 10;
@@ -12,6 +11,8 @@
   readonly patience: Millis;
   /** Longest time without a byte. */
   readonly idleTimeout: Millis;
+  /** Returns whether its chunks are so small that its connection is read in turns. */
+  readonly isCostly?: () => boolean;
 }
 
 /** Bytes that a body waits for. */
@@ -27,7 +28,6 @@
   private lastByteAt: Millis;
   private lastProgressAt: Millis;
   private bytesSinceProgress = 0;
-  private readonly chunks = new ChunkMeter();
 
   /**
    * @param holder - connection that its bytes are charged to
@@ -55,7 +55,7 @@
 
   /** Whether its chunks are so small that its connection is read in turns. */
   get isCostly(): boolean {
-    return this.chunks.isCostly;
+    return this.terms.isCostly?.() === true;
   }
 
   /** Whether it waits for memory. */
@@ -92,7 +92,6 @@
    */
   recordBytes(at: Millis, bytes: number): void {
     this.lastByteAt = at;
-    this.chunks.record(bytes);
     this.bytesSinceProgress += bytes;
     if (this.bytesSinceProgress < PROGRESS_STEP) return;
     this.bytesSinceProgress = 0;
--- a/src/daemons/shared/body_reader.ts
+++ b/src/daemons/shared/body_reader.ts
@@ -15,6 +15,7 @@
 import {Fault} from '../../errors/index.js';
 import type {ErrorName} from '../../errors/index.js';
 import {BodyBuffer, BufferedBody} from './buffered_body.js';
+import {hasCostlyChunks} from './chunk_collector.js';
 import {declaredLength, failBody, receiveBody} from './request_body.js';
 
 /** Interval at which bodies that are not complete are checked. */
@@ -87,7 +88,10 @@
       return err(new Fault('body_too_large'));
     if (length === 0) return readEmpty(req);
     const now = this.clock.now();
-    const terms = termsOf(now, limits);
+    const terms = {
+      ...termsOf(now, limits),
+      isCostly: () => hasCostlyChunks(req),
+    };
     const {body, decision} = this.admission.open(now, holder, length, terms);
     if (decision === 'memory_exhausted')
       return err(new Fault('memory_exhausted', 'too many bodies wait'));
--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -5,13 +5,13 @@
 import type {Clock, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
+import {ChunkCollector} from './chunk_collector.js';
 import type {ConnectionEvents, CutReason} from './connection_events.js';
 import {HeadMeter, headBytes} from './head_meter.js';
 import {hasDiscardedMost, mayReadOn} from './read_decision.js';
 import {ReadGate} from './read_gate.js';
 import {ReadThrottle} from './read_throttle.js';
 import {failBody, hasBody, isReadingBody} from './request_body.js';
-import {onParsedChunk} from './request_body.js';
 import {abortResponse} from './response_framing.js';
 import {ResponseQueue} from './response_queue.js';
 import {SendStall} from './send_stall.js';
@@ -129,7 +129,8 @@
     this.latestRequest = req;
     this.responses.add(res, charge);
     this.addBytes(charge);
-    if (hasBody(req)) onParsedChunk(req, size => this.onChunk(res, size));
+    if (hasBody(req))
+      new ChunkCollector(req, (...chunk) => this.onChunk(res, ...chunk));
     req.once('end', () => this.onRequestEnd(req));
     res.once('finish', () => {
       // Node also emits it for what a broken connection drops.
@@ -294,8 +295,8 @@
     this.memory.removeHolder(this);
   }
 
-  private onChunk(res: ServerResponse, bytes: number): void {
-    this.throttle.record(bytes);
+  private onChunk(res: ServerResponse, bytes: number, isCostly: boolean): void {
+    if (isCostly) this.throttle.hold();
     if (!this.shared.chargesBodies) return;
     this.responses.addCharge(res, bytes);
     this.addBytes(bytes);
--- a/src/daemons/shared/read_throttle.ts
+++ b/src/daemons/shared/read_throttle.ts
@@ -1,9 +1,7 @@
-import {ChunkMeter} from '../../admission/index.js';
 import type {CostlyReads} from './costly_reads.js';
 
 /** Stops the reading of a connection whose chunks cost more than they bring. */
 export class ReadThrottle {
-  private readonly meter = new ChunkMeter();
   private isWaiting = false;
   private hasWaited = false;
   private readonly onTurn = () => {
@@ -27,12 +25,9 @@
     return this.isWaiting;
   }
 
-  /**
-   * Records a chunk. The rest of the read that has brought it follows at once.
-   * @param bytes - its length
-   */
-  record(bytes: number): void {
-    if (!this.meter.record(bytes) || this.isWaiting) return;
+  /** Has the connection wait for its turn. What it has read is parsed at once. */
+  hold(): void {
+    if (this.isWaiting) return;
     this.isWaiting = true;
     this.reads.add(this.onTurn);
     if (!this.hasWaited) this.onFirst();
--- a/src/daemons/shared/request_body.ts
+++ b/src/daemons/shared/request_body.ts
@@ -50,23 +50,6 @@
   return Number(headers['content-length'] ?? 0);
 }
 
-/**
- * Registers a listener for the chunks of a body, as they are parsed and whoever reads
- * it; a listener for `data` would start the reading.
- * @param req - the request
- * @param onChunk - called with the length of each chunk
- */
-export function onParsedChunk(
-  req: IncomingMessage,
-  onChunk: (bytes: number) => void,
-): void {
-  const push = req.push.bind(req);
-  req.push = (chunk: Buffer | null, encoding) => {
-    if (chunk !== null) onChunk(chunk.length);
-    return push(chunk, encoding);
-  };
-}
-
 /** Receives the bytes of a body. */
 export interface BodySink {
   /**
--- a/src/daemons/shared/socket_handle.ts
+++ b/src/daemons/shared/socket_handle.ts
@@ -1,5 +1,15 @@
 import type {Socket} from 'node:net';
 
+import type {Millis} from '../../core/index.js';
+import {SECOND} from '../../core/index.js';
+
+/**
+ * Bytes that are discarded before a pause, and its length: 10 MB a second. Each read
+ * leaves a buffer to the garbage collector, which many fast senders get ahead of.
+ */
+const DISCARDED_AT_ONCE = 256 * 2 ** 10;
+const DISCARD_PAUSE: Millis = SECOND / 40;
+
 /** Node's handle of a connection, for states that no event or property tells. */
 interface Handle {
   /** Bytes of writes that were begun, without those that were sent. */
@@ -32,8 +42,15 @@
  * @param socket - the connection
  */
 export function discardInput(socket: Socket): void {
+  let discarded = 0;
   socket.removeAllListeners('data');
-  socket.on('data', () => undefined);
+  socket.on('data', ({length}: Buffer) => {
+    discarded += length;
+    if (discarded < DISCARDED_AT_ONCE) return;
+    discarded = 0;
+    socket.pause();
+    setTimeout(() => socket.resume(), DISCARD_PAUSE).unref();
+  });
 }
 
 function handleOf(socket: Socket): Handle | null | undefined {
