Grow the buffer of a body without a length by segments

Cause: each doubling left the smaller buffer to the garbage collector, in all as much as the body itself, also of bodies that never end.

Change: BodyBuffer keeps segments, and joins them once when the body is whole.

--- a/src/daemons/shared/buffered_body.ts
+++ b/src/daemons/shared/buffered_body.ts
@@ -44,15 +44,24 @@
   }
 }
 
-/** Buffer for the chunks of a body; small chunks share its allocation. */
+/**
+ * Buffer for the chunks of a body; small chunks share its allocations. It grows by
+ * further segments: copies would be left to the garbage collector with each growth.
+ */
 export class BodyBuffer {
-  private buffer: Buffer | undefined;
+  private readonly segments: Buffer[] = [];
+  /** Length of the segment that is filled next. */
+  private nextLength: number;
+  /** Bytes of the last segment that are filled. */
+  private filled = 0;
   private length = 0;
 
   /**
-   * @param capacity - length of the body, or first capacity if it has none, bytes
+   * @param allocated - length of the body, or first capacity if it has none, bytes
    */
-  constructor(private allocated: number) {}
+  constructor(private allocated: number) {
+    this.nextLength = allocated;
+  }
 
   /** Bytes that the buffer takes. */
   get capacity(): number {
@@ -74,14 +83,10 @@
    * @param chunk - the chunk
    */
   add(chunk: Buffer): void {
-    if (this.buffer === undefined && chunk.length === this.allocated) {
-      this.buffer = chunk;
-    } else {
-      // Not from the pool, whose slabs a small body would pin.
-      this.buffer ??= Buffer.allocUnsafeSlow(this.allocated);
-      chunk.copy(this.buffer, this.length);
+    for (let start = 0; start < chunk.length;) {
+      const rest = start === 0 ? chunk : chunk.subarray(start);
+      start += this.addPart(rest);
     }
-    this.length += chunk.length;
   }
 
   /**
@@ -89,19 +94,45 @@
    * @param capacity - the new capacity, bytes
    */
   grow(capacity: number): void {
-    const larger = Buffer.allocUnsafeSlow(capacity);
-    this.buffer?.copy(larger, 0, 0, this.length);
-    this.buffer = larger;
+    // A segment that was not begun takes the further bytes as well.
+    this.nextLength += capacity - this.allocated;
     this.allocated = capacity;
   }
 
   /** Returns the body, without unused capacity. */
   take(): Buffer {
-    const {buffer = Buffer.alloc(0), length} = this;
-    this.buffer = undefined;
-    if (length === buffer.length) return buffer;
+    const {segments, length} = this;
+    const [first = Buffer.alloc(0)] = segments;
+    if (segments.length <= 1 && first.length === length) return first;
     const exact = Buffer.allocUnsafeSlow(length);
-    buffer.copy(exact, 0, 0, length);
+    let end = 0;
+    for (const segment of segments) end += segment.copy(exact, end);
     return exact;
   }
+
+  /** Adds the beginning of a chunk to the last segment; returns its length. */
+  private addPart(chunk: Buffer): number {
+    let last = this.segments.at(-1);
+    if (last === undefined || this.filled === last.length) {
+      if (chunk.length === this.nextLength) return this.keep(chunk);
+      // Not from the pool, whose slabs a small body would pin.
+      last = Buffer.allocUnsafeSlow(this.nextLength);
+      this.segments.push(last);
+      this.nextLength = 0;
+      this.filled = 0;
+    }
+    const copied = chunk.copy(last, this.filled);
+    this.filled += copied;
+    this.length += copied;
+    return copied;
+  }
+
+  /** Takes a chunk that fills the next segment as that segment. */
+  private keep(chunk: Buffer): number {
+    this.segments.push(chunk);
+    this.nextLength = 0;
+    this.filled = chunk.length;
+    this.length += chunk.length;
+    return chunk.length;
+  }
 }
