--- a/src/admission/incoming_body.ts
+++ b/src/admission/incoming_body.ts
@@ -11,6 +11,8 @@
   readonly patience: Millis;
   /** Longest time without a byte. */
   readonly idleTimeout: Millis;
+  /** Returns whether its chunks are so small that its connection is read in turns. */
+  readonly isCostly?: () => boolean;
 }
 
 /** Bytes that a body waits for. */
@@ -51,6 +53,11 @@
     return this.wait?.bytes;
   }
 
+  /** Whether its chunks are so small that its connection is read in turns. */
+  get isCostly(): boolean {
+    return this.terms.isCostly?.() === true;
+  }
+
   /** Whether it waits for memory. */
   get isWaiting(): boolean {
     return this.wait !== undefined;
--- a/src/daemons/direct/pacing/stream_limit_monitor.test.ts
+++ b/src/daemons/direct/pacing/stream_limit_monitor.test.ts
@@ -29,6 +29,7 @@
       {
         upstreamsOf: () => [],
         hasEngines: () => true,
+        isByPriority: () => false,
         groupOf: () => ZONE,
         slowdownOf: () => 1,
         entryCount: () => 14,
--- a/src/daemons/shared/request_body.ts
+++ b/src/daemons/shared/request_body.ts
@@ -4,6 +4,10 @@
 import type {Result} from 'neverthrow';
 
 import {Fault} from '../../errors/index.js';
+import {BodyBuffer} from './buffered_body.js';
+
+/** First capacity for a small body without a length, bytes. */
+const FIRST_CAPACITY = 4 * 2 ** 10;
 
 /** Requests whose callers wait for `100 Continue` to send the body. */
 const pendingContinues = new WeakMap<IncomingMessage, ServerResponse>();
@@ -108,16 +112,19 @@
   const tooLarge = new Fault('body_too_large');
   if ((declaredLength(req) ?? 0) > limit) return Promise.resolve(err(tooLarge));
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    // Kept chunks of one byte would take a hundred times their length.
+    const buffer = new BodyBuffer(declaredLength(req) ?? FIRST_CAPACITY);
     const start = receiveBody(req, {
       onChunk: chunk => {
-        length += chunk.length;
-        chunks.push(chunk);
-        return length > limit ? tooLarge : undefined;
+        const size = buffer.size + chunk.length;
+        if (size > limit) return tooLarge;
+        if (chunk.length > buffer.free)
+          buffer.grow(Math.max(size, Math.min(2 * buffer.capacity, limit)));
+        buffer.add(chunk);
+        return undefined;
       },
       onEnd: fault =>
-        resolve(fault === undefined ? ok(Buffer.concat(chunks)) : err(fault)),
+        resolve(fault === undefined ? ok(buffer.take()) : err(fault)),
     });
     start();
   });
