Count connections that the own form reads in turns

Entries of the direct form had the counter, those of the own form only the line. 276 tests of src/daemons/entry, src/daemons/direct and four files of test/ pass.

--- a/src/daemons/entry/entry.ts
+++ b/src/daemons/entry/entry.ts
@@ -113,7 +113,12 @@
       dial: addresses =>
         this.links.post({type: 'want', purpose: 'limits', addresses}),
     });
+    const throttled = context.metrics.counter(
+      'baobabspan_callers_throttled_total',
+      'Connections that are read in turns since their chunks are very small',
+    );
     this.edge = new HttpEdge(context, this.limits, {
+      countThrottled: () => throttled.inc(),
       inForce: () => this.inForce,
       isAccepting: () => this.isAccepting,
       issueKey: service =>
--- a/src/daemons/entry/http_edge.test.ts
+++ b/src/daemons/entry/http_edge.test.ts
@@ -89,6 +89,7 @@
     const services = {
       inForce: () => inForce,
       isAccepting: () => isAccepting,
+      countThrottled: () => undefined,
       issueKey: () => err(new Fault('no_upstream')),
       startCall: (
         request: CallRequest,
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -88,6 +88,8 @@
   ): void;
   /** Issues an idempotency key for a service. */
   issueKey(service: string): Result<IssuedKey, Fault>;
+  /** Counts a connection that is read in turns. */
+  countThrottled(): void;
 }
 
 /** The HTTP server for callers. */
@@ -129,8 +131,10 @@
       onUnreadable: (fault, open) => this.recordUnreadable(fault, open),
       onCut: cut => this.recordCut(cut),
       onOverBudget: state => this.recordOverBudget(state),
-      onThrottled: req =>
-        context.logger.info('caller_throttled', {call: this.callIds.get(req)}),
+      onThrottled: req => {
+        this.services.countThrottled();
+        context.logger.info('caller_throttled', {call: this.callIds.get(req)});
+      },
     };
     const {clock} = context;
     this.connections = new CallerConnections(this.server, events, clock);
