Ask bodies of tiny chunks for progress only if over 64 share the turns

With two such bodies at once, two clients that slowly stream small chunks got 408 though they were inside the limits. A turn takes 1/64 s, so up to 64 of them wait a second at most.

--- a/src/admission/body_admission.ts
+++ b/src/admission/body_admission.ts
@@ -14,6 +14,11 @@
 const STALL_TIMEOUT: Millis = SECOND;
 /** The same while there is no memory for the own part of a further body. */
 const CRITICAL_STALL_TIMEOUT: Millis = SECOND / 4;
+/**
+ * Bodies with costly chunks that may make no progress; with more, each of them waits
+ * over a second for its turn. Fewer ordinary clients send such chunks at once.
+ */
+const MAX_STALLED_COSTLY = 64;
 /** Longest time between two checks that counts; more is a pause of the process. */
 const MAX_CHECK_GAP: Millis = SECOND / 4;
 
@@ -155,7 +160,7 @@
     const at = this.runTime(now);
     // Those that share processor time are not to hold it for good.
     const costlyTimeout =
-      this.costlyCount > 1
+      this.costlyCount > MAX_STALLED_COSTLY
         ? Math.min(stallTimeout, STALL_TIMEOUT)
         : stallTimeout;
     for (const body of this.incomplete) {
