Learn the spread of passes under load only

Cause: the tail compares passes with the part of the smoothed length that is due to streams. While a group is nearly idle this part is a few ms, so that jitter made the tail its maximum, and the next load would have been limited early for some ten seconds.

Change: passes count in the tail only if the streams' part is at least half of the length without streams.

--- a/src/pacing/pass_estimator.test.ts
+++ b/src/pacing/pass_estimator.test.ts
@@ -42,6 +42,11 @@
     expect(tail).toBeLessThanOrEqual(60 / 40);
   });
 
+  it('learns no tail from nearly idle passes, which would limit the next load', () => {
+    const idle = Array.from({length: 200}, (_, i) => IDLE + (i % 7));
+    expect(estimateOf([...idle, ...steady(15, 70)]).estimate.tail).toBe(1.3);
+  });
+
   it('sees a rise before the length has followed it', () => {
     const rising = Array.from({length: 20}, (_, i) => 60 + 2 * i);
     expect(estimateOf(rising).estimate.trend).toBeGreaterThan(0.01);
--- a/src/pacing/pass_estimator.ts
+++ b/src/pacing/pass_estimator.ts
@@ -20,6 +20,11 @@
  * in the window count.
  */
 const LONGEST_IGNORED = 1;
+/**
+ * Passes count in the tail if the streams' part is at least this part of the length
+ * without streams. In nearly idle passes jitter would make any factor.
+ */
+const MIN_STREAMS_PART = 0.5;
 /** Tail before enough passes are known. */
 const DEFAULT_TAIL = 1.3;
 const MIN_TAIL_SAMPLES = 20;
@@ -103,9 +108,11 @@
       this.updatedAt = at;
       return;
     }
-    const streamsPart = Math.max(1, before.length - this.idle);
-    this.factors.push((sample - this.idle) / streamsPart);
-    if (this.factors.length > TAIL_WINDOW) this.factors.shift();
+    const streamsPart = before.length - this.idle;
+    if (streamsPart >= MIN_STREAMS_PART * this.idle) {
+      this.factors.push((sample - this.idle) / streamsPart);
+      if (this.factors.length > TAIL_WINDOW) this.factors.shift();
+    }
     const counted = this.robust(sample, before.length);
     const length = before.length + LENGTH_WEIGHT * (counted - before.length);
     const slope = (length - before.length) / Math.max(1, at - this.updatedAt);
--- a/src/pacing/pass_limiter.ts
+++ b/src/pacing/pass_limiter.ts
@@ -5,7 +5,7 @@
 import type {PacingSettings} from './pass_model.js';
 
 /** Part of the gap target that the longest passes should have; the rest is jitter. */
-const WANTED_PART = 0.95;
+const WANTED_PART = 0.93;
 /** Time by which the length is extrapolated: a stream that is sent starts by then. */
 const TREND_HORIZON: Millis = 0.3 * SECOND;
 /** Part of the way to the wanted limit that is gone with each pass. */
