Do not shed requests that wait for permits by the drain rate

Cause: plain requests wait in the queue of their service only for permits of cold upstreams. `shedExpired` extrapolated the rate of the permits that the entry had used in the last second, and counted no request that was sent without a wait. With a latency target under 150 ms a waiting request counts as late at once, so it was shed as unreachable although a permit, or the end of the cold phase, came in its time; some were shed while an upstream could be selected.

Change: the queue sheds only what expires while the requests of a service are sent by permits: on plain services with a cold start setting, and on services with engines while all of their upstreams are cold. Services without a cold start setting are shed as before.

--- a/src/cold_start/cold_start_bound.ts
+++ b/src/cold_start/cold_start_bound.ts
@@ -78,6 +78,15 @@
     return this.services.size > 0;
   }
 
+  /**
+   * Returns whether the configuration bounds requests to cold upstreams of a
+   * service.
+   * @param service - the service
+   */
+  isBounded(service: ServiceName): boolean {
+    return this.services.has(service);
+  }
+
   /**
    * Replaces the services and the bound, if they have changed.
    * @param profiles - services of the configuration
--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -263,7 +263,11 @@
     queue: OverloadQueue<DispatchRequest>,
   ): void {
     if (queue.length === 0) return;
-    for (const shed of queue.shedExpired(now)) this.rejectShed(now, shed);
+    const [next] = queue.requests;
+    // Permits of cold upstreams begin at known times, and end with the cold phase.
+    const isDrainKnown = !this.selector.sendsByPermits(now, next!.service);
+    for (const shed of queue.shedExpired(now, isDrainKnown))
+      this.rejectShed(now, shed);
     const skipped: Waiting<DispatchRequest>[] = [];
     while (queue.length > 0 && skipped.length < MAX_SKIPPED) {
       const req = queue.peek(now);
--- a/src/daemons/direct/dispatch/dispatcher_cold_start.test.ts
+++ b/src/daemons/direct/dispatch/dispatcher_cold_start.test.ts
@@ -162,3 +162,19 @@
     }
   });
 });
+
+describe('plain requests that wait for permits', () => {
+  it('are not shed by the rate of the permits that were used', () => {
+    // Fails if a request is rejected although a permit or the end of the cold
+    // phase comes in its time.
+    for (const entries of [14, 38]) {
+      const estate = new ColdEstate(entries);
+      estate.register(0, 'a', 3, 3_000);
+      estate.load(0, 3_000, 23);
+      estate.load(3_000, 4_500, 0);
+      expect(estate.coldCount).toBeGreaterThan(50);
+      const sheds = estate.rejections.map(({shed}) => shed);
+      expect(sheds).not.toContain('unreachable');
+    }
+  });
+});
--- a/src/daemons/direct/dispatch/upstream_selector.ts
+++ b/src/daemons/direct/dispatch/upstream_selector.ts
@@ -174,6 +174,25 @@
     return Math.min(...times.filter(time => time > -Infinity));
   }
 
+  /**
+   * Returns whether the queued requests of a service wait for permits of cold
+   * upstreams: always those of plain services, which wait for nothing else.
+   * @param now - current time
+   * @param service - the service
+   */
+  sendsByPermits(now: Millis, service: ServiceName): boolean {
+    const {coldStart, evacuation} = this.state;
+    if (!coldStart.isBounded(service)) return false;
+    if (!this.directory.hasEngines(service)) return true;
+    return this.directory
+      .upstreamsOf(service)
+      .every(
+        upstream =>
+          evacuation.isEvacuated(upstream) ||
+          coldStart.coldPhase(now, upstream) !== undefined,
+      );
+  }
+
   private policyFor(
     service: ServiceName,
     hasEngines: boolean,
