Scan the upstreams of a service once per selection

Cause: the selector listed and filtered all upstreams of a service for the ones that were not tried, then again for the ones that are not evacuated, also in deployments without evacuations.

Change: the second criterion filters the result of the first.

--- a/src/daemons/direct/dispatch/upstream_selector.ts
+++ b/src/daemons/direct/dispatch/upstream_selector.ts
@@ -79,7 +79,7 @@
   select(now: Millis, req: DispatchRequest): Upstream | Unplaced {
     const untried = this.untriedUpstreams(req);
     if (untried.length === 0) return 'none';
-    const permitted = this.permittedUpstreams(req);
+    const permitted = this.permittedAmong(untried);
     if (permitted.length === 0) return 'evacuated';
     const available = permitted.filter(upstream =>
       this.isAvailable(now, req, this.directory.groupOf(upstream)),
@@ -139,10 +139,13 @@
    * @param req - the request
    */
   permittedUpstreams(req: DispatchRequest): Upstream[] {
+    return this.permittedAmong(this.untriedUpstreams(req));
+  }
+
+  private permittedAmong(upstreams: Upstream[]): Upstream[] {
     const {evacuation} = this.state;
-    const untried = this.untriedUpstreams(req);
-    if (evacuation.isEmpty) return untried;
-    return untried.filter(upstream => !evacuation.isEvacuated(upstream));
+    if (evacuation.isEmpty) return upstreams;
+    return upstreams.filter(upstream => !evacuation.isEvacuated(upstream));
   }
 
   /**
