Take the cold time that a restarted upstream names

Cause: the first registration of a new incarnation made the upstream cold for at least the cold time of its service, also if it named a shorter remaining one.

Change: the rule applies to registrations without a remaining cold time.

--- a/src/cold_start/cold_start_bound.test.ts
+++ b/src/cold_start/cold_start_bound.test.ts
@@ -235,6 +235,19 @@
     expect(causeAt(10_200)).toBeUndefined();
   });
 
+  it('is cold as long as its first registration names', () => {
+    // Fails if a restarted upstream is spared for longer than it stays cold.
+    const view = {self: 'e', names: ['e'], readAt: 0, storedAt: -Infinity};
+    const bound = createBound(view);
+    const table = new UpstreamTable();
+    table.register(0, testRegistration('u'));
+    const change = {bornAt: 2_000, warmUpLeft: 1_000};
+    table.register(100, testRegistration('u', change));
+    const [upstream] = table.all();
+    const cold = {until: 1_100, cause: 'registration'};
+    expect(bound.coldPhase(100, upstream!)).toEqual(cold);
+  });
+
   it('has a permit at the time that is named, and all at its end', () => {
     const view = {self: 'e', names: ['e'], readAt: START, storedAt: -Infinity};
     const bound = createBound(view);
--- a/src/cold_start/cold_start_bound.ts
+++ b/src/cold_start/cold_start_bound.ts
@@ -160,7 +160,9 @@
       const until = from + duration;
       if (until > phase.until) phase = {until, cause};
     };
-    if (isRestart) extend(registeredAt, 'restart');
+    // A cold time that the registration names is counted from a later time.
+    const namesColdTime = warmAt > registeredAt;
+    if (isRestart && !namesColdTime) extend(registeredAt, 'restart');
     const returnedAt = this.zonesReturnedAt.get(registration.availabilityZone);
     if (
       returnedAt !== undefined &&
