Place paced streams in turns over the ranks that are not evacuated

Cause: the placement of paced streams numbers the streams of all entries over all ranks of a group, and skipped those in evacuated zones. Entries whose number is on an evacuated rank went on to the same next ranks.

Change: the selector shows the placement only the ranks that may get requests.

The new test fails without the change (3 and 1 streams).

--- /dev/null
+++ b/src/daemons/direct/dispatch/dispatcher_evacuation.test.ts
@@ -0,0 +1,73 @@
+import {expect, it} from 'vitest';
+
+import {testRegistration} from '../../../../test/support/direct_samples.js';
+import {Chance, availabilityZone, serviceName} from '../../../core/index.js';
+import {UpstreamTable} from '../../../direct/index.js';
+import {
+  Containment,
+  Metrics,
+  SILENT_LOGGER,
+} from '../../../observability/index.js';
+import type {ZoneFilter} from './dispatch_request.js';
+import {Dispatcher} from './dispatcher.js';
+
+const SERVICE = serviceName('model');
+const ENTRIES = 4;
+const ENGINE = {
+  slots: 7,
+  stepsPerPass: 7,
+  stepTime: 4.84,
+  stepTimePerStream: 0.62,
+  stepTimePerContextToken: 0.000_019,
+  promptTokensPerSecond: 74_800,
+  promptChunk: 512,
+  usualPromptTokens: 800,
+  usualAnswerTokens: 160,
+};
+
+it('spreads paced streams evenly over the ranks that are not evacuated', () => {
+  // Fails if the streams of several entries whose place is on an evacuated rank
+  // go to one other rank, for which all ranks of the group wait.
+  const table = new UpstreamTable();
+  for (const [id, zone] of ['a', 'a', 'b', 'b'].entries()) {
+    const place = {service: SERVICE, availabilityZone: availabilityZone(zone)};
+    table.register(0, testRegistration(`rank-${id}`, place));
+  }
+  const evacuation: ZoneFilter = {
+    isEmpty: false,
+    isEvacuated: ({registration}) => registration.availabilityZone === 'a',
+    recordKeptAway: () => undefined,
+  };
+  const counts: Record<string, number> = {};
+  for (let index = 0; index < ENTRIES; index++) {
+    const metrics = new Metrics();
+    const dispatcher = new Dispatcher(
+      {
+        upstreamsOf: service => table.forService(service),
+        hasEngines: () => true,
+        isByPriority: () => false,
+        pacingOf: () => ({engine: ENGINE, gapTarget: 120}),
+        groupOf: () => 'model',
+        slowdownOf: () => 1,
+        entryCount: () => ENTRIES,
+      },
+      availabilityZone('b'),
+      new Chance(index),
+      SILENT_LOGGER,
+      new Containment(SILENT_LOGGER, metrics),
+      metrics,
+      evacuation,
+    );
+    dispatcher.setShare({index, count: ENTRIES});
+    dispatcher.submit(0, {
+      ...{service: SERVICE, promptTokens: 800, priority: 1, mayWait: true},
+      ...{target: 400, targetAt: 400, expiresAt: 2_000},
+      ...{triedIncarnations: new Set(), trySpend: () => true},
+      send: (_at, {registration: {id}}) => {
+        counts[id] = (counts[id] ?? 0) + 1;
+      },
+      reject: () => undefined,
+    });
+  }
+  expect(counts).toEqual({'rank-2': 2, 'rank-3': 2});
+});
--- a/src/daemons/direct/dispatch/upstream_selector.ts
+++ b/src/daemons/direct/dispatch/upstream_selector.ts
@@ -59,7 +59,14 @@
     const {loads} = state;
     this.plainPolicy = new ExpectedWaitPolicy(loads, zone);
     this.rankPolicy = new LeastLoadedGroupPolicy(loads, zone, directory);
-    this.pacedPolicy = new ComplementaryPolicy(loads, zone, directory);
+    // Entries complement one another only over ranks that get requests.
+    this.pacedPolicy = new ComplementaryPolicy(loads, zone, {
+      groupOf: upstream => directory.groupOf(upstream),
+      slowdownOf: upstream => directory.slowdownOf(upstream),
+      pacingOf: service => directory.pacingOf?.(service),
+      upstreamsOf: service =>
+        this.permittedAmong(directory.upstreamsOf(service)),
+    });
   }
 
   /**
@@ -138,11 +145,11 @@
    * Returns the untried upstreams of a request whose zones are not evacuated.
    * @param req - the request
    */
-  permittedUpstreams(req: DispatchRequest): Upstream[] {
+  permittedUpstreams(req: DispatchRequest): readonly Upstream[] {
     return this.permittedAmong(this.untriedUpstreams(req));
   }
 
-  private permittedAmong(upstreams: Upstream[]): Upstream[] {
+  private permittedAmong(upstreams: readonly Upstream[]): readonly Upstream[] {
     const {evacuation} = this.state;
     if (evacuation.isEmpty) return upstreams;
     return upstreams.filter(upstream => !evacuation.isEvacuated(upstream));
