Count only ranks that get requests in an entry's share of streams

Cause: the limit on the streams of an entry starts from, and grows by, its equal share of the streams of the group, which counted the ranks of evacuated zones.

Change: the size of a group excludes them.

Measured: with passes of 150 ms and a gap target of 120 ms, four of six ranks evacuated and 8 streams, the limit was 2.7 after 2 s; it is 2.2 now, as in a group of two ranks.

--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -62,7 +62,7 @@
     this.overloadLog = new OverloadLog(logger, metrics);
     this.queues = new ServiceQueues(directory, chance);
     this.streamLimits = new StreamLimitMonitor(logger, metrics);
-    this.limiters = new GroupLimiters(directory, chance);
+    this.limiters = new GroupLimiters(directory, chance, evacuation);
     this.selector = new UpstreamSelector(
       directory,
       {
--- a/src/daemons/direct/dispatch/group_limiters.ts
+++ b/src/daemons/direct/dispatch/group_limiters.ts
@@ -3,7 +3,8 @@
 import type {GroupKey} from '../../../direct/index.js';
 import {PassLimiter} from '../../../pacing/index.js';
 import type {PacingSettings, StreamLimit} from '../../../pacing/index.js';
-import type {UpstreamDirectory} from './dispatch_request.js';
+import {NO_EVACUATIONS} from './dispatch_request.js';
+import type {UpstreamDirectory, ZoneFilter} from './dispatch_request.js';
 
 /** Limits on the requests of this entry at one group. */
 export interface GroupLimiter {
@@ -25,10 +26,12 @@
   /**
    * @param directory - the upstreams and entries
    * @param chance - rounds limits
+   * @param evacuation - zones whose ranks take no requests
    */
   constructor(
     private readonly directory: UpstreamDirectory,
     private readonly chance: Chance,
+    private readonly evacuation: ZoneFilter = NO_EVACUATIONS,
   ) {}
 
   /**
@@ -75,7 +78,11 @@
   private sizeOf(group: GroupKey, service: ServiceName) {
     const ranks = this.directory
       .upstreamsOf(service)
-      .filter(upstream => this.directory.groupOf(upstream) === group);
+      .filter(
+        upstream =>
+          this.directory.groupOf(upstream) === group &&
+          !this.evacuation.isEvacuated(upstream),
+      );
     return {ranks: ranks.length, entries: this.directory.entryCount()};
   }
 }
