Tell why a named cold time suffices after a restart

Cause: the comment on the restart rule did not say why it may be left out. Change: it names the reason, that a cold time counts from the reading. Result: comment only; the 43 tests of the bound pass.

--- a/src/cold_start/cold_start_bound.ts
+++ b/src/cold_start/cold_start_bound.ts
@@ -160,7 +160,7 @@
       const until = from + duration;
       if (until > phase.until) phase = {until, cause};
     };
-    // A cold time that the registration names is counted from a later time.
+    // A named cold time counts from the reading, so it is never too short.
     const namesColdTime = warmAt > registeredAt;
     if (isRestart && !namesColdTime) extend(registeredAt, 'restart');
     const returnedAt = this.zonesReturnedAt.get(registration.availabilityZone);
