--- a/src/cold_start/cold_start_bound.ts
+++ b/src/cold_start/cold_start_bound.ts
@@ -78,6 +78,15 @@
     return this.services.size > 0;
   }
 
+  /**
+   * Returns whether the configuration bounds requests to cold upstreams of a
+   * service.
+   * @param service - the service
+   */
+  isBounded(service: ServiceName): boolean {
+    return this.services.has(service);
+  }
+
   /**
    * Replaces the services and the bound, if they have changed.
    * @param profiles - services of the configuration
@@ -151,7 +160,9 @@
       const until = from + duration;
       if (until > phase.until) phase = {until, cause};
     };
-    if (isRestart) extend(registeredAt, 'restart');
+    // A named cold time counts from the reading, so it is never too short.
+    const namesColdTime = warmAt > registeredAt;
+    if (isRestart && !namesColdTime) extend(registeredAt, 'restart');
     const returnedAt = this.zonesReturnedAt.get(registration.availabilityZone);
     if (
       returnedAt !== undefined &&
