Take no place in the retry schedule at a rate that is nearly none

The free rate is the difference of two measured rates. Where it is positive by rounding, or by one request, the schedule gave a place and moved the next one by its inverse: by 5 s at 0.2 a second, for good at 1e-18 per ms. All callers rejected until then got the longest Retry-After, also while there was room for them.

A rate at which less than one request starts within the longest delay that a caller honours counts as none.

--- a/src/overload/overload_policy.test.ts
+++ b/src/overload/overload_policy.test.ts
@@ -432,6 +432,16 @@
     expect(Math.min(...delays)).toBeGreaterThanOrEqual(1_700);
     expect(new Set(delays).size).toBe(100);
   });
+
+  it('gives places again after the free rate was close to none', () => {
+    // Fails if one place at such a rate keeps all later callers out.
+    for (const freeRate of [1e-18, 0.000_2]) {
+      const schedule = new RetrySchedule(new Chance(1));
+      schedule.delay(0, 6_000, {backlogTime: 100, freeRate});
+      const later = {backlogTime: 100, freeRate: 0.02};
+      expect(schedule.delay(3_000, 6_000, later)).toBeLessThan(200);
+    }
+  });
 });
 
 describe('hasUnequalPriorities', () => {
--- a/src/overload/retry_schedule.ts
+++ b/src/overload/retry_schedule.ts
@@ -42,7 +42,9 @@
     {backlogTime, freeRate}: ExpectedCapacity,
   ): Millis {
     const longest = Math.max(0, timeLeft) * HONOURED_FRACTION;
-    if (freeRate > 0) {
+    // A rate below one start in this time has no place that this caller can take,
+    // and a place at it would keep later callers out when the rate is high again.
+    if (freeRate * longest >= 1) {
       const earliest = now + Math.max(MIN_DELAY, backlogTime);
       const placeAt = Math.max(this.nextPlaceAt, earliest);
       const delay = (placeAt - now) * (1 + JITTER * this.chance.fraction());
