Try the request that is about to start late behind those that wait

A pass over a queue ended after 8 requests that could not be placed. The newest are first among those in time, while the limit of a paced group allows more streams for requests that would start late otherwise, which are the oldest. In queues of more than 8 requests these were not tried until they were late.

The pass ends with the request in time that has the earliest target.

--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -269,8 +269,9 @@
     for (const shed of queue.shedExpired(now, hasRate))
       this.rejectShed(now, shed);
     const skipped: Waiting<DispatchRequest>[] = [];
-    while (queue.length > 0 && skipped.length < MAX_SKIPPED) {
-      const req = queue.peek(now);
+    while (queue.length > 0 && skipped.length <= MAX_SKIPPED) {
+      const isLast = skipped.length === MAX_SKIPPED;
+      const req = isLast ? queue.peekEarliest(now) : queue.peek(now);
       const waiting = req && queue.remove(req);
       if (req === undefined || waiting === undefined) break;
       this.contain(req, () => {
@@ -392,7 +393,8 @@
 ]);
 
 /**
- * Maximum number of queued requests skipped in one pass because their service
- * has no capacity: those behind them may be for another service.
+ * Maximum number of queued requests skipped in one pass since they can't be placed.
+ * Those behind them may be placed, as a limit on streams allows more for requests
+ * that would start late otherwise: the one with the earliest target is tried, too.
  */
 const MAX_SKIPPED = 8;
--- a/src/daemons/direct/pacing/pacing_replay.test.ts
+++ b/src/daemons/direct/pacing/pacing_replay.test.ts
@@ -85,6 +85,18 @@
     expect(Math.min(...perEntry)).toBeGreaterThan(share(after, isInTime) - 0.1);
   });
 
+  it('keeps streams in time with 3 entries, whose queues are long', () => {
+    // Fails if those about to start late are not tried behind newer ones.
+    const change = {...waves, skewMean: 3, entries: 3};
+    const before = streamsOf(false, change);
+    const after = streamsOf(true, change);
+    expect(share(after, missesGap)).toBeLessThan(0.005);
+    expect(share(after, isInTime)).toBeGreaterThan(0.97);
+    expect(share(after, startsLate)).toBeLessThan(
+      share(before, startsLate) + 0.01,
+    );
+  });
+
   it('serves the callers of an entry that restarts at a peak', () => {
     const after = streamsOf(true, {...waves, restartAt: 17_000});
     const own = after.filter(({entry, at}) => entry === 0 && at > 17_000);
--- a/src/overload/overload_queue.ts
+++ b/src/overload/overload_queue.ts
@@ -190,6 +190,17 @@
     return this.classes.first()?.req;
   }
 
+  /**
+   * Returns the request whose start target ends first among those in time, or the
+   * next one if all are late.
+   * @param now - current time
+   * @returns undefined if the queue is empty
+   */
+  peekEarliest(now: Millis): T | undefined {
+    const next = this.peek(now);
+    return this.byTarget.first?.req ?? next;
+  }
+
   /**
    * Records that a request was sent, queued before or not.
    * @param now - current time
