--- a/src/daemons/direct/dispatch/dispatcher.ts
+++ b/src/daemons/direct/dispatch/dispatcher.ts
@@ -262,15 +262,16 @@
     now: Millis,
     queue: OverloadQueue<DispatchRequest>,
   ): void {
-    if (queue.length === 0) return;
-    const [next] = queue.requests;
+    const next = queue.peek(now);
+    if (next === undefined) return;
     // Permits of cold upstreams begin at known times, and end with the cold phase.
-    const isDrainKnown = !this.selector.sendsByPermits(now, next!.service);
+    const isDrainKnown = !this.selector.sendsByPermits(now, next.service);
     for (const shed of queue.shedExpired(now, isDrainKnown))
       this.rejectShed(now, shed);
     const skipped: Waiting<DispatchRequest>[] = [];
-    while (queue.length > 0 && skipped.length < MAX_SKIPPED) {
-      const req = queue.peek(now);
+    while (queue.length > 0 && skipped.length <= MAX_SKIPPED) {
+      const isLast = skipped.length === MAX_SKIPPED;
+      const req = isLast ? queue.peekEarliest(now) : queue.peek(now);
       const waiting = req && queue.remove(req);
       if (req === undefined || waiting === undefined) break;
       this.contain(req, () => {
@@ -392,7 +393,8 @@
 ]);
 
 /**
- * Maximum number of queued requests skipped in one pass because their service
- * has no capacity: those behind them may be for another service.
+ * Maximum number of queued requests skipped in one pass since they can't be placed.
+ * Those behind them may be placed, as a limit on streams allows more for requests
+ * that would start late otherwise: the one with the earliest target is tried, too.
  */
 const MAX_SKIPPED = 8;
