--- a/src/daemons/direct/dispatch/upstream_selector.ts
+++ b/src/daemons/direct/dispatch/upstream_selector.ts
@@ -59,7 +59,14 @@
     const {loads} = state;
     this.plainPolicy = new ExpectedWaitPolicy(loads, zone);
     this.rankPolicy = new LeastLoadedGroupPolicy(loads, zone, directory);
-    this.pacedPolicy = new ComplementaryPolicy(loads, zone, directory);
+    // Entries complement one another only over ranks that get requests.
+    this.pacedPolicy = new ComplementaryPolicy(loads, zone, {
+      groupOf: upstream => directory.groupOf(upstream),
+      slowdownOf: upstream => directory.slowdownOf(upstream),
+      pacingOf: service => directory.pacingOf?.(service),
+      upstreamsOf: service =>
+        this.permittedAmong(directory.upstreamsOf(service)),
+    });
   }
 
   /**
@@ -79,7 +86,7 @@
   select(now: Millis, req: DispatchRequest): Upstream | Unplaced {
     const untried = this.untriedUpstreams(req);
     if (untried.length === 0) return 'none';
-    const permitted = this.permittedUpstreams(req);
+    const permitted = this.permittedAmong(untried);
     if (permitted.length === 0) return 'evacuated';
     const available = permitted.filter(upstream =>
       this.isAvailable(now, req, this.directory.groupOf(upstream)),
@@ -138,11 +145,14 @@
    * Returns the untried upstreams of a request whose zones are not evacuated.
    * @param req - the request
    */
-  permittedUpstreams(req: DispatchRequest): Upstream[] {
+  permittedUpstreams(req: DispatchRequest): readonly Upstream[] {
+    return this.permittedAmong(this.untriedUpstreams(req));
+  }
+
+  private permittedAmong(upstreams: readonly Upstream[]): readonly Upstream[] {
     const {evacuation} = this.state;
-    const untried = this.untriedUpstreams(req);
-    if (evacuation.isEmpty) return untried;
-    return untried.filter(upstream => !evacuation.isEvacuated(upstream));
+    if (evacuation.isEmpty) return upstreams;
+    return upstreams.filter(upstream => !evacuation.isEvacuated(upstream));
   }
 
   /**
@@ -174,6 +184,25 @@
     return Math.min(...times.filter(time => time > -Infinity));
   }
 
+  /**
+   * Returns whether the queued requests of a service wait for permits of cold
+   * upstreams: always those of plain services, which wait for nothing else.
+   * @param now - current time
+   * @param service - the service
+   */
+  sendsByPermits(now: Millis, service: ServiceName): boolean {
+    const {coldStart, evacuation} = this.state;
+    if (!coldStart.isBounded(service)) return false;
+    if (!this.directory.hasEngines(service)) return true;
+    return this.directory
+      .upstreamsOf(service)
+      .every(
+        upstream =>
+          evacuation.isEvacuated(upstream) ||
+          coldStart.coldPhase(now, upstream) !== undefined,
+      );
+  }
+
   private policyFor(
     service: ServiceName,
     hasEngines: boolean,
