--- a/src/daemons/direct/direct_entry.ts
+++ b/src/daemons/direct/direct_entry.ts
@@ -259,7 +259,7 @@
     return {
       onConfiguration: configuration => {
         this.front.setLimits(configuration.limits);
-        this.pacing.apply(configuration);
+        if (this.settings.pacesStreams) this.pacing.apply(configuration);
         this.coldStart.tick();
         metrics.versionInForce.set(configuration.version);
       },
--- a/src/daemons/direct/estate.ts
+++ b/src/daemons/direct/estate.ts
@@ -61,6 +61,8 @@
   /** Whether engines reject orders with older fencing tokens, if known. */
   readonly enginesCheckTokens?: boolean;
   readonly retryBound: RetryBound;
+  /** Whether services are paced whose configuration calls for it. */
+  readonly pacesStreams?: boolean;
   readonly stalenessBounds: StalenessBounds;
   /** Bound on the requests to a cold upstream; its rate itself if absent. */
   readonly coldRateBound?: ColdRateBound;
