Test requests sent ahead at every port of every process

No test had clients that send requests ahead and read no answer, or that leave out the usual headers.

The crowds, their sizes and the bounds (the memory of the smallest machines, two descriptors a client) are fixed here and stay. A test asks for an answer at the port of the crowd as well as for an ordinary call.

--- a/test/untrusted_clients/crowd.ts
+++ b/test/untrusted_clients/crowd.ts
@@ -17,6 +17,8 @@
 const ORDINARY_MS = 15_000;
 /** Size of the blocks in which clients repeat what they send. */
 const BLOCK_BYTES = 64 * 2 ** 10;
+/** Time after which a client whose connection has closed connects anew. */
+const RECONNECT_DELAY_MS = 20;
 /** Descriptors that a process has open for itself, its store and its upstreams. */
 const OWN_DESCRIPTORS = 100;
 
@@ -34,6 +36,10 @@
   readonly clients: number;
   readonly port: number;
   readonly sending: Sending;
+  /** Whether they read nothing of what they are sent. */
+  readonly isUnread?: boolean;
+  /** Whether a client whose connection has closed connects anew. */
+  readonly reconnects?: boolean;
 }
 
 /** Returns whole copies of a text that fill a block. */
@@ -62,8 +68,9 @@
   };
 }
 
-/** Connects a client that keeps its connection open and reads what it is sent. */
-function startClient(port: number, {begin, repeated, times}: Sending): Socket {
+/** Connects a client that keeps its connection open. */
+function startClient({port, sending, isUnread}: Crowd): Socket {
+  const {begin, repeated, times} = sending;
   const socket = connect({port, host: '127.0.0.1'});
   let left = repeated === undefined ? 0 : (times ?? Infinity);
   const sendOn = () => {
@@ -74,12 +81,43 @@
   };
   socket.on('error', () => undefined);
   socket.on('drain', sendOn);
-  socket.resume();
+  if (isUnread === true) socket.pause();
+  else socket.resume();
   socket.write(begin);
   sendOn();
   return socket;
 }
 
+/** The open connections of crowds. */
+class CrowdConnections {
+  private readonly sockets = new Set<Socket>();
+  private hasLeft = false;
+
+  /** @param crowds - the crowds */
+  constructor(crowds: readonly Crowd[]) {
+    for (const crowd of crowds)
+      for (let i = 0; i < crowd.clients; i++) this.start(crowd);
+  }
+
+  /** Ends all connections, in order: what was not read stays in the system. */
+  leave(): void {
+    this.hasLeft = true;
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  private start(crowd: Crowd): void {
+    const socket = startClient(crowd);
+    this.sockets.add(socket);
+    socket.once('close', () => {
+      this.sockets.delete(socket);
+      if (this.hasLeft || crowd.reconnects !== true) return;
+      setTimeout(() => {
+        if (!this.hasLeft) this.start(crowd);
+      }, RECONNECT_DELAY_MS);
+    });
+  }
+}
+
 /** A process and the memory of its machine. */
 export interface WatchedProcess {
   readonly pid: number;
@@ -109,17 +147,14 @@
   crowds: readonly Crowd[],
   duration = CROWD_MS,
 ): Promise<Observation> {
-  const sockets = crowds.flatMap(({clients, port, sending}) =>
-    Array.from({length: clients}, () => startClient(port, sending)),
-  );
+  const connections = new CrowdConnections(crowds);
   let descriptors = 0;
   const end = Date.now() + duration;
   while (Date.now() < end && !watched.hasEnded()) {
     descriptors = Math.max(descriptors, countDescriptors(watched.pid));
     await pause(SAMPLE_INTERVAL_MS);
   }
-  // Orderly ends: what the process has not read yet stays in its system's buffers.
-  for (const socket of sockets) socket.destroy();
+  connections.leave();
   const isServing = await isAnswered(watched);
   const peakMb = watched.hasEnded() ? NaN : readPeakMb(watched.pid);
   return {hasEnded: watched.hasEnded(), peakMb, descriptors, isServing};
--- a/test/untrusted_clients/processes.ts
+++ b/test/untrusted_clients/processes.ts
@@ -133,8 +133,16 @@
 );
 export const TOKEN = 'kariakoo-rounds-token';
 
-/** Starts an entry of the product's own form, with one service. */
-export async function startOwnEntry(): Promise<Running> {
+/** An entry and a sidecar of the product's own form, with one service. */
+interface OwnEstate {
+  readonly entry: TestProcess;
+  readonly sidecar: TestProcess;
+  /** Whether an ordinary call through both is answered. */
+  isServing(): Promise<boolean>;
+  close(): Promise<void>;
+}
+
+async function startOwnEstate(): Promise<OwnEstate> {
   const processes = new Processes();
   const platform = processes.standin('platform');
   const plain = processes.standin('plain');
@@ -148,7 +156,8 @@
     ...['publish', EXAMPLE, '--base', '0', '--log-url', platformUrl],
   );
   await once(publish.child, 'exit');
-  const sidecar = processes.cli(
+  const sidecar = startCli(
+    SIDECAR_HEAP_MB,
     ...['sidecar', '--vm', 'depot-1', '--service', 'depot'],
     ...['--upstream-url', plainUrl, ...common],
   );
@@ -156,45 +165,81 @@
   const vm = {vm: 'depot-1', availabilityZone: ZONE, address, service: 'depot'};
   const body = JSON.stringify([{...vm, state: 'live', role: 'sidecar'}]);
   await request(`${platformUrl}/vms`, {method: 'PUT', body});
-  const child = spawn(
-    process.execPath,
-    [
-      ...[`--max-old-space-size=${ENTRY_HEAP_MB}`, CLI, 'entry'],
-      ...['--vm', 'entry-1', '--port', '0', ...common],
-    ],
-    {stdio: ['ignore', 'pipe', 'pipe']},
+  const entry = startCli(
+    ENTRY_HEAP_MB,
+    ...['entry', '--vm', 'entry-1', '--port', '0', ...common],
   );
-  const entry = new TestProcess(child);
-  const ready = await entry.waitForEvent('ready');
+  const {callers} = await entry.waitForEvent('ready');
   await entry.waitForEvent('configuration_in_force');
   const isServing = async () => {
-    const url = `http://${ready['callers']}/services/depot/sheets/1`;
+    const url = `http://${callers}/services/depot/sheets/1`;
     const headers = {authorization: `Bearer ${TOKEN}`};
     const res = await fetch(url, {headers, signal: AbortSignal.timeout(8_000)});
     await res.text();
     return res.ok;
   };
   await until(() => isServing().catch(() => false));
+  const close = async () => {
+    await entry.kill('SIGKILL');
+    await sidecar.kill('SIGKILL');
+    await processes.close();
+  };
+  return {entry, sidecar, isServing, close};
+}
+
+/** Starts an entry of the product's own form, with one service. */
+export async function startOwnEntry(): Promise<Running> {
+  const {entry, isServing, close} = await startOwnEstate();
+  return runningOf(entry, ENTRY_MB, isServing, close);
+}
+
+/** Starts a sidecar of the product's own form, which an entry sends calls to. */
+export async function startOwnSidecar(): Promise<Running> {
+  const {sidecar, isServing, close} = await startOwnEstate();
+  return runningOf(sidecar, SIDECAR_MB, isServing, close);
+}
+
+async function runningOf(
+  started: TestProcess,
+  machineMb: number,
+  isServing: () => Promise<boolean>,
+  close: () => Promise<void>,
+): Promise<Running> {
+  const {child} = started;
+  const ready = await started.waitForEvent('ready');
+  const names = ['callers', 'operators', 'links'].filter(name => ready[name]);
   const portOf = (name: string) => Number(ready[name]?.split(':').at(-1));
   return {
-    ports: {
-      callers: portOf('callers'),
-      operators: portOf('operators'),
-      links: portOf('links'),
-    },
+    ports: Object.fromEntries(names.map(name => [name, portOf(name)])),
     watched: {
       pid: child.pid!,
-      machineMb: ENTRY_MB,
+      machineMb,
       hasEnded: () => child.exitCode !== null || child.signalCode !== null,
       isServing,
     },
-    close: async () => {
-      await entry.kill('SIGKILL');
-      await processes.close();
-    },
+    close,
   };
 }
 
+function startCli(heapMb: number, ...args: string[]): TestProcess {
+  const limit = `--max-old-space-size=${heapMb}`;
+  const child = spawn(process.execPath, [limit, CLI, ...args], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  return new TestProcess(child);
+}
+
+/**
+ * Returns whether a request is answered at a port, whatever the answer.
+ * @param port - port of a process on this machine
+ */
+export async function answersAt(port: number): Promise<boolean> {
+  const url = `http://${hostPort(HOST, port)}/healthz`;
+  const res = await fetch(url, {signal: AbortSignal.timeout(5_000)});
+  await res.text();
+  return true;
+}
+
 async function isHealthy(port: number): Promise<boolean> {
   const url = `http://${hostPort(HOST, port)}/healthz`;
   const res = await fetch(url, {signal: AbortSignal.timeout(5_000)});
--- a/test/untrusted_clients/sendings.ts
+++ b/test/untrusted_clients/sendings.ts
@@ -60,3 +60,42 @@
     },
   };
 }
+
+/** Blocks of 64 KB that a client sends of requests ahead of their responses. */
+const PIPELINE_BLOCKS = 100;
+
+/**
+ * Returns requests that are sent ahead of their responses, by name. Those without
+ * the usual headers are the shortest, so that one read brings the most.
+ * @param path - path of the requests
+ * @param usual - the usual header lines, each with its end
+ */
+export function pipelinesTo(
+  path: string,
+  usual: string,
+): Readonly<Record<string, Sending>> {
+  const post = `POST ${path} HTTP/1.1\r\n`;
+  const get = `GET ${path} HTTP/1.1\r\n`;
+  const ofLength = 'Content-Length: 1\r\n\r\nx';
+  const ofChunks = `${CHUNKED}\r\n\r\n1\r\nx\r\n0\r\n\r\n`;
+  const requests = {
+    'POST without a header': post + ofLength,
+    'POST with a Host': `${post}Host: a\r\n${ofLength}`,
+    'chunked POST with a Host': `${post}Host: a\r\n${ofChunks}`,
+    'POST with the usual headers': post + usual + ofLength,
+    'chunked POST with the usual headers': post + usual + ofChunks,
+    'GET without a header': `${get}\r\n`,
+    'GET with a Host': `${get}Host: a\r\n\r\n`,
+    'GET with the usual headers': `${get}${usual}\r\n`,
+    'GET of HTTP/1.0': `GET ${path} HTTP/1.0\r\nConnection: keep-alive\r\n\r\n`,
+  };
+  const sendings = Object.entries(requests).map(([name, request]) => {
+    const sending = {
+      begin: '',
+      repeated: blockOf(request),
+      times: PIPELINE_BLOCKS,
+    };
+    return [name, sending] as const;
+  });
+  return Object.fromEntries(sendings);
+}
