Cancel the flush of a body's small chunks at its end

Cause: a body of small chunks schedules a flush in the next pass of the event loop, and the callback keeps the request and its response. They had been answered and were no longer charged, but one pass reads up to 32 times 64 KB of each connection.

Change: the end of a body cancels the flush, which has nothing left to pass on.

--- a/src/daemons/shared/chunk_collector.ts
+++ b/src/daemons/shared/chunk_collector.ts
@@ -27,7 +27,7 @@
   private readonly push: IncomingMessage['push'];
   private part: Buffer | undefined;
   private length = 0;
-  private isFlushDue = false;
+  private flushTimer: NodeJS.Immediate | undefined;
   /** Whether the request's reader has taken what it was passed. */
   private isTaken = true;
 
@@ -48,6 +48,8 @@
   private add(chunk: Buffer | null): boolean {
     if (chunk === null) {
       this.flush();
+      // It would keep the request until the next pass of the event loop.
+      clearImmediate(this.flushTimer);
       return this.push(null);
     }
     const {length} = chunk;
@@ -64,11 +66,9 @@
     this.part ??= Buffer.allocUnsafe(PART_BYTES);
     chunk.copy(this.part, this.length);
     this.length += chunk.length;
-    if (this.isFlushDue) return;
-    this.isFlushDue = true;
     // By then all of the read that has brought the chunk is parsed.
-    setImmediate(() => {
-      this.isFlushDue = false;
+    this.flushTimer ??= setImmediate(() => {
+      this.flushTimer = undefined;
       this.flush();
     });
   }
