Count requests that Node would answer by itself

Operators and other processes: 270 clients that pipeline requests, some without a Host, ended the processes behind six of the ports for operators, readiness and links (listed cases, SIGABRT at their heap limits).

Cause: Node's server answers a request of HTTP/1.1 without a Host (400), and one with an unknown expectation (417), without an event. No limit on open requests and no budget of the port ever saw them.

Change: the control server rejects a missing Host itself, behind the responses before it. All three servers treat an unknown expectation as a usual request, as RFC 9110 allows. The tests' crowds have a request with such an expectation.

--- a/src/daemons/direct/front_server.ts
+++ b/src/daemons/direct/front_server.ts
@@ -127,6 +127,8 @@
     this.server.on('connection', socket =>
       this.headerLimits.set(socket, this.limits.maxHeaderBytes),
     );
+    // Node would send 417 by itself, in no budget.
+    this.server.on('checkExpectation', (req, res) => this.accept(req, res));
     this.server.on('checkContinue', (req, res) => {
       deferContinue(req, res);
       this.accept(req, res);
--- a/src/daemons/entry/http_edge.ts
+++ b/src/daemons/entry/http_edge.ts
@@ -122,6 +122,10 @@
     );
     // No limit: Node.js drops headers above it; maxHeaderSize bounds them.
     this.server.maxHeadersCount = 0;
+    // Node would send 417 by itself, in no budget.
+    this.server.on('checkExpectation', (req, res) =>
+      this.handleRequest(req, res),
+    );
     this.server.on('checkContinue', (req, res) => {
       deferContinue(req, res);
       this.handleRequest(req, res);
--- a/src/daemons/shared/control_server.ts
+++ b/src/daemons/shared/control_server.ts
@@ -26,6 +26,8 @@
 /** Length of a body up to which its connection is used further, bytes. */
 const MAX_BODY_BYTES = 256 * 2 ** 10;
 
+const BAD_REQUEST = 400;
+
 /** What a control server depends on. */
 export interface ControlParts {
   readonly clock: Clock;
@@ -47,18 +49,16 @@
    */
   constructor(
     {clock, logger}: ControlParts,
-    handle: (req: IncomingMessage, res: ServerResponse) => void,
+    private readonly handle: (
+      req: IncomingMessage,
+      res: ServerResponse,
+    ) => void,
   ) {
-    this.server = createServer((req, res) => {
-      if (!this.connections.accept(req, res)) return;
-      // The rest of such a body may have no end.
-      const length = declaredLength(req) ?? Infinity;
-      if (length > MAX_BODY_BYTES) res.shouldKeepAlive = false;
-      // Also with a body: a response before its turn would wait in memory.
-      void this.connections.queuedTurnOf(req, res).then(isTurn => {
-        if (isTurn) handle(req, res);
-      });
-    });
+    // Responses that Node sends by itself are in no budget.
+    this.server = createServer({requireHostHeader: false}, (req, res) =>
+      this.accept(req, res),
+    );
+    this.server.on('checkExpectation', (req, res) => this.accept(req, res));
     this.server.requestTimeout = REQUEST_TIMEOUT;
     this.connections = new CallerConnections(
       this.server,
@@ -102,6 +102,19 @@
     await once(this.server, 'listening');
   }
 
+  private accept(req: IncomingMessage, res: ServerResponse): void {
+    if (!this.connections.accept(req, res)) return;
+    // The rest of such a body may have no end.
+    const length = declaredLength(req) ?? Infinity;
+    if (length > MAX_BODY_BYTES || lacksHost(req)) res.shouldKeepAlive = false;
+    // Also with a body: a response before its turn would wait in memory.
+    void this.connections.queuedTurnOf(req, res).then(isTurn => {
+      if (!isTurn) return;
+      if (lacksHost(req)) res.writeHead(BAD_REQUEST).end();
+      else this.handle(req, res);
+    });
+  }
+
   /** Closes the server and all its connections at once. */
   async close(): Promise<void> {
     this.server.closeAllConnections();
@@ -110,6 +123,11 @@
   }
 }
 
+/** Whether a request lacks the header that its version of HTTP requires. */
+function lacksHost({httpVersion, headers}: IncomingMessage): boolean {
+  return httpVersion === '1.1' && headers.host === undefined;
+}
+
 /** Returns the response to a message that is not a readable request. */
 function formatError({status, message}: Fault): string {
   const body = `${message}\n`;
--- a/test/untrusted_clients/sendings.ts
+++ b/test/untrusted_clients/sendings.ts
@@ -87,6 +87,7 @@
     'GET without a header': `${get}\r\n`,
     'GET with a Host': `${get}Host: a\r\n\r\n`,
     'GET with the usual headers': `${get}${usual}\r\n`,
+    'GET with an unknown Expect': `${get}Expect: x\r\n\r\n`,
     'GET of HTTP/1.0': `GET ${path} HTTP/1.0\r\nConnection: keep-alive\r\n\r\n`,
   };
   const sendings = Object.entries(requests).map(([name, request]) => {
