Bound what one pass of the event loop parses

Callers: ordinary requests got no answer within 15 s after 300 clients that pipeline had left, and the entry of the direct form came to 259 MB of 250 under 120 of them (chunked POST with a key).

Cause: Node passes whole reads of 64 KB to the parser, 1,400 to 3,600 requests, from each connection in a pass and up to 32 times, before any limit can stop it. What a client has sent goes on being parsed after it has left.

Change: ParserInput passes on slices of 1 KB (16 KB within a body) and keeps the rest of a read while its connection may not be read; the rest is charged to the budget. A connection that brings 64 requests in a read takes turns with others of its kind, and is destroyed instead if its peer has reset it. A pass reads 256 requests; then all connections wait for the next one, new ones too, and those that were read least recently come first. ReadControl and ConnectionCharges hold what CallerConnection did for reading and for its charges.

--- a/src/daemons/shared/caller_connection.ts
+++ b/src/daemons/shared/caller_connection.ts
@@ -1,16 +1,16 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
-import type {CallerMemory} from '../../admission/index.js';
 import type {Clock, Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
 import {ChunkCollector} from './chunk_collector.js';
 import type {ConnectionEvents, CutReason} from './connection_events.js';
+import {ConnectionCharges} from './connection_charges.js';
 import {HeadMeter, headBytes} from './head_meter.js';
-import {hasDiscardedMost, mayReadOn} from './read_decision.js';
-import {ReadGate} from './read_gate.js';
-import {ReadThrottle} from './read_throttle.js';
+import {ReadControl} from './read_control.js';
+import {hasDiscardedMost} from './read_decision.js';
+import type {ConnectionProgress} from './read_decision.js';
 import {failBody, hasBody, isReadingBody} from './request_body.js';
 import {abortResponse} from './response_framing.js';
 import {ResponseQueue} from './response_queue.js';
@@ -45,18 +45,15 @@
   private isLingering = false;
   private isCut = false;
   private isDetached = false;
-  private isSuspended = false;
   /** Number of requests that came too late to be served. */
   private discarded = 0;
-  private readonly gate: ReadGate;
+  private readonly reading: ReadControl<CallerConnection>;
   private readonly heads: HeadMeter;
   private readonly stall = new SendStall();
-  /** Memory that the head being read was charged. */
-  private headCharge = 0;
   /** Whether the connection was not read for a time since `takePaused`. */
   private wasPaused = false;
-  private readonly throttle: ReadThrottle;
-  private readonly memory: CallerMemory<CallerConnection>;
+  private readAtPass = 0;
+  private readonly charges: ConnectionCharges<CallerConnection>;
 
   /**
    * @param socket - the connection
@@ -66,19 +63,20 @@
    */
   constructor(
     private readonly socket: Socket,
-    private readonly shared: SharedParts,
+    private readonly shared: SharedParts<CallerConnection>,
     private readonly events: ConnectionEvents,
     clock: Clock,
   ) {
-    this.memory = shared.memory;
     this.responses = new ResponseQueue(shared.turns);
-    this.throttle = new ReadThrottle(
-      shared.reads,
-      () => this.updateReading(),
-      () => this.latest && events.onThrottled(this.latest),
-    );
-    this.gate = new ReadGate(socket, clock);
-    this.heads = new HeadMeter(socket);
+    const readEvents = {
+      progress: () => this.progress,
+      onInputHeld: (bytes: number) => this.onInputHeld(bytes),
+      onThrottled: () => this.latest && events.onThrottled(this.latest),
+    };
+    this.reading = new ReadControl(socket, this, shared, readEvents, clock);
+    const {input} = this.reading;
+    this.heads = new HeadMeter(input);
+    this.charges = new ConnectionCharges(shared.memory, this, this.heads);
     // Node destroys the connection after its last response.
     socket.destroySoon = () => this.end();
     // Before Node's own listener, which sends a FIN: no reset can follow it.
@@ -102,6 +100,11 @@
     return wasPaused || this.wasPaused;
   }
 
+  /** The pass of the event loop that has read its latest request; 0 before any. */
+  get latestPass(): number {
+    return this.readAtPass;
+  }
+
   /** The responses that were not sent completely. */
   get open(): ResponseQueue {
     return this.responses;
@@ -116,9 +119,11 @@
    * Registers a request whose head was read.
    * @param req - the request
    * @param res - its response
+   * @param pass - number of the pass of the event loop that has read it
    * @returns whether it is to be served
    */
-  accept(req: IncomingMessage, res: ServerResponse): boolean {
+  accept(req: IncomingMessage, res: ServerResponse, pass: number): boolean {
+    this.readAtPass = pass;
     const head = headBytes(req);
     const charge = REQUEST_BYTES + head;
     if (this.isClosing) {
@@ -127,6 +132,7 @@
     }
     this.heads.recordRequest(req, head);
     this.latestRequest = req;
+    this.reading.recordRequest();
     this.responses.add(res, charge);
     this.addBytes(charge);
     if (hasBody(req))
@@ -170,13 +176,21 @@
   onDetached(): void {
     const {socket} = this;
     this.isDetached = true;
-    this.gate.open();
+    this.reading.open();
     socket.on('error', () => socket.destroy());
     socket.on('drain', () => this.responses.first?.emit('drain'));
     socket.on('timeout', () => this.onTimeout());
     socket.resume();
   }
 
+  /** Gives the connection back as Node has created it, to be read at once. */
+  release(): void {
+    this.isClosing = true;
+    this.charges.release();
+    this.reading.release();
+    Reflect.deleteProperty(this.socket, 'destroySoon');
+  }
+
   /**
    * Ends the connection and discards what its caller still sends.
    * @param bytes - last bytes to send
@@ -186,10 +200,10 @@
     if (this.isLingering || this.socket.destroyed) return;
     this.isClosing = true;
     this.isLingering = true;
-    this.throttle.stop();
+    this.reading.stopHolding();
     const {socket} = this;
     discardInput(socket);
-    this.updateReading();
+    this.reading.update();
     socket.end(bytes);
     this.responses.closeWaiting();
     socket.setTimeout(LINGER_IDLE_TIMEOUT);
@@ -207,7 +221,7 @@
   /** Handles a connection without traffic for the time that was set. */
   onTimeout(): void {
     // Closing it with unread bytes resets it, which drops the last response.
-    const isUnread = this.isLingering && this.gate.isClosed;
+    const isUnread = this.isLingering && this.reading.isClosed;
     if (this.responses.size === 0 && !isUnread) this.socket.destroy();
   }
 
@@ -219,9 +233,9 @@
    * ended response is cut
    */
   check(now: Millis, sendTimeout: Millis): void {
-    if (!this.isClosing) this.chargeHead();
-    this.gate.checkBacklog();
-    if (this.gate.isClosed && isResetByPeer(this.socket)) {
+    if (!this.isClosing && this.charges.chargeHead()) this.reading.update();
+    this.reading.checkBacklog();
+    if (this.reading.isClosed && isResetByPeer(this.socket)) {
       this.socket.destroy();
       return;
     }
@@ -238,29 +252,27 @@
    * @param now - time at which its head was read
    */
   earliestArrival(now: Millis): Millis {
-    return this.gate.earliestArrival(now);
+    return this.reading.earliestArrival(now);
   }
 
   /** Stops reading, whatever the connection holds, until `unsuspend`. */
   suspend(): void {
-    this.isSuspended = true;
-    this.updateReading();
+    this.reading.suspend();
   }
 
   /** Reads on, as far as the connection may. */
   unsuspend(): void {
-    this.isSuspended = false;
-    this.updateReading();
+    this.reading.unsuspend();
   }
 
   /** Closes the connection, and releases all that it holds at once. */
   closeOverBudget(): void {
     const {openRequests: open} = this;
-    this.events.onOverBudget({heldBytes: this.memory.heldBy(this), open});
+    this.events.onOverBudget({heldBytes: this.charges.heldBytes, open});
     this.isClosing = true;
     this.isCut = true;
     this.responses.abandonWaiting();
-    this.memory.removeHolder(this);
+    this.charges.release();
     // The system resets no connection that is being shut down.
     if (this.isLingering) this.socket.destroy();
     else this.socket.resetAndDestroy();
@@ -291,69 +303,46 @@
     this.recordCut('caller_gone');
     this.isClosing = true;
     this.responses.closeWaiting();
-    this.throttle.stop();
-    this.memory.removeHolder(this);
+    this.reading.stopHolding();
+    this.charges.release();
   }
 
   private onChunk(res: ServerResponse, bytes: number, isCostly: boolean): void {
-    if (isCostly) this.throttle.hold();
+    if (isCostly) this.reading.hold();
     if (!this.shared.chargesBodies) return;
     this.responses.addCharge(res, bytes);
     this.addBytes(bytes);
     this.shared.enforceBudget();
   }
 
-  /** Whether the connection is read further. */
-  private get mayRead(): boolean {
+  private get progress(): ConnectionProgress {
     const {latest} = this;
-    const isLatestComplete = latest?.complete === true;
-    return mayReadOn({
+    const isParsing = latest?.complete === false;
+    return {
       isDetached: this.isDetached,
-      isSuspended: this.isSuspended,
-      isThrottled: this.throttle.isHeld,
       isLingering: this.isLingering,
       discardedRequests: this.discarded,
-      isReadingBody:
-        latest !== undefined && !isLatestComplete && hasBody(latest),
+      isParsing,
+      isReadingBody: isParsing && hasBody(latest),
       openRequests: this.responses.size,
-      isLatestComplete,
-      isWithinBudget: this.memory.mayRead(this),
-    });
-  }
-
-  private updateReading(): void {
-    if (this.mayRead) {
-      this.memory.unpause(this);
-      this.gate.open();
-      return;
-    }
-    this.gate.close();
-    if (!this.memory.mayRead(this))
-      this.memory.pause(this, () => this.updateReading());
+      isLatestComplete: latest?.complete === true,
+    };
   }
 
   private addBytes(bytes: number): void {
     if (this.isClosing) return;
-    this.memory.add(this, bytes);
-    this.updateReading();
-  }
-
-  private removeBytes(bytes: number): void {
-    this.memory.remove(this, bytes);
+    this.charges.add(bytes);
+    this.reading.update();
   }
 
-  private chargeHead(): void {
-    const {headCharge} = this;
-    const bytes = this.heads.unfinishedBytes;
-    this.headCharge = bytes;
-    if (bytes > headCharge) this.addBytes(bytes - headCharge);
-    else if (bytes < headCharge) this.removeBytes(headCharge - bytes);
+  private onInputHeld(bytes: number): void {
+    if (this.charges.chargeInput(bytes)) this.reading.update();
   }
 
   private onRequestEnd(req: IncomingMessage): void {
-    this.bytesAtRequestEnd = this.socket.bytesRead;
+    this.bytesAtRequestEnd = this.reading.input.bytesParsed;
     this.heads.recordEnd(req);
-    this.updateReading();
+    this.reading.update();
   }
 
   /**
@@ -363,9 +352,9 @@
   private discard(req: IncomingMessage, bytes: number): void {
     if (this.socket.destroyed) return;
     req.resume();
-    this.memory.add(this, bytes);
+    this.charges.add(bytes);
     this.discarded += 1;
-    if (hasDiscardedMost(this.discarded)) this.gate.close();
+    if (hasDiscardedMost(this.discarded)) this.reading.close();
   }
 
   /** Records the complete responses that were not sent to their end. */
@@ -386,8 +375,8 @@
     const charge = this.responses.remove(res);
     if (charge === undefined) return;
     // Node keeps what an ended connection has read.
-    if (!this.isLingering) this.removeBytes(charge);
-    if (this.gate.isClosed) this.updateReading();
+    if (!this.isLingering) this.charges.remove(charge);
+    if (this.reading.isClosed) this.reading.update();
     if (this.responses.size === 0) {
       if (this.isClosing) this.end();
       return;
--- a/src/daemons/shared/caller_connections.ts
+++ b/src/daemons/shared/caller_connections.ts
@@ -10,11 +10,14 @@
 import type {ConnectionEvents} from './connection_events.js';
 import {CostlyReads} from './costly_reads.js';
 import {nextRead} from './next_read.js';
+import {PassCounter} from './pass_counter.js';
 import type {SharedParts} from './shared_parts.js';
 import {TurnScheduler} from './turn_scheduler.js';
 import {unreadableReason} from './unreadable_message.js';
 
 const CHECK_INTERVAL: Millis = SECOND / 20;
+/** Requests from which on a pass of the event loop reads no further connection. */
+const MAX_REQUESTS_PER_PASS = 256;
 /** Time for the rest of a head that came late since this process did not read. */
 const LATE_HEAD_TIME: Millis = 2 * SECOND;
 /** Interval at which connections are checked for what shows in no event. */
@@ -38,11 +41,11 @@
 /** Connections of a server for callers, with their open responses. */
 export class CallerConnections {
   private readonly connections = new Map<Duplex, CallerConnection>();
-  private readonly shared: SharedParts;
+  private readonly shared: SharedParts<CallerConnection>;
   private sendTimeout: Millis = DEFAULT_SEND_TIMEOUT;
   private timer: NodeJS.Timeout | undefined;
   private isSuspended = false;
-  private isNewestFirst = false;
+  private readonly pass = new PassCounter(MAX_REQUESTS_PER_PASS);
 
   /**
    * @param server - server without listeners for `clientError` and `timeout`
@@ -103,7 +106,9 @@
    */
   accept(req: IncomingMessage, res: ServerResponse): boolean {
     const connection = this.connections.get(req.socket);
-    const isServed = connection?.accept(req, res) === true;
+    const isPassUsedUp = this.pass.record();
+    const isServed = connection?.accept(req, res, this.pass.number) === true;
+    if (isPassUsedUp) this.suspend();
     this.enforceBudget();
     return isServed && !req.socket.destroyed;
   }
@@ -176,6 +181,15 @@
     return (await connection?.open.turnOf(res)) === true;
   }
 
+  /**
+   * Releases a connection that leaves HTTP; its bytes are for the new protocol.
+   * @param socket - the connection
+   */
+  release(socket: Socket): void {
+    this.connections.get(socket)?.release();
+    this.connections.delete(socket);
+  }
+
   /** Closes connections without a request or an unsent response. */
   closeIdle(): void {
     for (const connection of this.connections.values())
@@ -212,6 +226,7 @@
       this.clock,
     );
     this.connections.set(socket, connection);
+    if (this.isSuspended) connection.suspend();
     socket.once('close', () => this.connections.delete(socket));
     this.timer ??= setInterval(
       () => this.check(),
@@ -233,18 +248,19 @@
 
   /**
    * Reads nothing until the next pass of the event loop: Node keeps the requests
-   * of a closed connection for the rest of this one.
+   * of a closed connection for the rest of this one. Then those that were read least
+   * recently come first.
    */
   private suspend(): void {
     if (this.isSuspended) return;
     this.isSuspended = true;
-    // The oldest and the newest take turns, as the first ones use the memory.
-    this.isNewestFirst = !this.isNewestFirst;
-    const connections = [...this.connections.values()];
-    if (this.isNewestFirst) connections.reverse();
-    for (const connection of connections) connection.suspend();
+    for (const connection of this.connections.values()) connection.suspend();
     setTimeout(() => {
       this.isSuspended = false;
+      // The first ones use up the next pass or the memory.
+      const connections = [...this.connections.values()].sort(
+        (one, other) => one.latestPass - other.latestPass,
+      );
       for (const connection of connections) connection.unsuspend();
     });
   }
--- a/src/daemons/shared/head_meter.ts
+++ b/src/daemons/shared/head_meter.ts
@@ -1,9 +1,12 @@
 import type {IncomingMessage} from 'node:http';
-import type {Socket} from 'node:net';
-
 /** Maximum size of one read of a connection, bytes. */
 const READ_BYTES = 64 * 2 ** 10;
 
+/** Bytes of a connection that its parser was passed. */
+export interface ParsedBytes {
+  readonly bytesParsed: number;
+}
+
 /** Measures the head that a connection is sending; its parser tells nothing. */
 export class HeadMeter {
   private latest: IncomingMessage | undefined;
@@ -14,8 +17,8 @@
   /** Bytes of the latest request's body that were not read when it was accepted. */
   private bodyToCome = 0;
 
-  /** @param socket - the connection */
-  constructor(private readonly socket: Socket) {}
+  /** @param input - input of the connection's parser */
+  constructor(private readonly input: ParsedBytes) {}
 
   /** Bytes of a head whose end was not read. */
   get unfinishedBytes(): number {
@@ -25,7 +28,7 @@
 
   /** Bytes read since the latest request was accepted that are not its body. */
   private get bytesSinceLatest(): number {
-    const {bytesRead} = this.socket;
+    const {bytesParsed: bytesRead} = this.input;
     return Math.max(0, bytesRead - this.bytesAtLatest - this.bodyToCome);
   }
 
@@ -35,7 +38,7 @@
    * @param head - bytes of its head
    */
   recordRequest(req: IncomingMessage, head: number): void {
-    const {bytesRead} = this.socket;
+    const {bytesParsed: bytesRead} = this.input;
     const size = head + Number(req.headers['content-length'] ?? 0);
     // One read at most: the reads before it brought parts of this request.
     const read = Math.min(this.bytesSinceLatest, READ_BYTES);
@@ -52,7 +55,7 @@
    * @param req - the request
    */
   recordEnd(req: IncomingMessage): void {
-    const {bytesRead} = this.socket;
+    const {bytesParsed: bytesRead} = this.input;
     const isChunked = req.headers['transfer-encoding'] !== undefined;
     if (req !== this.latest) return;
     if (!isChunked && bytesRead === this.bytesAtLatest) return;
--- a/src/daemons/shared/read_decision.test.ts
+++ b/src/daemons/shared/read_decision.test.ts
@@ -9,6 +9,8 @@
   isThrottled: false,
   isLingering: false,
   discardedRequests: 0,
+  holdsInput: false,
+  isParsing: false,
   isReadingBody: false,
   openRequests: 0,
   isLatestComplete: true,
@@ -52,3 +54,11 @@
     expect(mayRead({isDetached: true, isSuspended: true})).toBe(true);
   });
 });
+
+// 500 connections that each kept a read would have waited for one another.
+it('reads on what was kept of a read once nothing is open', () => {
+  const kept = {holdsInput: true, isWithinBudget: false};
+  expect(mayRead({...kept, openRequests: 0})).toBe(true);
+  expect(mayRead({...kept, openRequests: 2})).toBe(false);
+  expect(mayRead({...kept, openRequests: 0, isSuspended: true})).toBe(false);
+});
--- a/src/daemons/shared/read_decision.ts
+++ b/src/daemons/shared/read_decision.ts
@@ -3,23 +3,31 @@
 /** Discarded requests from which on an ended connection is not read further. */
 const MAX_DISCARDED_REQUESTS = 16;
 
-/** State of a connection that decides whether it is read further. */
-export interface ReadState {
+/** How far the requests of a connection are. */
+export interface ConnectionProgress {
   /** Whether the server's parser no longer reads the connection. */
   readonly isDetached: boolean;
-  /** Whether all connections are suspended. */
-  readonly isSuspended: boolean;
-  /** Whether the connection waits for its turn, since its reads are costly. */
-  readonly isThrottled: boolean;
   /** Whether the connection was ended, and what its caller sends is discarded. */
   readonly isLingering: boolean;
   /** Number of requests that came too late to be served. */
   readonly discardedRequests: number;
+  /** Whether the latest request is being parsed. */
+  readonly isParsing: boolean;
   /** Whether the body of the latest request is being read. */
   readonly isReadingBody: boolean;
   readonly openRequests: number;
   /** Whether the latest request was read completely. */
   readonly isLatestComplete: boolean;
+}
+
+/** State of a connection that decides whether it is read further. */
+export interface ReadState extends ConnectionProgress {
+  /** Whether all connections are suspended. */
+  readonly isSuspended: boolean;
+  /** Whether the connection waits for its turn, since its reads are costly. */
+  readonly isThrottled: boolean;
+  /** Whether bytes were read that the parser has not been passed. */
+  readonly holdsInput: boolean;
   /** Whether the memory budget allows further reads. */
   readonly isWithinBudget: boolean;
 }
@@ -38,6 +46,8 @@
   // The memory of a body is reserved before it is read.
   if (state.isReadingBody) return true;
   if (state.openRequests >= MAX_OPEN_REQUESTS) return false;
+  // They are charged until their requests were served.
+  if (state.holdsInput && state.openRequests === 0) return true;
   // A caller with one whole request is read on: it may leave.
   const isSingle = state.openRequests === 1 && state.isLatestComplete;
   return state.isWithinBudget || isSingle;
--- a/src/daemons/shared/read_gate.ts
+++ b/src/daemons/shared/read_gate.ts
@@ -58,6 +58,13 @@
     if (this.isWanted) this.resumeSocket();
   }
 
+  /** Leaves the connection to others, which pause and resume it directly. */
+  release(): void {
+    this.open();
+    Reflect.deleteProperty(this.socket, 'pause');
+    Reflect.deleteProperty(this.socket, 'resume');
+  }
+
   /** Checks whether what waited while the gate was closed was read. */
   checkBacklog(): void {
     if (!this.isHeld) this.backlog.check(this.clock.now());
--- a/src/daemons/shared/shared_parts.ts
+++ b/src/daemons/shared/shared_parts.ts
@@ -1,12 +1,11 @@
 import type {CallerMemory} from '../../admission/index.js';
-import type {CallerConnection} from './caller_connection.js';
 import type {CostlyReads} from './costly_reads.js';
 import type {TurnScheduler} from './turn_scheduler.js';
 
 /** What all connections of a server share. */
-export interface SharedParts {
+export interface SharedParts<Holder extends object> {
   /** Memory budget. */
-  readonly memory: CallerMemory<CallerConnection>;
+  readonly memory: CallerMemory<Holder>;
   /** Schedules the turns of requests. */
   readonly turns: TurnScheduler;
   /** Schedules the reads of connections with very small chunks. */
--- a/src/daemons/shared/socket_handle.ts
+++ b/src/daemons/shared/socket_handle.ts
@@ -15,6 +15,9 @@
   /** Bytes of writes that were begun, without those that were sent. */
   readonly writeQueueSize?: number;
   getpeername?(out: object): number;
+  reading?: boolean;
+  readStart?(): number;
+  readStop?(): number;
 }
 
 /**
@@ -36,6 +39,28 @@
   return code !== undefined && code !== 0;
 }
 
+/**
+ * Stops reading a connection at once. A paused stream reads once more by itself.
+ * @param socket - the connection
+ */
+export function stopReading(socket: Socket): void {
+  const handle = handleOf(socket);
+  if (handle?.reading !== true || socket.destroyed) return;
+  handle.reading = false;
+  handle.readStop?.();
+}
+
+/**
+ * Reads a connection again that was stopped.
+ * @param socket - the connection
+ */
+export function startReading(socket: Socket): void {
+  const handle = handleOf(socket);
+  if (handle?.reading !== false || socket.destroyed) return;
+  handle.reading = true;
+  handle.readStart?.();
+}
+
 /**
  * Discards what a connection still receives, without parsing it: a chunk of one byte
  * costs the parser some thirty times as much as its discarded bytes.
