Read requests at ports for links within a budget

Other processes of the estate: 270 clients that pipeline requests ended the processes behind the ports for links (a sidecar of the direct form, an entry of the own form), out of memory.

Cause: these ports had an HTTP server of their own, which answers each request with 426 and has no limits.

Change: the daemons pass the HTTP server of a control server to acceptLinks; its connections are counted, charged and read in turns like those of the other ports until they become links, which Node's server then leaves to ws.

--- a/src/daemons/direct/map_sidecar.ts
+++ b/src/daemons/direct/map_sidecar.ts
@@ -2,7 +2,9 @@
 import {SECOND, hostPort} from '../../core/index.js';
 import type {ExpertProfile} from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
+import {rejectRequest} from '../../links/index.js';
 import {Containment} from '../../observability/index.js';
+import {ControlServer} from '../shared/control_server.js';
 import {OperatorServer} from '../shared/operator_server.js';
 import {startContext} from '../shared/start_context.js';
 import {bindWhenFree} from './bind_when_free.js';
@@ -108,7 +110,11 @@
     const {ip, operatorPort} = this.settings;
     const {logger} = this.parts;
     await bindWhenFree(hostPort(ip, this.port), logger, () =>
-      this.links.listen(ip, this.port),
+      this.links.listen(
+        ip,
+        this.port,
+        new ControlServer(this.parts, rejectRequest).enableUpgrades(),
+      ),
     );
     // The map of the group is managed without the operators' port.
     const operators = hostPort(ip, operatorPort);
--- a/src/daemons/direct/rank_links.ts
+++ b/src/daemons/direct/rank_links.ts
@@ -1,3 +1,5 @@
+import type {Server} from 'node:http';
+
 import type {Millis} from '../../core/index.js';
 import {SECOND} from '../../core/index.js';
 import {cutoverMessages} from '../../expert_groups/index.js';
@@ -47,13 +49,15 @@
    * Starts to accept links.
    * @param host - IP address
    * @param port - port
+   * @param http - HTTP server whose connections become links
    */
-  async listen(host: string, port: number): Promise<void> {
+  async listen(host: string, port: number, http: Server): Promise<void> {
     this.listening = await acceptLinks(
       host,
       port,
       () => this.context,
       this.listener(),
+      http,
     );
   }
 
--- a/src/daemons/shared/control_server.ts
+++ b/src/daemons/shared/control_server.ts
@@ -87,6 +87,15 @@
     );
   }
 
+  /**
+   * Lets requests leave HTTP, as links do, through the server's `upgrade` event.
+   * @returns the server
+   */
+  enableUpgrades(): Server {
+    this.server.on('upgrade', ({socket}) => this.connections.release(socket));
+    return this.server;
+  }
+
   /** The bound port; undefined before. */
   get port(): number | undefined {
     return (this.server.address() as AddressInfo | null)?.port;
--- a/src/daemons/shared/links_task.ts
+++ b/src/daemons/shared/links_task.ts
@@ -2,7 +2,7 @@
 import {SECOND} from '../../core/index.js';
 import type {Incarnation, Millis} from '../../core/index.js';
 import type {Fault} from '../../errors/index.js';
-import {acceptLinks, dial} from '../../links/index.js';
+import {acceptLinks, dial, rejectRequest} from '../../links/index.js';
 import type {
   Link,
   LinkContext,
@@ -12,6 +12,7 @@
 } from '../../links/index.js';
 import type {Identity, Role} from '../../membership/index.js';
 import type {DaemonContext} from './context.js';
+import {ControlServer} from './control_server.js';
 import {Task} from './task.js';
 
 const REDIAL_BASE: Millis = 100;
@@ -132,6 +133,7 @@
       port,
       () => this.linkContext(),
       this.createListener(undefined),
+      new ControlServer(this.context, rejectRequest).enableUpgrades(),
     );
     return this.listening.address;
   }
--- a/src/links/listener.ts
+++ b/src/links/listener.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
 import {WebSocketServer} from 'ws';
@@ -32,14 +32,16 @@
  * @param port - port; 0 picks a free one
  * @param context - returns the shared settings; called for each connection
  * @param listener - receives the events of the links
+ * @param http - HTTP server whose connections become links; it responds to requests
+ * for anything else with `rejectRequest`
  */
 export async function acceptLinks(
   host: string,
   port: number,
   context: () => LinkContext,
   listener: LinkListener,
+  http: Server = createServer(rejectRequest),
 ): Promise<LinkServer> {
-  const http = createServer(rejectRequest);
   const server = new WebSocketServer({
     server: http,
     maxPayload: MAX_FRAME_BYTES,
@@ -88,8 +90,15 @@
   };
 }
 
-/** Rejects a request that opens no link; what follows it is not read. */
-function rejectRequest(_req: IncomingMessage, res: ServerResponse): void {
+/**
+ * Rejects a request that opens no link; what follows it is not read.
+ * @param _req - the request
+ * @param res - its response
+ */
+export function rejectRequest(
+  _req: IncomingMessage,
+  res: ServerResponse,
+): void {
   const headers = {connection: 'close', 'content-length': 0};
   res.writeHead(UPGRADE_REQUIRED, headers).end();
 }
