--- a/src/daemons/shared/costly_reads.ts
+++ b/src/daemons/shared/costly_reads.ts
@@ -2,8 +2,8 @@
 import {SECOND} from '../../core/index.js';
 
 /**
- * Time between two reads while several connections wait for theirs. A read of chunks
- * of one byte takes about as long, so they leave half of the processor time.
+ * Time between two reads while several connections wait for theirs, so that most of
+ * the processor time is left for other connections.
  */
 const SPACING: Millis = SECOND / 64;
 
--- a/src/daemons/shared/read_throttle.ts
+++ b/src/daemons/shared/read_throttle.ts
@@ -1,6 +1,6 @@
 import type {CostlyReads} from './costly_reads.js';
 
-/** Stops the reading of a connection whose chunks cost more than they bring. */
+/** Stops the reading of a connection whose chunks or pipelined requests cost much. */
 export class ReadThrottle {
   private isWaiting = false;
   private hasWaited = false;
