Charge bytes of a read of which nothing was parsed

Found by reading the diff: a read that came while its connection was paused was kept without a charge, since the input told only of bytes that it had passed on in part.

Change: the input tells whenever the number of kept bytes differs from the last one that it told.

--- a/src/daemons/shared/parser_input.test.ts
+++ b/src/daemons/shared/parser_input.test.ts
@@ -95,6 +95,15 @@
   await expect.poll(() => parsed).toBe(1 + REQUESTS);
 });
 
+// Bytes of which nothing could be passed on were in no budget.
+it('tells of all bytes that it keeps, also if it passes on none', async () => {
+  client.write(REQUEST);
+  await expect.poll(() => parsed).toBe(1);
+  gate.close();
+  accepted.push(Buffer.from(REQUEST));
+  expect(held).toEqual([REQUEST.length]);
+});
+
 it('tells the parser of the end of the connection', async () => {
   const ended = new Promise(resolve => accepted.once('end', resolve));
   client.end(REQUEST.repeat(REQUESTS));
--- a/src/daemons/shared/parser_input.ts
+++ b/src/daemons/shared/parser_input.ts
@@ -15,6 +15,8 @@
 export class ParserInput {
   private rest: Buffer | undefined;
   private parsed = 0;
+  /** Bytes that `onHeld` was called with last. */
+  private held = 0;
   private isReleased = false;
   private readonly push: Socket['push'];
 
@@ -75,7 +77,7 @@
   }
 
   private passOn(): void {
-    const {rest: before, socket} = this;
+    const {socket} = this;
     while (this.rest !== undefined && this.mayPassOn) {
       const {rest, sliceBytes: size} = this;
       const slice = rest.subarray(0, size);
@@ -84,7 +86,10 @@
       this.push(slice);
     }
     if (socket.destroyed) this.rest = undefined;
-    if (before !== this.rest) this.onHeld(this.rest?.length ?? 0);
+    const held = this.rest?.length ?? 0;
+    if (held === this.held) return;
+    this.held = held;
+    this.onHeld(held);
   }
 
   private get mayPassOn(): boolean {
