Decide on reading without a copy of the state

Cause: in part, each decision copied the progress of the connection into a new object with a spread, several times a request (a profile: 0.42 of 5.7 s).

Change: mayReadOn takes the two parts of the state.

--- a/src/daemons/shared/read_control.ts
+++ b/src/daemons/shared/read_control.ts
@@ -94,8 +94,7 @@
   /** Reads on or stops reading, as the state of the connection asks for it. */
   update(): void {
     const isWithinBudget = this.memory.mayRead(this.holder);
-    const mayRead = mayReadOn({
-      ...this.events.progress(),
+    const mayRead = mayReadOn(this.events.progress(), {
       isSuspended: this.isSuspended,
       isThrottled: this.throttle.isHeld,
       holdsInput: this.input.holdsBytes,
--- a/src/daemons/shared/read_decision.test.ts
+++ b/src/daemons/shared/read_decision.test.ts
@@ -1,9 +1,11 @@
 import {describe, expect, it} from 'vitest';
 
 import {mayReadOn} from './read_decision.js';
-import type {ReadState} from './read_decision.js';
+import type {ConnectionProgress, ReadState} from './read_decision.js';
 
-const IDLE: ReadState = {
+type State = ConnectionProgress & ReadState;
+
+const IDLE: State = {
   isDetached: false,
   isSuspended: false,
   isThrottled: false,
@@ -16,7 +18,10 @@
   isLatestComplete: true,
   isWithinBudget: true,
 };
-const mayRead = (change: Partial<ReadState>) => mayReadOn({...IDLE, ...change});
+const mayRead = (change: Partial<State>) => {
+  const state = {...IDLE, ...change};
+  return mayReadOn(state, state);
+};
 
 describe('mayReadOn', () => {
   it('stops reading 30,000 pipelined requests before they are parsed', () => {
--- a/src/daemons/shared/read_decision.ts
+++ b/src/daemons/shared/read_decision.ts
@@ -20,8 +20,8 @@
   readonly isLatestComplete: boolean;
 }
 
-/** State of a connection that decides whether it is read further. */
-export interface ReadState extends ConnectionProgress {
+/** What decides beside them whether a connection is read further. */
+export interface ReadState {
   /** Whether all connections are suspended. */
   readonly isSuspended: boolean;
   /** Whether the connection waits for its turn, since its reads are costly. */
@@ -35,21 +35,25 @@
 /**
  * Decides whether a connection is read further. Backpressure keeps the requests
  * that it would parse in its caller's socket.
- * @param state - the connection
+ * @param progress - how far its requests are
+ * @param state - what decides beside them
  */
-export function mayReadOn(state: ReadState): boolean {
-  if (state.isDetached) return true;
+export function mayReadOn(
+  progress: ConnectionProgress,
+  state: ReadState,
+): boolean {
+  if (progress.isDetached) return true;
   if (state.isSuspended) return false;
-  if (state.isLingering)
-    return state.discardedRequests < MAX_DISCARDED_REQUESTS;
+  if (progress.isLingering)
+    return progress.discardedRequests < MAX_DISCARDED_REQUESTS;
   if (state.isThrottled) return false;
   // The memory of a body is reserved before it is read.
-  if (state.isReadingBody) return true;
-  if (state.openRequests >= MAX_OPEN_REQUESTS) return false;
+  if (progress.isReadingBody) return true;
+  if (progress.openRequests >= MAX_OPEN_REQUESTS) return false;
   // They are charged until their requests were served.
-  if (state.holdsInput && state.openRequests === 0) return true;
+  if (state.holdsInput && progress.openRequests === 0) return true;
   // A caller with one whole request is read on: it may leave.
-  const isSingle = state.openRequests === 1 && state.isLatestComplete;
+  const isSingle = progress.openRequests === 1 && progress.isLatestComplete;
   return state.isWithinBudget || isSingle;
 }
 
