--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,96 +1,112 @@
-// All replicas of a service crash at the same moment while clients ask for one thing.
-// Once the replicas are back, the same request must be served again.
+// A replica in trouble sends an event stream that never completes an event, in small
+// pieces. What else the entry serves must still be answered.
 import {dirname} from 'node:path';
+import {setInterval, setTimeout, clearInterval} from 'node:timers';
 import {fileURLToPath} from 'node:url';
 
-import {call, route, runCase, sleep} from '../lib2/harness.mjs';
-import {Replica, sound} from '../lib2/replica.mjs';
+import {call, readiness, route, runCase, sleep} from '../lib2/harness.mjs';
+import {Replica, head, sealed, sound} from '../lib2/replica.mjs';
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
-/** The lookup that the hot key stands for, and its share of all lookups. */
-const HOT = '/sheet/round-4';
-const HOT_SHARE = 0.28;
-const WORK_MS = 150;
-const PER_SECOND = 100;
-/** The crashes: how long the replicas are down, and from one to the next. */
-const CRASHES = 3;
-const DOWN_MS = 4_500;
-const BETWEEN_MS = 9_000;
-/** From the sheet: after it, requests are served again. */
-const RECOVER_MS = 12_000;
+const TIMEOUT_MS = 2_000;
+const STREAMS = 20;
+/** The longest of two seconds, four times the objective and eight times the pause. */
+const PATIENCE_MS = 2_000;
+/** Each piece is a line: a line without a blank one after it ends no event. */
+const PIECE = '2\r\n:\n\r\n';
+const PIECES = PIECE.repeat(4_000);
+
+/** Pours pieces until the caller closes. */
+function pour(req) {
+  const {socket} = req;
+  socket.write(
+    head(req, '200 OK', [
+      'Response-Seal: s.1',
+      'Content-Type: text/event-stream',
+      'Transfer-Encoding: chunked',
+    ]),
+  );
+  const more = () => {
+    while (!socket.destroyed && socket.write(PIECES));
+    if (!socket.destroyed) socket.once('drain', more);
+  };
+  more();
+}
 
 await runCase(FOLDER, async one => {
   await one.startStore();
   one.configure([
-    route('/sheet/', 'safe', {TimeoutMs: 2_500, TargetLatencyMs: 194}),
+    route('/plan/', 'streaming', {Service: 'llm', TargetGapMs: 120}),
+    route('/sheet/', 'safe', {TimeoutMs: TIMEOUT_MS, TargetLatencyMs: 194}),
   ]);
-  const replicas = [];
-  for (const id of ['app-1', 'app-2', 'app-3']) {
-    const replica = new Replica(one, id, sound(WORK_MS));
-    replicas.push(replica);
-    await replica.start();
-  }
+  for (const id of ['app-1', 'app-2'])
+    await new Replica(one, id, sound()).start();
+  const event = n => `id: ${n}\ndata: ${'x'.repeat(40)}\n\n`;
+  const soundStream = req =>
+    setTimeout(
+      () => req.socket.write(sealed(req, [1, 2, 3].map(event).join(''))),
+      40,
+    );
+  const llm = new Replica(one, 'llm-1', one.hasTrouble ? pour : soundStream, {
+    Service: 'llm',
+  });
+  await llm.start();
   const entry = await one.startEntry();
   await one.untilReady(entry);
   await sleep(1_000);
 
-  const random = seeded(7);
-  /** Sends lookups for a time; returns the answers. */
-  const lookups = async (name, ms) => {
-    const pending = [];
-    const end = Date.now() + ms;
-    while (Date.now() < end) {
-      const path =
-        random() < HOT_SHARE ? HOT : `/sheet/other-${pending.length}`;
-      pending.push(
-        call(entry, path, {deadline: 2_511}).then(got => ({...got, path})),
-      );
-      await sleep(1_000 / PER_SECOND);
-    }
-    const answers = await Promise.all(pending);
-    const count = {};
-    for (const {status, path} of answers) {
-      const key = `${path === HOT ? 'hot' : 'other'} ${status}`;
-      count[key] = (count[key] ?? 0) + 1;
-    }
-    one.record(`${name}: ${answers.length} lookups, ${JSON.stringify(count)}`);
-    const denied = answers.find(isDenied);
-    if (denied) one.record(`first of them: ${denied.status} ${denied.body}`);
-    return answers;
+  const lookups = [];
+  const send = async () => {
+    const answer = await call(entry, '/sheet/1', {deadline: 6_000});
+    lookups.push(answer);
+    one.record(
+      `lookup ${answer.id}: status ${answer.status} after ${answer.ms} ms`,
+    );
   };
-
-  const all = [];
-  all.push(...(await lookups('before', 3_000)));
-  for (let i = 1; i <= CRASHES; i++) {
-    const during = lookups(`crash ${i} and after it`, BETWEEN_MS);
-    await sleep(1_000);
-    if (one.hasTrouble) {
-      for (const replica of replicas) replica.crash();
-      await sleep(DOWN_MS);
-      for (const replica of replicas) await replica.restart();
-    }
-    all.push(...(await during));
+  const probes = [];
+  const ask = async () => {
+    const status = await readiness(entry, 900);
+    probes.push(status);
+    one.record(`readiness: ${status}`);
+  };
+  const timers = [
+    setInterval(() => void send(), 500),
+    setInterval(() => void ask(), 1_000),
+  ];
+  await sleep(2_000);
+  one.record(`before the streams: ${lookups.length} lookups answered`);
+  const streams = [];
+  for (let n = 1; n <= STREAMS; n++) {
+    // A client leaves a stream that brings it no event for so long.
+    const stream = call(entry, '/plan/1', {
+      method: 'POST',
+      body: 'plan',
+      deadline: PATIENCE_MS,
+    });
+    streams.push(
+      stream.then(({status, ms}) =>
+        one.record(`stream ${n}: status ${status}, ${ms} ms`),
+      ),
+    );
+    await sleep(500);
   }
-  await sleep(RECOVER_MS);
-  all.push(...(await lookups('in the end', 6_000)));
+  await Promise.all(streams);
+  await sleep(4_000);
+  for (const timer of timers) clearInterval(timer);
+  await sleep(6_500);
 
-  const denied = all.filter(isDenied);
-  const allowed = 5 + all.length / 500;
+  const late = lookups.filter(({ms}) => ms > TIMEOUT_MS);
+  const later = late.filter(
+    ({status, ms}) => status === 0 || ms > TIMEOUT_MS + 500,
+  );
+  const silent = probes.filter(status => status !== 200).length;
   one.record(
-    `denied: ${denied.length} of ${all.length}; the rule allows ${allowed.toFixed(1)}`,
+    `streams at llm-1: ${llm.received.length}; lookups: ${lookups.length}`,
   );
-  return denied.length <= allowed;
+  one.record(`readiness: ${probes.length} questions, ${silent} without a 200`);
+  one.record(
+    `lookups unanswered at their route's TimeoutMs: ${late.length}, of them unanswered ` +
+      `half a second later: ${later.length}; the rule allows half`,
+  );
+  return later.length <= late.length / 2;
 });
-
-/** Whether an answer is a 3xx or 4xx of the entry's own: the replicas send none. */
-function isDenied({status}) {
-  return status >= 300 && status < 500 && ![408, 421, 429].includes(status);
-}
-
-function seeded(seed) {
-  let state = seed;
-  return () => {
-    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
-    return state / 2_147_483_648;
-  };
-}
