--- a/review/lib2/harness.mjs
+++ b/review/lib2/harness.mjs
@@ -231,6 +231,8 @@
   /** Ends everything that was started, then the run with an exit code. */
   async exit(code) {
     clearTimeout(this.watchdog);
+    for (const {id, received} of this.replicas)
+      this.record(`replica ${id} got ${received.length} requests`);
     this.record(`exit ${code}`);
     for (const child of this.children) {
       if (child.exitCode !== null || child.signalCode !== null) continue;
