Hold small chunks of a buffered response in blocks

Cause: ResponseBuffer kept a Buffer for each chunk. Its limit and its budget count bytes, but a chunk of one byte takes some hundreds of bytes of objects.

Test: objects held for the same bytes in chunks of 1 byte and of 1 KiB, 65,536 and 64 before (failed), no more for the small ones now.

--- a/src/daemons/direct/response_buffer.test.ts
+++ b/src/daemons/direct/response_buffer.test.ts
@@ -1,4 +1,4 @@
-import {describe, expect, it} from 'vitest';
+import {describe, expect, it, vi} from 'vitest';
 
 import {BufferBudget} from './buffer_budget.js';
 import {ResponseBuffer} from './response_buffer.js';
@@ -58,4 +58,19 @@
     expect(buffer.add(chunkOf(KIB))).toBe(false);
     expect(buffer.take()).toHaveLength(KIB);
   });
+
+  // Each chunk was held as an object of some hundreds of bytes: answers in chunks of one
+  // byte ended their entry at its heap limit (Fault).
+  it('holds no more objects of a body in small chunks', () => {
+    const objectsOf = (chunk: number) => {
+      const buffer = new ResponseBuffer(new BufferBudget());
+      for (let n = 0; n < 64 * KIB; n += chunk) buffer.add(chunkOf(chunk));
+      const concat = vi.spyOn(Buffer, 'concat');
+      expect(buffer.take()).toHaveLength(64 * KIB);
+      const [[objects = []] = []] = concat.mock.calls;
+      concat.mockRestore();
+      return objects.length;
+    };
+    expect(objectsOf(1)).toBeLessThanOrEqual(objectsOf(KIB));
+  });
 });
--- a/src/daemons/direct/response_buffer.ts
+++ b/src/daemons/direct/response_buffer.ts
@@ -1,3 +1,4 @@
+import {SegmentedBuffer} from '../../core/index.js';
 import type {BufferBudget} from './buffer_budget.js';
 
 /** Buffer limit of a non-stream body; a larger one is sent as it arrives. */
@@ -9,7 +10,7 @@
  * forwarded as it arrives.
  */
 export class ResponseBuffer {
-  private chunks: Buffer[] = [];
+  private readonly chunks = new SegmentedBuffer();
   private bytes = 0;
   private isOverflowing = false;
   /** Part of the budget that the chunks hold. */
@@ -26,7 +27,7 @@
    * @returns whether the body is too large to be buffered further
    */
   add(chunk: Buffer): boolean {
-    this.chunks.push(chunk);
+    this.chunks.append(chunk);
     this.bytes += chunk.length;
     if (this.isOverflowing) return true;
     this.isOverflowing =
@@ -37,12 +38,7 @@
 
   /** Removes and returns the buffered bytes; they count until `release`. */
   take(): Buffer {
-    const [first] = this.chunks;
-    const body =
-      first !== undefined && this.chunks.length === 1
-        ? first
-        : Buffer.concat(this.chunks);
-    this.chunks = [];
+    const body = this.chunks.take();
     this.reservedByTaken += this.reserved;
     this.reserved = 0;
     return body;
@@ -50,7 +46,7 @@
 
   /** Drops the current body, before the next response. */
   clear(): void {
-    this.chunks = [];
+    this.chunks.clear();
     this.bytes = 0;
     this.isOverflowing = false;
     this.budget.release(this.reserved);
