Collect the small chunks of a response before they are forwarded

Cause: a response over the buffer limit, and each event stream, was forwarded chunk by chunk. Each chunk was an object in the queue of the paused response, and each write three more in the queue of the caller's connection; both queues are bounded by bytes alone.

Change: ResponseChunkCollector collects the chunks of a read beyond the first 16. Ordinary streams, a few chunks a read, are passed on as before.

--- a/src/daemons/direct/attempt.ts
+++ b/src/daemons/direct/attempt.ts
@@ -13,8 +13,9 @@
   Upstream,
 } from '../../direct/index.js';
 import {describeError} from '../../errors/index.js';
-import {wasReset} from '../shared/reset_aware_socket.js';
 import type {BufferedBody} from '../shared/buffered_body.js';
+import {ResponseChunkCollector} from '../shared/chunk_collector.js';
+import {wasReset} from '../shared/reset_aware_socket.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import type {UpstreamConnections} from './upstream_connections.js';
 
@@ -266,6 +267,7 @@
     }
     this.listener?.onHead({status, headers, framing}, metadata);
     if (this.isFinished) return;
+    if (framing === 'chunks') new ResponseChunkCollector(res);
     res.on('data', (chunk: Buffer) => this.onData(chunk));
     res.on('end', () => this.onEnd(res.complete));
     res.on('error', err => this.fail(describeError(err), true));
--- a/src/daemons/shared/chunk_collector.test.ts
+++ b/src/daemons/shared/chunk_collector.test.ts
@@ -1,12 +1,16 @@
 import {once} from 'node:events';
-import {createServer} from 'node:http';
+import {createServer, get} from 'node:http';
 import type {IncomingMessage, Server} from 'node:http';
-import {connect} from 'node:net';
+import {connect, createServer as createTcpServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
 
 import {afterEach, beforeEach, expect, it} from 'vitest';
 
-import {ChunkCollector, hasCostlyChunks} from './chunk_collector.js';
+import {
+  ChunkCollector,
+  ResponseChunkCollector,
+  hasCostlyChunks,
+} from './chunk_collector.js';
 
 const HEAD = 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
 
@@ -78,3 +82,40 @@
   await textOf(large);
   expect(hasCostlyChunks(large)).toBe(false);
 });
+
+/** Sends a response in chunks of given lengths; returns the parts its reader gets. */
+async function partsOfResponse(sizes: readonly number[]): Promise<string[]> {
+  const upstream = createTcpServer(socket => {
+    const chunks = sizes.map(
+      size => `${size.toString(16)}\r\n${'x'.repeat(size)}\r\n`,
+    );
+    socket.write(
+      `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunks.join('')}0\r\n\r\n`,
+    );
+  });
+  upstream.listen(0, '127.0.0.1');
+  await once(upstream, 'listening');
+  const {port} = upstream.address() as AddressInfo;
+  const parts: string[] = [];
+  await new Promise<void>(resolve => {
+    get({port, agent: false}, res => {
+      new ResponseChunkCollector(res);
+      res.on('data', (part: Buffer) => parts.push(part.toString()));
+      res.on('end', resolve);
+    });
+  });
+  upstream.close();
+  return parts;
+}
+
+it('passes on the first small chunks of a read of a response as they are', async () => {
+  const sizes = [60, 70, 2_000, 80];
+  const parts = await partsOfResponse(sizes);
+  expect(parts.map(part => part.length)).toEqual(sizes);
+});
+
+it('collects the further small chunks of a read of a response', async () => {
+  const parts = await partsOfResponse(Array.from({length: 5_000}, () => 1));
+  expect(parts.join('')).toBe('x'.repeat(5_000));
+  expect(parts.length).toBeLessThan(100);
+});
