Hold small chunks of responses to own calls in blocks

It reads up to 8 MiB, and an entry has 128 MB of heap.

Cause: readBounded kept each chunk as an object until the end.

Change: the chunks go to a SegmentedBuffer, which now takes any Uint8Array.

Test: objects held for 64 KiB by the byte and by the KiB, 65,536 and 64 before (failed), no more for the small chunks now.

--- a/src/clients/bounded_body.test.ts
+++ b/src/clients/bounded_body.test.ts
@@ -1,4 +1,4 @@
-import {describe, expect, it} from 'vitest';
+import {describe, expect, it, vi} from 'vitest';
 
 import {readBounded} from './bounded_body.js';
 
@@ -34,4 +34,20 @@
     }
     expect(await readBounded(body(), 2_000)).toHaveLength(2_000);
   });
+
+  // A peer that sent a byte at a time made its reader hold an object for each byte.
+  it('holds no more objects of a body in small chunks', async () => {
+    const objectsOf = async (size: number) => {
+      async function* body() {
+        for (let n = 0; n < 2 ** 16; n += size) yield new Uint8Array(size);
+        await Promise.resolve();
+      }
+      const concat = vi.spyOn(Buffer, 'concat');
+      expect(await readBounded(body(), 2 ** 16)).toHaveLength(2 ** 16);
+      const [[objects = []] = []] = concat.mock.calls;
+      concat.mockRestore();
+      return objects.length;
+    };
+    expect(await objectsOf(1)).toBeLessThanOrEqual(await objectsOf(2 ** 10));
+  });
 });
--- a/src/clients/bounded_body.ts
+++ b/src/clients/bounded_body.ts
@@ -1,3 +1,5 @@
+import {SegmentedBuffer} from '../core/index.js';
+
 /** Size limit of a body with records or a listing; calls carry 2 MiB at most. */
 export const MAX_PAGE_BYTES = 8 * 2 ** 20;
 
@@ -12,12 +14,11 @@
   body: AsyncIterable<Uint8Array>,
   limit: number,
 ): Promise<Buffer> {
-  const chunks: Uint8Array[] = [];
-  let bytes = 0;
+  const received = new SegmentedBuffer();
   for await (const chunk of body) {
-    bytes += chunk.length;
-    if (bytes > limit) throw new Error(`body of more than ${limit} bytes`);
-    chunks.push(chunk);
+    if (received.size + chunk.length > limit)
+      throw new Error(`body of more than ${limit} bytes`);
+    received.append(chunk);
   }
-  return Buffer.concat(chunks);
+  return received.take();
 }
--- a/src/core/segmented_buffer.ts
+++ b/src/core/segmented_buffer.ts
@@ -35,14 +35,15 @@
    * Appends a chunk.
    * @param chunk - the chunk, which must not change afterwards
    */
-  append(chunk: Buffer): void {
+  append(chunk: Uint8Array): void {
     if (chunk.length === 0) return;
+    const bytes = bufferOf(chunk);
     const isUncopied = this.segments.length < UNCOPIED_CHUNKS;
     this.length += chunk.length;
     if (isUncopied || chunk.length >= LARGE_CHUNK) {
       this.endSegment();
-      this.segments.push(chunk);
-    } else this.copy(chunk);
+      this.segments.push(bytes);
+    } else this.copy(bytes);
   }
 
   /** Returns all bytes; a single chunk is returned as it came. */
@@ -108,3 +109,8 @@
     this.start = end;
   }
 }
+
+function bufferOf(bytes: Uint8Array): Buffer {
+  if (Buffer.isBuffer(bytes)) return bytes;
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+}
