Append to a possible head within a body in place

Cause: EmbeddedHeadScanner joined each chunk with all that it held back, up to 16 KiB.

Change: the bytes are appended to storage that doubles. It is given up with the held bytes, since parts of it are passed on as the body.

Test: bytes copied and searched for twice the head, 4.0 times as many before (failed), at most 2.5 allowed.

--- a/src/direct/embedded_head.ts
+++ b/src/direct/embedded_head.ts
@@ -5,6 +5,7 @@
 /** Size limit of a head, bytes; upstreams send none that is larger. */
 const MAX_HEAD_BYTES = 16 * 2 ** 10;
 
+const NO_BYTES = Buffer.alloc(0);
 const PROTOCOL = Buffer.from('HTTP/1.');
 /** The part of a status line that has a fixed length. */
 const STATUS_LINE_START = 'HTTP/1.1 200 ';
@@ -38,7 +39,9 @@
  */
 export class EmbeddedHeadScanner {
   /** Bytes of a possible head; empty if there is none. */
-  private held: Buffer = Buffer.alloc(0);
+  private held: Buffer = NO_BYTES;
+  /** Begins with the held bytes, once some were appended, and has room for more. */
+  private storage: Buffer = NO_BYTES;
   /** Offset in `held` of the line that is being read. */
   private lineStart = 0;
   /** Offset in `held` up to which no line end was found. */
@@ -63,8 +66,7 @@
    * @param chunk - the chunk
    */
   push(chunk: Buffer): ScanResult {
-    const bytes =
-      this.held.length === 0 ? chunk : Buffer.concat([this.held, chunk]);
+    const bytes = this.held.length === 0 ? chunk : this.append(chunk);
     let start = this.held.length === 0 ? protocolAt(bytes, 0) : 0;
     if (this.held.length > 0) this.held = bytes;
     else this.hold(bytes, start);
@@ -89,9 +91,24 @@
     return bytes;
   }
 
+  /** Returns the held bytes and a chunk, in storage whose growth doubles. */
+  private append(chunk: Buffer): Buffer {
+    const {held} = this;
+    const size = held.length + chunk.length;
+    const isStored = held.buffer === this.storage.buffer;
+    if (!isStored || size > this.storage.length) {
+      this.storage = Buffer.allocUnsafeSlow(2 * size);
+      held.copy(this.storage);
+    }
+    chunk.copy(this.storage, held.length);
+    return this.storage.subarray(0, size);
+  }
+
   /** Holds back the bytes from the start of a possible head, if there is one. */
   private hold(bytes: Buffer, start = bytes.length): void {
     this.held = bytes.subarray(start);
+    // Other bytes are passed on, and must not change.
+    this.storage = NO_BYTES;
     this.lineStart = 0;
     this.scanned = 0;
     this.lines = [];
--- a/src/direct/unframed_body.test.ts
+++ b/src/direct/unframed_body.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, it} from 'vitest';
 
 import {PlatformDialect} from '../../platform/headers.js';
+import {bufferWork} from '../../test/support/buffer_work.js';
 import {UnframedBody} from './index.js';
 
 const ID = 'r1';
@@ -176,4 +177,14 @@
       expect(ms, JSON.stringify(part.slice(0, 40))).toBeLessThan(5_000);
     }
   });
+
+  // Each chunk was copied together with all that was held back of a possible head.
+  it('does work in proportion to a possible head that arrives by the byte', () => {
+    const workOf = (size: number) => {
+      const head = `HTTP/1.1 200 OK\r\nX: ${'a'.repeat(size)}`;
+      const cuts = Array.from({length: head.length}, (_, at) => at);
+      return bufferWork(() => read(head, cuts));
+    };
+    expect(workOf(2 ** 13)).toBeLessThan(2.5 * workOf(2 ** 12));
+  });
 });
