Count the memory of short pieces in cached answers

Cause: ReplayBuffer kept each piece as an object with a buffer of its own, and the limits counted the content alone.

Change: pieces share a SegmentedBuffer and are restored from it for a replay; the limits count 16 bytes more for each piece. SegmentedBuffer takes its blocks from Node's pool and copies without views.

--- a/src/calls/replay_buffer.ts
+++ b/src/calls/replay_buffer.ts
@@ -1,3 +1,4 @@
+import {SegmentedBuffer} from '../core/index.js';
 import type {AnswerMessage} from './messages.js';
 
 type Head = Extract<AnswerMessage, {type: 'head'}>;
@@ -12,15 +13,24 @@
   readonly event?: number | undefined;
 }
 
-/** Buffers an answer for replay, up to a size limit. */
+/** Memory of a retained piece beside its bytes: its length and event, bytes. */
+const PIECE_OVERHEAD = 16;
+
+/**
+ * Buffers an answer for replay, up to a size limit. Retained pieces share their memory:
+ * as objects, the pieces of a stream would take many times its bytes.
+ */
 export class ReplayBuffer {
-  private pieces: AnswerPiece[] = [];
+  private readonly content = new SegmentedBuffer();
+  /** Lengths of the retained pieces, bytes. */
+  private lengths: number[] = [];
+  private events: AnswerPiece['event'][] = [];
   private answerHead: AnswerHead | undefined;
   private isRetained = true;
   private frameCount = 0;
   private totalBytes = 0;
 
-  /** @param maxBytes - maximum size to retain, bytes; 0 retains nothing */
+  /** @param maxBytes - most memory of retained pieces, bytes; 0 retains nothing */
   constructor(private readonly maxBytes: number) {
     this.isRetained = maxBytes > 0;
   }
@@ -35,9 +45,9 @@
     return this.totalBytes;
   }
 
-  /** Number of retained bytes. */
+  /** Memory of the retained pieces, bytes. */
   get retainedBytes(): number {
-    return this.isRetained ? this.totalBytes : 0;
+    return this.isRetained ? this.memory : 0;
   }
 
   /** The head, once received. */
@@ -61,15 +71,21 @@
   append(piece: AnswerPiece): number {
     this.frameCount += 1;
     this.totalBytes += piece.body.byteLength;
-    if (this.totalBytes > this.maxBytes) this.discard();
-    if (this.isRetained) this.pieces.push(piece);
+    if (this.memory > this.maxBytes) this.discard();
+    if (this.isRetained) {
+      this.content.append(piece.body);
+      this.lengths.push(piece.body.byteLength);
+      this.events.push(piece.event);
+    }
     return this.frameCount;
   }
 
   /** Discards all pieces; later ones are not retained either. */
   discard(): void {
     this.isRetained = false;
-    this.pieces = [];
+    this.content.clear();
+    this.lengths = [];
+    this.events = [];
   }
 
   /**
@@ -80,6 +96,25 @@
   piecesFrom(seq: number): readonly AnswerPiece[] | undefined {
     const first = Math.max(seq, 1);
     if (first > this.frameCount) return [];
-    return this.isRetained ? this.pieces.slice(first - 1) : undefined;
+    return this.isRetained ? this.restore(first - 1) : undefined;
+  }
+
+  private get memory(): number {
+    return this.totalBytes + PIECE_OVERHEAD * this.frameCount;
+  }
+
+  /** Returns the retained pieces from an index on. */
+  private restore(from: number): AnswerPiece[] {
+    const content = this.content.join();
+    let end = 0;
+    const pieces: AnswerPiece[] = [];
+    for (const [index, length] of this.lengths.entries()) {
+      const start = end;
+      end += length;
+      if (index < from) continue;
+      const body = new Uint8Array(content.subarray(start, end));
+      pieces.push({body, event: this.events[index]});
+    }
+    return pieces;
   }
 }
--- a/src/core/segmented_buffer.ts
+++ b/src/core/segmented_buffer.ts
@@ -37,13 +37,12 @@
    */
   append(chunk: Uint8Array): void {
     if (chunk.length === 0) return;
-    const bytes = bufferOf(chunk);
     const isUncopied = this.segments.length < UNCOPIED_CHUNKS;
     this.length += chunk.length;
     if (isUncopied || chunk.length >= LARGE_CHUNK) {
       this.endSegment();
-      this.segments.push(bytes);
-    } else this.copy(bytes);
+      this.segments.push(bufferOf(chunk));
+    } else this.copy(chunk);
   }
 
   /** Returns all bytes; a single chunk is returned as it came. */
@@ -78,13 +77,16 @@
     return this.segments.some(segment => segment.some(condition));
   }
 
-  private copy(chunk: Buffer): void {
-    let copied = 0;
-    while (copied < chunk.length) {
+  private copy(chunk: Uint8Array): void {
+    let rest = chunk;
+    for (;;) {
       const block = this.freeBlock();
-      const bytes = chunk.copy(block, this.end, copied);
-      copied += bytes;
-      this.end += bytes;
+      const free = block.length - this.end;
+      const part = rest.length > free ? rest.subarray(0, free) : rest;
+      block.set(part, this.end);
+      this.end += part.length;
+      if (part === rest) return;
+      rest = rest.subarray(part.length);
     }
   }
 
@@ -94,8 +96,7 @@
     if (block !== undefined && this.end < block.length) return block;
     this.endSegment();
     const capacity = Math.min(Math.max(this.length, MIN_BLOCK), MAX_BLOCK);
-    // Not from the pool, whose slabs a small block would pin.
-    const next = Buffer.allocUnsafeSlow(capacity);
+    const next = Buffer.allocUnsafe(capacity);
     this.block = next;
     this.start = this.end = 0;
     return next;
--- a/test/support/buffer_work.ts
+++ b/test/support/buffer_work.ts
@@ -32,11 +32,18 @@
     bytes += copied;
     return copied;
   };
+  const views = Object.getPrototypeOf(Uint8Array.prototype) as Uint8Array;
+  const {set} = views;
+  views.set = function (this: Uint8Array, source, at) {
+    bytes += source.length;
+    set.call(this, source, at);
+  };
   try {
     run();
   } finally {
     Buffer.concat = concat;
     Object.assign(Buffer.prototype, {indexOf, copy});
+    views.set = set;
   }
   return bytes;
 }
