Hold a short answer as one piece at the entry

Cause: AnswerReader held each piece as an object; its limit of 64 KiB counts their content alone.

Change: held pieces share a SegmentedBuffer and are delivered as one.

Test: pieces delivered at the end of an answer of 1,000 pieces of one byte, 1,000 before (failed), one now.

--- a/src/calls/answer_reader.test.ts
+++ b/src/calls/answer_reader.test.ts
@@ -131,4 +131,17 @@
   ])('$title', ({frames, got}) => {
     expect(read(frames)).toBe(got);
   });
+
+  // Each piece was an object of some hundreds of bytes until the answer was complete.
+  it('holds a short answer as one piece', () => {
+    const reader = new AnswerReader();
+    reader.readHead(plain);
+    for (let seq = 1; seq <= 1_000; seq++) {
+      const effects = reader.readData({...data(seq), body: bytes('x')});
+      expect(effects).toEqual([{type: 'held'}]);
+    }
+    const [, ...rest] = reader.readEnd(end(1_000, 1_000));
+    const body = Buffer.from('x'.repeat(1_000));
+    expect(rest).toEqual([{type: 'body', bytes: body}, {type: 'end'}]);
+  });
 });
--- a/src/calls/answer_reader.ts
+++ b/src/calls/answer_reader.ts
@@ -1,4 +1,4 @@
-import {isFinalStatus} from '../core/index.js';
+import {SegmentedBuffer, isFinalStatus} from '../core/index.js';
 import type {AnswerMessage} from './messages.js';
 import type {EntryEffect} from './types.js';
 
@@ -20,8 +20,9 @@
 export class AnswerReader {
   private expectedSeq = 0;
   private receivedBytes = 0;
-  private buffered: EntryEffect[] = [];
-  private bufferedBytes = 0;
+  /** Head and body that were received and not delivered. */
+  private bufferedHead: EntryEffect | undefined;
+  private readonly bufferedBody = new SegmentedBuffer();
   private delivering = false;
   /** Events delivered to the caller; undefined if not split into events. */
   private deliveredEvents: number | undefined;
@@ -45,8 +46,8 @@
   restart(): void {
     this.expectedSeq = 0;
     this.receivedBytes = 0;
-    this.buffered = [];
-    this.bufferedBytes = 0;
+    this.bufferedHead = undefined;
+    this.bufferedBody.clear();
     if (!this.delivering) this.deliveredEvents = undefined;
   }
 
@@ -59,7 +60,7 @@
     if (!isFinalStatus(status)) return 'broken';
     this.expectedSeq = 1;
     if (this.delivering) return this.resume(firstEvent);
-    this.buffered.push({type: 'head', status, headers});
+    this.bufferedHead = {type: 'head', status, headers};
     const type = headers['content-type'] ?? '';
     if (firstEvent !== undefined) {
       if (firstEvent !== 0) return 'broken';
@@ -78,9 +79,9 @@
     this.expectedSeq += 1;
     this.receivedBytes += body.byteLength;
     if (this.deliveredEvents !== undefined) return this.readEvent(event, body);
-    this.buffered.push({type: 'body', bytes: body});
-    this.bufferedBytes += body.byteLength;
-    return this.delivering || this.bufferedBytes > MAX_BUFFERED_BYTES
+    if (this.delivering) return [{type: 'body', bytes: body}];
+    this.bufferedBody.append(body);
+    return this.bufferedBody.size > MAX_BUFFERED_BYTES
       ? this.flush()
       : [{type: 'held'}];
   }
@@ -115,6 +116,10 @@
 
   private flush(): EntryEffect[] {
     this.delivering = true;
-    return this.buffered.splice(0);
+    const {bufferedHead: head, bufferedBody: body} = this;
+    const effects: EntryEffect[] = head === undefined ? [] : [head];
+    this.bufferedHead = undefined;
+    if (body.size > 0) effects.push({type: 'body', bytes: body.take()});
+    return effects;
   }
 }
