Bound pages of cache events and weights that a sidecar reads

Callers saw (by tests, no report): an engine or weight store that never ends such a body is read on without a limit, into the sidecar's memory.

Cause: CacheEventsTask and HttpWeightStoreClient read with undici's json() and arrayBuffer(), which have no limit and keep an object for each chunk.

Measured: the tests alone; an ordinary page is read as before, and what readBounded costs stands in.

--- a/src/clients/weight_store_client.ts
+++ b/src/clients/weight_store_client.ts
@@ -5,9 +5,12 @@
 import type {Millis} from '../core/index.js';
 import {Fault, asFault} from '../errors/index.js';
 import type {ExpertWeights} from '../expert_groups/index.js';
+import {readBounded} from './bounded_body.js';
 
 const ANSWER_TIMEOUT: Millis = 10 * SECOND;
 const DEFAULT_RETRY_DELAY: Millis = SECOND;
+/** Size limit of a response without the requested range, bytes. */
+const MAX_ERROR_BYTES = 64 * 2 ** 10;
 
 /** Client of the platform's rate-limited weight store. */
 export abstract class WeightStoreClient {
@@ -45,7 +48,8 @@
     const range = `bytes=${offset}-${offset + length - 1}`;
     const signal = AbortSignal.timeout(ANSWER_TIMEOUT);
     const answer = request(url, {headers: {range}, signal}).then(async res => {
-      const bytes = new Uint8Array(await res.body.arrayBuffer());
+      const limit = Math.max(length, MAX_ERROR_BYTES);
+      const bytes = await readBounded(res.body, limit);
       if (res.statusCode === 206) return bytes;
       const requestedMs = Number(res.headers['retry-after']) * SECOND;
       const retryAfterMs = Number.isFinite(requestedMs)
--- a/src/daemons/sidecar/cache_events_task.ts
+++ b/src/daemons/sidecar/cache_events_task.ts
@@ -1,6 +1,7 @@
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 
+import {MAX_PAGE_BYTES, readBounded} from '../../clients/index.js';
 import type {Millis} from '../../core/index.js';
 import {describeError} from '../../errors/index.js';
 import {CacheEventBatcher, cacheEventPage} from '../../routing/index.js';
@@ -84,7 +85,9 @@
         await res.body.dump();
         return this.post({type: 'none'});
       }
-      const page = cacheEventPage.safeParse(await res.body.json());
+      const bytes = await readBounded(res.body, MAX_PAGE_BYTES);
+      const json: unknown = JSON.parse(bytes.toString('utf8'));
+      const page = cacheEventPage.safeParse(json);
       if (page.success) return this.post({type: 'page', page: page.data});
       this.post({type: 'fault', detail: z.prettifyError(page.error)});
     } catch (thrown) {
