--- a/src/clients/weight_store_client.ts
+++ b/src/clients/weight_store_client.ts
@@ -9,7 +9,7 @@
 
 const ANSWER_TIMEOUT: Millis = 10 * SECOND;
 const DEFAULT_RETRY_DELAY: Millis = SECOND;
-/** Size limit of a response without the requested range, bytes. */
+/** Size limit of an error response, bytes; a longer range has its own length. */
 const MAX_ERROR_BYTES = 64 * 2 ** 10;
 
 /** Client of the platform's rate-limited weight store. */
--- a/src/core/segmented_buffer.ts
+++ b/src/core/segmented_buffer.ts
@@ -1,6 +1,6 @@
 /** Length from which on a chunk becomes a segment as it is, bytes. */
 const LARGE_CHUNK = 2 ** 10;
-/** Chunks of any length that are segments as they are: messages in a few parts. */
+/** First chunks that are segments whatever their length, to copy no message of few parts. */
 const UNCOPIED_CHUNKS = 4;
 /** Lengths of the blocks that smaller chunks are copied into, bytes. */
 const MIN_BLOCK = 2 ** 9;
--- a/src/daemons/shared/chunk_collector.ts
+++ b/src/daemons/shared/chunk_collector.ts
@@ -5,7 +5,10 @@
 
 /** Length from which on a chunk is passed on as it is, bytes. */
 const LARGE_CHUNK = 2 ** 10;
-/** Chunks that pass uncollected: events of a stream that came together. */
+/**
+ * Small chunks of a response that are passed on uncollected in a pass of the event loop.
+ * Fewer would delay the events of ordinary streams to the end of the pass.
+ */
 const UNCOLLECTED_CHUNKS = 16;
 /** Size of the parts that smaller chunks are collected in, bytes. */
 const PART_BYTES = 2 * 2 ** 10;
--- a/src/direct/event_frames.ts
+++ b/src/direct/event_frames.ts
@@ -19,7 +19,7 @@
  */
 export class EventFramer {
   private readonly pending = new SegmentedBuffer();
-  /** What of a line end and a blank line the bytes end with so far. */
+  /** Part of a line end and blank line that the bytes so far end with. */
   private matched: '' | 'LF' | 'LF CR' = '';
 
   /**
