Flush the small chunks of a response after their read

Cause: ResponseChunkCollector told the chunks that came together by a setImmediate, which costs a further pass of the event loop for each event.

Change: the tick after the read ends it, so that no pass is added and no chunk waits for other connections. Callers' requests keep setImmediate, as their reads are parsed in slices.

--- a/src/daemons/shared/chunk_collector.ts
+++ b/src/daemons/shared/chunk_collector.ts
@@ -6,8 +6,8 @@
 /** Length from which on a chunk is passed on as it is, bytes. */
 const LARGE_CHUNK = 2 ** 10;
 /**
- * Small chunks of a response that are passed on uncollected in a pass of the event loop.
- * Fewer would delay the events of ordinary streams to the end of the pass.
+ * Small chunks of a read of a response that are passed on uncollected. Fewer would copy
+ * the events of ordinary streams.
  */
 const UNCOLLECTED_CHUNKS = 16;
 /** Size of the parts that smaller chunks are collected in, bytes. */
@@ -28,19 +28,20 @@
  * read at once keeps each chunk with some 400 bytes of objects, and one read of its
  * connection may bring 10,900 of them.
  */
-class SmallChunkCollector {
+abstract class SmallChunkCollector {
   private readonly push: Readable['push'];
   private part: Buffer | undefined;
   private length = 0;
-  /** Chunks of this pass of the event loop that were passed on as they are. */
+  /** Small chunks of the latest read that were passed on as they are. */
   private passedOn = 0;
-  private endOfPass: NodeJS.Immediate | undefined;
+  /** Cancels what is to follow the latest read; undefined if nothing is. */
+  private cancelEndOfRead: (() => void) | undefined;
   /** Whether the body's reader has taken what it was passed. */
   private isTaken = true;
 
   /**
    * @param body - the body, or the message that has it
-   * @param uncollected - small chunks of a pass that are passed on as they are
+   * @param uncollected - small chunks of a read that are passed on as they are
    */
   constructor(
     body: Readable,
@@ -50,6 +51,13 @@
     body.push = (chunk: Buffer | null) => this.add(chunk);
   }
 
+  /**
+   * Calls back once all of the read is parsed that is being parsed now.
+   * @param callback - the callback
+   * @returns cancels the call
+   */
+  protected abstract afterRead(callback: () => void): () => void;
+
   /**
    * Called for each chunk as it is parsed.
    * @param _length - its length, bytes
@@ -59,15 +67,13 @@
   private add(chunk: Buffer | null): boolean {
     if (chunk === null) {
       this.flush();
-      // It would keep the message until the next pass of the event loop.
-      clearImmediate(this.endOfPass);
+      this.cancelEndOfRead?.();
       return this.push(null);
     }
     const {length} = chunk;
     if (length >= LARGE_CHUNK) this.passOn(chunk);
     else {
-      // By then all of the read that has brought the chunk is parsed.
-      this.endOfPass ??= setImmediate(() => this.onEndOfPass());
+      this.cancelEndOfRead ??= this.afterRead(() => this.onEndOfRead());
       if (this.passedOn < this.uncollected) {
         this.passedOn += 1;
         this.passOn(chunk);
@@ -89,8 +95,8 @@
     this.length += chunk.length;
   }
 
-  private onEndOfPass(): void {
-    this.endOfPass = undefined;
+  private onEndOfRead(): void {
+    this.cancelEndOfRead = undefined;
     this.passedOn = 0;
     this.flush();
   }
@@ -121,18 +127,33 @@
     meters.set(req, this.meter);
   }
 
+  protected afterRead(callback: () => void): () => void {
+    const timer = setImmediate(callback);
+    // It would keep the request until the next pass of the event loop.
+    return () => clearImmediate(timer);
+  }
+
   protected override onChunk(length: number): void {
     this.onParsed(length, this.meter.record(length));
   }
 }
 
 /**
- * Collects the small chunks of an upstream's response. The first ones are passed on at
- * once, so that the events of an ordinary stream are not delayed.
+ * Collects the small chunks of an upstream's response. The first ones of a read are passed
+ * on as they are, as those of an ordinary stream.
  */
 export class ResponseChunkCollector extends SmallChunkCollector {
   /** @param body - the body, or the response that has it */
   constructor(body: Readable) {
     super(body, UNCOLLECTED_CHUNKS);
   }
+
+  /** Costs no further pass of the event loop; a response is parsed read by read. */
+  protected afterRead(callback: () => void): () => void {
+    let isCancelled = false;
+    process.nextTick(() => {
+      if (!isCancelled) callback();
+    });
+    return () => (isCancelled = true);
+  }
 }
