Test the deadline of a queued call at a sidecar alone

Cause: the test of a paused sidecar waited for a call that is queued for 250 ms at most, which a busy machine may miss (1 of 20 runs beside load 20). It also passed without the sidecar's own checks of the deadline, since the entry cancels the call that it has given up.

Change: the call is queued for 2.5 s, and a second case pauses the entry too, so that nothing cancels the call.

--- a/test/calls.test.ts
+++ b/test/calls.test.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import {setTimeout} from 'node:timers/promises';
 
 import {request} from 'undici';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
@@ -128,13 +129,28 @@
 });
 
 describe('a paused sidecar', () => {
+  // An entry that runs cancels the call, which hides what the sidecar decides.
+  it('does not start a call after its deadline that its paused entry has not cancelled', async () => {
+    const entry = estate.entries[0]!.process.child;
+    const {first, late} = await pauseWithQueuedCall('b20', 'b21', 1_500);
+    entry.kill('SIGSTOP');
+    await setTimeout(1_500);
+    estate.depot.child.kill('SIGCONT');
+    await until(async () => (await queued()) === 0);
+    await estate.setDepotDelay(0);
+    const after = await estate.postLoading('b22', {}, estate.entries[1]);
+    entry.kill('SIGCONT');
+    const [, result] = await Promise.all([first, late]);
+    expect(result).toMatchObject({
+      outcome: 'unknown',
+      reason: 'deadline_passed',
+    });
+    expect(after.outcome).toBe('done');
+    expect(await estate.depotRuns()).not.toHaveProperty('b21');
+  });
+
   it('does not start a call whose deadline passed during the pause', async () => {
-    await estate.setDepotDelay(300);
-    const first = estate.postLoading('b7');
-    await waitUntilRunning('b7');
-    const late = estate.postLoading('b8', {'baobabspan-deadline-ms': '250'});
-    await until(async () => (await queued()) === 1);
-    estate.depot.child.kill('SIGSTOP');
+    const {first, late} = await pauseWithQueuedCall('b7', 'b8', 3_000);
     const result = await late;
     estate.depot.child.kill('SIGCONT');
     await first;
@@ -148,6 +164,22 @@
     expect(await estate.depotRuns()).not.toHaveProperty('b8');
   });
 
+  /** Pauses the sidecar while it runs a call and another one, of less time, waits. */
+  async function pauseWithQueuedCall(
+    running: string,
+    waiting: string,
+    runMs: number,
+  ) {
+    await estate.setDepotDelay(runMs);
+    const first = estate.postLoading(running);
+    await waitUntilRunning(running);
+    const deadline = {'baobabspan-deadline-ms': String(runMs - 500)};
+    const late = estate.postLoading(waiting, deadline);
+    await until(async () => (await queued()) === 1);
+    estate.depot.child.kill('SIGSTOP');
+    return {first, late};
+  }
+
   async function queued(): Promise<number> {
     const ready = await estate.depot.waitForEvent('ready');
     const res = await request(`http://${ready['operators']}/status`);
