Fill the heap of the entry under test in steps that it has read

A process whose heap nears its limit logs memory_high. The test wrote 1 MB of names each 0.3 s, whether or not the entry had read the last: beside load several steps could arrive between two checks of 0.25 s and end the process without the line (suspected, once in KNOWN-RED). Each step now ends with an upstream, and the next waits until the entry reports it. The bound and what is checked are unchanged.

The entry in KNOWN-RED.txt stays: the failure was not reproduced.

--- a/test/process_ends.test.ts
+++ b/test/process_ends.test.ts
@@ -47,6 +47,12 @@
   return entry;
 }
 
+async function countUpstreams({ports}: EntryProcess): Promise<number> {
+  const res = await fetch(`http://127.0.0.1:${ports.operators}/status`);
+  const status = (await res.json()) as {upstreams: object[]};
+  return status.upstreams.length;
+}
+
 // Whoever looked for why a process had ended found no line.
 describe('a process that ends', () => {
   it('logs a start that fails as its last line', async () => {
@@ -120,12 +126,15 @@
   processes.push(entry);
   await expect.poll(() => entry.hasLogged('ready'), STARTED).toBe(true);
   // In steps: a burst may fill the heap between two checks.
-  for (let step = 0; !entry.hasLogged('memory_high'); step++) {
+  for (let step = 1; !entry.hasLogged('memory_high'); step++) {
     expect(entry.hasEnded).toBe(false);
     for (let i = 0; i < STEP_UPSTREAMS; i++) {
       const key = `${NAME}-${step}-${i}`;
       estate.store.put('keyed.servers', key, {Service: 'app'});
     }
+    // Registered last, and so known once the entry has read the step.
+    await estate.addUpstream(({socket}) => socket.destroy());
+    await expect.poll(() => countUpstreams(entry), STARTED).toBe(step);
     await pause(CHECK_MS);
   }
   expect(entry.hasEnded).toBe(false);
