Hold the unfinished line of a sidecar's stream as bytes

Cause: eventsource-parser keeps a string for each piece of a line that has not ended.

Change: EventSplitter holds the unfinished line in a SegmentedBuffer and passes on whole lines.

--- a/src/daemons/sidecar/event_splitter.ts
+++ b/src/daemons/sidecar/event_splitter.ts
@@ -1,8 +1,15 @@
 import {createParser} from 'eventsource-parser';
 import type {EventSourceMessage} from 'eventsource-parser';
 
+import {SegmentedBuffer} from '../../core/index.js';
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+
 /** Splits a stream of server-sent events into one frame per event. */
 export class EventSplitter {
+  /** The unfinished line; the parser would keep a string for each part of it. */
+  private readonly line = new SegmentedBuffer();
   private readonly decoder = new TextDecoder();
   private readonly encoder = new TextEncoder();
   private completeEvents: Uint8Array<ArrayBuffer>[] = [];
@@ -13,15 +20,27 @@
 
   /**
    * Parses the next bytes of the stream.
-   * @param chunk - the next bytes
+   * @param chunk - the next bytes, which must not change afterwards
    * @returns the events that the bytes complete
    */
-  push(chunk: Uint8Array): Uint8Array<ArrayBuffer>[] {
-    this.parser.feed(this.decoder.decode(chunk, {stream: true}));
+  push(chunk: Buffer): Uint8Array<ArrayBuffer>[] {
+    const end = endOfLastLine(chunk);
+    if (end > 0) {
+      this.line.append(chunk.subarray(0, end));
+      const lines = this.line.take();
+      this.parser.feed(this.decoder.decode(lines, {stream: true}));
+    }
+    this.line.append(chunk.subarray(end));
     return this.completeEvents.splice(0);
   }
 }
 
+/** Returns the position after the last line end, or 0 if there is none. */
+function endOfLastLine(chunk: Buffer): number {
+  const lineFeed = chunk.lastIndexOf(LINE_FEED);
+  return Math.max(lineFeed, chunk.lastIndexOf(CARRIAGE_RETURN)) + 1;
+}
+
 function encodeEvent({id, event, data}: EventSourceMessage): string {
   const lines: string[] = [];
   if (id !== undefined) lines.push(`id: ${id}`);
