Search the lines of a sidecar's stream once when they end with a CR

Cause: eventsource-parser searches the rest of the chunk for both line ends at each line, and holds back a line that ends with a CR until it sees the next character.

Change: EventSplitter turns line ends into LF before it feeds them.

--- a/src/daemons/sidecar/event_splitter.test.ts
+++ b/src/daemons/sidecar/event_splitter.test.ts
@@ -29,6 +29,24 @@
   return heapUsed + arrayBuffers;
 }
 
+/** Characters that are searched to split a chunk of short lines that end with a CR. */
+function searchedFor(chunkBytes: number): number {
+  const chunk = Buffer.from('data\r'.repeat(chunkBytes / 5));
+  const {indexOf} = String.prototype;
+  let searched = 0;
+  String.prototype.indexOf = function (text, from = 0) {
+    const found = indexOf.call(this, text, from);
+    searched += (found === -1 ? this.length : found + 1) - from;
+    return found;
+  };
+  try {
+    new EventSplitter().push(chunk);
+  } finally {
+    String.prototype.indexOf = indexOf;
+  }
+  return searched;
+}
+
 function split(chunks: readonly Buffer[]): string[] {
   const splitter = new EventSplitter();
   return chunks
@@ -52,6 +70,21 @@
     );
   });
 
+  it('returns an event whose lines end with a CR at once', () => {
+    const event = 'data: a\r\r';
+    expect(split([Buffer.from(event)])).toEqual(['data: a\n\n']);
+    const cut = [event, '\ndata: b\r', '\n\r', '\n'];
+    const events = split(cut.map(text => Buffer.from(text)));
+    expect(events).toEqual(['data: a\n\n', 'data: b\n\n']);
+  });
+
+  // The rest of the chunk was searched for an LF at each line (Fault).
+  it('searches each line of a chunk once', () => {
+    const chunkBytes = 10 * 2 ** 10;
+    const small = searchedFor(chunkBytes);
+    expect(searchedFor(4 * chunkBytes)).toBeLessThan(5 * small);
+  });
+
   // Each piece of a line was kept as a string of its own, some 18 times its bytes (Fault).
   it('holds an unfinished line in memory that depends on its bytes', () => {
     heldFor(2 ** 10);
--- a/src/daemons/sidecar/event_splitter.ts
+++ b/src/daemons/sidecar/event_splitter.ts
@@ -12,6 +12,8 @@
   private readonly line = new SegmentedBuffer();
   private readonly decoder = new TextDecoder();
   private readonly encoder = new TextEncoder();
+  /** Whether the lines so far end with a CR, which an LF may follow. */
+  private endsWithCr = false;
   private completeEvents: Uint8Array<ArrayBuffer>[] = [];
   private readonly parser = createParser({
     onEvent: event =>
@@ -28,11 +30,20 @@
     if (end > 0) {
       this.line.append(chunk.subarray(0, end));
       const lines = this.line.take();
-      this.parser.feed(this.decoder.decode(lines, {stream: true}));
+      const text = this.decoder.decode(lines, {stream: true});
+      this.parser.feed(this.normalizeLineEnds(text));
     }
     this.line.append(chunk.subarray(end));
     return this.completeEvents.splice(0);
   }
+
+  /** Ends lines with LF: the parser would search for a CR anew at each line. */
+  private normalizeLineEnds(lines: string): string {
+    const rest =
+      this.endsWithCr && lines.startsWith('\n') ? lines.slice(1) : lines;
+    this.endsWithCr = lines.endsWith('\r');
+    return rest.includes('\r') ? rest.replaceAll(/\r\n?/g, '\n') : rest;
+  }
 }
 
 /** Returns the position after the last line end, or 0 if there is none. */
