Limit the reads of a link's handshake

Cause: ws keeps each read as an object until the frame is complete, and the limit of the handshake counted bytes alone.

Change: an unauthenticated peer may send its 128 KiB in 64 reads.

The new test failed before. Open links lose the counter with their first frame, as before; so an ordinary request costs nothing more.

--- a/src/links/link.test.ts
+++ b/src/links/link.test.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
+import {setTimeout} from 'node:timers/promises';
 
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {WebSocket, WebSocketServer} from 'ws';
@@ -19,6 +20,7 @@
   MAX_BUFFERED_BYTES_FOR_CALLS,
   MAX_BUFFERED_BYTES,
   MAX_FRAME_BYTES,
+  MAX_HANDSHAKE_READS,
 } from './link.js';
 import type {Link, LinkContext, LinkListener} from './link.js';
 import {MAX_UNAUTHENTICATED_LINKS, acceptLinks} from './listener.js';
@@ -96,9 +98,13 @@
   /** The hello frame that it sent, for replays. */
   hello: Uint8Array = new Uint8Array();
   private readonly handshake = new Handshake(KEY, identityOf('raw'));
+  private tcp: Socket | undefined;
 
   constructor(address: string) {
     this.socket = new WebSocket(`ws://${address}`);
+    this.socket.once('upgrade', ({socket}) => {
+      this.tcp = socket.setNoDelay();
+    });
     this.socket.on('message', data => this.frames.push(data as Buffer));
     this.socket.on('error', () => undefined);
   }
@@ -107,6 +113,11 @@
     return this.socket.readyState === WebSocket.CLOSED;
   }
 
+  /** Writes bytes to the connection as they are. */
+  write(bytes: Uint8Array): void {
+    this.tcp?.write(bytes);
+  }
+
   async waitForChallenge(): Promise<void> {
     await until(() => this.frames.length > 0);
   }
@@ -235,6 +246,21 @@
       await expectClosed(peer, 'dropped_frames', 'bad_frame');
     });
 
+    // Each read was an object until the frame was complete, up to 131,072 of them for
+    // each of 256 peers (Fault).
+    it('is closed for a handshake frame that arrives byte by byte', async () => {
+      const peer = connectRaw();
+      await peer.waitForChallenge();
+      let written = 0;
+      peer.write(Buffer.from([0x82, 0xfe, 0x7f, 0xff, 0, 0, 0, 0]));
+      for (; !peer.isClosed && written < 10 * MAX_HANDSHAKE_READS; written++) {
+        peer.write(Buffer.from('x'));
+        await setTimeout(1);
+      }
+      expect(written).toBeLessThan(10 * MAX_HANDSHAKE_READS);
+      await expectClosed(peer, 'dropped_frames', 'bad_frame');
+    });
+
     it('is closed for a replayed hello of an earlier link', async () => {
       const first = connectRaw();
       await first.completeHandshake();
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -16,6 +16,8 @@
 export const MAX_FRAME_BYTES = 16 * 2 ** 20;
 /** Most bytes read from a peer before it is authenticated. */
 export const MAX_HANDSHAKE_BYTES = 128 * 2 ** 10;
+/** Most reads that these bytes come in; each is an object until its frame ends. */
+export const MAX_HANDSHAKE_READS = 64;
 /** Send buffer size above which a link accepts no new calls, bytes. */
 export const MAX_BUFFERED_BYTES_FOR_CALLS = 32 * 2 ** 20;
 /** Send buffer size above which a link is closed, bytes. */
@@ -113,16 +115,21 @@
   }
 
   /**
-   * Bounds the bytes that an unauthenticated peer can make this process buffer.
+   * Bounds the bytes, and the parts of them, that an unauthenticated peer can make this
+   * process buffer.
    * @param tcp - the underlying connection
    */
   limitHandshake(tcp: Duplex): void {
-    let read = 0;
+    let bytes = 0;
+    let reads = 0;
     const count = (chunk: Buffer) => {
-      read += chunk.length;
+      bytes += chunk.length;
+      reads += 1;
       if (this.peer !== undefined) tcp.off('data', count);
-      else if (read > MAX_HANDSHAKE_BYTES) {
+      else if (bytes > MAX_HANDSHAKE_BYTES) {
         this.reject(new Fault('bad_frame', 'the handshake is too long'));
+      } else if (reads > MAX_HANDSHAKE_READS) {
+        this.reject(new Fault('bad_frame', 'the handshake has too many parts'));
       }
     };
     tcp.on('data', count);
