Show that events ending with a CR alone are not recognised

Cause: EventFramer takes a blank line to be LF LF or LF CR LF; the HTML standard also lets lines end with CR alone.

The program is unchanged.

--- a/src/direct/event_frames.test.ts
+++ b/src/direct/event_frames.test.ts
@@ -67,6 +67,14 @@
     expect(frames.map(({id}) => id)).toEqual([undefined, 7]);
   });
 
+  // A stream whose lines end with CR alone, as the HTML standard allows, counted as
+  // one unfinished event and was broken off.
+  it('recognises events whose lines end with a CR alone', () => {
+    const framer = new EventFramer();
+    const frames = framer.push(bytes('data: x\r\rid: 7\rdata: y\r\r'));
+    expect(frames.map(({id}) => id)).toEqual([undefined, 7]);
+  });
+
   it('finds the blank lines of any bytes, regardless of chunk boundaries', () => {
     const text = fc.string({unit: fc.constantFrom('\n', '\r', 'a', ':')});
     fc.assert(
