Give the processes of tests separate blocks of ports

Cause, by trial: a port was checked, closed and bound later by a child process; test files began apart by their process ids, so that two could be given the same ports within that time.

Change: a process holds the first port of a block of 50 for as long as it lives, and gives out the others; the system frees it.

--- a/src/daemons/direct/evacuation/evacuation_bound.test.ts
+++ b/src/daemons/direct/evacuation/evacuation_bound.test.ts
@@ -2,7 +2,7 @@
 import type {ResultAsync} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
 
-import {freePort} from '../../../../test/support/direct_estate.js';
+import {freePort} from '../../../../test/support/free_port.js';
 import {testRegistration} from '../../../../test/support/direct_samples.js';
 import {position} from '../../../../test/support/positions.js';
 import {KeyedStore} from '../../../clients/index.js';
--- a/src/daemons/direct/zone_store.test.ts
+++ b/src/daemons/direct/zone_store.test.ts
@@ -4,7 +4,7 @@
 import type {ResultAsync} from 'neverthrow';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
-import {freePort} from '../../../test/support/direct_estate.js';
+import {freePort} from '../../../test/support/free_port.js';
 import {position} from '../../../test/support/positions.js';
 import {KeyedStore} from '../../clients/index.js';
 import type {KeyedListing, KeyedPage} from '../../clients/index.js';
--- a/src/daemons/shared/unread_pipelines.test.ts
+++ b/src/daemons/shared/unread_pipelines.test.ts
@@ -7,7 +7,7 @@
 import {SILENT_LOGGER, SystemClock} from '../../observability/index.js';
 import {Metrics} from '../../observability/metrics.js';
 import {acceptLinks} from '../../links/index.js';
-import {freePort} from '../../../test/support/direct_estate.js';
+import {freePort} from '../../../test/support/free_port.js';
 import {RelayServer} from '../direct/relay_server.js';
 import {OperatorServer} from './operator_server.js';
 
--- a/test/map_sidecars.test.ts
+++ b/test/map_sidecars.test.ts
@@ -16,7 +16,7 @@
 import {KeyedLogServer} from '../standins/keyed_log_server.js';
 import type {StoreCopy} from '../standins/keyed_log_server.js';
 import {LockstepRanks} from '../standins/lockstep_rank_server.js';
-import {freePort} from './support/direct_estate.js';
+import {freePort} from './support/free_port.js';
 
 const RANKS = 3;
 const RANK_KEYS = ['g0/0', 'g0/1', 'g0/2'];
--- a/test/recorded_bytes.test.ts
+++ b/test/recorded_bytes.test.ts
@@ -61,7 +61,7 @@
 import {challenge, hello, linkMessage, welcome} from '../src/links/messages.js';
 import {identity} from '../src/membership/index.js';
 import {Metrics, createLogger} from '../src/observability/index.js';
-import {freePort} from './support/direct_estate.js';
+import {freePort} from './support/free_port.js';
 import {position} from './support/positions.js';
 
 /** Each byte of the nonces in the recorded handshake. */
--- a/test/support/direct_estate.ts
+++ b/test/support/direct_estate.ts
@@ -18,6 +18,7 @@
   SILENT_LOGGER,
 } from '../../src/observability/index.js';
 import {KeyedLogServer} from '../../standins/keyed_log_server.js';
+import {freePort} from './free_port.js';
 
 /** A request as a scripted upstream received it. */
 export interface ReceivedRequest {
@@ -192,29 +193,6 @@
 /** Limit of the body text that a caller stores, for endless bodies. */
 const MAX_KEPT_BODY_LENGTH = 64 * 2 ** 10;
 
-/** Returns a port that was free when it was checked. */
-export async function freePort(): Promise<number> {
-  for (;;) {
-    const port = nextPort;
-    nextPort = nextPort + 1 < PORTS_END ? nextPort + 1 : PORTS_START;
-    const server = createServer().listen(port, '127.0.0.1');
-    const isFree = await new Promise<boolean>(resolve => {
-      server.once('listening', () => resolve(true));
-      server.once('error', () => resolve(false));
-    });
-    if (!isFree) continue;
-    server.close();
-    await once(server, 'close');
-    return port;
-  }
-}
-
-/** Below the ports that the system gives to connections and other listeners. */
-const PORTS_START = 20_000;
-const PORTS_END = 32_000;
-/** Test processes begin apart, so that none takes a port another has checked. */
-let nextPort = PORTS_START + ((process.pid * 97) % (PORTS_END - PORTS_START));
-
 /** Limits of the stand-in configuration, in the platform's format. */
 const LIMITS = {
   MaxHeaderBytes: 16_384,
--- a/test/support/entry_process.ts
+++ b/test/support/entry_process.ts
@@ -8,7 +8,7 @@
 import {fileURLToPath} from 'node:url';
 
 import {hostPort} from '../../src/core/index.js';
-import {freePort} from './direct_estate.js';
+import {freePort} from './free_port.js';
 import {parseLogLine} from './processes.js';
 import type {LogLine} from './processes.js';
 
--- a/test/untrusted_clients/processes.ts
+++ b/test/untrusted_clients/processes.ts
@@ -11,11 +11,11 @@
 import {hostPort} from '../../src/core/index.js';
 import {
   DirectEstate,
-  freePort,
   sealedAnswer,
   wireRoute,
 } from '../support/direct_estate.js';
 import {EntryProcess, MAIN, freePorts} from '../support/entry_process.js';
+import {freePort} from '../support/free_port.js';
 import {Processes, TestProcess, until} from '../support/processes.js';
 import type {WatchedProcess} from './crowd.js';
 
